--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -15,7 +15,7 @@
 import { getForwardable } from "./headers.ts";
 import type { Picked } from "./pick_upstream.ts";
 import { AttemptFailed } from "./types.ts";
-import type { OpenAnswer } from "./upstream_call.ts";
+import { createEndedEarly, type OpenAnswer } from "./upstream_call.ts";
 
 /**
  * A resumable stream that is silent for so long, in ms, goes on elsewhere: four
@@ -38,19 +38,14 @@
     const mayMove = route.isResumable && progress.runs < route.maxAttempts;
     let silence: NodeJS.Timeout | undefined;
 
-    function fail(kind: "broken" | "silent", reason: string): void {
-      clearTimeout(silence);
-      answer.abort();
-      resume(Effect.fail(new AttemptFailed({ kind, reason })));
-    }
-
     function restartSilence(): void {
       clearTimeout(silence);
       if (!mayMove) return;
-      silence = setTimeout(
-        () => fail("silent", `No event in ${RESUME_SILENCE_MS} ms`),
-        RESUME_SILENCE_MS,
-      );
+      silence = setTimeout(() => {
+        answer.abort();
+        const reason = `No event in ${RESUME_SILENCE_MS} ms`;
+        resume(Effect.fail(new AttemptFailed({ kind: "silent", reason })));
+      }, RESUME_SILENCE_MS);
     }
 
     function onFirstEvent(): void {
@@ -80,15 +75,20 @@
       const chunk = frames.push(bytes);
       if (chunk !== undefined) passOn(chunk);
     });
-    upstreamRes.on("close", () => {
-      clearTimeout(silence);
-      if (!answer.isWhole()) return fail("broken", "The stream ended early");
+    function finish(isWhole: boolean): Effect.Effect<void, AttemptFailed> {
+      if (!isWhole) return Effect.fail(createEndedEarly());
       if (frames.getPending().length > 0) {
-        return fail("broken", "The stream ended in the middle of an event");
+        const reason = "The stream ended in the middle of an event";
+        return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
       }
       if (!caller.headersSent) startStream(call, answer);
       caller.end();
-      resume(Effect.void);
+      return Effect.void;
+    }
+
+    upstreamRes.on("close", () => {
+      clearTimeout(silence);
+      resume(answer.isWhole.pipe(Effect.flatMap(finish)));
     });
     caller.once("close", () => {
       if (caller.writableFinished) return;
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -37,12 +37,8 @@
   readonly res: IncomingMessage;
   /** Closes the connection, whatever has been read. */
   abort(): void;
-  /**
-   * Whether the whole body has come. Node calls a body that has no length
-   * complete also when its connection was reset; the caller would take the part
-   * for the whole.
-   */
-  isWhole(): boolean;
+  /** Whether the whole body has come; asked once the body has ended. */
+  readonly isWhole: Effect.Effect<boolean>;
 }
 
 /**
@@ -59,7 +55,6 @@
     const [host, port] = call.address.split(":");
     let isSent = false;
     let isOpen = false;
-    let wasReset = false;
     const req = sendRequest({
       agent: call.agent,
       host,
@@ -94,14 +89,12 @@
       isOpen = true;
       // Without a listener an error of the body would end the process.
       res.on("error", () => {});
-      resume(Effect.succeed({
-        res,
-        abort: () => req.destroy(),
-        isWhole: () => res.complete && !(wasReset && hasNoLength(res)),
-      }));
+      const isWhole = hasLength(res)
+        ? Effect.sync(() => res.complete)
+        : watchEnd(res);
+      resume(Effect.succeed({ res, abort: () => req.destroy(), isWhole }));
     });
     req.on("error", (err) => {
-      wasReset = true;
       const reason = `${(err as NodeJS.ErrnoException).code ?? err.message}`;
       fail(isSent ? "broken" : "not-sent", reason);
     });
@@ -138,8 +131,13 @@
     });
     res.on("close", () => {
       clearTimeout(timer);
-      if (answer.isWhole()) resume(Effect.succeed(chunks));
-      else fail("broken", "The body ended early");
+      resume(
+        answer.isWhole.pipe(
+          Effect.flatMap((isWhole) =>
+            isWhole ? Effect.succeed(chunks) : Effect.fail(createEndedEarly())
+          ),
+        ),
+      );
     });
     return Effect.sync(() => {
       clearTimeout(timer);
@@ -148,9 +146,43 @@
   });
 }
 
-function hasNoLength(res: IncomingMessage): boolean {
-  return res.headers["content-length"] === undefined &&
-    res.headers["transfer-encoding"] === undefined;
+/** The failure of a body that ended before its end. */
+export function createEndedEarly(): AttemptFailed {
+  const reason = "The body ended early";
+  return new AttemptFailed({ kind: "broken", reason });
+}
+
+function hasLength(res: IncomingMessage): boolean {
+  return res.headers["content-length"] !== undefined ||
+    res.headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Tells whether a body without length ended with its connection, or broke off
+ * by a reset. Node reports a reset that arrives together with the last data as
+ * an ordinary end, and the caller would take the part for the whole. A write
+ * tells them apart: on a connection that was reset it fails at once. An
+ * upstream that has ended its side ignores the empty line.
+ */
+function watchEnd(res: IncomingMessage): Effect.Effect<boolean> {
+  const { socket } = res;
+  let wasReset = false;
+  const ended = new Promise<void>((resolve) => {
+    socket.on("error", () => {
+      wasReset = true;
+      resolve();
+    });
+    socket.prependOnceListener("end", () => {
+      socket.write("\r\n", (err) => {
+        if (err) wasReset = true;
+        resolve();
+      });
+    });
+    socket.once("close", () => resolve());
+  });
+  return Effect.promise(() => ended).pipe(
+    Effect.map(() => res.complete && !wasReset),
+  );
 }
 
 /** The body's length stands in one header, by what is really sent. */
