Decide placement by the load of the whole fleet, and shares by team

Cause: each host saw only its own requests. Change: hosts report requests in flight, tokens being read and rates by team to each other each 100 ms; a prompt waits while its upstream is full; a team that has had more than its max-min share leaves a quarter of each upstream free.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -55,6 +55,12 @@
     readonly upstream: string | undefined;
     readonly attempts: number;
     readonly totalMs: number;
+    /** Of a stream; absent before its first event. */
+    readonly firstEventMs: number | undefined;
+    /** Pieces of a stream passed on. */
+    readonly chunks: number;
+    /** Between two pieces of a stream. */
+    readonly longestPauseMs: number | undefined;
     readonly retryAfterMs: number | undefined;
     readonly inputs: Inputs;
   }
--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -20,6 +20,8 @@
   getReady(service: string): readonly UpstreamEntry[];
   /** Whether this very start of the upstream may still get work. */
   isReady(entry: UpstreamEntry): boolean;
+  /** Requests that the upstream works on at once; 0 for an unknown one. */
+  getSlots(upstream: string): number;
   /** Takes in the table's rows. */
   update(rows: ReadonlyMap<string, TableRow<UpstreamEntry>>): void;
 }
@@ -113,6 +115,7 @@
       return known?.state === "ready" &&
         known.incarnation === entry.incarnation;
     },
+    getSlots: (upstream) => entries.get(upstream)?.slots ?? 0,
     update(rows) {
       const next = new Map<string, UpstreamEntry>();
       for (const [id, row] of rows) {
--- a/src/entry/caller_addresses.ts
+++ b/src/entry/caller_addresses.ts
@@ -22,7 +22,7 @@
  * A caller gets at least so many hosts where there are as many: two may die at
  * once, and the caller still has one.
  */
-const MIN_ADDRESSES = 3;
+const MIN_ADDRESSES = 6;
 
 /** Callers read no more than so many. */
 const MAX_ADDRESSES = 64;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -17,11 +17,14 @@
   type ForwardHost,
   serve,
 } from "../forwarding/mod.ts";
+import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
+import { getNameDigest } from "../peers/mod.ts";
 import { createKeptParts, type Distance } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
+import { openLoadExchange } from "./load_exchange.ts";
 import { createKnowledge } from "./knowledge.ts";
 import { createLeaving } from "./leaving.ts";
 import { createEntryMetrics } from "./metrics.ts";
@@ -77,7 +80,27 @@
 
   const kept = createKeptParts();
   const health = createHealthWatch(clock);
-  const queue = createPromptQueue({ nowMs: clock.monotonicMs });
+  const load = createLoadView({
+    clock,
+    self: peerAddress,
+    getDigest: getNameDigest,
+    isAlive: (address) => peers.membership.isUsable(address),
+    getStatedCapacity: () =>
+      knowledge.tryGetRoutes()?.config.tokensPerSecond ?? 0,
+  });
+  const queue = createPromptQueue({
+    nowMs: clock.monotonicMs,
+    getLoad: (upstream) => ({
+      slots: knowledge.directory.getSlots(upstream),
+      inFlight: load.getInFlight(upstream),
+      readingTokens: load.getReadingTokens(upstream),
+    }),
+    getShareUsed: load.getShareUsed,
+    onStart(prompt, upstream, tokens) {
+      load.beginReading(upstream, tokens);
+      load.noteBegun(prompt.team, prompt.size);
+    },
+  });
   const crashes = createCrashWatch({
     clock,
     pushFact: (fact) => peers.membership.pushFact(fact),
@@ -153,6 +176,7 @@
     agent,
     directory: knowledge.directory,
     queue,
+    load,
     kept,
     health,
     crashes,
@@ -218,7 +242,19 @@
     onFailure: (reason) =>
       log({ event: "platform-lost", table: "hosts", reason }),
   });
-  const tasks = [peers.run, knowledge.run, tickQueue, directory.run]
+  const exchange = await openLoadExchange({
+    peerAddress,
+    view: load,
+    getHosts: () => getAlive().map((each) => each.peerAddress),
+    onHeard: queue.onRoom,
+  });
+  const tasks = [
+    exchange.run,
+    peers.run,
+    knowledge.run,
+    tickQueue,
+    directory.run,
+  ]
     .map((task) => Effect.runFork(task));
   log({
     event: "started",
@@ -239,6 +275,7 @@
       for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
       for (const server of servers) await server[Symbol.asyncDispose]();
       agent.destroy();
+      await exchange[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
     },
   };
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -67,7 +67,7 @@
  * The hosts' network is their own, and their settings hold no secret: the code
  * on datagrams guards against stray ones only.
  */
-const FLEET_NAME = "azurestile-entry";
+export const FLEET_NAME = "azurestile-entry";
 
 /** Opens the sockets and begins as a host that knows only its seeds. */
 export async function openPeers(
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../core/mod.ts";
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
 import type { UpstreamDirectory, UpstreamEntry } from "../discovery/mod.ts";
+import type { LoadView } from "../load/mod.ts";
 import type { Distance, KeptParts } from "../placement/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
@@ -25,6 +26,7 @@
   readonly agent: Agent;
   readonly directory: UpstreamDirectory;
   readonly queue: PromptQueue;
+  readonly load: LoadView;
   readonly kept: KeptParts;
   readonly health: HealthWatch;
   readonly crashes: CrashWatch;
@@ -80,6 +82,9 @@
   /** Id of the last event that the caller was sent. */
   lastEventId: string | undefined;
   firstEventMs: number | undefined;
+  /** Chunks of events passed on, and the longest time between two, in ms. */
+  chunks: number;
+  longestPauseMs: number;
   status: number;
 }
 
@@ -92,6 +97,8 @@
     upstream: undefined,
     lastEventId,
     firstEventMs: undefined,
+    chunks: 0,
+    longestPauseMs: 0,
     status: 0,
   };
 }
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -91,6 +91,7 @@
   call.progress.tried.add(upstream.id);
   logAttempt(host, call, picked);
   health.begin(upstream.id);
+  host.load.begin(upstream.id);
   const headLimitMs = getHeadLimitMs(host, call);
   return attempt(host, call, { upstream, headLimitMs }).pipe(
     Effect.tap(() => Effect.sync(() => health.noteLife(upstream.id))),
@@ -105,6 +106,8 @@
     Effect.ensuring(Effect.sync(() => {
       picked.endReading();
       health.end(upstream.id);
+      host.load.end(upstream.id);
+      host.queue.onRoom();
     })),
   );
 }
--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -57,10 +57,14 @@
       progress.firstEventMs ??= host.clock.monotonicMs() - call.arrivedMs;
     }
 
-    let hasEvents = false;
+    let lastChunkMs: number | undefined;
     function passOn(chunk: EventChunk): void {
-      if (!hasEvents) onFirstEvent();
-      hasEvents = true;
+      const nowMs = host.clock.monotonicMs();
+      if (lastChunkMs === undefined) onFirstEvent();
+      const pauseMs = nowMs - (lastChunkMs ?? nowMs);
+      progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
+      progress.chunks++;
+      lastChunkMs = nowMs;
       if (!caller.headersSent) startStream(call, answer);
       progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
       if (caller.write(chunk.bytes)) return;
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -79,12 +79,14 @@
   prompt: Prompt,
 ): Effect.Effect<Picked, Rejected> {
   const key = getAffinityKey(prompt.model, prompt.parts);
+  host.load.noteAsked(call.team ?? "", getSize(prompt));
   return Effect.callback<Picked, Rejected>((resume) => {
     const waiting: WaitingPrompt = {
       request: call.headers.requestId,
       team: call.team ?? "",
       arrivedMs: host.clock.monotonicMs(),
       targetMs: Math.min(call.route.targetMs, getLeftMs(host, call)),
+      size: getSize(prompt),
       getTokens: (upstream) => host.kept.getUnread(upstream, prompt.parts),
       getRanked: () => rankByAffinity(key, getCandidates(host, call)),
       start(id, tokens) {
@@ -97,7 +99,8 @@
           endReading() {
             if (!isReading) return;
             isReading = false;
-            host.queue.endReading(id, tokens);
+            host.load.endReading(id, tokens);
+            host.queue.onRoom();
           },
         }));
       },
@@ -108,6 +111,11 @@
   });
 }
 
+/** Service of a request: each token read once, each generated twice. */
+export function getSize(prompt: Prompt): number {
+  return prompt.promptTokens + 2 * prompt.maxOutputTokens;
+}
+
 function toRejected(call: Call, refusal: PromptRefusal): Rejected {
   if (refusal.reason === "no-upstream") return createNoUpstream(call);
   return createNotRun(
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -257,6 +257,9 @@
     upstream: call?.progress.upstream?.id,
     attempts: call?.progress.attempts ?? 0,
     totalMs,
+    firstEventMs: toWhole(call?.progress.firstEventMs),
+    chunks: call?.progress.chunks ?? 0,
+    longestPauseMs: toWhole(call?.progress.longestPauseMs),
     retryAfterMs: end.retryAfterMs,
     inputs: host.getInputs(),
   });
@@ -268,3 +271,7 @@
     firstEventMs: call?.progress.firstEventMs,
   });
 }
+
+function toWhole(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
--- /dev/null
+++ b/src/load/load_view.ts
@@ -0,0 +1,194 @@
+/**
+ * What all hosts together use of the upstreams, and which teams take more than
+ * their share: this host's own counts and the newest report of each other host.
+ *
+ * Load: all hosts send to the same upstreams, each seeing its own requests
+ * alone. Harm prevented: together they send an upstream more than it works on
+ * at once, and the rest waits inside it, in no order and for up to 1.3 s; and a
+ * team that floods one data centre gets there what others lack elsewhere.
+ *
+ * @module
+ */
+
+import { type Clock, getOrCreate } from "../core/mod.ts";
+import { createRate, type Rate } from "./rate.ts";
+import { getFairLevel } from "./team_shares.ts";
+import type { LoadReport, TeamUse, UpstreamUse } from "./types.ts";
+
+/** What the view needs of the process. */
+export interface LoadViewHost {
+  readonly clock: Clock;
+  readonly self: string;
+  /** Digest by which a name travels. */
+  getDigest(name: string): number;
+  /** Whether the host is alive, as far as is known. */
+  isAlive(host: string): boolean;
+  /** Tokens that the upstreams do in a second, as operators state it. */
+  getStatedCapacity(): number;
+}
+
+/** The load of the fleet, as this host sees it. */
+export interface LoadView {
+  begin(upstream: string): void;
+  end(upstream: string): void;
+  beginReading(upstream: string, tokens: number): void;
+  endReading(upstream: string, tokens: number): void;
+  noteAsked(team: string, tokens: number): void;
+  noteBegun(team: string, tokens: number): void;
+  /** Requests of all hosts in flight at the upstream. */
+  getInFlight(upstream: string): number;
+  /** Tokens being read there for all hosts. */
+  getReadingTokens(upstream: string): number;
+  /** What the team was given over its share, as a ratio; 1 is the share. */
+  getShareUsed(team: string): number;
+  receive(report: LoadReport): void;
+  createReport(): LoadReport;
+}
+
+/** Rates fade to a half in so long, in ms: shares are owed by four seconds. */
+const HALF_LIFE_MS = 1_400;
+
+/** Older reports count for nothing: their host is gone, or cut off, in ms. */
+const REPORT_KEEP_MS = 1_500;
+
+/** The level is worked out anew after so long, in ms. */
+const LEVEL_KEEP_MS = 50;
+
+interface Use {
+  inFlight: number;
+  readingTokens: number;
+}
+
+interface HeardReport {
+  readonly report: LoadReport;
+  readonly byUpstream: ReadonlyMap<number, UpstreamUse>;
+  readonly atMs: number;
+}
+
+interface TeamRates {
+  readonly asked: Rate;
+  readonly begun: Rate;
+}
+
+/** Makes the view of a host that knows of no load. */
+export function createLoadView(host: LoadViewHost): LoadView {
+  const { clock, getDigest } = host;
+  const uses = new Map<number, Use>();
+  const teams = new Map<number, TeamRates>();
+  const reports = new Map<string, HeardReport>();
+  let sequence = 0;
+  let level = Infinity;
+  let begunByTeam: ReadonlyMap<number, number> = new Map();
+  let levelAtMs = -Infinity;
+
+  function getUse(upstream: string): Use {
+    return getOrCreate(
+      uses,
+      getDigest(upstream),
+      () => ({ inFlight: 0, readingTokens: 0 }),
+    );
+  }
+
+  function getTeam(team: string): TeamRates {
+    return getOrCreate(teams, getDigest(team), () => ({
+      asked: createRate(HALF_LIFE_MS),
+      begun: createRate(HALF_LIFE_MS),
+    }));
+  }
+
+  function getFresh(): readonly HeardReport[] {
+    const nowMs = clock.monotonicMs();
+    const fresh: HeardReport[] = [];
+    for (const [from, heard] of reports) {
+      const isOld = nowMs - heard.atMs > REPORT_KEEP_MS || !host.isAlive(from);
+      if (isOld) reports.delete(from);
+      else fresh.push(heard);
+    }
+    return fresh;
+  }
+
+  function sumOthers(upstream: string, field: keyof Use): number {
+    const digest = getDigest(upstream);
+    let sum = 0;
+    for (const heard of getFresh()) {
+      sum += heard.byUpstream.get(digest)?.[field] ?? 0;
+    }
+    return sum;
+  }
+
+  function getOwnTeams(): readonly TeamUse[] {
+    const nowMs = clock.monotonicMs();
+    return [...teams].map(([team, rates]) => ({
+      team,
+      asked: Math.round(rates.asked.get(nowMs)),
+      begun: Math.round(rates.begun.get(nowMs)),
+    }));
+  }
+
+  function updateLevel(): void {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - levelAtMs < LEVEL_KEEP_MS) return;
+    levelAtMs = nowMs;
+    const asked = new Map<number, number>();
+    const begun = new Map<number, number>();
+    const all = [getOwnTeams(), ...getFresh().map((each) => each.report.teams)];
+    for (const use of all.flat()) {
+      asked.set(use.team, (asked.get(use.team) ?? 0) + use.asked);
+      begun.set(use.team, (begun.get(use.team) ?? 0) + use.begun);
+    }
+    const total = [...begun.values()].reduce((sum, each) => sum + each, 0);
+    // What upstreams keep need not be read, so that they do more than stated.
+    const capacity = Math.max(total, host.getStatedCapacity());
+    level = getFairLevel([...asked.values()], capacity);
+    begunByTeam = begun;
+  }
+
+  return {
+    begin: (upstream) => void getUse(upstream).inFlight++,
+    end: (upstream) => void getUse(upstream).inFlight--,
+    beginReading(upstream, tokens) {
+      getUse(upstream).readingTokens += tokens;
+    },
+    endReading(upstream, tokens) {
+      getUse(upstream).readingTokens -= tokens;
+    },
+    noteAsked: (team, tokens) =>
+      getTeam(team).asked.add(tokens, clock.monotonicMs()),
+    noteBegun: (team, tokens) =>
+      getTeam(team).begun.add(tokens, clock.monotonicMs()),
+    getInFlight: (upstream) =>
+      getUse(upstream).inFlight + sumOthers(upstream, "inFlight"),
+    getReadingTokens: (upstream) =>
+      getUse(upstream).readingTokens + sumOthers(upstream, "readingTokens"),
+    getShareUsed(team) {
+      updateLevel();
+      return (begunByTeam.get(getDigest(team)) ?? 0) / level;
+    },
+    receive(report) {
+      const known = reports.get(report.from);
+      const isOlder = known !== undefined &&
+        report.sequence < known.report.sequence &&
+        // A restarted host counts from the start again.
+        clock.monotonicMs() - known.atMs < REPORT_KEEP_MS;
+      if (isOlder) return;
+      reports.set(report.from, {
+        report,
+        byUpstream: new Map(
+          report.upstreams.map((each) => [each.upstream, each]),
+        ),
+        atMs: clock.monotonicMs(),
+      });
+    },
+    createReport() {
+      sequence++;
+      const upstreams: UpstreamUse[] = [];
+      for (const [upstream, use] of uses) {
+        if (use.inFlight > 0 || use.readingTokens > 0) {
+          upstreams.push({ upstream, ...use });
+        } else uses.delete(upstream);
+      }
+      const used = getOwnTeams().filter((each) => each.asked > 0);
+      return { from: host.self, sequence, upstreams, teams: used };
+    },
+  };
+}
--- /dev/null
+++ b/src/load/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The load of the fleet, as hosts tell each other.
+ *
+ * @module
+ */
+
+export * from "./load_view.ts";
+export * from "./team_shares.ts";
+export * from "./types.ts";
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -20,9 +20,9 @@
 } from "../membership/mod.ts";
 
 /** The socket; loss of datagrams is expected and not told. */
-export interface DatagramSocket extends AsyncDisposable {
+export interface DatagramSocket<T = MembershipMessage> extends AsyncDisposable {
   /** Gives the size of the datagram in bytes, for the metrics. */
-  send(address: string, message: MembershipMessage): number;
+  send(address: string, message: T): number;
 }
 
 const toWire: Readonly<Record<MemberState, WireState>> = {
@@ -36,11 +36,17 @@
   Object.entries(toWire).map(([state, wire]) => [wire, state as MemberState]),
 );
 
-/** Turns messages of the membership protocol into datagrams and back. */
-export interface DatagramCodec {
-  encode(message: MembershipMessage): Uint8Array;
+/** Turns messages between hosts into datagrams and back. */
+export interface DatagramCodec<T = MembershipMessage> {
+  encode(message: T): Uint8Array;
   /** Gives `undefined` for what no host of the fleet has sent. */
-  tryDecode(bytes: Uint8Array): MembershipMessage | undefined;
+  tryDecode(bytes: Uint8Array): T | undefined;
+}
+
+/** Turns a message into bytes and back; `decode` throws for other bytes. */
+export interface MessageFormat<T> {
+  encode(message: T): Uint8Array;
+  decode(bytes: Uint8Array): T;
 }
 
 /**
@@ -51,8 +57,19 @@
  */
 const CODE_BYTES = 12;
 
-/** Makes the codec of a fleet with the secret given. */
+/** Makes the codec of the membership protocol, for the fleet of the secret. */
 export function createDatagramCodec(secret: string): DatagramCodec {
+  return createSealedCodec(secret, {
+    encode: (message) => toBinary(DatagramSchema, toDatagram(message)),
+    decode: (bytes) => toMessage(fromBinary(DatagramSchema, bytes)),
+  });
+}
+
+/** Makes the codec of messages of the format, for the fleet of the secret. */
+export function createSealedCodec<T>(
+  secret: string,
+  format: MessageFormat<T>,
+): DatagramCodec<T> {
   function getCode(content: Uint8Array): Uint8Array {
     const code = createHmac("sha256", secret).update(content).digest();
     return code.subarray(0, CODE_BYTES);
@@ -60,7 +77,7 @@
 
   return {
     encode(message) {
-      const content = toBinary(DatagramSchema, toDatagram(message));
+      const content = format.encode(message);
       const bytes = new Uint8Array(content.length + CODE_BYTES);
       bytes.set(content);
       bytes.set(getCode(content), content.length);
@@ -72,7 +89,7 @@
       const code = bytes.subarray(content.length);
       if (!timingSafeEqual(code, getCode(content))) return undefined;
       try {
-        return toMessage(fromBinary(DatagramSchema, content));
+        return format.decode(content);
       } catch {
         return undefined;
       }
@@ -81,13 +98,13 @@
 }
 
 /** Opens the socket on the address, an IP and a port. */
-export async function openDatagrams(
+export async function openDatagrams<T>(
   address: string,
   { codec, onMessage }: {
-    readonly codec: DatagramCodec;
-    readonly onMessage: (message: MembershipMessage, sender: string) => void;
+    readonly codec: DatagramCodec<T>;
+    readonly onMessage: (message: T, sender: string) => void;
   },
-): Promise<DatagramSocket> {
+): Promise<DatagramSocket<T>> {
   const socket = createSocket("udp4");
   const [host, port] = address.split(":");
   socket.on("message", (bytes, sender) => {
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -10,3 +10,4 @@
 export * from "./frames.ts";
 export * from "./peer_link.ts";
 export * from "./peer_server.ts";
+export * from "./load_codec.ts";
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -6,10 +6,11 @@
  * send seven times their share. Harm prevented:
  * - Prompts that are read at the same time delay each other and every answer
  *   beside them, and what waits inside an upstream can neither be refused nor
- *   put in a fair order. So this host lets an upstream read a bounded number of
- *   tokens at once and keeps the rest here.
- * - A team that floods would stand before all others. So the next prompt is of
- *   the team that was given least lately.
+ *   put in a fair order. So all hosts together let an upstream read a bounded
+ *   number of tokens, and work on no more requests than it has slots; the rest
+ *   waits here.
+ * - A team that floods would stand before all others. So a team that has had
+ *   more than its share goes last, and leaves a part of each upstream free.
  * - A request that waits past its use holds the place of one that could still
  *   be on time. So it is refused as soon as it is too late, with when to come
  *   back.
@@ -25,6 +26,8 @@
   readonly arrivedMs: number;
   /** Time to the first event that is on time, in ms. */
   readonly targetMs: number;
+  /** Service that it takes, by which teams share. */
+  readonly size: number;
   /** Tokens that the upstream has to read, as far as this host knows. */
   getTokens(upstream: string): number;
   /** Upstreams that may be asked, the best first; asked anew at each look. */
@@ -44,12 +47,29 @@
 /** What the queue needs of the process. */
 export interface PromptQueueHost {
   nowMs(): number;
+  /** The upstream's load from all hosts together. */
+  getLoad(upstream: string): UpstreamLoad;
+  /** What the team was given of late, over its fair share; 1 is the share. */
+  getShareUsed(team: string): number;
+  /** A prompt begins; counted in the load from now on. */
+  onStart(prompt: WaitingPrompt, upstream: string, tokens: number): void;
+}
+
+/** What an upstream works on. */
+export interface UpstreamLoad {
+  /** Requests that it works on at once; the rest waits inside it. */
+  readonly slots: number;
+  readonly inFlight: number;
+  /** Prompt tokens being read. */
+  readonly readingTokens: number;
 }
 
 /** Limits of the queue. */
 export interface PromptQueueOptions {
-  /** Tokens that this host lets one upstream read at once. */
-  readonly maxReadingTokens: number;
+  /** Share of an upstream's slots that may be in use, and tokens being read. */
+  readonly limit: RoomLimit;
+  /** The same for teams that have had more than their share. */
+  readonly overShareLimit: RoomLimit;
   /** A prompt waits this share of its target for the best upstream alone. */
   readonly spillShare: number;
   /** And is refused after this share of it. */
@@ -57,16 +77,27 @@
   readonly retryAfterMs: number;
 }
 
+/** How full an upstream may be for a prompt to be sent there. */
+export interface RoomLimit {
+  readonly slotShare: number;
+  readonly readingTokens: number;
+}
+
 /**
- * - 6,000 tokens take an upstream about 65 ms: one long prompt, or a few short
- *   ones, which then do not wait behind it.
+ * - Hosts learn of each other's sends after a tenth of a second, in which an
+ *   upstream of 48 slots gets two or three: so a twelfth of the slots is left.
+ * - 16,000 tokens take an upstream about 170 ms to read, which with the answers
+ *   beside it leaves a target of 600 ms half of its time.
+ * - A team over its share leaves a quarter of the slots, and half of the
+ *   reading, to those that are under theirs.
  * - A quarter of the target (200 ms) is what reading a shared part of 13,300
  *   tokens again costs elsewhere.
  * - 0.6 of the target leaves an upstream the time to read the prompt.
  * - After a second a queue of so short waits holds others.
  */
 export const defaultPromptQueueOptions: PromptQueueOptions = {
-  maxReadingTokens: 6_000,
+  limit: { slotShare: 11 / 12, readingTokens: 16_000 },
+  overShareLimit: { slotShare: 3 / 4, readingTokens: 8_000 },
   spillShare: 0.25,
   refuseShare: 0.6,
   retryAfterMs: 1_000,
@@ -78,37 +109,27 @@
   add(prompt: WaitingPrompt): void;
   /** Takes out a prompt whose caller left; false when it had left already. */
   remove(prompt: WaitingPrompt): boolean;
-  /** The upstream has read the prompt, or works on it no more. */
-  endReading(upstream: string, tokens: number): void;
+  /** Upstreams have more room than before. */
+  onRoom(): void;
   /** Looks at all that wait; called at short intervals. */
   tick(): void;
   getCount(): number;
-  /** Tokens being read at the upstream for this host. */
-  getReadingTokens(upstream: string): number;
 }
 
-/** What a team was given fades to a half in so long, in ms. */
-const GIVEN_HALF_LIFE_MS = 2_000;
-
 /** Makes an empty queue. */
 export function createPromptQueue(
   host: PromptQueueHost,
   options: PromptQueueOptions = defaultPromptQueueOptions,
 ): PromptQueue {
   const waiting = new Set<WaitingPrompt>();
-  const reading = new Map<string, number>();
-  const given = new Map<string, { tokens: number; atMs: number }>();
-
-  function getGiven(team: string, nowMs: number): number {
-    const entry = given.get(team);
-    if (entry === undefined) return 0;
-    const halves = (nowMs - entry.atMs) / GIVEN_HALF_LIFE_MS;
-    return entry.tokens * 0.5 ** halves;
-  }
 
-  function hasRoom(upstream: string, tokens: number): boolean {
-    const now = reading.get(upstream) ?? 0;
-    return now === 0 || now + tokens <= options.maxReadingTokens;
+  function hasRoom(prompt: WaitingPrompt, upstream: string): boolean {
+    const isOver = host.getShareUsed(prompt.team) > 1;
+    const limit = isOver ? options.overShareLimit : options.limit;
+    return decideRoom(host.getLoad(upstream), {
+      tokens: prompt.getTokens(upstream),
+      limit,
+    });
   }
 
   function tryPlace(
@@ -117,49 +138,37 @@
   ): string | undefined {
     const [first, second] = prompt.getRanked();
     if (first === undefined) return undefined;
-    if (hasRoom(first, prompt.getTokens(first))) return first;
+    if (hasRoom(prompt, first)) return first;
     const waitedMs = nowMs - prompt.arrivedMs;
     const maySpill = waitedMs >= prompt.targetMs * options.spillShare;
     if (!maySpill || second === undefined) return undefined;
-    return hasRoom(second, prompt.getTokens(second)) ? second : undefined;
+    return hasRoom(prompt, second) ? second : undefined;
   }
 
-  function start(prompt: WaitingPrompt, upstream: string, nowMs: number) {
+  function start(prompt: WaitingPrompt, upstream: string): void {
     waiting.delete(prompt);
     const tokens = prompt.getTokens(upstream);
-    reading.set(upstream, (reading.get(upstream) ?? 0) + tokens);
-    given.set(prompt.team, {
-      tokens: getGiven(prompt.team, nowMs) + tokens,
-      atMs: nowMs,
-    });
+    host.onStart(prompt, upstream, tokens);
     prompt.start(upstream, tokens);
   }
 
-  /** The team given least first, and of a team the oldest first. */
-  function getInOrder(nowMs: number): readonly WaitingPrompt[] {
+  /** Teams under their share first, and of those the oldest. */
+  function getInOrder(): readonly WaitingPrompt[] {
     const ranked = [...waiting].map((prompt) => ({
       prompt,
-      given: getGiven(prompt.team, nowMs),
+      isOver: Number(host.getShareUsed(prompt.team) > 1),
     }));
     ranked.sort((a, b) =>
-      a.given - b.given || a.prompt.arrivedMs - b.prompt.arrivedMs
+      a.isOver - b.isOver || a.prompt.arrivedMs - b.prompt.arrivedMs
     );
     return ranked.map((each) => each.prompt);
   }
 
   function startAll(): void {
     const nowMs = host.nowMs();
-    // What a start gives a team changes the order, so it is made anew.
-    let hasStarted = true;
-    while (hasStarted) {
-      hasStarted = false;
-      for (const prompt of getInOrder(nowMs)) {
-        const upstream = tryPlace(prompt, nowMs);
-        if (upstream === undefined) continue;
-        start(prompt, upstream, nowMs);
-        hasStarted = true;
-        break;
-      }
+    for (const prompt of getInOrder()) {
+      const upstream = tryPlace(prompt, nowMs);
+      if (upstream !== undefined) start(prompt, upstream);
     }
   }
 
@@ -187,17 +196,23 @@
       }
     },
     remove: (prompt) => waiting.delete(prompt),
-    endReading(upstream, tokens) {
-      const left = (reading.get(upstream) ?? 0) - tokens;
-      if (left > 0) reading.set(upstream, left);
-      else reading.delete(upstream);
-      startAll();
-    },
+    onRoom: startAll,
     tick() {
       startAll();
       refuseLate();
     },
     getCount: () => waiting.size,
-    getReadingTokens: (upstream) => reading.get(upstream) ?? 0,
   };
 }
+
+/** Whether an upstream has room for a prompt of so many tokens to read. */
+export function decideRoom(
+  load: UpstreamLoad,
+  need: { readonly tokens: number; readonly limit: RoomLimit },
+): boolean {
+  const { tokens, limit } = need;
+  if (load.inFlight >= load.slots * limit.slotShare) return false;
+  // The largest prompt must find room somewhere, so that an idle one takes it.
+  if (load.readingTokens <= 0) return true;
+  return load.readingTokens + tokens <= limit.readingTokens;
+}
