Count a large prompt for half of the reading limit at most

Cause: a prompt near the limit found room only at an idle upstream, which small prompts never leave idle; the largest tenth was the worst-served class.

--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -116,6 +116,9 @@
   getCount(): number;
 }
 
+/** A prompt counts for no more than this share of what may be read at once. */
+const MAX_COUNTED_SHARE = 0.5;
+
 /** Makes an empty queue. */
 export function createPromptQueue(
   host: PromptQueueHost,
@@ -212,7 +215,8 @@
 ): boolean {
   const { tokens, limit } = need;
   if (load.inFlight >= load.slots * limit.slotShare) return false;
-  // The largest prompt must find room somewhere, so that an idle one takes it.
-  if (load.readingTokens <= 0) return true;
-  return load.readingTokens + tokens <= limit.readingTokens;
+  // Counted whole, a prompt near the limit or above it would find room only at
+  // an idle upstream, which a flow of small ones never leaves idle.
+  const counted = Math.min(tokens, limit.readingTokens * MAX_COUNTED_SHARE);
+  return load.readingTokens + counted <= limit.readingTokens;
 }
