--- a/src/entry/load_exchange.ts
+++ b/src/entry/load_exchange.ts
@@ -60,7 +60,7 @@
     const report = view.createReport();
     const isIdle = report.upstreams.length === 0;
     if (!isIdle || !wasIdle) {
-      for (const each of hosts) socket.send(getLoadAddress(each), report);
+      socket.sendToAll(hosts.map(getLoadAddress), report);
     }
     wasIdle = isIdle;
     return Math.max(MIN_PERIOD_MS, hosts.length * PERIOD_MS_PER_HOST);
--- a/src/forwarding/crash_watch.ts
+++ b/src/forwarding/crash_watch.ts
@@ -5,10 +5,10 @@
  * sends it again, with the same path, key and body, at any host. Harm prevented:
  * upstream after upstream goes down with all that runs beside it.
  *
- * A crash is seen as a connection that breaks while nothing of the answer has
- * come, at an upstream that then can't be reached. All requests that broke there
- * at that moment are under suspicion; the one that is so three times is refused.
- * Counts are facts that spread to all hosts.
+ * A crash is seen as an answer that breaks off at an upstream that then can't be
+ * reached; a lost answer alone is none. All requests that broke off there are
+ * under suspicion; the content that is so three times is refused. Counts are
+ * facts that spread to all hosts.
  *
  * @module
  */
@@ -26,8 +26,10 @@
 
 /** Suspected contents. */
 export interface CrashWatch {
-  /** An upstream broke off while it ran the content. */
-  noteBroken(fingerprint: string): void;
+  /** The upstream broke off while it ran the content. */
+  noteBroken(upstream: string, fingerprint: string): void;
+  /** The upstream refuses connections, so that it has crashed. */
+  noteUnreachable(upstream: string): void;
   /** The content was run to its end, so that it crashes nothing. */
   noteAnswered(fingerprint: string): void;
   isRefused(fingerprint: string): boolean;
@@ -46,6 +48,18 @@
 /** Contents remembered; the oldest goes first. */
 const MAX_CONTENTS = 2_000;
 
+/**
+ * An upstream that can't be reached so soon after an answer broke off, in ms,
+ * has crashed; it is back after some seconds.
+ */
+const CRASH_WINDOW_MS = 2_500;
+
+interface BrokenOff {
+  readonly upstream: string;
+  readonly fingerprint: string;
+  readonly atMs: number;
+}
+
 interface Suspect {
   crashes: number;
   atMs: number;
@@ -54,6 +68,7 @@
 /** Makes a watch that suspects nothing. */
 export function createCrashWatch(host: CrashWatchHost): CrashWatch {
   const suspects = new Map<string, Suspect>();
+  let brokenOff: BrokenOff[] = [];
 
   function getCrashes(fingerprint: string): number {
     const suspect = suspects.get(fingerprint);
@@ -70,18 +85,36 @@
     }
   }
 
+  function addCrash(fingerprint: string): void {
+    const crashes = getCrashes(fingerprint) + 1;
+    set(fingerprint, crashes);
+    host.onSuspected(fingerprint, crashes);
+    // The first time is mostly an innocent neighbour; it spreads at the next.
+    if (crashes === 1) return;
+    host.pushFact({
+      key: `${CRASH_KEY}${fingerprint}`,
+      version: crashes,
+      value: "",
+    });
+  }
+
   return {
-    noteBroken(fingerprint) {
-      const crashes = getCrashes(fingerprint) + 1;
-      set(fingerprint, crashes);
-      host.onSuspected(fingerprint, crashes);
-      // The first time is mostly an innocent neighbour; it spreads at the next.
-      if (crashes === 1) return;
-      host.pushFact({
-        key: `${CRASH_KEY}${fingerprint}`,
-        version: crashes,
-        value: "",
-      });
+    noteBroken(upstream, fingerprint) {
+      const atMs = host.clock.monotonicMs();
+      brokenOff = brokenOff.filter((each) =>
+        atMs - each.atMs < CRASH_WINDOW_MS
+      );
+      brokenOff.push({ upstream, fingerprint, atMs });
+    },
+    noteUnreachable(upstream) {
+      const nowMs = host.clock.monotonicMs();
+      const isCrash = (each: BrokenOff) =>
+        each.upstream === upstream && nowMs - each.atMs < CRASH_WINDOW_MS;
+      const crashed = new Set(
+        brokenOff.filter(isCrash).map((each) => each.fingerprint),
+      );
+      brokenOff = brokenOff.filter((each) => each.upstream !== upstream);
+      for (const fingerprint of crashed) addCrash(fingerprint);
     },
     noteAnswered: (fingerprint) => void suspects.delete(fingerprint),
     isRefused: (fingerprint) => getCrashes(fingerprint) >= MAX_CRASHES,
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -119,11 +119,13 @@
 ): void {
   if (err._tag === "CallerLost") return;
   const { id } = call.progress.upstream!;
-  if (err.kind === "not-sent") host.health.noteFailed(id, "unreachable");
-  else host.health.noteFailed(id, "failed");
-  if (err.kind === "broken" && !call.res.headersSent) {
-    host.crashes.noteBroken(call.fingerprint);
+  if (err.kind === "not-sent") {
+    host.health.noteFailed(id, "unreachable");
+    host.crashes.noteUnreachable(id);
+    return;
   }
+  host.health.noteFailed(id, "failed");
+  if (err.kind === "broken") host.crashes.noteBroken(id, call.fingerprint);
 }
 
 function passOn(
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -11,7 +11,7 @@
   rankByAffinity,
   rankByLoad,
 } from "../placement/mod.ts";
-import type { PromptRefusal, WaitingPrompt } from "../queue/mod.ts";
+import type { Choice, PromptRefusal, WaitingPrompt } from "../queue/mod.ts";
 import { type Call, type ForwardHost, getLeftMs } from "./call.ts";
 import { createNotRun, type Rejected } from "./replies.ts";
 import type { Prompt } from "./types.ts";
@@ -78,7 +78,6 @@
   call: Call,
   prompt: Prompt,
 ): Effect.Effect<Picked, Rejected> {
-  const key = getAffinityKey(prompt.model, prompt.parts);
   host.load.noteAsked(call.team ?? "", getSize(prompt));
   return Effect.callback<Picked, Rejected>((resume) => {
     const waiting: WaitingPrompt = {
@@ -87,8 +86,7 @@
       arrivedMs: host.clock.monotonicMs(),
       targetMs: Math.min(call.route.targetMs, getLeftMs(host, call)),
       size: getSize(prompt),
-      getTokens: (upstream) => host.kept.getUnread(upstream, prompt.parts),
-      getRanked: () => rankByAffinity(key, getCandidates(host, call)),
+      getChoices: () => getChoices(host, call, prompt),
       start(id, tokens) {
         const upstream = host.directory.getReady(call.service)
           .find((each) => each.id === id)!;
@@ -111,6 +109,23 @@
   });
 }
 
+/** Upstreams in the order of the prompt's affinity, with what each has to read. */
+function getChoices(
+  host: ForwardHost,
+  call: Call,
+  prompt: Prompt,
+): readonly Choice[] {
+  const key = getAffinityKey(prompt.model, prompt.parts);
+  const ranked = rankByAffinity(key, getCandidates(host, call));
+  // All hosts send a shared part to the same upstream, which therefore has it
+  // but for the first time.
+  const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
+  return ranked.map((upstream, at) => ({
+    upstream,
+    tokens: at === 0 ? ownTokens : host.kept.getUnread(upstream, prompt.parts),
+  }));
+}
+
 /** Service of a request: each token read once, each generated twice. */
 export function getSize(prompt: Prompt): number {
   return prompt.promptTokens + 2 * prompt.maxOutputTokens;
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -23,6 +23,8 @@
 export interface DatagramSocket<T = MembershipMessage> extends AsyncDisposable {
   /** Gives the size of the datagram in bytes, for the metrics. */
   send(address: string, message: T): number;
+  /** Encodes once for all addresses. */
+  sendToAll(addresses: readonly string[], message: T): void;
 }
 
 const toWire: Readonly<Record<MemberState, WireState>> = {
@@ -118,13 +120,22 @@
   });
   // A send to a dead host may raise an error here; probes tell that anyway.
   socket.on("error", () => {});
+
+  function sendBytes(target: string, bytes: Uint8Array): void {
+    const [targetHost, targetPort] = target.split(":");
+    socket.send(bytes, Number(targetPort), targetHost);
+  }
+
   return {
     send(target, message) {
-      const [targetHost, targetPort] = target.split(":");
       const bytes = codec.encode(message);
-      socket.send(bytes, Number(targetPort), targetHost);
+      sendBytes(target, bytes);
       return bytes.length;
     },
+    sendToAll(addresses, message) {
+      const bytes = codec.encode(message);
+      for (const target of addresses) sendBytes(target, bytes);
+    },
     async [Symbol.asyncDispose]() {
       await new Promise<void>((resolve) => socket.close(resolve));
     },
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -28,16 +28,21 @@
   readonly targetMs: number;
   /** Service that it takes, by which teams share. */
   readonly size: number;
-  /** Tokens that the upstream has to read, as far as this host knows. */
-  getTokens(upstream: string): number;
   /** Upstreams that may be asked, the best first; asked anew at each look. */
-  getRanked(): readonly string[];
+  getChoices(): readonly Choice[];
   /** Called once, after it has left the queue. */
   start(upstream: string, tokens: number): void;
   /** Called once, after it has left the queue; it has not run. */
   refuse(refusal: PromptRefusal): void;
 }
 
+/** An upstream that a prompt may be sent to. */
+export interface Choice {
+  readonly upstream: string;
+  /** Tokens that it has to read, as far as this host knows. */
+  readonly tokens: number;
+}
+
 /** Why a prompt is refused, and when to come back. */
 export interface PromptRefusal {
   readonly reason: "late" | "no-upstream";
@@ -70,7 +75,9 @@
   readonly limit: RoomLimit;
   /** The same for teams that have had more than their share. */
   readonly overShareLimit: RoomLimit;
-  /** A prompt waits this share of its target for the best upstream alone. */
+  /** Tokens read again that cost less than a wait; the least busy gets them. */
+  readonly freeTokens: number;
+  /** A prompt waits this share of its target for the best upstreams alone. */
   readonly spillShare: number;
   /** And is refused after this share of it. */
   readonly refuseShare: number;
@@ -90,6 +97,8 @@
  *   beside it leaves a target of 600 ms half of its time.
  * - A team over its share leaves a quarter of the slots, and half of the
  *   reading, to those that are under theirs.
+ * - 1,000 tokens are read in 11 ms: a prompt with no more to share than that
+ *   goes wherever least is in flight.
  * - A quarter of the target (200 ms) is what reading a shared part of 13,300
  *   tokens again costs elsewhere.
  * - 0.6 of the target leaves an upstream the time to read the prompt.
@@ -98,6 +107,7 @@
 export const defaultPromptQueueOptions: PromptQueueOptions = {
   limit: { slotShare: 11 / 12, readingTokens: 16_000 },
   overShareLimit: { slotShare: 3 / 4, readingTokens: 8_000 },
+  freeTokens: 1_000,
   spillShare: 0.25,
   refuseShare: 0.6,
   retryAfterMs: 1_000,
@@ -126,31 +136,31 @@
 ): PromptQueue {
   const waiting = new Set<WaitingPrompt>();
 
-  function hasRoom(prompt: WaitingPrompt, upstream: string): boolean {
+  function hasRoom(prompt: WaitingPrompt, choice: Choice): boolean {
     const isOver = host.getShareUsed(prompt.team) > 1;
     const limit = isOver ? options.overShareLimit : options.limit;
-    return decideRoom(host.getLoad(upstream), {
-      tokens: prompt.getTokens(upstream),
-      limit,
-    });
+    const load = host.getLoad(choice.upstream);
+    return decideRoom(load, { tokens: choice.tokens, limit });
   }
 
-  function tryPlace(
-    prompt: WaitingPrompt,
-    nowMs: number,
-  ): string | undefined {
-    const [first, second] = prompt.getRanked();
+  function tryPlace(prompt: WaitingPrompt, nowMs: number): Choice | undefined {
+    const choices = prompt.getChoices();
+    const [first] = choices;
     if (first === undefined) return undefined;
-    if (hasRoom(prompt, first)) return first;
+    const like = choices.filter((each) =>
+      each.tokens - first.tokens <= options.freeTokens
+    );
+    const withRoom = like.filter((each) => hasRoom(prompt, each));
+    if (withRoom.length > 0) return getLeastBusy(withRoom, host);
     const waitedMs = nowMs - prompt.arrivedMs;
-    const maySpill = waitedMs >= prompt.targetMs * options.spillShare;
-    if (!maySpill || second === undefined) return undefined;
-    return hasRoom(prompt, second) ? second : undefined;
+    if (waitedMs < prompt.targetMs * options.spillShare) return undefined;
+    const next = choices.find((each) => !like.includes(each));
+    return next !== undefined && hasRoom(prompt, next) ? next : undefined;
   }
 
-  function start(prompt: WaitingPrompt, upstream: string): void {
+  function start(prompt: WaitingPrompt, choice: Choice): void {
     waiting.delete(prompt);
-    const tokens = prompt.getTokens(upstream);
+    const { upstream, tokens } = choice;
     host.onStart(prompt, upstream, tokens);
     prompt.start(upstream, tokens);
   }
@@ -170,8 +180,8 @@
   function startAll(): void {
     const nowMs = host.nowMs();
     for (const prompt of getInOrder()) {
-      const upstream = tryPlace(prompt, nowMs);
-      if (upstream !== undefined) start(prompt, upstream);
+      const choice = tryPlace(prompt, nowMs);
+      if (choice !== undefined) start(prompt, choice);
     }
   }
 
@@ -184,7 +194,7 @@
     const nowMs = host.nowMs();
     for (const prompt of [...waiting]) {
       const limitMs = prompt.targetMs * options.refuseShare;
-      if (prompt.getRanked().length === 0) refuse(prompt, "no-upstream");
+      if (prompt.getChoices().length === 0) refuse(prompt, "no-upstream");
       else if (nowMs - prompt.arrivedMs >= limitMs) refuse(prompt, "late");
     }
   }
@@ -194,7 +204,7 @@
       waiting.add(prompt);
       startAll();
       // Known to be unservable: nothing is gained by keeping it.
-      if (waiting.has(prompt) && prompt.getRanked().length === 0) {
+      if (waiting.has(prompt) && prompt.getChoices().length === 0) {
         refuse(prompt, "no-upstream");
       }
     },
@@ -208,6 +218,17 @@
   };
 }
 
+function getLeastBusy(
+  choices: readonly Choice[],
+  host: PromptQueueHost,
+): Choice {
+  const getBusy = ({ upstream }: Choice) => host.getLoad(upstream).inFlight;
+  // Of equals the first, so that shared parts stay where they are.
+  return choices.reduce((least, each) =>
+    getBusy(each) < getBusy(least) ? each : least
+  );
+}
+
 /** Whether an upstream has room for a prompt of so many tokens to read. */
 export function decideRoom(
   load: UpstreamLoad,
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -13,6 +13,7 @@
 interface PromptOptions {
   readonly team?: string;
   readonly tokens?: number;
+  readonly shared?: number;
   readonly ranked?: readonly string[];
 }
 
@@ -37,6 +38,7 @@
 
   function add(options: PromptOptions = {}): WaitingPrompt {
     const { team = "calm", tokens = 4_000, ranked = ["a", "b"] } = options;
+    const { shared = 13_300 } = options;
     const request = `${team}-${++prompts}`;
     const prompt: WaitingPrompt = {
       request,
@@ -44,8 +46,12 @@
       arrivedMs: nowMs,
       targetMs: 800,
       size: tokens,
-      getTokens: () => tokens,
-      getRanked: () => ranked,
+      // All but the first have a shared part of 13,300 tokens to read as well.
+      getChoices: () =>
+        ranked.map((upstream, at) => ({
+          upstream,
+          tokens: at === 0 ? tokens : tokens + shared,
+        })),
       start: (upstream) => log.push(`${request} to ${upstream}`),
       refuse: (refusal) => log.push(`${request} ${refusal.reason}`),
     };
@@ -88,6 +94,13 @@
   deepStrictEqual(fixture.log, ["calm-1 to b"]);
 });
 
+test("a prompt with little to share goes where least is in flight", () => {
+  const fixture = createFixture();
+  fixture.getUse("a").inFlight = 20;
+  fixture.add({ tokens: 1_100, shared: 350 });
+  deepStrictEqual(fixture.log, ["calm-1 to b"]);
+});
+
 test("what can't be on time is refused, not held to its deadline", () => {
   const fixture = createFixture();
   fixture.getUse("a").inFlight = 48;
