Check that the operators' page names the entry hosts' metrics as well

Cause: the page's check read the metrics of the router alone. Change: it reads both files, in both forms in which a metric is declared.

--- a/src/testing/pages_test.ts
+++ b/src/testing/pages_test.ts
@@ -39,9 +39,10 @@
 });
 
 test("the operators' page names metrics that exist, and every one of them", () => {
-  const declared = [
-    ...read("src/router/metrics.ts").matchAll(/name: "(azurestile_\w+)"/g),
-  ].map(([, name = ""]) => name);
+  const sources = ["src/router/metrics.ts", "src/entry/metrics.ts"];
+  const declared = sources.flatMap((file) => [
+    ...read(file).matchAll(/(?:name: |addGauge\(\s*)"(azurestile_\w+)"/g),
+  ]).map(([, name = ""]) => name);
   const named = getMetrics(read("docs/OPERATIONS.md"));
   const slots = ["limit", "in_use", "waiting"]
     .map((key) => `azurestile_slots_${key}`);
