--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -20,7 +20,7 @@
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { createKeptParts, type Distance } from "../placement/mod.ts";
+import type { Distance } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
@@ -78,7 +78,6 @@
     else if (fact.key.startsWith(CRASH_KEY)) crashes.receive(fact);
   }
 
-  const kept = createKeptParts();
   const health = createHealthWatch(clock);
   const load = createLoadView({
     clock,
@@ -123,10 +122,7 @@
     pushFact: (fact) => peers.membership.pushFact(fact),
     spreadFact: (fact) => peers.membership.spreadFact(fact),
     fetchTable: (name, peer) => peers.fetchTable(name, peer),
-    onUpstream(entry, change) {
-      if (change === "added" || change === "removed") kept.forget(entry.id);
-      queue.tick();
-    },
+    onUpstream: () => queue.onRoom(),
   });
   const leaving = createLeaving({
     clock,
@@ -177,7 +173,6 @@
     directory: knowledge.directory,
     queue,
     load,
-    kept,
     health,
     crashes,
     retryBudget: createRetryBudget(clock, {
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -21,7 +21,6 @@
   type SharedTable,
   type TableName,
   type TableState,
-  type UpstreamChange,
   type UpstreamDirectory,
   type UpstreamEntry,
 } from "../discovery/mod.ts";
@@ -45,7 +44,8 @@
   pushFact(fact: Fact): void;
   spreadFact(fact: Fact): void;
   fetchTable(name: string, peer: string): Promise<Uint8Array | undefined>;
-  onUpstream(entry: UpstreamEntry, change: UpstreamChange): void;
+  /** The list of upstreams has changed. */
+  onUpstream(): void;
 }
 
 /** What this host knows. */
@@ -96,7 +96,7 @@
         change,
         platformVersion: upstreams.getVersion(),
       });
-      host.onUpstream(entry, change);
+      host.onUpstream();
     },
   });
 
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -12,7 +12,7 @@
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
 import type { UpstreamDirectory, UpstreamEntry } from "../discovery/mod.ts";
 import type { LoadView } from "../load/mod.ts";
-import type { Distance, KeptParts } from "../placement/mod.ts";
+import type { Distance } from "../placement/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { HealthWatch } from "../upstreams/mod.ts";
@@ -27,7 +27,6 @@
   readonly directory: UpstreamDirectory;
   readonly queue: PromptQueue;
   readonly load: LoadView;
-  readonly kept: KeptParts;
   readonly health: HealthWatch;
   readonly crashes: CrashWatch;
   readonly retryBudget: RetryBudget;
--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -50,10 +50,6 @@
 
     function onFirstEvent(): void {
       picked.endReading();
-      const { prompt } = call.headers;
-      if (prompt !== undefined) {
-        host.kept.note(picked.upstream.id, prompt.parts);
-      }
       progress.firstEventMs ??= host.clock.monotonicMs() - call.arrivedMs;
     }
 
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -122,7 +122,7 @@
   const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
   return ranked.map((upstream, at) => ({
     upstream,
-    tokens: at === 0 ? ownTokens : host.kept.getUnread(upstream, prompt.parts),
+    tokens: at === 0 ? ownTokens : prompt.promptTokens,
   }));
 }
 
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -7,4 +7,3 @@
 export * from "./placement.ts";
 export * from "./least_busy.ts";
 export * from "./prefix_affinity.ts";
-export * from "./kept_parts.ts";
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -23,7 +23,6 @@
 } from "../forwarding/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { createKeptParts } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
 import { createHealthWatch } from "../upstreams/mod.ts";
@@ -173,7 +172,6 @@
       getShareUsed: () => 0,
       onStart: () => {},
     }),
-    kept: createKeptParts(),
     health: createHealthWatch(clock),
     crashes: createCrashWatch({
       clock,
