--- /dev/null
+++ b/src/placement/placement_choices_test.ts
@@ -0,0 +1,40 @@
+import { deepStrictEqual, ok, strictEqual } from "node:assert";
+import { test } from "node:test";
+import { rankByLoad } from "./least_busy.ts";
+import { getAffinityKey, rankByAffinity } from "./prefix_affinity.ts";
+
+const upstreams = Array.from({ length: 8 }, (_, at) => ({ id: `up-${at}` }));
+
+test("prompts that share their first part go to the same upstream", () => {
+  const first = getAffinityKey("m", [{ id: "site" }, { id: "own-1" }]);
+  const second = getAffinityKey("m", [{ id: "site" }, { id: "own-2" }]);
+  deepStrictEqual(
+    rankByAffinity(first, upstreams),
+    rankByAffinity(second, upstreams),
+  );
+});
+
+test("an upstream that goes moves its own prompts and no others", () => {
+  let moved = 0;
+  for (let part = 0; part < 400; part++) {
+    const key = getAffinityKey("m", [{ id: `part-${part}` }]);
+    const [before] = rankByAffinity(key, upstreams);
+    const [after] = rankByAffinity(key, upstreams.slice(1));
+    if (before !== after) moved++;
+    strictEqual(before === "up-0", before !== after);
+  }
+  ok(moved > 20 && moved < 90);
+});
+
+test("a call goes to the least busy upstream, and of equals to the nearest", () => {
+  const near = "same-data-centre" as const;
+  const far = "other-region" as const;
+  deepStrictEqual(
+    rankByLoad([
+      { id: "far", slots: 6, inFlight: 0, distance: far },
+      { id: "near", slots: 6, inFlight: 1, distance: near },
+      { id: "busy", slots: 6, inFlight: 5, distance: near },
+    ]),
+    ["near", "far", "busy"],
+  );
+});
