Look at the waiting prompts by the clock alone, and keep sums of load

Change: sums over the other hosts are kept as reports come; choices are kept for 100 ms; the queue is looked at each 10 ms, eight upstreams for a prompt at most.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -48,8 +48,8 @@
 /** Callers ask again after so long, in ms: hosts come and go within seconds. */
 const RESOLVE_TTL_MS = 2_000;
 
-/** Waiting prompts are looked at so often, in ms, besides at each change. */
-const QUEUE_TICK_MS = 20;
+/** Waiting prompts are looked at so often, in ms: a sixtieth of a target. */
+const QUEUE_TICK_MS = 10;
 
 /** Part of the fleet's limit on retries that is used; hosts count apart. */
 const RETRY_USE = 0.45;
@@ -123,7 +123,6 @@
     pushFact: (fact) => peers.membership.pushFact(fact),
     spreadFact: (fact) => peers.membership.spreadFact(fact),
     fetchTable: (name, peer) => peers.fetchTable(name, peer),
-    onUpstream: () => queue.onRoom(),
   });
   const leaving = createLeaving({
     clock,
@@ -242,7 +241,6 @@
     peerAddress,
     view: load,
     getHosts: () => getAlive().map((each) => each.peerAddress),
-    onHeard: queue.onRoom,
   });
   const tasks = [
     exchange.run,
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -44,8 +44,6 @@
   pushFact(fact: Fact): void;
   spreadFact(fact: Fact): void;
   fetchTable(name: string, peer: string): Promise<Uint8Array | undefined>;
-  /** The list of upstreams has changed. */
-  onUpstream(): void;
 }
 
 /** What this host knows. */
@@ -96,7 +94,6 @@
         change,
         platformVersion: upstreams.getVersion(),
       });
-      host.onUpstream();
     },
   });
 
--- a/src/entry/load_exchange.ts
+++ b/src/entry/load_exchange.ts
@@ -16,8 +16,6 @@
   readonly view: LoadView;
   /** Peer addresses of the hosts that are alive, this one included. */
   getHosts(): readonly string[];
-  /** Another host's load has changed. */
-  onHeard(): void;
 }
 
 /** The exchange; runs until it is disposed of. */
@@ -48,8 +46,9 @@
   const socket = await openDatagrams<LoadReport>(getLoadAddress(peerAddress), {
     codec: createLoadCodec(FLEET_NAME),
     onMessage(report) {
+      // What waits is looked at again by the clock: with 23 hosts there are a
+      // hundred reports a second, and a look at a long queue costs milliseconds.
       view.receive(report);
-      host.onHeard();
     },
   });
   let wasIdle = false;
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -107,7 +107,6 @@
       picked.endReading();
       health.end(upstream.id);
       host.load.end(upstream.id);
-      host.queue.onRoom();
     })),
   );
 }
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -31,6 +31,13 @@
  */
 const NO_UPSTREAM_RETRY_MS = 1_000;
 
+/**
+ * Choices are worked out anew after so long, in ms: before 60 upstreams that
+ * takes a tenth of a millisecond for each waiting prompt, a hundred times a
+ * second. A change of the upstreams counts at once.
+ */
+const CHOICES_KEEP_MS = 100;
+
 /** Picks, after a wait for prompts; interrupting it leaves the queue. */
 export function pickUpstream(
   host: ForwardHost,
@@ -90,7 +97,7 @@
       targetMs: Math.min(call.route.targetMs, getLeftMs(host, call)),
       size,
       workMs,
-      getChoices: () => getChoices(host, call, prompt),
+      getChoices: keepChoices(host, call, prompt),
       start(id, tokens) {
         const upstream = host.directory.getReady(call.service)
           .find((each) => each.id === id)!;
@@ -102,7 +109,6 @@
             if (!isReading) return;
             isReading = false;
             host.load.endReading(id, tokens);
-            host.queue.onRoom();
           },
         }));
       },
@@ -113,6 +119,27 @@
   });
 }
 
+/** Works the choices out anew after a while, and when upstreams change. */
+function keepChoices(
+  host: ForwardHost,
+  call: Call,
+  prompt: Prompt,
+): () => readonly Choice[] {
+  let choices: readonly Choice[] = [];
+  let ready: readonly UpstreamEntry[] | undefined;
+  let atMs = -Infinity;
+  return () => {
+    const nowMs = host.clock.monotonicMs();
+    const nowReady = host.directory.getReady(call.service);
+    if (nowReady !== ready || nowMs - atMs > CHOICES_KEEP_MS) {
+      choices = getChoices(host, call, prompt);
+      ready = nowReady;
+      atMs = nowMs;
+    }
+    return choices;
+  };
+}
+
 /** Upstreams in the order of the prompt's affinity, with what each has to read. */
 function getChoices(
   host: ForwardHost,
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -55,6 +55,9 @@
 /** Older reports count for nothing: their host is gone, or cut off, in ms. */
 const REPORT_KEEP_MS = 1_500;
 
+/** Old reports are looked for so often, in ms. */
+const FORGET_PERIOD_MS = 50;
+
 /** The level is worked out anew after so long, in ms. */
 const LEVEL_KEEP_MS = 50;
 
@@ -63,9 +66,10 @@
   readingTokens: number;
 }
 
+const NO_USE: Use = { inFlight: 0, readingTokens: 0 };
+
 interface HeardReport {
   readonly report: LoadReport;
-  readonly byUpstream: ReadonlyMap<number, UpstreamUse>;
   readonly atMs: number;
 }
 
@@ -80,9 +84,11 @@
   const uses = new Map<number, Use>();
   const teams = new Map<number, TeamRates>();
   const reports = new Map<string, HeardReport>();
+  const othersUse = new Map<number, Use>();
   const sizes = createRate(HALF_LIFE_MS);
   const works = createRate(HALF_LIFE_MS);
   let sequence = 0;
+  let forgotAtMs = -Infinity;
   let level = Infinity;
   let begunByTeam: ReadonlyMap<number, number> = new Map();
   let levelAtMs = -Infinity;
@@ -102,24 +108,40 @@
     }));
   }
 
-  function getFresh(): readonly HeardReport[] {
-    const nowMs = clock.monotonicMs();
-    const fresh: HeardReport[] = [];
-    for (const [from, heard] of reports) {
-      const isOld = nowMs - heard.atMs > REPORT_KEEP_MS || !host.isAlive(from);
-      if (isOld) reports.delete(from);
-      else fresh.push(heard);
+  /** Adds a report to the sums over all other hosts, or takes it out again. */
+  function count(report: LoadReport, sign: 1 | -1): void {
+    for (const { upstream, inFlight, readingTokens } of report.upstreams) {
+      const use = getOrCreate(
+        othersUse,
+        upstream,
+        () => ({ inFlight: 0, readingTokens: 0 }),
+      );
+      use.inFlight += sign * inFlight;
+      use.readingTokens += sign * readingTokens;
     }
-    return fresh;
   }
 
-  function sumOthers(upstream: string, field: keyof Use): number {
-    const digest = getDigest(upstream);
-    let sum = 0;
-    for (const heard of getFresh()) {
-      sum += heard.byUpstream.get(digest)?.[field] ?? 0;
+  function forget(from: string): void {
+    const heard = reports.get(from);
+    if (heard === undefined) return;
+    reports.delete(from);
+    count(heard.report, -1);
+  }
+
+  /** A host that was killed, or cut off, uses nothing any more. */
+  function forgetOld(): void {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - forgotAtMs < FORGET_PERIOD_MS) return;
+    forgotAtMs = nowMs;
+    for (const [from, { atMs }] of reports) {
+      const isOld = nowMs - atMs > REPORT_KEEP_MS || !host.isAlive(from);
+      if (isOld) forget(from);
     }
-    return sum;
+  }
+
+  function getOthers(upstream: string): Use {
+    forgetOld();
+    return othersUse.get(getDigest(upstream)) ?? NO_USE;
   }
 
   function getOwnTeams(): readonly TeamUse[] {
@@ -137,7 +159,9 @@
     levelAtMs = nowMs;
     const asked = new Map<number, number>();
     const begun = new Map<number, number>();
-    const all = [getOwnTeams(), ...getFresh().map((each) => each.report.teams)];
+    forgetOld();
+    const heard = [...reports.values()].map((each) => each.report.teams);
+    const all = [getOwnTeams(), ...heard];
     for (const use of all.flat()) {
       asked.set(use.team, (asked.get(use.team) ?? 0) + use.asked);
       begun.set(use.team, (begun.get(use.team) ?? 0) + use.begun);
@@ -172,9 +196,9 @@
     noteBegun: (team, tokens) =>
       getTeam(team).begun.add(tokens, clock.monotonicMs()),
     getInFlight: (upstream) =>
-      getUse(upstream).inFlight + sumOthers(upstream, "inFlight"),
+      getUse(upstream).inFlight + getOthers(upstream).inFlight,
     getReadingTokens: (upstream) =>
-      getUse(upstream).readingTokens + sumOthers(upstream, "readingTokens"),
+      getUse(upstream).readingTokens + getOthers(upstream).readingTokens,
     getShareUsed(team) {
       updateLevel();
       return (begunByTeam.get(getDigest(team)) ?? 0) / level;
@@ -186,13 +210,9 @@
         // A restarted host counts from the start again.
         clock.monotonicMs() - known.atMs < REPORT_KEEP_MS;
       if (isOlder) return;
-      reports.set(report.from, {
-        report,
-        byUpstream: new Map(
-          report.upstreams.map((each) => [each.upstream, each]),
-        ),
-        atMs: clock.monotonicMs(),
-      });
+      forget(report.from);
+      reports.set(report.from, { report, atMs: clock.monotonicMs() });
+      count(report, 1);
     },
     createReport() {
       sequence++;
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -125,9 +125,11 @@
   add(prompt: WaitingPrompt): void;
   /** Takes out a prompt whose caller left; false when it had left already. */
   remove(prompt: WaitingPrompt): boolean;
-  /** Upstreams have more room than before. */
-  onRoom(): void;
-  /** Looks at all that wait; called at short intervals. */
+  /**
+   * Looks at all that wait. Called by the clock alone, and not at each change of
+   * load: before 42 upstreams and 22 other hosts a look takes milliseconds, and
+   * a look at each of their reports left callers waiting for six seconds.
+   */
   tick(): void;
   getCount(): number;
 }
@@ -141,6 +143,17 @@
 /** A prompt counts for no more than this share of what may be read at once. */
 const MAX_COUNTED_SHARE = 0.5;
 
+/**
+ * Upstreams looked at for a prompt with little to share; among eight one is
+ * little busy, and looking at sixty costs each look seven times as much.
+ */
+const MAX_LIKE = 8;
+
+interface Ranked {
+  readonly prompt: WaitingPrompt;
+  readonly yields: 0 | 1 | 2;
+}
+
 /** Makes an empty queue. */
 export function createPromptQueue(
   host: PromptQueueHost,
@@ -148,25 +161,25 @@
 ): PromptQueue {
   const waiting = new Set<WaitingPrompt>();
 
-  function hasRoom(prompt: WaitingPrompt, choice: Choice): boolean {
-    const limit = getYield(prompt) > 0 ? options.yieldingLimit : options.limit;
-    const load = host.getLoad(choice.upstream);
-    return decideRoom(load, { tokens: choice.tokens, limit });
-  }
-
-  function tryPlace(prompt: WaitingPrompt, nowMs: number): Choice | undefined {
+  function tryPlace(
+    { prompt, yields }: Ranked,
+    nowMs: number,
+  ): Choice | undefined {
+    const limit = yields > 0 ? options.yieldingLimit : options.limit;
+    const hasRoom = ({ upstream, tokens }: Choice) =>
+      decideRoom(host.getLoad(upstream), { tokens, limit });
     const choices = prompt.getChoices();
     const [first] = choices;
     if (first === undefined) return undefined;
-    const like = choices.filter((each) =>
+    const like = choices.slice(0, MAX_LIKE).filter((each) =>
       each.tokens - first.tokens <= options.freeTokens
     );
-    const withRoom = like.filter((each) => hasRoom(prompt, each));
+    const withRoom = like.filter(hasRoom);
     if (withRoom.length > 0) return getLeastBusy(withRoom, host);
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spillShare) return undefined;
     const next = choices.find((each) => !like.includes(each));
-    return next !== undefined && hasRoom(prompt, next) ? next : undefined;
+    return next !== undefined && hasRoom(next) ? next : undefined;
   }
 
   function start(prompt: WaitingPrompt, choice: Choice): void {
@@ -183,22 +196,21 @@
   }
 
   /** Those that yield least first, and of those the oldest. */
-  function getInOrder(): readonly WaitingPrompt[] {
+  function getInOrder(): readonly Ranked[] {
     const ranked = [...waiting].map((prompt) => ({
       prompt,
       yields: getYield(prompt),
     }));
-    ranked.sort((a, b) =>
+    return ranked.sort((a, b) =>
       a.yields - b.yields || a.prompt.arrivedMs - b.prompt.arrivedMs
     );
-    return ranked.map((each) => each.prompt);
   }
 
   function startAll(): void {
     const nowMs = host.nowMs();
-    for (const prompt of getInOrder()) {
-      const choice = tryPlace(prompt, nowMs);
-      if (choice !== undefined) start(prompt, choice);
+    for (const ranked of getInOrder()) {
+      const choice = tryPlace(ranked, nowMs);
+      if (choice !== undefined) start(ranked.prompt, choice);
     }
   }
 
@@ -218,15 +230,16 @@
 
   return {
     add(prompt) {
+      // Behind others it takes its turn at the next look.
+      const isFirst = waiting.size === 0;
       waiting.add(prompt);
-      startAll();
+      if (isFirst) startAll();
       // Known to be unservable: nothing is gained by keeping it.
       if (waiting.has(prompt) && prompt.getChoices().length === 0) {
         refuse(prompt, "no-upstream");
       }
     },
     remove: (prompt) => waiting.delete(prompt),
-    onRoom: startAll,
     tick() {
       startAll();
       refuseLate();
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -24,6 +24,7 @@
 function createFixture() {
   let nowMs = 0;
   let prompts = 0;
+  let looks = 0;
   const loads = new Map<string, { inFlight: number; readingTokens: number }>();
   const overShare = new Set<string>();
   const log: string[] = [];
@@ -31,7 +32,10 @@
     getOrCreate(loads, upstream, () => ({ inFlight: 0, readingTokens: 0 }));
   const queue = createPromptQueue({
     nowMs: () => nowMs,
-    getLoad: (upstream) => ({ slots: 48, ...getUse(upstream) }),
+    getLoad(upstream) {
+      looks++;
+      return { slots: 48, ...getUse(upstream) };
+    },
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getMeanYield: () => 60,
     onStart(_prompt, upstream, tokens) {
@@ -61,6 +65,7 @@
       refuse: (refusal) => log.push(`${request} ${refusal.reason}`),
     };
     queue.add(prompt);
+    queue.tick();
     return prompt;
   }
 
@@ -70,6 +75,8 @@
     add,
     overShare,
     getUse,
+    getLooks: () => looks,
+    resetLooks: () => looks = 0,
     advance(ms: number) {
       nowMs += ms;
       queue.tick();
@@ -85,7 +92,7 @@
   fixture.add({ ranked: ["a"] });
   deepStrictEqual(fixture.log, []);
   fixture.getUse("a").inFlight = 28;
-  fixture.queue.onRoom();
+  fixture.queue.tick();
   deepStrictEqual(fixture.log, ["calm-1 to a"]);
 });
 
@@ -128,7 +135,7 @@
   const prompt = fixture.add({ ranked: ["a"] });
   strictEqual(fixture.queue.remove(prompt), true);
   fixture.getUse("a").inFlight = 0;
-  fixture.queue.onRoom();
+  fixture.queue.tick();
   deepStrictEqual(fixture.log, []);
   strictEqual(fixture.queue.getCount(), 0);
 });
@@ -140,7 +147,7 @@
   for (let at = 0; at < 20; at++) fixture.add({ team: "flood", ranked: ["a"] });
   fixture.add({ team: "calm", ranked: ["a"] });
   fixture.getUse("a").inFlight = 0;
-  fixture.queue.onRoom();
+  fixture.queue.tick();
   strictEqual(fixture.log[0], "calm-21 to a");
 });
 
@@ -183,3 +190,18 @@
   const busy = { ...load, readingTokens: limit.readingTokens };
   strictEqual(decideRoom(busy, { tokens: 1_000, limit }), false);
 });
+
+test("a long queue before many upstreams is looked at in little time", () => {
+  // At 23 hosts and 42 upstreams, two thousand looks at the load for each look
+  // at the queue made hosts fall seconds behind: requests were sent on after
+  // their callers had left.
+  const fixture = createFixture();
+  const ranked = Array.from({ length: 60 }, (_, at) => `up-${at}`);
+  for (const upstream of ranked) fixture.getUse(upstream).inFlight = 48;
+  for (let at = 0; at < 50; at++) {
+    fixture.add({ ranked, shared: 350, tokens: 1_100 });
+  }
+  fixture.resetLooks();
+  fixture.queue.tick();
+  ok(fixture.getLooks() <= 50 * 9);
+});
