Count nothing for callers that left, and send nothing on for them

Change: the request itself ends what it counts for; a request waits one turn of the event loop before it is sent on. Ruled out: one turn of setImmediate is not enough, the close is read in the next poll (test failed with it).

--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -78,6 +78,12 @@
   /** Upstreams that should not be asked again. */
   readonly tried: Set<string>;
   upstream: UpstreamEntry | undefined;
+  /**
+   * Ends what counts as being read for the request. Kept here and not only with
+   * the picked upstream: a caller that leaves just as its prompt is picked
+   * would else leave tokens behind that count for good.
+   */
+  endReading: () => void;
   /** Id of the last event that the caller was sent. */
   lastEventId: string | undefined;
   firstEventMs: number | undefined;
@@ -94,6 +100,7 @@
     runs: 0,
     tried: new Set(),
     upstream: undefined,
+    endReading: () => {},
     lastEventId,
     firstEventMs: undefined,
     chunks: 0,
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -76,7 +76,9 @@
     return Effect.fail(toRejected(call, err));
   }
 
-  return turn;
+  return turn.pipe(
+    Effect.ensuring(Effect.sync(() => call.progress.endReading())),
+  );
 }
 
 /** One attempt at the upstream, with what it tells about the upstream. */
@@ -104,7 +106,7 @@
     ),
     Effect.tapError((err) => Effect.sync(() => noteFailure(host, call, err))),
     Effect.ensuring(Effect.sync(() => {
-      picked.endReading();
+      call.progress.endReading();
       health.end(upstream.id);
       host.load.end(upstream.id);
     })),
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -187,3 +187,23 @@
     "request-ended",
   ]);
 });
+
+test("a request whose caller closed right behind it is not sent on", async () => {
+  // The host was busy for seconds; the caller gave up meanwhile. Request and
+  // close lie in the socket together, and the upstream would work for nobody.
+  await using fixture = await createForwardFixture([answers], once);
+  await fixture.sendAndClose();
+  await sleep(100);
+  deepStrictEqual(fixture.arrivals, []);
+});
+
+test("a prompt whose caller leaves as it is picked counts for nothing", async () => {
+  // Left in the sums of load, its tokens would keep an upstream looking busy to
+  // all hosts for good.
+  await using fixture = await createForwardFixture([() => {}], {
+    hasPrompts: true,
+  });
+  await rejects(fixture.call({ leaveAfterMs: 30 }));
+  await sleep(50);
+  strictEqual(fixture.getReadingTokens(), 0);
+});
--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -49,7 +49,7 @@
     }
 
     function onFirstEvent(): void {
-      picked.endReading();
+      progress.endReading();
       progress.firstEventMs ??= host.clock.monotonicMs() - call.arrivedMs;
     }
 
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -21,8 +21,6 @@
   readonly upstream: UpstreamEntry;
   /** Prompt tokens that count as being read there. */
   readonly unreadTokens: number | undefined;
-  /** The prompt is read, or the upstream works on it no more. */
-  endReading(): void;
 }
 
 /**
@@ -76,7 +74,6 @@
   return Effect.succeed({
     upstream,
     unreadTokens: undefined,
-    endReading: () => {},
   });
 }
 
@@ -102,15 +99,11 @@
         const upstream = host.directory.getReady(call.service)
           .find((each) => each.id === id)!;
         let isReading = true;
-        resume(Effect.succeed({
-          upstream,
-          unreadTokens: tokens,
-          endReading() {
-            if (!isReading) return;
-            isReading = false;
-            host.load.endReading(id, tokens);
-          },
-        }));
+        call.progress.endReading = () => {
+          if (isReading) host.load.endReading(id, tokens);
+          isReading = false;
+        };
+        resume(Effect.succeed({ upstream, unreadTokens: tokens }));
       },
       refuse: (refusal) => resume(Effect.fail(toRejected(call, refusal))),
     };
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -94,6 +94,7 @@
     const team = yield* authenticate(routes, route, headers);
     const { maxBodyBytes } = routes.config.callerLimits;
     const body = yield* readWholeBody(req, maxBodyBytes);
+    yield* takeInClose;
     const patienceMs = headers.patienceMs ?? route.timeoutMs;
     const call: Call = {
       req,
@@ -114,6 +115,19 @@
   });
 }
 
+/**
+ * A caller that gave up while this process was busy has sent its request and
+ * closed; both are read in this order. The close is read in the event loop's
+ * next turn, which has passed at the second callback; without the wait the
+ * request would be sent on for nobody.
+ */
+const takeInClose = Effect.callback<void>((resume) => {
+  let turn = setImmediate(() => {
+    turn = setImmediate(() => resume(Effect.void));
+  });
+  return Effect.sync(() => clearImmediate(turn));
+});
+
 function reject(
   status: 400 | 401 | 404,
   reason: string,
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -7,7 +7,7 @@
 
 import { Buffer } from "node:buffer";
 import { type IncomingHttpHeaders, request } from "node:http";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import * as Effect from "effect/Effect";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
@@ -51,6 +51,10 @@
 export interface ForwardFixture extends AsyncDisposable {
   /** Sends a request and waits for its end. */
   call(options?: CallOptions): Promise<CallerAnswer>;
+  /** Sends a request and closes without a moment between. */
+  sendAndClose(): Promise<void>;
+  /** Prompt tokens that count as being read at the first upstream. */
+  getReadingTokens(): number;
   /** Requests that have reached upstreams, by upstream. */
   readonly arrivals: readonly string[];
   readonly log: readonly Decision[];
@@ -75,7 +79,15 @@
         requestId: id,
         patienceMs: 4_000,
         key: req.headers["x-key"] as string | undefined,
-        prompt: undefined,
+        prompt: {
+          model: "m",
+          promptTokens: 4_000,
+          maxOutputTokens: 100,
+          parts: [{ id: "shared", tokens: 3_000 }, {
+            id: "own",
+            tokens: 1_000,
+          }],
+        },
         lastEventId: undefined,
       };
     },
@@ -138,6 +150,8 @@
     arrivals,
     log,
     call: (options = {}) => send(port, options),
+    sendAndClose: () => sendAndClose(port),
+    getReadingTokens: () => host.load.getReadingTokens("up-0"),
     async [Symbol.asyncDispose]() {
       host.agent.destroy();
       await callers[Symbol.asyncDispose]();
@@ -171,7 +185,8 @@
       getLoad: () => ({ slots: 48, inFlight: 0, readingTokens: 0 }),
       getShareUsed: () => 0,
       getMeanYield: () => 0,
-      onStart: () => {},
+      onStart: (_prompt, upstream, tokens) =>
+        load.beginReading(upstream, tokens),
     }),
     health: createHealthWatch(clock),
     crashes: createCrashWatch({
@@ -215,6 +230,19 @@
   return { server, port: (server.address() as AddressInfo).port };
 }
 
+function sendAndClose(port: number): Promise<void> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => {});
+    socket.on("close", () => resolve());
+    socket.end(
+      "POST /drafts/1 HTTP/1.1\r\nhost: model.example\r\n" +
+        "x-id: gone\r\nx-key: key-of-fitters\r\ncontent-length: 2\r\n\r\n{}",
+    );
+    socket.resume();
+  });
+}
+
 function send(port: number, options: CallOptions): Promise<CallerAnswer> {
   const { id = "request-1", body = "{}", key = "key-of-fitters" } = options;
   return new Promise((resolve, reject) => {
