Log and show the learned limit, send elsewhere only right before a refusal

Cause: the limit changes what a host believes, and nothing said so.

Ruled out: never sending elsewhere (the same worth, but prompts are refused while upstreams idle).

Change: reading-limit-changed is logged at a change by a quarter, with what set the limit; a gauge shows it; a prompt goes elsewhere after 0.55 of its target.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -89,6 +89,16 @@
     readonly queue: QueueInputs | undefined;
     readonly inputs: Inputs;
   }
+  | {
+    /** What upstreams of the service may have to read at once is another. */
+    readonly event: "reading-limit-changed";
+    readonly service: string;
+    readonly limitTokens: number;
+    /** Tokens that are read within the service's target, as learned. */
+    readonly inTimeTokens: number;
+    /** Share of the answers of the last seconds that paused too long. */
+    readonly lateShare: number;
+  }
   | {
     readonly event: "config-in-force";
     readonly version: number;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -127,6 +127,11 @@
         `"${decision.reason}"${formatRetry(decision.retryAfterMs)}${
           formatQueue(decision.queue)
         }; ${formatInputs(decision.inputs)}`;
+    case "reading-limit-changed":
+      return `An upstream of ${decision.service} may have ` +
+        `${decision.limitTokens} tokens to read, of ${decision.inTimeTokens} ` +
+        `that it reads in time; ${decision.lateShare} of the answers paused ` +
+        `too long`;
     case "config-in-force":
       return `Configuration ${decision.version} in force, from ${decision.from}`;
     case "upstream-changed":
@@ -160,7 +165,7 @@
 
 function formatReading(readingTokens: number | undefined): string {
   if (readingTokens === undefined) return "";
-  return `, which it reads for ${readingTokens} ms`;
+  return `, which reads ${readingTokens} tokens of it`;
 }
 
 function formatRetry(retryAfterMs: number | undefined): string {
@@ -180,7 +185,7 @@
   const room = load === undefined
     ? "no upstream to wait for"
     : `${queue.upstream} with ${load.inFlight} of ${load.slots} slots in use ` +
-      `and ${load.readingTokens} ms of reading`;
+      `and ${load.readingTokens} of ${queue.limitTokens} tokens to read`;
   return `; of ${queue.waiting} that waited it ${yieldTexts[queue.yields]} ` +
     `(${queue.shareUsed} of the share used), for ${room}`;
 }
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -59,7 +59,7 @@
     attempt: 1,
     waitedMs: 3,
     inFlight: 11,
-    readingTokens: 60,
+    readingTokens: 5_600,
     inputs,
   }),
   createLine(
@@ -119,7 +119,8 @@
       yields: 2,
       shareUsed: 1.4,
       upstream: "i-1",
-      load: { slots: 48, inFlight: 27, readingTokens: 140 },
+      limitTokens: 14_000,
+      load: { slots: 48, inFlight: 27, readingTokens: 13_900 },
     },
   });
   const { logged } = parseDecisionLines(createLine("h1", 0, end));
@@ -127,7 +128,10 @@
   match(line!, /not-run with status 503 after 481 ms and 0 attempts/);
   match(line!, /come back in 875 ms; of 31 that waited it was of a team over/);
   match(line!, /1.4 of the share used\), for i-1 with 27 of 48 slots in use/);
-  match(line!, /and 140 ms of reading; configuration 4 and upstreams 19/);
+  match(
+    line!,
+    /and 13900 of 14000 tokens to read; configuration 4 and upstreams 19/,
+  );
 });
 
 test("lines that are no decisions are passed over and counted", () => {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -21,7 +21,7 @@
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { createPacing, type Pacing } from "../pacing/mod.ts";
+import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
 import type { Distance } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createHealthWatch } from "../upstreams/mod.ts";
@@ -73,6 +73,16 @@
     host.log.write(decision);
   }
 
+  function logLimit(service: string, change: PacingChange): void {
+    log({
+      event: "reading-limit-changed",
+      service,
+      limitTokens: Math.round(change.limitTokens),
+      inTimeTokens: Math.round(change.inTimeTokens),
+      lateShare: Number(change.lateShare.toFixed(3)),
+    });
+  }
+
   function getAlive(): readonly Member[] {
     return peers.membership.getMembers()
       .filter((each) => each.state === "alive");
@@ -97,8 +107,17 @@
     getOrCreate(
       pacings,
       service,
-      () => createPacing({ nowMs: clock.monotonicMs }),
+      () =>
+        createPacing({
+          nowMs: clock.monotonicMs,
+          onChanged: (change) => logLimit(service, change),
+        }),
     );
+  function getLimitTokens(service: string): number {
+    const targetMs = knowledge.tryGetRoutes()?.tryGetPromptTargetMs(service);
+    return getPacing(service).getLimitTokens(targetMs ?? NO_TARGET_MS);
+  }
+
   const queue = createPromptQueue({
     nowMs: clock.monotonicMs,
     getLoad: (upstream) => ({
@@ -108,10 +127,7 @@
     }),
     getShareUsed: load.getShareUsed,
     getMeanYield: load.getMeanYield,
-    getLimitTokens(service) {
-      const targetMs = knowledge.tryGetRoutes()?.tryGetPromptTargetMs(service);
-      return getPacing(service).getLimitTokens(targetMs ?? NO_TARGET_MS);
-    },
+    getLimitTokens,
     random: host.random,
     onStart(prompt, upstream, readingTokens) {
       load.beginReading(upstream, readingTokens);
@@ -156,6 +172,11 @@
     countInFlight: leaving.countInFlight,
     countAliveHosts: () => getAlive().length,
     getUnreadMs: loop.getUnreadMs,
+    getReadingLimits: () =>
+      [...pacings.keys()].map((service) => ({
+        service,
+        tokens: getLimitTokens(service),
+      })),
     isReady,
   });
   const peers = await openPeers(settings, {
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -15,9 +15,16 @@
   countInFlight(): number;
   countAliveHosts(): number;
   getUnreadMs(): number;
+  getReadingLimits(): readonly ReadingLimit[];
   isReady(): boolean;
 }
 
+/** What an upstream of a service may have to read at once. */
+export interface ReadingLimit {
+  readonly service: string;
+  readonly tokens: number;
+}
+
 /** The metrics of one host. */
 export interface EntryMetrics {
   observeEnd(end: CallEnd): void;
@@ -107,6 +114,17 @@
     "How long a request that is read now may have waited unread",
     () => host.getUnreadMs() / 1_000,
   );
+  new Gauge({
+    name: "azurestile_reading_limit_tokens",
+    help: "What an upstream may have to read at once, by service, as learned",
+    labelNames: ["service"],
+    registers,
+    collect() {
+      for (const { service, tokens } of host.getReadingLimits()) {
+        this.set({ service }, tokens);
+      }
+    },
+  });
   addGauge(
     "azurestile_ready",
     "1 when this host takes requests",
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -142,7 +142,7 @@
       createOwn: view.createUse,
       onOthers: view.receive,
     });
-    const pacing = createPacing({ nowMs });
+    const pacing = createPacing({ nowMs, onChanged: () => {} });
     return { view, sums, pacing, queue: createQueue(view, pacing) };
   });
   const meant: Meant[] = [];
--- a/src/pacing/pacing.ts
+++ b/src/pacing/pacing.ts
@@ -30,8 +30,22 @@
 /** What pacing needs of the process. */
 export interface PacingHost {
   nowMs(): number;
+  /** The limit is another than when it was last told. */
+  onChanged(change: PacingChange): void;
 }
 
+/** A limit with what it was found from. */
+export interface PacingChange {
+  readonly limitTokens: number;
+  /** Tokens that are read within the service's target. */
+  readonly inTimeTokens: number;
+  /** Share of answers that paused past their target. */
+  readonly lateShare: number;
+}
+
+/** A change of the limit by this factor is told; smaller ones come twice a second. */
+const TOLD_FACTOR = 1.25;
+
 /**
  * The share of the target in which a first event is expected behind a full
  * upstream. The rest is for the wait here and for what hosts send in the tenth
@@ -43,11 +57,24 @@
 export function createPacing(host: PacingHost): Pacing {
   const firstEvents = createFirstEventModel(host);
   const pauses = createPauseLimit(host);
+  let toldTokens = 0;
+
+  function tell(limitTokens: number, inTimeTokens: number): void {
+    const ratio = limitTokens / toldTokens;
+    if (ratio < TOLD_FACTOR && ratio > 1 / TOLD_FACTOR) return;
+    toldTokens = limitTokens;
+    const lateShare = pauses.getLateShare();
+    host.onChanged({ limitTokens, inTimeTokens, lateShare });
+  }
 
   return {
     noteFirstEvent: firstEvents.note,
     notePause: pauses.note,
-    getLimitTokens: (targetMs) =>
-      pauses.getTokens(firstEvents.getTokensWithin(targetMs * TARGET_SHARE)),
+    getLimitTokens(targetMs) {
+      const inTimeTokens = firstEvents.getTokensWithin(targetMs * TARGET_SHARE);
+      const limitTokens = pauses.getTokens(inTimeTokens);
+      tell(limitTokens, inTimeTokens);
+      return limitTokens;
+    },
   };
 }
--- a/src/pacing/pacing_test.ts
+++ b/src/pacing/pacing_test.ts
@@ -10,7 +10,10 @@
 /** Pacing of a service whose engines read so fast, before any event. */
 function createFixture(msPerToken: number) {
   const clock = createManualClock(1_000);
-  const pacing = createPacing({ nowMs: clock.monotonicMs });
+  const pacing = createPacing({
+    nowMs: clock.monotonicMs,
+    onChanged: () => {},
+  });
   const getLimit = () => pacing.getLimitTokens(TARGET_MS);
   return {
     getLimit,
--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -17,6 +17,8 @@
   note(isLate: boolean): void;
   /** Tokens that may be read at an upstream at once; at most the ceiling. */
   getTokens(ceilingTokens: number): number;
+  /** Share of the answers of the last seconds that paused past their target. */
+  getLateShare(): number;
 }
 
 /** What the limit needs of the process. */
@@ -66,9 +68,11 @@
   let late = 0;
   let all = 0;
 
+  const getLateShare = () => all === 0 ? 0 : late / all;
+
   function change(ceilingTokens: number): void {
     if (all > MIN_ANSWERS) {
-      const share = late / all;
+      const share = getLateShare();
       if (share > NARROW_SHARE) {
         tokens *= NARROW_FACTOR;
         late *= ANSWERED_FACTOR;
@@ -81,6 +85,7 @@
   }
 
   return {
+    getLateShare,
     note(isLate) {
       all++;
       if (isLate) late++;
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -150,11 +150,12 @@
  *   day is nowhere: 0.43 of the largest tenth were served, of all prompts 0.93.
  *   Counted for a half at most they displace too many others: 0.53 on time, not
  *   0.59 (emulated heavy day, ten seeds).
- * - 0.4 of the target, and only to an upstream that reads nothing and answers
- *   with 0.15 of its slots: reading a shared part of 13,300 tokens again takes it
- *   180 ms, in which nothing else comes in time there. Sent to the second choice
- *   where it has room, 0.034 of worth went for such reading on a heavy day, not
- *   0.018; sent nowhere else, a prompt waits while others idle.
+ * - 0.55 of the target, right before the refusal, and only to an upstream that
+ *   reads nothing and answers with 0.15 of its slots: reading a shared part of
+ *   13,300 tokens again takes it 180 ms, in which nothing else comes in time there.
+ *   After 0.4 of the target 0.83 million tokens were read again on a heavy day, and
+ *   with no prompt sent elsewhere 0.57 million, with as many answers on time; but
+ *   then a prompt is refused while an upstream idles.
  * - 0.6 of the target leaves an upstream the time to read the prompt.
  * - After a second a queue of so short waits holds others.
  */
@@ -164,7 +165,7 @@
   overShareLimit: { slotShare: 0.45, readingShare: 0.5 },
   freeTokens: FREE_TOKENS,
   largestShare: 0.75,
-  spillShare: 0.4,
+  spillShare: 0.55,
   idleSlotShare: 0.15,
   refuseShare: 0.6,
   retryAfterMs: 1_000,
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -122,9 +122,9 @@
   const fixture = createFixture();
   fixture.getUse("a").readingTokens = LIMIT_TOKENS;
   fixture.add();
-  fixture.advance(310);
+  fixture.advance(430);
   deepStrictEqual(fixture.log, []);
-  fixture.advance(10);
+  fixture.advance(20);
   deepStrictEqual(fixture.log, ["calm-1 to b"]);
 });
 
@@ -135,7 +135,7 @@
   fixture.getUse("a").readingTokens = LIMIT_TOKENS;
   fixture.getUse("b").inFlight = 10;
   fixture.add();
-  fixture.advance(400);
+  fixture.advance(450);
   deepStrictEqual(fixture.log, []);
   fixture.getUse("b").inFlight = 7;
   fixture.advance(10);
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -183,7 +183,10 @@
     isAlive: () => true,
     getStatedCapacity: () => 0,
   });
-  const pacing = createPacing({ nowMs: clock.monotonicMs });
+  const pacing = createPacing({
+    nowMs: clock.monotonicMs,
+    onChanged: () => {},
+  });
   return {
     log: parts.log,
     tryGetRoutes: parts.tryGetRoutes,
