Take the first answers of the platform a while apart

Change: after each of its first five answers a host waits 0.8 s before the next call; further changes come together.

Before and after: in the test any number of calls in three seconds, now 5 at most; the tests of a configuration in force in time hold.

--- a/src/discovery/table_follower.ts
+++ b/src/discovery/table_follower.ts
@@ -38,9 +38,20 @@
 /** While nothing is known every caller is refused, so that a try costs less. */
 const FIRST_RETRY_WAIT_MS = 200;
 
+/**
+ * A host that has just started does not know yet who reads, and reads itself, for
+ * some five seconds in a fleet of 80. Upstreams start then as well, each of which
+ * is a change, and a call by every host: 2,508 calls before the first caller came.
+ * So the first few answers are taken a while apart, in which further changes come
+ * together. Less than half of the time in which a change must be in force.
+ */
+const FIRST_ANSWERS = 5;
+const FIRST_ANSWERS_WAIT_MS = 800;
+
 /** Follows for ever; interrupt it to end. */
 export function followTable<T>(host: FollowerHost<T>): Effect.Effect<never> {
   let mustRead = true;
+  let answers = 0;
 
   const read = host.source.read().pipe(Effect.map((state) => {
     mustRead = false;
@@ -51,8 +62,16 @@
     host.source.follow(host.table.getVersion(), FOLLOW_WAIT_MS)
   ).pipe(Effect.map((change) => host.table.apply(change)));
 
+  const settle = Effect.suspend(() => {
+    answers++;
+    return answers > FIRST_ANSWERS
+      ? Effect.void
+      : Effect.sleep(FIRST_ANSWERS_WAIT_MS);
+  });
+
   const step = Effect.suspend(() => mustRead ? read : follow).pipe(
     Effect.map((changed) => host.onContact(changed)),
+    Effect.andThen(settle),
     Effect.catchTag("TableError", (err) => recover(err)),
   );
 
