--- a/src/measure/prompt_load.ts
+++ b/src/measure/prompt_load.ts
@@ -81,6 +81,31 @@
     ...ours,
     queue: { ...defaultPromptQueueOptions, compare: compareOldestFirst },
   },
+  floods_yield_nothing: {
+    ...ours,
+    queue: {
+      ...defaultPromptQueueOptions,
+      overShareLimit: defaultPromptQueueOptions.limit,
+    },
+  },
+  sparse_yield_nothing: {
+    ...ours,
+    queue: {
+      ...defaultPromptQueueOptions,
+      yieldingLimit: defaultPromptQueueOptions.limit,
+    },
+  },
+  never_elsewhere: {
+    ...ours,
+    queue: { ...defaultPromptQueueOptions, spillShare: Infinity },
+  },
+  all_slots: {
+    ...ours,
+    queue: {
+      ...defaultPromptQueueOptions,
+      limit: { slotShare: 1, readingShare: 1 },
+    },
+  },
   fixed_half: { ...ours, limitTokens: 7_000 },
   fixed_wide: { ...ours, limitTokens: 56_000 },
   each_host_alone: { ...ours, isLoadShared: false },
