--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -66,9 +66,9 @@
 
 /**
  * Up to so many hosts a confirmation goes straight to all: three readers then
- * send 100 datagrams each in 0.7 s, 20 KB/s. By gossip a confirmation takes some
- * two seconds to reach 80 hosts; those that had not heard it in that time read
- * the platform themselves, at ten times the calls. Larger fleets gossip it.
+ * send 100 datagrams each in 0.7 s, 20 KB/s (computed). By gossip a confirmation
+ * takes seven rounds to reach 80 hosts, 1.8 s of the two after which a host reads
+ * the platform itself. Larger fleets gossip it.
  */
 const PUSH_ALL_HOSTS = 100;
 
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -144,7 +144,7 @@
  *   others, chats of teams over their share starved (0.66 of their worth, not
  *   0.96); with 0.35 of the slots and 40 ms for sparse ones worth was no better.
  * - 1,400 tokens are read in 15 to 20 ms: a prompt with no more to share than that
- *   goes wherever least is in flight.
+ *   goes to the less busy of two upstreams, or of the next two.
  * - A prompt counts for three quarters of the limit at most. Counted whole, those
  *   larger than the limit started only where nothing was read, which on a heavy
  *   day is nowhere: 0.43 of the largest tenth were served, of all prompts 0.93.
