Test that pacing hears of answers, and give the played prompts' result a file

Cause: nothing tested that a stream's first event and pauses reach the pacing; prompt_world.ts had grown a second job, summing up.

Change: the forwarding fixture records what pacing is told; prompt_result.ts holds what callers got. Tests and measurements alone.

--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -146,6 +146,24 @@
   strictEqual(res.isCut, false);
 });
 
+test("pacing is told of a first event, and once of an answer that paused too long", async () => {
+  // What upstreams may have to read is learned from what answers show. Told
+  // nothing, the limit would stay where it starts; told of each late pause of one
+  // bad answer, it would close for all.
+  await using fixture = await createForwardFixture([async (socket, { id }) => {
+    socket.write(streamHead(id) + chunk("id: 1\ndata: a\n\n"));
+    for (const event of [2, 3]) {
+      await sleep(60);
+      socket.write(chunk(`id: ${event}\ndata: b\n\n`));
+    }
+    socket.write("0\r\n\r\n");
+  }], { kind: "stream", hasPrompts: true, pauseTargetMs: 20 });
+  strictEqual((await fixture.call()).status, 200);
+  // The prompt's own part of 1,000 tokens, attention counted.
+  deepStrictEqual(fixture.paced.firstEvents, [1_088]);
+  deepStrictEqual(fixture.paced.pauses, [true]);
+});
+
 test("a stream that can't go on is cut and never looks complete", async () => {
   const breaks: Behaviour = (socket, { id }) => {
     socket.write(streamHead(id) + chunk("id: 1\ndata: a\n\n"));
--- a/src/measure/prompt_load.ts
+++ b/src/measure/prompt_load.ts
@@ -13,7 +13,8 @@
 } from "../queue/mod.ts";
 import { getReadingMs, wideEngine } from "../testing/emulated_engine.ts";
 import type { ScenarioOptions } from "./main.ts";
-import { getMeans, playPrompts, type PromptResult } from "./prompt_world.ts";
+import { getMeans, type PromptResult } from "./prompt_result.ts";
+import { playPrompts } from "./prompt_world.ts";
 import { mapValues, type Report } from "./report.ts";
 
 const FACTOR = 1;
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -31,6 +31,12 @@
 } from "../testing/emulated_engine.ts";
 import { createAgenda } from "./agenda.ts";
 import { type DrawnPrompt, drawPrompt, promptKinds } from "./prompt_kinds.ts";
+import {
+  FLOOD,
+  type PlayedPrompt,
+  type PromptResult,
+  summarise,
+} from "./prompt_result.ts";
 import { createRandom } from "./random.ts";
 
 /** What is played. */
@@ -53,17 +59,6 @@
   readonly pauseTargetMs: number;
 }
 
-/** What callers got, as shares of the requests that they meant. */
-export interface PromptResult {
-  /** First event and all pauses on time, refusals before it counted. */
-  readonly onTime: number;
-  readonly served: number;
-  /** Of the teams that don't flood, on time. */
-  readonly calmOnTime: number;
-  /** Of the prompts that take longest to read, served. */
-  readonly longServed: number;
-}
-
 const ENGINES = 6;
 const PLAYED_MS = 20_000;
 const TICK_MS = 10;
@@ -75,9 +70,6 @@
 /** Tries of one request; what is refused twice is given up. */
 const MAX_TRIES = 2;
 
-/** A prompt with more tokens of its own counts as long. */
-const LONG_TOKENS = 13_000;
-
 /** Shortest target of a kind, in ms. */
 const TIGHTEST_TARGET_MS = Math.min(
   ...promptKinds.map((kind) => kind.targetMs),
@@ -92,9 +84,7 @@
 /** Tokens a second that the operators of the deployments state. */
 const STATED_CAPACITY = 238_000;
 
-const FLOOD = "flood";
-
-interface Meant extends DrawnPrompt {
+interface Meant extends DrawnPrompt, PlayedPrompt {
   readonly team: string;
   readonly meantMs: number;
   /** Tokens to read where the shared part is kept, attention counted. */
@@ -310,28 +300,3 @@
     ],
   };
 }
-
-/** Means over results, figure by figure. */
-export function getMeans(results: readonly PromptResult[]): PromptResult {
-  const getMean = (name: keyof PromptResult) =>
-    results.reduce((sum, each) => sum + each[name], 0) / results.length;
-  return {
-    onTime: getMean("onTime"),
-    served: getMean("served"),
-    calmOnTime: getMean("calmOnTime"),
-    longServed: getMean("longServed"),
-  };
-}
-
-function summarise(meant: readonly Meant[]): PromptResult {
-  const getShare = (all: readonly Meant[], has: (req: Meant) => boolean) =>
-    all.filter(has).length / Math.max(1, all.length);
-  const calm = meant.filter((each) => each.team !== FLOOD);
-  const long = meant.filter((each) => each.ownTokens >= LONG_TOKENS);
-  return {
-    onTime: getShare(meant, (each) => each.isOnTime),
-    served: getShare(meant, (each) => each.isServed),
-    calmOnTime: getShare(calm, (each) => each.isOnTime),
-    longServed: getShare(long, (each) => each.isServed),
-  };
-}
--- a/src/queue/prompt_load_test.ts
+++ b/src/queue/prompt_load_test.ts
@@ -5,11 +5,8 @@
   fixedPolicy,
   type PromptPolicy,
 } from "../measure/prompt_load.ts";
-import {
-  getMeans,
-  playPrompts,
-  type PromptResult,
-} from "../measure/prompt_world.ts";
+import { getMeans, type PromptResult } from "../measure/prompt_result.ts";
+import { playPrompts } from "../measure/prompt_world.ts";
 import {
   type EngineFigures,
   narrowEngine,
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -23,7 +23,7 @@
 } from "../forwarding/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { createPacing } from "../pacing/mod.ts";
+import type { Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
 import { createHealthWatch } from "../upstreams/mod.ts";
@@ -60,6 +60,15 @@
   readonly arrivals: readonly string[];
   readonly log: readonly Decision[];
   readonly delay: Delay;
+  readonly paced: Paced;
+}
+
+/** What the service's pacing was told. */
+export interface Paced {
+  /** What upstreams had to read before first events, in tokens. */
+  readonly firstEvents: number[];
+  /** Whether answers paused past their target. */
+  readonly pauses: boolean[];
 }
 
 /** How far the host is behind; set by tests. */
@@ -77,6 +86,9 @@
   readonly leaveAfterMs?: number;
 }
 
+/** What an upstream may have to read at once. */
+const LIMIT_TOKENS = 14_000;
+
 /** The product's own header names, for tests. */
 export function createTestCodec(): CallCodec {
   return {
@@ -145,8 +157,10 @@
   const route = createRoute({ hasPrompts: false, ...routeChanges });
   const routes = createRouteTable(createRoutingConfig({ routes: [route] }));
   const delay: Delay = { isBehind: false, unreadMs: 0 };
+  const paced: Paced = { firstEvents: [], pauses: [] };
   const host = createHost(directory, {
     delay,
+    paced,
     log: (decision) => log.push(decision),
     tryGetRoutes: () => routes,
   });
@@ -160,6 +174,7 @@
     arrivals,
     log,
     delay,
+    paced,
     call: (options = {}) => send(port, options),
     sendAndClose: () => sendAndClose(port),
     getReadingTokens: () => host.load.getReadingTokens("up-0"),
@@ -174,7 +189,10 @@
 
 function createHost(
   directory: ForwardHost["directory"],
-  parts: Pick<ForwardHost, "log" | "tryGetRoutes"> & { delay: Delay },
+  parts: Pick<ForwardHost, "log" | "tryGetRoutes"> & {
+    readonly delay: Delay;
+    readonly paced: Paced;
+  },
 ): ForwardHost {
   const clock = systemClock;
   const load = createLoadView({
@@ -183,10 +201,11 @@
     isAlive: () => true,
     getStatedCapacity: () => 0,
   });
-  const pacing = createPacing({
-    nowMs: clock.monotonicMs,
-    onChanged: () => {},
-  });
+  const pacing: Pacing = {
+    noteFirstEvent: (tokens) => void parts.paced.firstEvents.push(tokens),
+    notePause: (isLate) => void parts.paced.pauses.push(isLate),
+    getLimitTokens: () => LIMIT_TOKENS,
+  };
   return {
     log: parts.log,
     tryGetRoutes: parts.tryGetRoutes,
@@ -202,7 +221,7 @@
       getLoad: () => ({ slots: 48, inFlight: 0, readingTokens: 0 }),
       getShareUsed: () => 0,
       getMeanYield: () => 0,
-      getLimitTokens: () => 14_000,
+      getLimitTokens: () => LIMIT_TOKENS,
       random: () => 0.5,
       onStart: (_prompt, upstream, readingTokens) =>
         load.beginReading(upstream, readingTokens),
