Call the owner's look-up that stands, and look for near upstreams only where it counts

Cause: read anew, the change ranked all hosts of a data centre to take the first, beside membership's tryGetOwner, which gives it in one pass; and worked out which upstreams are near for every prompt, though only those with little to share are ordered by it.

Change: getAdder calls tryGetOwner; getIsNear is made for small shared parts alone.

Conclusion: no change of behaviour.

--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -153,21 +153,31 @@
   // but for the first time.
   const ownTokens = getOwnTokens(prompt);
   const wholeTokens = getReadingTokens(prompt.promptTokens, 0);
-  const near = new Set(
-    candidates
-      .filter((each) => host.getDistance(each.dataCentre) !== "other-region")
-      .map((each) => each.id),
-  );
   // With little to share each region may as well keep its own copy: most of what
   // crosses the link between regions are answers, event by event.
   const isSmall = wholeTokens - ownTokens <= FREE_TOKENS;
-  const ordered = isSmall ? putNearFirst(ranked, (id) => near.has(id)) : ranked;
+  const ordered = isSmall
+    ? putNearFirst(ranked, getIsNear(host, candidates))
+    : ranked;
   return ordered.map((upstream, at) => ({
     upstream,
     readingTokens: at === 0 ? ownTokens : wholeTokens,
   }));
 }
 
+/** Tells of each candidate's id whether it is in this host's region. */
+function getIsNear(
+  host: ForwardHost,
+  candidates: readonly UpstreamEntry[],
+): (id: string) => boolean {
+  const near = new Set(
+    candidates
+      .filter((each) => host.getDistance(each.dataCentre) !== "other-region")
+      .map((each) => each.id),
+  );
+  return (id) => near.has(id);
+}
+
 /** Service of a request: each token read once, each generated twice. */
 export function getSize(prompt: Prompt): number {
   return prompt.promptTokens + 2 * prompt.maxOutputTokens;
--- a/src/load/load_sums.ts
+++ b/src/load/load_sums.ts
@@ -14,7 +14,7 @@
  */
 
 import type { Clock } from "../core/mod.ts";
-import { rankByRendezvous } from "../membership/mod.ts";
+import { tryGetOwner } from "../membership/mod.ts";
 import { addReports, subtractReport } from "./report_sums.ts";
 import type { LoadReport } from "./types.ts";
 
@@ -218,5 +218,5 @@
   const addresses = hosts
     .filter((each) => each.dataCentre === dataCentre)
     .map((each) => each.peerAddress);
-  return rankByRendezvous(dataCentre, addresses)[0] ?? "";
+  return tryGetOwner(dataCentre, addresses) ?? "";
 }
