Log who reads a table at the platform and why, and how fetches end

Cause looked for: a configuration that no host had read six seconds after an outage. The hosts' output could not tell whether no host took the reader's role, whether a host read one table only, or whether readers could not pass a table on: a choice of readers left no line, and a fetch without an answer neither.

Change: `table-reader-changed` at each change of a host's choice, by table, with why, how many hosts it passed over and how long it had heard of no reader; `table-not-fetched`; a counter of fetches by outcome. The choice itself is unchanged; `decideToRead` gives its reason beside it, and its tests read `reads`. The fleet of the tests reads both tables from its platform now, where the list of upstreams always answered before, and keeps what hosts log.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -119,6 +119,24 @@
     readonly state: string;
     readonly incarnation: number;
   }
+  | {
+    /** This host begins to read a table at the platform, or leaves it. */
+    readonly event: "table-reader-changed";
+    readonly table: string;
+    readonly reads: boolean;
+    readonly because: string;
+    /** Hosts that it passed over, since the platform turned them away. */
+    readonly passedOver: number;
+    /** Time since it heard that a host had read, in ms. */
+    readonly unconfirmedMs: number;
+  }
+  | {
+    /** Another host had a newer copy of a table and did not give it. */
+    readonly event: "table-not-fetched";
+    readonly table: string;
+    readonly peer: string;
+    readonly tookMs: number;
+  }
   | {
     readonly event: "platform-lost" | "platform-regained";
     readonly table: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -139,6 +139,14 @@
         `${decision.change} (platform's version ${decision.platformVersion})`;
     case "member-changed":
       return `Host ${decision.member} is ${decision.state}`;
+    case "table-reader-changed":
+      return `${decision.reads ? "Reads" : "Does not read"} ` +
+        `${decision.table} at the platform, ${decision.because}: ` +
+        `${decision.passedOver} hosts passed over, last confirmed ` +
+        `${decision.unconfirmedMs} ms before`;
+    case "table-not-fetched":
+      return `${decision.peer} did not give its newer ${decision.table} ` +
+        `within ${decision.tookMs} ms`;
     case "platform-lost":
     case "platform-regained":
       return `${decision.event} for ${decision.table}: "${decision.reason}"`;
--- a/src/discovery/readers.ts
+++ b/src/discovery/readers.ts
@@ -45,12 +45,38 @@
   readonly unconfirmedMs: number;
 }
 
+/**
+ * Why a host reads: it is among the first in rank, or heard of no reader. Why it
+ * does not: others are before it, or the platform has turned it away.
+ */
+export type ReadingReason =
+  | "first-in-rank"
+  | "unconfirmed"
+  | "others-first"
+  | "turned-away";
+
+/** What a host does about a table, and why. */
+export interface ReadingChoice {
+  readonly reads: boolean;
+  readonly because: ReadingReason;
+  /** Hosts passed over, since the platform has turned them away. */
+  readonly passedOver: number;
+}
+
 /** Whether this host follows the platform's tables now. */
-export function decideToRead(input: ReaderInput): boolean {
-  if (input.unconfirmedMs > UNCONFIRMED_MS) return true;
+export function decideToRead(input: ReaderInput): ReadingChoice {
   const accepted = input.hosts.filter((host) => !input.isTurnedAway(host));
+  const passedOver = input.hosts.length - accepted.length;
+  if (input.unconfirmedMs > UNCONFIRMED_MS) {
+    return { reads: true, because: "unconfirmed", passedOver };
+  }
   // Where the platform turns everyone away, somebody must see it come back.
   const candidates = accepted.length > 0 ? accepted : input.hosts;
   const ranked = rankByRendezvous(READER_KEY, candidates);
-  return ranked.slice(0, READERS).includes(input.self);
+  if (ranked.slice(0, READERS).includes(input.self)) {
+    return { reads: true, because: "first-in-rank", passedOver };
+  }
+  const isPassedOver = !candidates.includes(input.self);
+  const because = isPassedOver ? "turned-away" : "others-first";
+  return { reads: false, because, passedOver };
 }
--- a/src/discovery/readers_test.ts
+++ b/src/discovery/readers_test.ts
@@ -11,7 +11,7 @@
       hosts,
       isTurnedAway: (host) => turnedAway.includes(host),
       unconfirmedMs,
-    })
+    }).reads
   );
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -152,6 +152,7 @@
     incarnation,
     random: host.random,
     log,
+    onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
     getHosts: () => getAlive().map((each) => each.peerAddress),
     pushFact: (fact) => peers.membership.pushFact(fact),
     spreadFact: (fact) => peers.membership.spreadFact(fact),
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -18,6 +18,7 @@
   type EntryPlatform,
   followTable,
   type PassingOn,
+  type ReadingChoice,
   type SharedTable,
   type TableName,
   type TableState,
@@ -39,6 +40,7 @@
   readonly incarnation: number;
   random(): number;
   log(decision: Decision): void;
+  onFetched(table: string, outcome: FetchOutcome): void;
   /** Peer addresses of the hosts that are alive, this one included. */
   getHosts(): readonly string[];
   pushFact(fact: Fact): void;
@@ -46,6 +48,9 @@
   fetchTable(name: string, peer: string): Promise<Uint8Array | undefined>;
 }
 
+/** How a fetch of a table from another host ended. */
+export type FetchOutcome = "newer" | "not-newer" | "no-answer";
+
 /** What this host knows. */
 export interface Knowledge {
   readonly directory: UpstreamDirectory;
@@ -70,6 +75,7 @@
   };
   const fetching = new Set<TableName>();
   const lost = new Set<TableName>();
+  const choices = new Map<TableName, ReadingChoice>();
   let routes: RouteTable | undefined;
 
   const passingOn: PassingOn = createPassingOn({
@@ -119,12 +125,20 @@
   async function fetchFrom(table: TableName, peer: string): Promise<void> {
     if (fetching.has(table)) return;
     fetching.add(table);
+    const sinceMs = host.clock.monotonicMs();
     try {
       const bytes = await host.fetchTable(table, peer);
-      if (bytes === undefined) return;
+      if (bytes === undefined) {
+        const tookMs = Math.round(host.clock.monotonicMs() - sinceMs);
+        host.log({ event: "table-not-fetched", table, peer, tookMs });
+        host.onFetched(table, "no-answer");
+        return;
+      }
       const text = Buffer.from(bytes).toString("utf8");
       const state = JSON.parse(text) as TableState<unknown>;
-      if (tables[table].replace(state)) onChanged(table, peer);
+      const isNewer = tables[table].replace(state);
+      host.onFetched(table, isNewer ? "newer" : "not-newer");
+      if (isNewer) onChanged(table, peer);
     } catch (err) {
       const reason = String(err);
       host.log({ event: "task-failed", task: `fetch ${table}`, reason });
@@ -133,12 +147,33 @@
     }
   }
 
-  function isReader(): boolean {
-    return decideToRead({
+  function isReader(table: TableName): boolean {
+    const unconfirmedMs = passingOn.getUnconfirmedMs();
+    const choice = decideToRead({
       self: host.peerAddress,
       hosts: host.getHosts(),
       isTurnedAway: passingOn.isTurnedAway,
-      unconfirmedMs: passingOn.getUnconfirmedMs(),
+      unconfirmedMs,
+    });
+    logChoice(table, choice, unconfirmedMs);
+    return choice.reads;
+  }
+
+  function logChoice(
+    table: TableName,
+    choice: ReadingChoice,
+    unconfirmedMs: number,
+  ): void {
+    const known = choices.get(table);
+    choices.set(table, choice);
+    const isSame = known?.reads === choice.reads &&
+      known.because === choice.because;
+    if (isSame) return;
+    host.log({
+      event: "table-reader-changed",
+      table,
+      ...choice,
+      unconfirmedMs: roundMs(unconfirmedMs),
     });
   }
 
@@ -146,7 +181,7 @@
     return followTable<unknown>({
       source: host.platform[name],
       table: tables[name],
-      isReader,
+      isReader: () => isReader(name),
       random: host.random,
       onContact(changed) {
         if (lost.delete(name)) {
@@ -173,9 +208,7 @@
     getInputs: () => ({
       configVersion: routes?.config.version ?? 0,
       upstreamsVersion: upstreams.getVersion(),
-      confirmedMsAgo: Math.round(
-        Math.min(passingOn.getUnconfirmedMs(), Number.MAX_SAFE_INTEGER),
-      ),
+      confirmedMsAgo: roundMs(passingOn.getUnconfirmedMs()),
     }),
     receive: passingOn.receive,
     tryGetTable(name) {
@@ -188,3 +221,8 @@
     }).pipe(Effect.andThen(Effect.never)),
   };
 }
+
+/** JSON has no infinite number. */
+function roundMs(ms: number): number {
+  return Math.round(Math.min(ms, Number.MAX_SAFE_INTEGER));
+}
--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -87,3 +87,23 @@
   }));
   deepStrictEqual(new Set(fleet.getVersions()), new Set([5]));
 });
+
+test("a host logs that it reads a table or leaves it to others, and why", async () => {
+  // Operators ask why a host had an old configuration: whether it was to read it,
+  // and if not, for whom it left it.
+  const fleet = createKnowledgeFleet(9);
+  await runFleet(Effect.gen(function* () {
+    fleet.tables.put(1);
+    yield* fleet.start;
+    yield* fleet.run(5_000);
+  }));
+  const lines = fleet.logged.map((each) => each.decision)
+    .filter((each) => each.event === "table-reader-changed")
+    .filter((each) => each.table === "config");
+  const countLast = (because: string) =>
+    lines.filter((each) => each.because === because).length;
+  deepStrictEqual(
+    [countLast("first-in-rank"), countLast("others-first")],
+    [3, 6],
+  );
+});
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -7,6 +7,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Decision } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
+import type { FetchOutcome } from "./knowledge.ts";
 
 /** What metrics read when they are asked for. */
 export interface MetricsHost {
@@ -29,6 +30,8 @@
 export interface EntryMetrics {
   observeEnd(end: CallEnd): void;
   observeDecision(decision: Decision): void;
+  /** A fetch of a table from another host has ended. */
+  observeFetch(table: string, outcome: FetchOutcome): void;
   render(): Promise<string>;
 }
 
@@ -84,6 +87,12 @@
     labelNames: ["event"],
     registers,
   });
+  const tableFetches = new Counter({
+    name: "azurestile_table_fetches_total",
+    help: "Fetches of a table from another host, by table and outcome",
+    labelNames: ["table", "outcome"],
+    registers,
+  });
   const logLinesDropped = new Counter({
     name: "azurestile_log_lines_dropped_total",
     help: "Log lines lost since the reader of the output fell behind",
@@ -159,6 +168,7 @@
         logLinesDropped.inc(decision.lines);
       }
     },
+    observeFetch: (table, outcome) => tableFetches.inc({ table, outcome }),
     render: () => registry.metrics(),
   };
 }
--- a/src/testing/knowledge_fleet.ts
+++ b/src/testing/knowledge_fleet.ts
@@ -9,8 +9,10 @@
 import { setImmediate } from "node:timers/promises";
 import * as Effect from "effect/Effect";
 import * as TestClock from "effect/testing/TestClock";
+import type { Decision } from "../diagnostics/mod.ts";
 import type {
   TableChange,
+  TableRow,
   TableState,
   UpstreamEntry,
   WatchedTable,
@@ -21,7 +23,7 @@
 import type { RoutingConfig } from "../routing/mod.ts";
 import { createAgenda } from "../measure/agenda.ts";
 import { createRandom } from "../measure/random.ts";
-import { createRoutingConfig } from "./routing_fixture.ts";
+import { createRoutingConfig, createUpstreamEntry } from "./routing_fixture.ts";
 
 /** How the platform treats a host. */
 export type Treatment = "served" | "refused" | "silent";
@@ -30,6 +32,8 @@
 export interface FakeTables {
   /** Puts a configuration in place, as operators do. */
   put(version: number): void;
+  /** Replaces the upstreams that are registered. */
+  putUpstreams(ids: readonly string[]): void;
   treat(host: string, treatment: Treatment): void;
   /** Watches hear nothing until the time given, in ms. */
   silenceUntil(ms: number): void;
@@ -37,12 +41,20 @@
   dropHistory(): void;
 }
 
+/** A logged decision and its host. */
+export interface FleetLine {
+  readonly host: string;
+  readonly decision: Decision;
+}
+
 /** The fleet. */
 export interface KnowledgeFleet {
   readonly tables: FakeTables;
   /** Peer addresses. */
   readonly hosts: readonly string[];
   nowMs(): number;
+  /** What the hosts have logged, in order. */
+  readonly logged: readonly FleetLine[];
   /** Configuration in force at each host; 0 for none. */
   getVersions(): readonly number[];
   run(ms: number): Effect.Effect<void>;
@@ -50,6 +62,11 @@
   readonly start: Effect.Effect<void>;
 }
 
+interface FakeTable<T> {
+  changedVersion: number;
+  rows: readonly TableRow<T>[];
+}
+
 /** From one host to another, between regions, in ms. */
 const LINK_MS = 20;
 
@@ -72,35 +89,43 @@
   const agenda = createAgenda();
   const { clock } = agenda;
   const hosts = Array.from({ length: count }, (_, at) => `10.0.0.${at + 1}:1`);
+  const logged: FleetLine[] = [];
   const treatments = new Map<string, Treatment>();
   let version = 1;
   let keptFrom = 0;
   let silentUntilMs = 0;
-  let config: RoutingConfig | undefined;
-
-  function getRows() {
-    if (config === undefined) return [];
-    return [{ key: "config", version, value: config }];
+  const config: FakeTable<RoutingConfig> = { changedVersion: 0, rows: [] };
+  const upstreams: FakeTable<UpstreamEntry> = { changedVersion: 0, rows: [] };
+
+  /** Replaces the rows; both tables count by the platform's one version. */
+  function putRows<T>(
+    table: FakeTable<T>,
+    values: ReadonlyMap<string, T>,
+  ): void {
+    version++;
+    table.changedVersion = version;
+    table.rows = [...values]
+      .map(([key, value]) => ({ key, version, value }));
   }
 
-  const read: Effect.Effect<TableState<RoutingConfig>> = Effect.sync(() => ({
-    version,
-    rows: getRows(),
-  }));
+  function read<T>(table: FakeTable<T>): Effect.Effect<TableState<T>> {
+    return Effect.sync(() => ({ version, rows: table.rows }));
+  }
 
-  function follow(
+  function follow<T>(
+    table: FakeTable<T>,
     after: number,
     waitMs: number,
-  ): Effect.Effect<TableChange<RoutingConfig>, TableError> {
+  ): Effect.Effect<TableChange<T>, TableError> {
     return Effect.suspend(() => {
       const isSilent = clock.monotonicMs() < silentUntilMs;
       if (!isSilent && after < keptFrom) {
         const reason = "The history is gone";
         return Effect.fail(new TableError({ kind: "history-lost", reason }));
       }
-      const hasNews = !isSilent && version > after;
+      const hasNews = !isSilent && table.changedVersion > after;
       if (hasNews || waitMs <= 0) {
-        const changed = hasNews ? getRows() : [];
+        const changed = hasNews ? table.rows : [];
         return Effect.succeed({
           version: isSilent ? after : version,
           changed,
@@ -108,7 +133,7 @@
         });
       }
       return Effect.sleep(STEP_MS).pipe(
-        Effect.andThen(follow(after, waitMs - STEP_MS)),
+        Effect.andThen(follow(table, after, waitMs - STEP_MS)),
       );
     });
   }
@@ -132,21 +157,14 @@
     });
   }
 
-  function createTable(host: string): WatchedTable<RoutingConfig> {
+  function createTable<T>(host: string, table: FakeTable<T>): WatchedTable<T> {
     return {
-      read: () => treat(host, 0, read),
-      follow: (after, waitMs) => treat(host, waitMs, follow(after, waitMs)),
+      read: () => treat(host, 0, read(table)),
+      follow: (after, waitMs) =>
+        treat(host, waitMs, follow(table, after, waitMs)),
     };
   }
 
-  const noUpstreams: WatchedTable<UpstreamEntry> = {
-    read: () => Effect.succeed({ version: 1, rows: [] }),
-    follow: (after, waitMs) =>
-      Effect.sleep(waitMs).pipe(
-        Effect.as({ version: after, changed: [], removed: [] }),
-      ),
-  };
-
   const knowledges = new Map<string, Knowledge>();
 
   /** To all other hosts, one link later. */
@@ -162,8 +180,8 @@
     const knowledge = createKnowledge({
       clock,
       platform: {
-        config: createTable(peerAddress),
-        upstreams: noUpstreams,
+        config: createTable(peerAddress, config),
+        upstreams: createTable(peerAddress, upstreams),
         hosts: {
           read: () => Effect.succeed([]),
           add: () => Effect.void,
@@ -173,7 +191,8 @@
       peerAddress,
       incarnation: 1,
       random: createRandom(at + 1),
-      log: () => {},
+      log: (decision) => logged.push({ host: peerAddress, decision }),
+      onFetched: () => {},
       getHosts: () => hosts,
       pushFact: send,
       spreadFact: send,
@@ -193,10 +212,15 @@
 
   return {
     hosts,
+    logged,
     tables: {
       put(next) {
-        version++;
-        config = createRoutingConfig({ version: next });
+        const value = createRoutingConfig({ version: next });
+        putRows(config, new Map([["config", value]]));
+      },
+      putUpstreams(ids) {
+        const entries = ids.map((id) => createUpstreamEntry({ id }));
+        putRows(upstreams, new Map(entries.map((each) => [each.id, each])));
       },
       treat: (host, treatment) => void treatments.set(host, treatment),
       silenceUntil: (ms) => silentUntilMs = ms,
