Test that a change is in force in time after a long outage, which it is not

Symptom: healthy hosts answer 404 on a route that operators added up to seconds before. Brought about in virtual time with the real discovery code: nine hosts, a platform that answers nobody for 6 to 10 s, upstreams that lapse meanwhile, a change right at its return.

--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -12,18 +12,19 @@
 
 /** Plays a change under trouble; gives how long the last host took, in ms. */
 async function playChange(
-  trouble: (fleet: KnowledgeFleet) => void,
+  trouble: (fleet: KnowledgeFleet) => void | Effect.Effect<void>,
   { hosts = 9, isPassingOn = true } = {},
 ): Promise<number> {
   const fleet = createKnowledgeFleet(hosts, isPassingOn);
   let tookMs = 0;
   await runFleet(Effect.gen(function* () {
     fleet.tables.put(1);
+    fleet.tables.putUpstreams(["one", "two"]);
     yield* fleet.start;
     // Without passing on a host reads itself only after two seconds.
     yield* fleet.run(5_000);
     deepStrictEqual(new Set(fleet.getVersions()), new Set([1]));
-    trouble(fleet);
+    yield* trouble(fleet) ?? Effect.void;
     fleet.tables.put(2);
     const sinceMs = fleet.nowMs();
     while (fleet.getVersions().some((each) => each < 2)) {
@@ -35,6 +36,19 @@
   return tookMs;
 }
 
+/** The platform answers nobody for so long, in ms, while all upstreams lapse. */
+function playOutage(
+  fleet: KnowledgeFleet,
+  awayMs: number,
+): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    fleet.tables.treatAll("silent");
+    yield* fleet.run(awayMs);
+    fleet.tables.treatAll("served");
+    fleet.tables.putUpstreams([]);
+  });
+}
+
 test("a change is in force at nine hosts, and at ninety, in a fifth of a second", async () => {
   ok(await playChange(() => {}) <= 200);
   ok(await playChange(() => {}, { hosts: 90 }) <= 200);
@@ -107,3 +121,13 @@
     [3, 6],
   );
 });
+
+test("a change is in force in time after the platform was away for long", async () => {
+  // Callers get 404 from healthy hosts on a route that operators have added. The
+  // platform answers nobody for six to ten seconds; it returns, upstreams whose
+  // entries lapsed are gone from its list, and operators add the route.
+  for (let awayMs = 6_000; awayMs <= 10_000; awayMs += 170) {
+    const tookMs = await playChange((fleet) => playOutage(fleet, awayMs));
+    ok(tookMs <= BOUND_MS, `${tookMs} ms after ${awayMs} ms without platform`);
+  }
+});
--- a/src/testing/knowledge_fleet.ts
+++ b/src/testing/knowledge_fleet.ts
@@ -35,6 +35,7 @@
   /** Replaces the upstreams that are registered. */
   putUpstreams(ids: readonly string[]): void;
   treat(host: string, treatment: Treatment): void;
+  treatAll(treatment: Treatment): void;
   /** Watches hear nothing until the time given, in ms. */
   silenceUntil(ms: number): void;
   /** Watches from an older version are told that the history is gone. */
@@ -223,6 +224,9 @@
         putRows(upstreams, new Map(entries.map((each) => [each.id, each])));
       },
       treat: (host, treatment) => void treatments.set(host, treatment),
+      treatAll(treatment) {
+        for (const host of hosts) treatments.set(host, treatment);
+      },
       silenceUntil: (ms) => silentUntilMs = ms,
       dropHistory: () => keptFrom = version,
     },
