Count by table who has read the platform and whom it turned away

Callers saw: 404 from healthy hosts on a route that operators had added 3.4 s before, after the platform's store had been away for nine seconds.

Cause: contact with either table counted for both. A host reads by itself when it has heard of no reader for two seconds; after the outage one host reached the list of upstreams first, told all others, and with that reset the age of the configuration as well, which nobody had read. Hosts looked at the list first each time, so this came again every two seconds until the readers from before came back.

Ruled out: fetches between hosts that failed (no host had the version to give); a store that gave old data (no host asked for the configuration).

Change: reports carry, for each table, its version, how long ago the platform answered the sender and how long ago it turned the sender away; the choice of readers is made for each table. An age travels, not a moment of arrival, so that a report for one table does not freshen the other. A reader reports each table's contact, two datagrams a second and host where it was one.

Why it holds: what a host reads by itself after two seconds is now the table that it has not heard of; no event about the other table can postpone that.

Left: nobody holds the role of reader for seconds after an outage; a test of that follows.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -13,7 +13,7 @@
   readonly configVersion: number;
   /** The platform's version of the list of upstreams. */
   readonly upstreamsVersion: number;
-  /** Time since a host last confirmed both at the platform, in ms. */
+  /** Time since a host last read the older of both at the platform, in ms. */
   readonly confirmedMsAgo: number;
 }
 
@@ -127,7 +127,7 @@
     readonly because: string;
     /** Hosts that it passed over, since the platform turned them away. */
     readonly passedOver: number;
-    /** Time since it heard that a host had read, in ms. */
+    /** Time since it heard that a host had read the table, in ms. */
     readonly unconfirmedMs: number;
   }
   | {
--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -8,6 +8,10 @@
  * concerned go on by the old configuration; with it they have the new one a
  * round trip after the first reader, and never an older one than they had.
  *
+ * Everything here counts by table. Were contact with one table to count for the
+ * other, hosts that hear of the upstreams would not notice that nobody reads the
+ * configuration, and would refuse requests on routes that operators have added.
+ *
  * @module
  */
 
@@ -18,12 +22,23 @@
 /** The tables that are passed on. */
 export type TableName = "config" | "upstreams";
 
+/** Names of the tables that are passed on. */
+export const TABLE_NAMES: readonly TableName[] = ["config", "upstreams"];
+
+/** What a reader tells of one table. */
+export interface TableReport {
+  /** Up to which the reader knows the table. */
+  readonly version: number;
+  /** Since the platform last answered the reader, in ms; absent for never. */
+  readonly confirmedMsAgo?: number;
+  /** Since the platform turned the reader away, in ms; absent if it did not. */
+  readonly turnedAwayMsAgo?: number;
+}
+
 /** What a reader tells of itself. */
 export interface ReaderReport {
   readonly peerAddress: string;
-  /** False: the platform turned it away, or did not answer. */
-  readonly isAccepted: boolean;
-  readonly versions: Readonly<Record<TableName, number>>;
+  readonly tables: Readonly<Record<TableName, TableReport>>;
 }
 
 /** What passing on needs of the process. */
@@ -45,15 +60,15 @@
 
 /** The reports of this host and of others. */
 export interface PassingOn {
-  /** This host has read the platform; `changed` when a table is another now. */
-  confirm(changed: boolean): void;
-  /** The platform has turned this host away. */
-  turnedAway(): void;
+  /** This host has read the table; `changed` when its copy is another now. */
+  confirm(table: TableName, changed: boolean): void;
+  /** The platform has turned this host away, or did not answer. */
+  turnedAway(table: TableName): void;
   /** Takes in another host's report. */
   receive(fact: Fact): void;
-  isTurnedAway(peerAddress: string): boolean;
-  /** Time since a reader last confirmed, this host included, in ms. */
-  getUnconfirmedMs(): number;
+  isTurnedAway(table: TableName, peerAddress: string): boolean;
+  /** Time since a reader last read the table, this host included, in ms. */
+  getUnconfirmedMs(table: TableName): number;
   /** Whether some host was turned away within the time given, in ms. */
   wasOutageWithin(ms: number): boolean;
 }
@@ -61,32 +76,57 @@
 /** Key prefix of the facts that carry reports. */
 export const REPORT_KEY = "reader/";
 
-/** Between two confirmations without a change, in ms. */
+/** Between two confirmations of a table without a change, in ms. */
 const CONFIRM_MS = 700;
 
 /**
  * Up to so many hosts a confirmation goes straight to all: three readers then
- * send 100 datagrams each in 0.7 s, 20 KB/s (computed). By gossip a confirmation
- * takes seven rounds to reach 80 hosts, 1.8 s of the two after which a host reads
- * the platform itself. Larger fleets gossip it.
+ * send 100 datagrams each for each table in a second, 50 KB/s (computed). By
+ * gossip a confirmation takes seven rounds to reach 80 hosts, 1.8 s of the two
+ * after which a host reads the platform itself. Larger fleets gossip it.
  */
 const PUSH_ALL_HOSTS = 100;
 
+/** What a host knows of who reads one table, in monotonic ms. */
+interface TableState {
+  confirmedMs: number;
+  /** The confirmation that the others were told last. */
+  toldMs: number;
+  /** When hosts were turned away, by peer address, this host included. */
+  readonly turnedAwayMs: Map<string, number>;
+}
+
 /** Makes the reports of a host that knows none. */
 export function createPassingOn(host: PassingOnHost): PassingOn {
-  const turnedAwayMs = new Map<string, number>();
-  let confirmedMs = -Infinity;
-  let sentMs = -Infinity;
+  const { clock } = host;
+  const states: Readonly<Record<TableName, TableState>> = {
+    config: createTableState(),
+    upstreams: createTableState(),
+  };
   let lastOutageMs = -Infinity;
   let reports = 0;
 
-  function tell(isAccepted: boolean, isUrgent: boolean): void {
+  function createTableReport(table: TableName): TableReport {
+    const { confirmedMs, turnedAwayMs } = states[table];
+    return {
+      version: host.getVersion(table),
+      confirmedMsAgo: getAgeMs(confirmedMs),
+      turnedAwayMsAgo: getAgeMs(turnedAwayMs.get(host.peerAddress)),
+    };
+  }
+
+  /** Whole ms since then; `undefined` for never, which JSON leaves out. */
+  function getAgeMs(sinceMs: number | undefined): number | undefined {
+    if (sinceMs === undefined || sinceMs === -Infinity) return undefined;
+    return Math.round(clock.monotonicMs() - sinceMs);
+  }
+
+  function tell(isUrgent: boolean): void {
     const report: ReaderReport = {
       peerAddress: host.peerAddress,
-      isAccepted,
-      versions: {
-        config: host.getVersion("config"),
-        upstreams: host.getVersion("upstreams"),
+      tables: {
+        config: createTableReport("config"),
+        upstreams: createTableReport("upstreams"),
       },
     };
     reports++;
@@ -96,51 +136,73 @@
       version: reports,
       value: JSON.stringify(report),
     };
-    sentMs = host.clock.monotonicMs();
+    for (const table of TABLE_NAMES) {
+      states[table].toldMs = states[table].confirmedMs;
+    }
     if (isUrgent || host.countHosts() <= PUSH_ALL_HOSTS) host.pushFact(fact);
     else host.spreadFact(fact);
   }
 
-  function noteTurnedAway(peerAddress: string): void {
-    const nowMs = host.clock.monotonicMs();
-    turnedAwayMs.set(peerAddress, nowMs);
-    lastOutageMs = nowMs;
+  function noteTurnedAway(
+    table: TableName,
+    peerAddress: string,
+    sinceMs: number,
+  ): void {
+    states[table].turnedAwayMs.set(peerAddress, sinceMs);
+    lastOutageMs = Math.max(lastOutageMs, sinceMs);
   }
 
-  function fetchNewer(report: ReaderReport): void {
-    for (const table of ["config", "upstreams"] as const) {
-      if (report.versions[table] <= host.getVersion(table)) continue;
-      host.fetch(table, report.peerAddress);
+  function receiveTable(
+    table: TableName,
+    peerAddress: string,
+    report: TableReport,
+  ): void {
+    const { confirmedMsAgo, turnedAwayMsAgo, version } = report;
+    const state = states[table];
+    const nowMs = clock.monotonicMs();
+    if (turnedAwayMsAgo === undefined) state.turnedAwayMs.delete(peerAddress);
+    else noteTurnedAway(table, peerAddress, nowMs - turnedAwayMsAgo);
+    if (confirmedMsAgo !== undefined) {
+      state.confirmedMs = Math.max(state.confirmedMs, nowMs - confirmedMsAgo);
     }
+    if (version > host.getVersion(table)) host.fetch(table, peerAddress);
   }
 
   return {
-    confirm(changed) {
-      const nowMs = host.clock.monotonicMs();
-      confirmedMs = nowMs;
-      const wasTurnedAway = turnedAwayMs.delete(host.peerAddress);
+    confirm(table, changed) {
+      const state = states[table];
+      const nowMs = clock.monotonicMs();
+      state.confirmedMs = nowMs;
+      const wasTurnedAway = state.turnedAwayMs.delete(host.peerAddress);
       const isUrgent = changed || wasTurnedAway;
-      if (isUrgent || nowMs - sentMs >= CONFIRM_MS) tell(true, isUrgent);
+      if (isUrgent || nowMs - state.toldMs >= CONFIRM_MS) tell(isUrgent);
     },
-    turnedAway() {
-      const isNew = !turnedAwayMs.has(host.peerAddress);
-      noteTurnedAway(host.peerAddress);
-      if (isNew) tell(false, true);
+    turnedAway(table) {
+      const isNew = !states[table].turnedAwayMs.has(host.peerAddress);
+      noteTurnedAway(table, host.peerAddress, clock.monotonicMs());
+      if (isNew) tell(true);
     },
     receive(fact) {
-      const report = JSON.parse(fact.value) as ReaderReport;
-      if (report.isAccepted) {
-        turnedAwayMs.delete(report.peerAddress);
-        confirmedMs = host.clock.monotonicMs();
-      } else noteTurnedAway(report.peerAddress);
-      fetchNewer(report);
+      const { peerAddress, tables } = JSON.parse(fact.value) as ReaderReport;
+      for (const table of TABLE_NAMES) {
+        receiveTable(table, peerAddress, tables[table]);
+      }
     },
-    isTurnedAway(peerAddress) {
-      const sinceMs = turnedAwayMs.get(peerAddress);
+    isTurnedAway(table, peerAddress) {
+      const sinceMs = states[table].turnedAwayMs.get(peerAddress);
       if (sinceMs === undefined) return false;
-      return host.clock.monotonicMs() - sinceMs < TURNED_AWAY_MS;
+      return clock.monotonicMs() - sinceMs < TURNED_AWAY_MS;
     },
-    getUnconfirmedMs: () => host.clock.monotonicMs() - confirmedMs,
-    wasOutageWithin: (ms) => host.clock.monotonicMs() - lastOutageMs < ms,
+    getUnconfirmedMs: (table) =>
+      clock.monotonicMs() - states[table].confirmedMs,
+    wasOutageWithin: (ms) => clock.monotonicMs() - lastOutageMs < ms,
+  };
+}
+
+function createTableState(): TableState {
+  return {
+    confirmedMs: -Infinity,
+    toldMs: -Infinity,
+    turnedAwayMs: new Map(),
   };
 }
--- a/src/discovery/passing_on_test.ts
+++ b/src/discovery/passing_on_test.ts
@@ -26,21 +26,46 @@
   const reader = createHost("a:1");
   const other = createHost("b:1");
   reader.versions.config = 12;
-  reader.passingOn.confirm(true);
+  reader.passingOn.confirm("config", true);
   other.passingOn.receive(reader.sent[0]!);
   deepStrictEqual(other.fetched, ["config from a:1"]);
-  strictEqual(other.passingOn.getUnconfirmedMs(), 0);
+  strictEqual(other.passingOn.getUnconfirmedMs("config"), 0);
+});
+
+test("contact with one table confirms that table alone", () => {
+  // Callers are refused on a route that was added seconds ago. A reader hears of
+  // the upstreams and not of the configuration. Were its contact to count for
+  // both, the other hosts would wait for it instead of reading themselves.
+  const reader = createHost("a:1");
+  const other = createHost("b:1", reader.clock);
+  reader.passingOn.confirm("config", false);
+  reader.clock.advance(2_500);
+  reader.passingOn.confirm("upstreams", true);
+  other.passingOn.receive(reader.sent.at(-1)!);
+  strictEqual(other.passingOn.getUnconfirmedMs("upstreams"), 0);
+  strictEqual(other.passingOn.getUnconfirmedMs("config"), 2_500);
+  strictEqual(reader.passingOn.getUnconfirmedMs("config"), 2_500);
+});
+
+test("a reader that may read one table alone is passed over for the other", () => {
+  const reader = createHost("a:1");
+  const other = createHost("b:1", reader.clock);
+  reader.passingOn.turnedAway("config");
+  reader.passingOn.confirm("upstreams", false);
+  for (const fact of reader.sent) other.passingOn.receive(fact);
+  strictEqual(other.passingOn.isTurnedAway("config", "a:1"), true);
+  strictEqual(other.passingOn.isTurnedAway("upstreams", "a:1"), false);
 });
 
 test("a change is told at once, a confirmation once in a while", () => {
   const { passingOn, clock, sent } = createHost("a:1");
-  passingOn.confirm(false);
-  passingOn.confirm(false);
+  passingOn.confirm("config", false);
+  passingOn.confirm("config", false);
   strictEqual(sent.length, 1);
-  passingOn.confirm(true);
+  passingOn.confirm("config", true);
   strictEqual(sent.length, 2);
   clock.advance(700);
-  passingOn.confirm(false);
+  passingOn.confirm("config", false);
   strictEqual(sent.length, 3);
   deepStrictEqual(sent.map((fact) => fact.version), [1, 2, 3]);
 });
@@ -48,13 +73,13 @@
 test("a reader that was turned away says so, and is asked again later", () => {
   const reader = createHost("a:1");
   const other = createHost("b:1");
-  reader.passingOn.turnedAway();
-  reader.passingOn.turnedAway();
+  reader.passingOn.turnedAway("config");
+  reader.passingOn.turnedAway("config");
   strictEqual(reader.sent.length, 1);
   other.passingOn.receive(reader.sent[0]!);
-  strictEqual(other.passingOn.isTurnedAway("a:1"), true);
+  strictEqual(other.passingOn.isTurnedAway("config", "a:1"), true);
   strictEqual(other.passingOn.wasOutageWithin(1_000), true);
-  reader.passingOn.confirm(false);
+  reader.passingOn.confirm("config", false);
   other.passingOn.receive(reader.sent[1]!);
-  strictEqual(other.passingOn.isTurnedAway("a:1"), false);
+  strictEqual(other.passingOn.isTurnedAway("config", "a:1"), false);
 });
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -20,6 +20,7 @@
   type PassingOn,
   type ReadingChoice,
   type SharedTable,
+  TABLE_NAMES,
   type TableName,
   type TableState,
   type UpstreamDirectory,
@@ -148,11 +149,11 @@
   }
 
   function isReader(table: TableName): boolean {
-    const unconfirmedMs = passingOn.getUnconfirmedMs();
+    const unconfirmedMs = passingOn.getUnconfirmedMs(table);
     const choice = decideToRead({
       self: host.peerAddress,
       hosts: host.getHosts(),
-      isTurnedAway: passingOn.isTurnedAway,
+      isTurnedAway: (peer) => passingOn.isTurnedAway(table, peer),
       unconfirmedMs,
     });
     logChoice(table, choice, unconfirmedMs);
@@ -189,7 +190,7 @@
           host.log({ event: "platform-regained", table: name, reason });
         }
         if (changed) onChanged(name, "platform");
-        passingOn.confirm(changed);
+        passingOn.confirm(name, changed);
       },
       onFailure(err) {
         if (!lost.has(name)) {
@@ -197,7 +198,7 @@
           host.log({ event: "platform-lost", table: name, reason });
         }
         lost.add(name);
-        passingOn.turnedAway();
+        passingOn.turnedAway(name);
       },
     });
   }
@@ -208,7 +209,9 @@
     getInputs: () => ({
       configVersion: routes?.config.version ?? 0,
       upstreamsVersion: upstreams.getVersion(),
-      confirmedMsAgo: roundMs(passingOn.getUnconfirmedMs()),
+      confirmedMsAgo: roundMs(
+        Math.max(...TABLE_NAMES.map(passingOn.getUnconfirmedMs)),
+      ),
     }),
     receive: passingOn.receive,
     tryGetTable(name) {
--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -102,6 +102,22 @@
   deepStrictEqual(new Set(fleet.getVersions()), new Set([5]));
 });
 
+test("the one host that may read the configuration passes it on", async () => {
+  // The platform serves the list of upstreams to all hosts and the configuration
+  // to one, which is not among the readers. Callers are refused on new routes
+  // until hosts that may not read the one table are passed over for it.
+  for (let served = 0; served < 9; served++) {
+    const tookMs = await playChange((fleet) => {
+      const refused = fleet.hosts.filter((_, at) => at !== served);
+      for (const host of refused) {
+        fleet.tables.treatTable(host, "config", "silent");
+      }
+      return fleet.run(4_000);
+    });
+    ok(tookMs <= BOUND_MS, `${tookMs} ms from host ${served}`);
+  }
+});
+
 test("a host logs that it reads a table or leaves it to others, and why", async () => {
   // Operators ask why a host had an old configuration: whether it was to read it,
   // and if not, for whom it left it.
@@ -125,7 +141,11 @@
 test("a change is in force in time after the platform was away for long", async () => {
   // Callers get 404 from healthy hosts on a route that operators have added. The
   // platform answers nobody for six to ten seconds; it returns, upstreams whose
-  // entries lapsed are gone from its list, and operators add the route.
+  // entries lapsed are gone from its list, and operators add the route. One host
+  // reads the list of upstreams and tells it; that counted for both tables, so
+  // that for two seconds more nobody read the configuration, again and again.
+  // Evidence: at all hosts the age of the last confirmation fell from two seconds
+  // to nothing whenever the list came, while no host logged the configuration.
   for (let awayMs = 6_000; awayMs <= 10_000; awayMs += 170) {
     const tookMs = await playChange((fleet) => playOutage(fleet, awayMs));
     ok(tookMs <= BOUND_MS, `${tookMs} ms after ${awayMs} ms without platform`);
--- a/src/testing/knowledge_fleet.ts
+++ b/src/testing/knowledge_fleet.ts
@@ -10,12 +10,14 @@
 import * as Effect from "effect/Effect";
 import * as TestClock from "effect/testing/TestClock";
 import type { Decision } from "../diagnostics/mod.ts";
-import type {
-  TableChange,
-  TableRow,
-  TableState,
-  UpstreamEntry,
-  WatchedTable,
+import {
+  TABLE_NAMES,
+  type TableChange,
+  type TableName,
+  type TableRow,
+  type TableState,
+  type UpstreamEntry,
+  type WatchedTable,
 } from "../discovery/mod.ts";
 import { TableError } from "../discovery/types.ts";
 import { createKnowledge, type Knowledge } from "../entry/knowledge.ts";
@@ -35,6 +37,8 @@
   /** Replaces the upstreams that are registered. */
   putUpstreams(ids: readonly string[]): void;
   treat(host: string, treatment: Treatment): void;
+  /** As the platform treats a host that asks for this table. */
+  treatTable(host: string, table: TableName, treatment: Treatment): void;
   treatAll(treatment: Treatment): void;
   /** Watches hear nothing until the time given, in ms. */
   silenceUntil(ms: number): void;
@@ -91,7 +95,10 @@
   const { clock } = agenda;
   const hosts = Array.from({ length: count }, (_, at) => `10.0.0.${at + 1}:1`);
   const logged: FleetLine[] = [];
-  const treatments = new Map<string, Treatment>();
+  const treatments: Readonly<Record<TableName, Map<string, Treatment>>> = {
+    config: new Map(),
+    upstreams: new Map(),
+  };
   let version = 1;
   let keptFrom = 0;
   let silentUntilMs = 0;
@@ -142,11 +149,12 @@
   /** The platform as the host finds it. */
   function treat<A>(
     host: string,
+    table: TableName,
     waitMs: number,
     call: Effect.Effect<A, TableError>,
   ): Effect.Effect<A, TableError> {
     return Effect.suspend(() => {
-      const treatment = treatments.get(host) ?? "served";
+      const treatment = treatments[table].get(host) ?? "served";
       if (treatment === "served") {
         return Effect.sleep(CALL_MS).pipe(Effect.andThen(call));
       }
@@ -158,14 +166,22 @@
     });
   }
 
-  function createTable<T>(host: string, table: FakeTable<T>): WatchedTable<T> {
+  function createTable<T>(
+    host: string,
+    name: TableName,
+    table: FakeTable<T>,
+  ): WatchedTable<T> {
     return {
-      read: () => treat(host, 0, read(table)),
+      read: () => treat(host, name, 0, read(table)),
       follow: (after, waitMs) =>
-        treat(host, waitMs, follow(table, after, waitMs)),
+        treat(host, name, waitMs, follow(table, after, waitMs)),
     };
   }
 
+  function treatHost(host: string, treatment: Treatment): void {
+    for (const name of TABLE_NAMES) treatments[name].set(host, treatment);
+  }
+
   const knowledges = new Map<string, Knowledge>();
 
   /** To all other hosts, one link later. */
@@ -181,8 +197,8 @@
     const knowledge = createKnowledge({
       clock,
       platform: {
-        config: createTable(peerAddress, config),
-        upstreams: createTable(peerAddress, upstreams),
+        config: createTable(peerAddress, "config", config),
+        upstreams: createTable(peerAddress, "upstreams", upstreams),
         hosts: {
           read: () => Effect.succeed([]),
           add: () => Effect.void,
@@ -223,9 +239,11 @@
         const entries = ids.map((id) => createUpstreamEntry({ id }));
         putRows(upstreams, new Map(entries.map((each) => [each.id, each])));
       },
-      treat: (host, treatment) => void treatments.set(host, treatment),
+      treat: treatHost,
+      treatTable: (host, table, treatment) =>
+        void treatments[table].set(host, treatment),
       treatAll(treatment) {
-        for (const host of hosts) treatments.set(host, treatment);
+        for (const host of hosts) treatHost(host, treatment);
       },
       silenceUntil: (ms) => silentUntilMs = ms,
       dropHistory: () => keptFrom = version,
