Let a host pass itself over as a reader only as long as the others do

Callers saw: 404 on routes added seconds before, and work sent to an upstream that had said that it leaves, by healthy hosts after a long outage of the platform's store.

Cause: nobody held the role of reader. A host that was turned away passes itself over for five seconds; it counted them from its last failure, while the others had heard of its first one only. After an outage of more than five seconds each of the first in rank left the table to the next ("turned-away", one to three hosts passed over), and all others left it to them ("others-first", none passed over), until five seconds after the last failure.

Ruled out: views of who is alive (all nine hosts stayed alive to each other).

Change: a host that counts as turned away does not count anew at each failure; when its time is over for all and it fails again, it tells again. So its own view and that of the others come from the same report.

Why it holds: a host leaves a table to others only while they know that it does; where a report is lost, hosts read by themselves after two seconds, by table.

--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -168,6 +168,12 @@
     if (version > host.getVersion(table)) host.fetch(table, peerAddress);
   }
 
+  function isTurnedAway(table: TableName, peerAddress: string): boolean {
+    const sinceMs = states[table].turnedAwayMs.get(peerAddress);
+    if (sinceMs === undefined) return false;
+    return clock.monotonicMs() - sinceMs < TURNED_AWAY_MS;
+  }
+
   return {
     confirm(table, changed) {
       const state = states[table];
@@ -178,9 +184,13 @@
       if (isUrgent || nowMs - state.toldMs >= CONFIRM_MS) tell(isUrgent);
     },
     turnedAway(table) {
-      const isNew = !states[table].turnedAwayMs.has(host.peerAddress);
-      noteTurnedAway(table, host.peerAddress, clock.monotonicMs());
-      if (isNew) tell(true);
+      lastOutageMs = clock.monotonicMs();
+      // A host may pass itself over only for as long as the others do. Were it to
+      // count from its last failure, of which nobody heard, all would leave the
+      // table to the first in rank, and these to one another.
+      if (isTurnedAway(table, host.peerAddress)) return;
+      noteTurnedAway(table, host.peerAddress, lastOutageMs);
+      tell(true);
     },
     receive(fact) {
       const { peerAddress, tables } = JSON.parse(fact.value) as ReaderReport;
@@ -188,11 +198,7 @@
         receiveTable(table, peerAddress, tables[table]);
       }
     },
-    isTurnedAway(table, peerAddress) {
-      const sinceMs = states[table].turnedAwayMs.get(peerAddress);
-      if (sinceMs === undefined) return false;
-      return clock.monotonicMs() - sinceMs < TURNED_AWAY_MS;
-    },
+    isTurnedAway,
     getUnconfirmedMs: (table) =>
       clock.monotonicMs() - states[table].confirmedMs,
     wasOutageWithin: (ms) => clock.monotonicMs() - lastOutageMs < ms,
--- a/src/discovery/passing_on_test.ts
+++ b/src/discovery/passing_on_test.ts
@@ -70,6 +70,25 @@
   deepStrictEqual(sent.map((fact) => fact.version), [1, 2, 3]);
 });
 
+test("a host passes itself over for as long as the others do", () => {
+  // The platform turns a reader away again and again. It tells the others once;
+  // when their time for it is over, they leave the table to it.
+  const reader = createHost("a:1");
+  const other = createHost("b:1", reader.clock);
+  for (let at = 0; at < 20; at++) {
+    const sent = reader.sent.length;
+    reader.passingOn.turnedAway("config");
+    for (const fact of reader.sent.slice(sent)) other.passingOn.receive(fact);
+    strictEqual(other.passingOn.isTurnedAway("config", "a:1"), true);
+    reader.clock.advance(550);
+    strictEqual(
+      reader.passingOn.isTurnedAway("config", "a:1"),
+      other.passingOn.isTurnedAway("config", "a:1"),
+    );
+  }
+  strictEqual(reader.sent.length, 2);
+});
+
 test("a reader that was turned away says so, and is asked again later", () => {
   const reader = createHost("a:1");
   const other = createHost("b:1");
--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -10,6 +10,9 @@
 /** A configuration must be in force everywhere so soon, in ms. */
 const BOUND_MS = 2_500;
 
+/** While nothing is wrong it is in force everywhere so soon, in ms. */
+const CALM_MS = 200;
+
 /** Plays a change under trouble; gives how long the last host took, in ms. */
 async function playChange(
   trouble: (fleet: KnowledgeFleet) => void | Effect.Effect<void>,
@@ -50,8 +53,8 @@
 }
 
 test("a change is in force at nine hosts, and at ninety, in a fifth of a second", async () => {
-  ok(await playChange(() => {}) <= 200);
-  ok(await playChange(() => {}, { hosts: 90 }) <= 200);
+  ok(await playChange(() => {}) <= CALM_MS);
+  ok(await playChange(() => {}, { hosts: 90 }) <= CALM_MS);
 });
 
 for (const treatment of ["refused", "silent"] as const) {
@@ -102,6 +105,19 @@
   deepStrictEqual(new Set(fleet.getVersions()), new Set([5]));
 });
 
+test("after an outage a change is in force as soon as ever", async () => {
+  // The platform is back for longer than a call takes to be given up, operators
+  // change a route, and callers are refused for a second more. Each reader from
+  // before passed itself over for five seconds after its last failure, while the
+  // others had heard of its first and took it for the reader: nobody read.
+  for (let awayMs = 6_000; awayMs <= 10_000; awayMs += 170) {
+    const tookMs = await playChange((fleet) =>
+      playOutage(fleet, awayMs).pipe(Effect.andThen(fleet.run(2_500)))
+    );
+    ok(tookMs <= CALM_MS, `${tookMs} ms after ${awayMs} ms without platform`);
+  }
+});
+
 test("the one host that may read the configuration passes it on", async () => {
   // The platform serves the list of upstreams to all hosts and the configuration
   // to one, which is not among the readers. Callers are refused on new routes
