Fetch a table from another host only when it has changed

Found with the counter of fetches, while looking where else a report says more than was read.

Cause: readers told up to which version they had read a table. The platform counts all tables by one version, so that each upstream that came or went raised the readers' version of the configuration as well; a copy that is passed on bears the version of its newest change, which stays below. So every host fetched the configuration, whole, at each report, until the next one came; and the list of upstreams after each configuration.

Change: a report names the version of the newest change. A host compares it with the version up to which it knows the table, so that it can't miss a change.

--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -27,7 +27,7 @@
 
 /** What a reader tells of one table. */
 export interface TableReport {
-  /** Up to which the reader knows the table. */
+  /** Of the newest change that the reader has. */
   readonly version: number;
   /** Since the platform last answered the reader, in ms; absent for never. */
   readonly confirmedMsAgo?: number;
@@ -54,6 +54,8 @@
   countHosts(): number;
   /** Version up to which this host knows the table. */
   getVersion(table: TableName): number;
+  /** Version of the newest change that this host has of the table. */
+  getChangedVersion(table: TableName): number;
   /** Gets a table that is behind from the reader named. */
   fetch(table: TableName, peerAddress: string): void;
 }
@@ -109,7 +111,9 @@
   function createTableReport(table: TableName): TableReport {
     const { confirmedMs, turnedAwayMs } = states[table];
     return {
-      version: host.getVersion(table),
+      // Up to which it was read rises with each change of any table: told, it
+      // would have every host fetch a copy that it has, at each report.
+      version: host.getChangedVersion(table),
       confirmedMsAgo: getAgeMs(confirmedMs),
       turnedAwayMsAgo: getAgeMs(turnedAwayMs.get(host.peerAddress)),
     };
--- a/src/discovery/passing_on_test.ts
+++ b/src/discovery/passing_on_test.ts
@@ -16,6 +16,7 @@
     spreadFact: (fact) => sent.push(fact),
     countHosts: () => 9,
     getVersion: (table) => versions[table],
+    getChangedVersion: (table) => versions[table],
     fetch: (table, peer) => fetched.push(`${table} from ${peer}`),
   });
   return { clock, passingOn, versions, sent, fetched };
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -87,6 +87,7 @@
     spreadFact: host.spreadFact,
     countHosts: () => host.getHosts().length,
     getVersion: (table) => tables[table].getVersion(),
+    getChangedVersion: (table) => tables[table].getChangedVersion(),
     fetch: (table, peer) => void fetchFrom(table, peer),
   });
   const directory = createUpstreamDirectory({
--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -134,6 +134,24 @@
   }
 });
 
+test("a change of one table makes no host fetch the other", async () => {
+  // An upstream registers. The platform counts all tables by one version, so that
+  // readers know the configuration up to a newer version, with nothing new in it.
+  // Hosts took that for a newer configuration and fetched it at each report, for
+  // as long as no configuration came: processor time and bytes for nothing.
+  const fleet = createKnowledgeFleet(9);
+  await runFleet(Effect.gen(function* () {
+    fleet.tables.put(1);
+    yield* fleet.start;
+    yield* fleet.run(8_000);
+    const before = fleet.fetches.length;
+    fleet.tables.putUpstreams(["one"]);
+    yield* fleet.run(10_000);
+    const outcomes = fleet.fetches.slice(before);
+    deepStrictEqual(outcomes, Array(6).fill("newer"));
+  }));
+});
+
 test("a host logs that it reads a table or leaves it to others, and why", async () => {
   // Operators ask why a host had an old configuration: whether it was to read it,
   // and if not, for whom it left it.
--- a/src/testing/knowledge_fleet.ts
+++ b/src/testing/knowledge_fleet.ts
@@ -20,7 +20,11 @@
   type WatchedTable,
 } from "../discovery/mod.ts";
 import { TableError } from "../discovery/types.ts";
-import { createKnowledge, type Knowledge } from "../entry/knowledge.ts";
+import {
+  createKnowledge,
+  type FetchOutcome,
+  type Knowledge,
+} from "../entry/knowledge.ts";
 import type { Fact } from "../membership/mod.ts";
 import type { RoutingConfig } from "../routing/mod.ts";
 import { createAgenda } from "../measure/agenda.ts";
@@ -58,6 +62,8 @@
   /** Peer addresses. */
   readonly hosts: readonly string[];
   nowMs(): number;
+  /** How the hosts' fetches from one another ended. */
+  readonly fetches: readonly FetchOutcome[];
   /** What the hosts have logged, in order. */
   readonly logged: readonly FleetLine[];
   /** Configuration in force at each host; 0 for none. */
@@ -94,6 +100,7 @@
   const agenda = createAgenda();
   const { clock } = agenda;
   const hosts = Array.from({ length: count }, (_, at) => `10.0.0.${at + 1}:1`);
+  const fetches: FetchOutcome[] = [];
   const logged: FleetLine[] = [];
   const treatments: Readonly<Record<TableName, Map<string, Treatment>>> = {
     config: new Map(),
@@ -209,7 +216,7 @@
       incarnation: 1,
       random: createRandom(at + 1),
       log: (decision) => logged.push({ host: peerAddress, decision }),
-      onFetched: () => {},
+      onFetched: (_, outcome) => fetches.push(outcome),
       getHosts: () => hosts,
       pushFact: send,
       spreadFact: send,
@@ -229,6 +236,7 @@
 
   return {
     hosts,
+    fetches,
     logged,
     tables: {
       put(next) {
