Go on following a table after a failure to use what was read

Found while looking what else could leave a table unread without a line.

Cause: a follower handled errors of the platform alone. An exception while the host takes a change in or tells the others (a report that is too large, say) ended both followers of the host for good; nothing was logged, and the others went on to take it for a reader. It was not the cause of the configuration that came late: there, readers came back by themselves.

--- a/src/discovery/table_follower.ts
+++ b/src/discovery/table_follower.ts
@@ -20,6 +20,8 @@
   /** The platform has answered; `changed` when the copy is another now. */
   onContact(changed: boolean): void;
   onFailure(err: TableError): void;
+  /** What the host does with the table has failed. */
+  onDefect(defect: unknown): void;
   /** From 0 up to 1; spreads the tries of many hosts. */
   random(): number;
 }
@@ -76,6 +78,12 @@
     Effect.map((changed) => host.onContact(changed)),
     Effect.andThen(settle),
     Effect.catchTag("TableError", (err) => recover(err)),
+    // A host that stopped to follow would keep its copy for good, and others,
+    // which take it for a reader, would not notice for as long as it answers.
+    Effect.catchDefect((defect) => {
+      host.onDefect(defect);
+      return Effect.sleep(RETRY_WAIT_MS);
+    }),
   );
 
   function recover(err: TableError): Effect.Effect<void> {
--- a/src/discovery/table_follower_test.ts
+++ b/src/discovery/table_follower_test.ts
@@ -1,4 +1,4 @@
-import { ok } from "node:assert";
+import { deepStrictEqual, ok } from "node:assert";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
@@ -15,6 +15,8 @@
   let calls = 0;
   let version = 1;
   let isReader = true;
+  let mustThrow = false;
+  const defects: unknown[] = [];
   const follower = followTable<string>({
     clock,
     source: {
@@ -33,8 +35,13 @@
     },
     table: createSharedTable<string>(),
     isReader: () => isReader,
-    onContact: () => {},
+    onContact() {
+      if (!mustThrow) return;
+      mustThrow = false;
+      throw new RangeError("Too large to be told");
+    },
     onFailure: () => {},
+    onDefect: (defect) => defects.push(defect),
     random: () => 0.5,
   });
 
@@ -52,6 +59,8 @@
 
   return {
     run,
+    defects,
+    throwOnce: () => void (mustThrow = true),
     setReader: (value: boolean) => void (isReader = value),
     play: (steps: Effect.Effect<void>) =>
       Effect.runPromise(
@@ -88,3 +97,17 @@
     ok(calls >= 8, `${calls} calls in a second`);
   }));
 });
+
+test("a follower goes on after its host failed to use what it read", async () => {
+  // Telling the other hosts of a change fails once. The host followed the table
+  // no more, without a line in its log, and served by its last copy for good.
+  const fixture = createFixture();
+  await fixture.play(Effect.gen(function* () {
+    yield* fixture.run(10_000);
+    fixture.throwOnce();
+    yield* fixture.run(1_000);
+    const calls = yield* fixture.run(1_000);
+    ok(calls >= 8, `${calls} calls in a second`);
+  }));
+  deepStrictEqual(fixture.defects, [new RangeError("Too large to be told")]);
+});
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -202,6 +202,10 @@
         lost.add(name);
         passingOn.turnedAway(name);
       },
+      onDefect(defect) {
+        const reason = String(defect);
+        host.log({ event: "task-failed", task: `follow ${name}`, reason });
+      },
     });
   }
 
