Let a host tell of its own readings of the platform alone

Found by reading the new reports. A report of any host carried the last reading that it had heard of, also another host's. Each way would make that seem fresher by its delay, since the receiver counts the age from the arrival; in an outage, where every host tells that it was turned away, news of an old contact would go round and keep hosts from reading by themselves.

Change: reports carry the sender's own last reading. A host that is turned away again after its five seconds tells that without haste: a fleet of more than 100 hosts gossips it, where the first one goes straight to all. Test: a host that hears of a reading second-hand counts as having heard of none.

--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -29,8 +29,8 @@
 export interface TableReport {
   /** Of the newest change that the reader has. */
   readonly version: number;
-  /** Since the platform last answered the reader, in ms; absent for never. */
-  readonly confirmedMsAgo?: number;
+  /** Since the platform last answered the reader itself; absent for never. */
+  readonly readMsAgo?: number;
   /** Since the platform turned the reader away, in ms; absent if it did not. */
   readonly turnedAwayMsAgo?: number;
 }
@@ -95,8 +95,15 @@
 
 /** What a host knows of who reads one table, in monotonic ms. */
 interface TableState {
+  /** When some host read it last, this one included. */
   confirmedMs: number;
-  /** The confirmation that the others were told last. */
+  /**
+   * When this host read it last. Reports carry this alone: were hosts to pass on
+   * what others said, each way would make it seem fresher by its delay, and an
+   * outage with many reports would look like contact.
+   */
+  readMs: number;
+  /** The last of this host's readings that the others were told. */
   toldMs: number;
   /** When hosts were turned away, by peer address, this host included. */
   readonly turnedAwayMs: Map<string, number>;
@@ -113,12 +120,12 @@
   let reports = 0;
 
   function createTableReport(table: TableName): TableReport {
-    const { confirmedMs, turnedAwayMs } = states[table];
+    const { readMs, turnedAwayMs } = states[table];
     return {
       // Up to which it was read rises with each change of any table: told, it
       // would have every host fetch a copy that it has, at each report.
       version: host.getChangedVersion(table),
-      confirmedMsAgo: getAgeMs(confirmedMs),
+      readMsAgo: getAgeMs(readMs),
       turnedAwayMsAgo: getAgeMs(turnedAwayMs.get(host.peerAddress)),
     };
   }
@@ -145,7 +152,7 @@
       value: JSON.stringify(report),
     };
     for (const table of TABLE_NAMES) {
-      states[table].toldMs = states[table].confirmedMs;
+      states[table].toldMs = states[table].readMs;
     }
     if (isUrgent || host.countHosts() <= PUSH_ALL_HOSTS) host.pushFact(fact);
     else host.spreadFact(fact);
@@ -165,13 +172,13 @@
     peerAddress: string,
     report: TableReport,
   ): void {
-    const { confirmedMsAgo, turnedAwayMsAgo, version } = report;
+    const { readMsAgo, turnedAwayMsAgo, version } = report;
     const state = states[table];
     const nowMs = clock.monotonicMs();
     if (turnedAwayMsAgo === undefined) state.turnedAwayMs.delete(peerAddress);
     else noteTurnedAway(table, peerAddress, nowMs - turnedAwayMsAgo);
-    if (confirmedMsAgo !== undefined) {
-      state.confirmedMs = Math.max(state.confirmedMs, nowMs - confirmedMsAgo);
+    if (readMsAgo !== undefined) {
+      state.confirmedMs = Math.max(state.confirmedMs, nowMs - readMsAgo);
     }
     if (version > host.getVersion(table)) host.fetch(table, peerAddress);
   }
@@ -187,6 +194,7 @@
       const state = states[table];
       const nowMs = clock.monotonicMs();
       state.confirmedMs = nowMs;
+      state.readMs = nowMs;
       const wasTurnedAway = state.turnedAwayMs.delete(host.peerAddress);
       const isUrgent = changed || wasTurnedAway;
       if (isUrgent || nowMs - state.toldMs >= CONFIRM_MS) tell(isUrgent);
@@ -197,8 +205,10 @@
       // count from its last failure, of which nobody heard, all would leave the
       // table to the first in rank, and these to one another.
       if (isTurnedAway(table, host.peerAddress)) return;
+      // The others replace a reader at once. Told again, it is no news for them.
+      const isUrgent = !states[table].turnedAwayMs.has(host.peerAddress);
       noteTurnedAway(table, host.peerAddress, lastOutageMs);
-      tell(true);
+      tell(isUrgent);
     },
     receive(fact) {
       const { peerAddress, tables } = JSON.parse(fact.value) as ReaderReport;
@@ -216,6 +226,7 @@
 function createTableState(): TableState {
   return {
     confirmedMs: -Infinity,
+    readMs: -Infinity,
     toldMs: -Infinity,
     turnedAwayMs: new Map(),
   };
--- a/src/discovery/passing_on_test.ts
+++ b/src/discovery/passing_on_test.ts
@@ -57,6 +57,22 @@
   strictEqual(reader.passingOn.getUnconfirmedMs("config"), 2_500);
 });
 
+test("a host tells of its own readings, not of what it heard", () => {
+  // The platform is away, and hosts tell one another that it turned them away. A
+  // reader's last contact, passed on from host to host, would seem fresher by the
+  // way's delay each time, and no host would begin to read by itself.
+  const reader = createHost("a:1");
+  const middle = createHost("b:1", reader.clock);
+  const last = createHost("c:1", reader.clock);
+  reader.passingOn.confirm("config", false);
+  middle.passingOn.receive(reader.sent[0]!);
+  reader.clock.advance(1_000);
+  middle.passingOn.turnedAway("config");
+  last.passingOn.receive(middle.sent[0]!);
+  strictEqual(middle.passingOn.getUnconfirmedMs("config"), 1_000);
+  strictEqual(last.passingOn.getUnconfirmedMs("config"), Infinity);
+});
+
 test("a reader that may read one table alone is passed over for the other", () => {
   const reader = createHost("a:1");
   const other = createHost("b:1", reader.clock);
