--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -94,7 +94,7 @@
 const PUSH_ALL_HOSTS = 100;
 
 /** What a host knows of who reads one table, in monotonic ms. */
-interface TableState {
+interface ReadingState {
   /** When some host read it last, this one included. */
   confirmedMs: number;
   /**
@@ -112,9 +112,9 @@
 /** Makes the reports of a host that knows none. */
 export function createPassingOn(host: PassingOnHost): PassingOn {
   const { clock } = host;
-  const states: Readonly<Record<TableName, TableState>> = {
-    config: createTableState(),
-    upstreams: createTableState(),
+  const states: Readonly<Record<TableName, ReadingState>> = {
+    config: createReadingState(),
+    upstreams: createReadingState(),
   };
   let lastOutageMs = -Infinity;
   let reports = 0;
@@ -223,7 +223,7 @@
   };
 }
 
-function createTableState(): TableState {
+function createReadingState(): ReadingState {
   return {
     confirmedMs: -Infinity,
     readMs: -Infinity,
