Play overlapping troubles over hosts that read the platform's tables

A seeded minute in virtual time with the real discovery code: outages of all or one table, hosts turned away, history dropped, kills, cuts, lost datagrams, in series and overlapping, while operators and upstreams change things. Checked while it runs: changes of both tables are known within 2.5 s at every host once there was no trouble but hosts turned away for four seconds; no host goes back; without trouble the platform gets no more calls than three readers need.

The fake platform of the tests is a module of its own now; the fleet's hosts have lives, links that lose, and fetches that take time.

--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -18,7 +18,7 @@
   trouble: (fleet: KnowledgeFleet) => void | Effect.Effect<void>,
   { hosts = 9, isPassingOn = true } = {},
 ): Promise<number> {
-  const fleet = createKnowledgeFleet(hosts, isPassingOn);
+  const fleet = createKnowledgeFleet({ hosts, isPassingOn });
   let tookMs = 0;
   await runFleet(Effect.gen(function* () {
     fleet.tables.put(1);
@@ -45,9 +45,9 @@
   awayMs: number,
 ): Effect.Effect<void> {
   return Effect.gen(function* () {
-    fleet.tables.treatAll("silent");
+    fleet.treatAll("silent");
     yield* fleet.run(awayMs);
-    fleet.tables.treatAll("served");
+    fleet.treatAll("served");
     fleet.tables.putUpstreams([]);
   });
 }
@@ -92,7 +92,7 @@
 
 test("no host goes back when the platform does", async () => {
   // A host that missed the change answers a fetch; an older copy must not win.
-  const fleet = createKnowledgeFleet(9);
+  const fleet = createKnowledgeFleet({ hosts: 9 });
   await runFleet(Effect.gen(function* () {
     fleet.tables.put(1);
     yield* fleet.start;
@@ -139,7 +139,7 @@
   // readers know the configuration up to a newer version, with nothing new in it.
   // Hosts took that for a newer configuration and fetched it at each report, for
   // as long as no configuration came: processor time and bytes for nothing.
-  const fleet = createKnowledgeFleet(9);
+  const fleet = createKnowledgeFleet({ hosts: 9 });
   await runFleet(Effect.gen(function* () {
     fleet.tables.put(1);
     yield* fleet.start;
@@ -155,7 +155,7 @@
 test("a host logs that it reads a table or leaves it to others, and why", async () => {
   // Operators ask why a host had an old configuration: whether it was to read it,
   // and if not, for whom it left it.
-  const fleet = createKnowledgeFleet(9);
+  const fleet = createKnowledgeFleet({ hosts: 9 });
   await runFleet(Effect.gen(function* () {
     fleet.tables.put(1);
     yield* fleet.start;
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -15,6 +15,7 @@
 import { measureSaturation } from "./saturation.ts";
 import { measureScale } from "./scale.ts";
 import { measureSlowUpstream } from "./slow_upstream.ts";
+import { measureTableSoak } from "./table_soak.ts";
 import { measureUtilisation } from "./utilisation.ts";
 import { holds, printReport, type Report } from "./report.ts";
 
@@ -37,6 +38,7 @@
   saturation: measureSaturation,
   "slow-upstream": measureSlowUpstream,
   scale: measureScale,
+  "table-soak": measureTableSoak,
 };
 
 const command = defineCommand({
--- /dev/null
+++ b/src/testing/fake_tables.ts
@@ -0,0 +1,175 @@
+/**
+ * The platform's tables as entry hosts find them: it can turn hosts away, keep
+ * silent to them, keep its watches silent and drop its history. In virtual time.
+ *
+ * @module
+ */
+
+import * as Effect from "effect/Effect";
+import type { Clock } from "../core/mod.ts";
+import {
+  type EntryPlatform,
+  TABLE_NAMES,
+  type TableChange,
+  type TableName,
+  type TableRow,
+  type TableState,
+  type UpstreamEntry,
+  type WatchedTable,
+} from "../discovery/mod.ts";
+import { TableError } from "../discovery/types.ts";
+import type { RoutingConfig } from "../routing/mod.ts";
+import { createRoutingConfig, createUpstreamEntry } from "./routing_fixture.ts";
+
+/** How the platform treats a host. */
+export type Treatment = "served" | "refused" | "silent";
+
+/** The platform as tests set it. */
+export interface FakeTables {
+  /** Puts a configuration in place, as operators do. */
+  put(version: number): void;
+  /** Replaces the upstreams that are registered. */
+  putUpstreams(ids: readonly string[]): void;
+  treat(host: string, treatment: Treatment): void;
+  /** As the platform treats a host that asks for this table. */
+  treatTable(host: string, table: TableName, treatment: Treatment): void;
+  /** Watches hear nothing until the time given, in ms. */
+  silenceUntil(ms: number): void;
+  /** Watches from an older version are told that the history is gone. */
+  dropHistory(): void;
+  /** Calls of all hosts so far, those without an answer included. */
+  countCalls(): number;
+  /** The platform as the host finds it. */
+  createPlatform(host: string): EntryPlatform;
+}
+
+interface FakeTable<T> {
+  changedVersion: number;
+  rows: readonly TableRow<T>[];
+}
+
+/** Step in which a watch looks for news, in ms. */
+const STEP_MS = 10;
+
+/** Time after which a client gives a silent platform up, besides its wait. */
+const ANSWER_LIMIT_MS = 700;
+
+/** A call to the platform, in ms. */
+const CALL_MS = 5;
+
+/** Makes a platform that serves all hosts and has no rows. */
+export function createFakeTables(clock: Clock): FakeTables {
+  const treatments: Readonly<Record<TableName, Map<string, Treatment>>> = {
+    config: new Map(),
+    upstreams: new Map(),
+  };
+  const config: FakeTable<RoutingConfig> = { changedVersion: 0, rows: [] };
+  const upstreams: FakeTable<UpstreamEntry> = { changedVersion: 0, rows: [] };
+  let version = 1;
+  let keptFrom = 0;
+  let silentUntilMs = 0;
+  let calls = 0;
+
+  /** Replaces the rows; both tables count by the platform's one version. */
+  function putRows<T>(
+    table: FakeTable<T>,
+    values: ReadonlyMap<string, T>,
+  ): void {
+    version++;
+    table.changedVersion = version;
+    table.rows = [...values]
+      .map(([key, value]) => ({ key, version, value }));
+  }
+
+  function read<T>(table: FakeTable<T>): Effect.Effect<TableState<T>> {
+    return Effect.sync(() => ({ version, rows: table.rows }));
+  }
+
+  function follow<T>(
+    table: FakeTable<T>,
+    after: number,
+    waitMs: number,
+  ): Effect.Effect<TableChange<T>, TableError> {
+    return Effect.suspend(() => {
+      const isSilent = clock.monotonicMs() < silentUntilMs;
+      if (!isSilent && after < keptFrom) {
+        const reason = "The history is gone";
+        return Effect.fail(new TableError({ kind: "history-lost", reason }));
+      }
+      const hasNews = !isSilent && table.changedVersion > after;
+      if (hasNews || waitMs <= 0) {
+        return Effect.succeed({
+          version: isSilent ? after : version,
+          changed: hasNews ? table.rows : [],
+          removed: [],
+        });
+      }
+      return Effect.sleep(STEP_MS).pipe(
+        Effect.andThen(follow(table, after, waitMs - STEP_MS)),
+      );
+    });
+  }
+
+  /** A call by the host, as it is treated when the call begins. */
+  function call<A>(
+    host: string,
+    table: TableName,
+    options: {
+      readonly waitMs: number;
+      readonly answer: Effect.Effect<A, TableError>;
+    },
+  ): Effect.Effect<A, TableError> {
+    return Effect.suspend(() => {
+      calls++;
+      const treatment = treatments[table].get(host) ?? "served";
+      if (treatment === "served") {
+        return Effect.sleep(CALL_MS).pipe(Effect.andThen(options.answer));
+      }
+      const afterMs = treatment === "refused"
+        ? CALL_MS
+        : options.waitMs + ANSWER_LIMIT_MS;
+      const err = new TableError({ kind: "unreachable", reason: treatment });
+      return Effect.sleep(afterMs).pipe(Effect.andThen(Effect.fail(err)));
+    });
+  }
+
+  function createTable<T>(
+    host: string,
+    name: TableName,
+    table: FakeTable<T>,
+  ): WatchedTable<T> {
+    return {
+      read: () => call(host, name, { waitMs: 0, answer: read(table) }),
+      follow: (after, waitMs) =>
+        call(host, name, { waitMs, answer: follow(table, after, waitMs) }),
+    };
+  }
+
+  return {
+    put(next) {
+      const value = createRoutingConfig({ version: next });
+      putRows(config, new Map([["config", value]]));
+    },
+    putUpstreams(ids) {
+      const entries = ids.map((id) => createUpstreamEntry({ id }));
+      putRows(upstreams, new Map(entries.map((each) => [each.id, each])));
+    },
+    treat(host, treatment) {
+      for (const name of TABLE_NAMES) treatments[name].set(host, treatment);
+    },
+    treatTable: (host, table, treatment) =>
+      void treatments[table].set(host, treatment),
+    silenceUntil: (ms) => silentUntilMs = ms,
+    dropHistory: () => keptFrom = version,
+    countCalls: () => calls,
+    createPlatform: (host) => ({
+      config: createTable(host, "config", config),
+      upstreams: createTable(host, "upstreams", upstreams),
+      hosts: {
+        read: () => Effect.succeed([]),
+        add: () => Effect.void,
+        remove: () => Effect.void,
+      },
+    }),
+  };
+}
--- a/src/testing/knowledge_fleet.ts
+++ b/src/testing/knowledge_fleet.ts
@@ -1,54 +1,29 @@
 /**
- * Entry hosts with the real knowledge of the platform's tables, before a platform
- * that can turn hosts away, keep its watches silent and drop its history, in
- * virtual time.
+ * Entry hosts with the real knowledge of the platform's tables, in virtual time.
+ * Hosts can be killed and started again, cut from one another, and lose a part of
+ * their datagrams.
  *
  * @module
  */
 
 import { setImmediate } from "node:timers/promises";
 import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
 import * as TestClock from "effect/testing/TestClock";
 import type { Decision } from "../diagnostics/mod.ts";
-import {
-  TABLE_NAMES,
-  type TableChange,
-  type TableName,
-  type TableRow,
-  type TableState,
-  type UpstreamEntry,
-  type WatchedTable,
-} from "../discovery/mod.ts";
-import { TableError } from "../discovery/types.ts";
 import {
   createKnowledge,
   type FetchOutcome,
   type Knowledge,
 } from "../entry/knowledge.ts";
-import type { Fact } from "../membership/mod.ts";
-import type { RoutingConfig } from "../routing/mod.ts";
 import { createAgenda } from "../measure/agenda.ts";
 import { createRandom } from "../measure/random.ts";
-import { createRoutingConfig, createUpstreamEntry } from "./routing_fixture.ts";
-
-/** How the platform treats a host. */
-export type Treatment = "served" | "refused" | "silent";
-
-/** The platform as tests set it. */
-export interface FakeTables {
-  /** Puts a configuration in place, as operators do. */
-  put(version: number): void;
-  /** Replaces the upstreams that are registered. */
-  putUpstreams(ids: readonly string[]): void;
-  treat(host: string, treatment: Treatment): void;
-  /** As the platform treats a host that asks for this table. */
-  treatTable(host: string, table: TableName, treatment: Treatment): void;
-  treatAll(treatment: Treatment): void;
-  /** Watches hear nothing until the time given, in ms. */
-  silenceUntil(ms: number): void;
-  /** Watches from an older version are told that the history is gone. */
-  dropHistory(): void;
-}
+import type { Fact } from "../membership/mod.ts";
+import {
+  createFakeTables,
+  type FakeTables,
+  type Treatment,
+} from "./fake_tables.ts";
 
 /** A logged decision and its host. */
 export interface FleetLine {
@@ -56,6 +31,14 @@
   readonly decision: Decision;
 }
 
+/** What a fleet is made of. */
+export interface FleetOptions {
+  readonly hosts: number;
+  readonly seed?: number;
+  /** False: each host knows only what the platform tells it. */
+  readonly isPassingOn?: boolean;
+}
+
 /** The fleet. */
 export interface KnowledgeFleet {
   readonly tables: FakeTables;
@@ -66,168 +49,138 @@
   readonly fetches: readonly FetchOutcome[];
   /** What the hosts have logged, in order. */
   readonly logged: readonly FleetLine[];
-  /** Configuration in force at each host; 0 for none. */
+  /** What the host knows; `undefined` while it is down. */
+  tryGetKnowledge(host: string): Knowledge | undefined;
+  /** Configuration in force at each host that is up; 0 for none. */
   getVersions(): readonly number[];
   run(ms: number): Effect.Effect<void>;
+  /** Starts the host anew, knowing nothing. */
+  startHost(host: string): Effect.Effect<void>;
+  killHost(host: string): Effect.Effect<void>;
   /** Starts all hosts. */
   readonly start: Effect.Effect<void>;
-}
-
-interface FakeTable<T> {
-  changedVersion: number;
-  rows: readonly TableRow<T>[];
+  /** Cuts the host from all others, or ends that. */
+  cut(host: string, isCut: boolean): void;
+  /** Share of the datagrams that is lost from now on. */
+  loseDatagrams(share: number): void;
+  treatAll(treatment: Treatment): void;
 }
 
 /** From one host to another, between regions, in ms. */
 const LINK_MS = 20;
 
-const STEP_MS = 10;
+/** Until a host that is gone no longer counts as alive at the others, in ms. */
+const DETECT_MS = 800;
 
-/** Time after which a client gives a silent platform up, besides its wait. */
-const ANSWER_LIMIT_MS = 700;
+/** Until a fetch from a host that does not answer is given up, in ms. */
+const FETCH_LIMIT_MS = 1_500;
 
-/** A call to the platform, in ms. */
-const CALL_MS = 5;
+const STEP_MS = 10;
 
-/**
- * Makes so many hosts; give the effects that use them to `runFleet`. Without
- * passing on, each knows only what the platform tells it.
- */
-export function createKnowledgeFleet(
-  count: number,
-  isPassingOn = true,
-): KnowledgeFleet {
+interface Life {
+  readonly knowledge: Knowledge;
+  readonly fiber: Fiber.Fiber<never>;
+}
+
+/** Makes the fleet, no host started; give effects that use it to `runFleet`. */
+export function createKnowledgeFleet(options: FleetOptions): KnowledgeFleet {
+  const { seed = 1, isPassingOn = true } = options;
   const agenda = createAgenda();
   const { clock } = agenda;
-  const hosts = Array.from({ length: count }, (_, at) => `10.0.0.${at + 1}:1`);
+  const nowMs = clock.monotonicMs;
+  const tables = createFakeTables(clock);
+  const hosts = Array.from(
+    { length: options.hosts },
+    (_, at) => `10.0.0.${at + 1}:1`,
+  );
+  const linkRandom = createRandom(seed);
+  const lives = new Map<string, Life>();
+  const lostSinceMs = new Map<string, number>();
+  const cutSinceMs = new Map<string, number>();
   const fetches: FetchOutcome[] = [];
   const logged: FleetLine[] = [];
-  const treatments: Readonly<Record<TableName, Map<string, Treatment>>> = {
-    config: new Map(),
-    upstreams: new Map(),
-  };
-  let version = 1;
-  let keptFrom = 0;
-  let silentUntilMs = 0;
-  const config: FakeTable<RoutingConfig> = { changedVersion: 0, rows: [] };
-  const upstreams: FakeTable<UpstreamEntry> = { changedVersion: 0, rows: [] };
-
-  /** Replaces the rows; both tables count by the platform's one version. */
-  function putRows<T>(
-    table: FakeTable<T>,
-    values: ReadonlyMap<string, T>,
-  ): void {
-    version++;
-    table.changedVersion = version;
-    table.rows = [...values]
-      .map(([key, value]) => ({ key, version, value }));
-  }
-
-  function read<T>(table: FakeTable<T>): Effect.Effect<TableState<T>> {
-    return Effect.sync(() => ({ version, rows: table.rows }));
-  }
-
-  function follow<T>(
-    table: FakeTable<T>,
-    after: number,
-    waitMs: number,
-  ): Effect.Effect<TableChange<T>, TableError> {
-    return Effect.suspend(() => {
-      const isSilent = clock.monotonicMs() < silentUntilMs;
-      if (!isSilent && after < keptFrom) {
-        const reason = "The history is gone";
-        return Effect.fail(new TableError({ kind: "history-lost", reason }));
-      }
-      const hasNews = !isSilent && table.changedVersion > after;
-      if (hasNews || waitMs <= 0) {
-        const changed = hasNews ? table.rows : [];
-        return Effect.succeed({
-          version: isSilent ? after : version,
-          changed,
-          removed: [],
-        });
-      }
-      return Effect.sleep(STEP_MS).pipe(
-        Effect.andThen(follow(table, after, waitMs - STEP_MS)),
-      );
-    });
-  }
-
-  /** The platform as the host finds it. */
-  function treat<A>(
-    host: string,
-    table: TableName,
-    waitMs: number,
-    call: Effect.Effect<A, TableError>,
-  ): Effect.Effect<A, TableError> {
-    return Effect.suspend(() => {
-      const treatment = treatments[table].get(host) ?? "served";
-      if (treatment === "served") {
-        return Effect.sleep(CALL_MS).pipe(Effect.andThen(call));
-      }
-      const afterMs = treatment === "refused"
-        ? CALL_MS
-        : waitMs + ANSWER_LIMIT_MS;
-      const err = new TableError({ kind: "unreachable", reason: treatment });
-      return Effect.sleep(afterMs).pipe(Effect.andThen(Effect.fail(err)));
-    });
-  }
-
-  function createTable<T>(
-    host: string,
-    name: TableName,
-    table: FakeTable<T>,
-  ): WatchedTable<T> {
-    return {
-      read: () => treat(host, name, 0, read(table)),
-      follow: (after, waitMs) =>
-        treat(host, name, waitMs, follow(table, after, waitMs)),
-    };
-  }
-
-  function treatHost(host: string, treatment: Treatment): void {
-    for (const name of TABLE_NAMES) treatments[name].set(host, treatment);
+  let incarnations = 0;
+  let lostShare = 0;
+
+  const isConnected = (from: string, to: string) =>
+    lives.has(to) && !cutSinceMs.has(from) && !cutSinceMs.has(to);
+
+  const isLongAgo = (sinceMs: number | undefined) =>
+    sinceMs !== undefined && nowMs() - sinceMs > DETECT_MS;
+
+  /** Hosts that are alive as far as the host knows, itself included. */
+  function getAlive(host: string): readonly string[] {
+    const isAlone = isLongAgo(cutSinceMs.get(host));
+    return hosts.filter((each) =>
+      each === host ||
+      !isAlone && !isLongAgo(cutSinceMs.get(each)) &&
+        !isLongAgo(lostSinceMs.get(each))
+    );
   }
 
-  const knowledges = new Map<string, Knowledge>();
-
   /** To all other hosts, one link later. */
   function push(from: string, fact: Fact): void {
     if (!isPassingOn) return;
-    for (const [host, knowledge] of knowledges) {
-      if (host !== from) agenda.after(LINK_MS, () => knowledge.receive(fact));
+    for (const to of hosts) {
+      if (to === from || linkRandom() < lostShare) continue;
+      agenda.after(LINK_MS, () => {
+        if (isConnected(from, to)) lives.get(to)!.knowledge.receive(fact);
+      });
     }
   }
 
-  hosts.forEach((peerAddress, at) => {
-    const send = (fact: Fact) => push(peerAddress, fact);
-    const knowledge = createKnowledge({
+  function fetchTable(
+    host: string,
+    peer: string,
+    name: string,
+  ): Promise<Uint8Array | undefined> {
+    return new Promise((resolve) => {
+      const answer = () =>
+        resolve(lives.get(peer)?.knowledge.tryGetTable(name));
+      if (isConnected(host, peer)) agenda.after(2 * LINK_MS, answer);
+      else agenda.after(FETCH_LIMIT_MS, () => resolve(undefined));
+    });
+  }
+
+  function createHost(host: string): Knowledge {
+    const send = (fact: Fact) => push(host, fact);
+    incarnations++;
+    return createKnowledge({
       clock,
-      platform: {
-        config: createTable(peerAddress, "config", config),
-        upstreams: createTable(peerAddress, "upstreams", upstreams),
-        hosts: {
-          read: () => Effect.succeed([]),
-          add: () => Effect.void,
-          remove: () => Effect.void,
-        },
-      },
-      peerAddress,
-      incarnation: 1,
-      random: createRandom(at + 1),
-      log: (decision) => logged.push({ host: peerAddress, decision }),
+      platform: tables.createPlatform(host),
+      peerAddress: host,
+      incarnation: incarnations,
+      random: createRandom(seed * 1_000 + incarnations),
+      log: (decision) => logged.push({ host, decision }),
       onFetched: (_, outcome) => fetches.push(outcome),
-      getHosts: () => hosts,
+      getHosts: () => getAlive(host),
       pushFact: send,
       spreadFact: send,
-      fetchTable: (name, peer) =>
-        Promise.resolve(knowledges.get(peer)!.tryGetTable(name)),
+      fetchTable: (name, peer) => fetchTable(host, peer, name),
     });
-    knowledges.set(peerAddress, knowledge);
-  });
+  }
+
+  function startHost(host: string): Effect.Effect<void> {
+    return Effect.gen(function* () {
+      const knowledge = createHost(host);
+      lostSinceMs.delete(host);
+      const fiber = yield* Effect.forkDetach(knowledge.run);
+      lives.set(host, { knowledge, fiber });
+    });
+  }
+
+  function killHost(host: string): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const life = lives.get(host);
+      if (life === undefined) return Effect.void;
+      lives.delete(host);
+      lostSinceMs.set(host, nowMs());
+      return Fiber.interrupt(life.fiber).pipe(Effect.asVoid);
+    });
+  }
 
   const step = Effect.suspend(() => {
-    agenda.runUntil(clock.monotonicMs() + STEP_MS);
+    agenda.runUntil(nowMs() + STEP_MS);
     return TestClock.adjust(STEP_MS);
   }).pipe(
     // Fetched tables arrive as promises.
@@ -235,36 +188,27 @@
   );
 
   return {
+    tables,
     hosts,
+    nowMs,
     fetches,
     logged,
-    tables: {
-      put(next) {
-        const value = createRoutingConfig({ version: next });
-        putRows(config, new Map([["config", value]]));
-      },
-      putUpstreams(ids) {
-        const entries = ids.map((id) => createUpstreamEntry({ id }));
-        putRows(upstreams, new Map(entries.map((each) => [each.id, each])));
-      },
-      treat: treatHost,
-      treatTable: (host, table, treatment) =>
-        void treatments[table].set(host, treatment),
-      treatAll(treatment) {
-        for (const host of hosts) treatHost(host, treatment);
-      },
-      silenceUntil: (ms) => silentUntilMs = ms,
-      dropHistory: () => keptFrom = version,
-    },
-    nowMs: clock.monotonicMs,
+    tryGetKnowledge: (host) => lives.get(host)?.knowledge,
     getVersions: () =>
-      [...knowledges.values()].map((each) => each.getInputs().configVersion),
+      [...lives.values()]
+        .map(({ knowledge }) => knowledge.getInputs().configVersion),
     run: (ms) => Effect.repeat(step, { times: Math.ceil(ms / STEP_MS) - 1 }),
-    start: Effect.forEach(
-      knowledges.values(),
-      (each) => Effect.forkDetach(each.run),
-      { discard: true },
-    ),
+    startHost,
+    killHost,
+    start: Effect.forEach(hosts, startHost, { discard: true }),
+    cut(host, isCut) {
+      if (!isCut) cutSinceMs.delete(host);
+      else if (!cutSinceMs.has(host)) cutSinceMs.set(host, nowMs());
+    },
+    loseDatagrams: (share) => lostShare = share,
+    treatAll(treatment) {
+      for (const host of hosts) tables.treat(host, treatment);
+    },
   };
 }
 
