--- a/src/entry/knowledge_test.ts
+++ b/src/entry/knowledge_test.ts
@@ -120,8 +120,8 @@
 
 test("the one host that may read the configuration passes it on", async () => {
   // The platform serves the list of upstreams to all hosts and the configuration
-  // to one, which is not among the readers. Callers are refused on new routes
-  // until hosts that may not read the one table are passed over for it.
+  // to one, each host in turn. Callers are refused on new routes until hosts that
+  // may not read the one table are passed over for it.
   for (let served = 0; served < 9; served++) {
     const tookMs = await playChange((fleet) => {
       const refused = fleet.hosts.filter((_, at) => at !== served);
@@ -164,10 +164,10 @@
   const lines = fleet.logged.map((each) => each.decision)
     .filter((each) => each.event === "table-reader-changed")
     .filter((each) => each.table === "config");
-  const countLast = (because: string) =>
+  const countLines = (because: string) =>
     lines.filter((each) => each.because === because).length;
   deepStrictEqual(
-    [countLast("first-in-rank"), countLast("others-first")],
+    [countLines("first-in-rank"), countLines("others-first")],
     [3, 6],
   );
 });
@@ -177,7 +177,8 @@
   // platform answers nobody for six to ten seconds; it returns, upstreams whose
   // entries lapsed are gone from its list, and operators add the route. One host
   // reads the list of upstreams and tells it; that counted for both tables, so
-  // that for two seconds more nobody read the configuration, again and again.
+  // that for two seconds more nobody read the configuration, again and again. And
+  // each reader from before left the role to the others, and these to it.
   // Evidence: at all hosts the age of the last confirmation fell from two seconds
   // to nothing whenever the list came, while no host logged the configuration.
   for (let awayMs = 6_000; awayMs <= 10_000; awayMs += 170) {
--- a/src/testing/fleet_troubles.ts
+++ b/src/testing/fleet_troubles.ts
@@ -1,6 +1,8 @@
 /**
  * Troubles of the platform and of hosts, drawn by a seed. They come in series and
- * overlap.
+ * overlap. Where two of a kind meet a host (kills, cuts) or the fleet (lost
+ * datagrams), the end of the first ends both for it; what they excuse lasts until
+ * the second is over.
  *
  * @module
  */
