Learn the limit of reading from what all hosts have seen

Cause of unequal service between hosts: the room at an upstream is common to all hosts, but each learned alone how much of it may be filled, from the answers that it had passed on itself. Where the limits differ, the host with the widest fills each upstream to a level at which the others may send nothing. A team whose callers use one host starves with it, whatever the queue decides, since the order of teams holds only within a host.

Change: the counts that the limit is learned from (answers, late answers, sums over first events, the limit itself) travel in the reports of load, are added up with them and taken out again; a host decides from its own and the others', and approaches their mean limit. Counts now fade by time: those of a host that had nothing to place stood still, which would now be told to others for ever.

Ruled out: a floor for each host's due share (needs the shares of teams by host, which nobody has), a limit by upstream with an owner (a round trip before each start).

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -101,6 +101,11 @@
     isAlive: (address) => peers.membership.isUsable(address),
     getStatedCapacity: () =>
       knowledge.tryGetRoutes()?.config.tokensPerSecond ?? 0,
+    getLearned: () =>
+      [...pacings].map(([service, pacing]) => ({
+        ...pacing.getEvidence(),
+        service: getNameDigest(service),
+      })),
   });
   const pacings = new Map<string, Pacing>();
   const getPacing = (service: string) =>
@@ -110,6 +115,7 @@
       () =>
         createPacing({
           nowMs: clock.monotonicMs,
+          getOthers: () => load.getOthersLearned(service),
           onChanged: (change) => logLimit(service, change),
         }),
     );
--- a/src/load/load_sums.ts
+++ b/src/load/load_sums.ts
@@ -16,7 +16,7 @@
 import type { Clock } from "../core/mod.ts";
 import { tryGetOwner } from "../membership/mod.ts";
 import { addReports, subtractReport } from "./report_sums.ts";
-import type { LoadReport } from "./types.ts";
+import type { LoadContent, LoadReport } from "./types.ts";
 
 /** A host that takes part. */
 export interface LoadPeer {
@@ -32,7 +32,7 @@
   getHosts(): readonly LoadPeer[];
   getDigest(name: string): number;
   /** This host's own use. */
-  createOwn(): Pick<LoadReport, "upstreams" | "teams">;
+  createOwn(): LoadContent;
   /** The use of other hosts is known anew; replaces what the sender told. */
   onOthers(report: LoadReport): void;
 }
@@ -101,7 +101,7 @@
 
   function createReport(
     scope: LoadReport["scope"],
-    content: Pick<LoadReport, "upstreams" | "teams">,
+    content: LoadContent,
   ): LoadReport {
     sequence++;
     return {
--- a/src/load/load_sums_test.ts
+++ b/src/load/load_sums_test.ts
@@ -30,6 +30,7 @@
       getDigest: getNameDigest,
       isAlive: (host) => !dead.has(host),
       getStatedCapacity: () => 1_000,
+      getLearned: () => [],
     });
     const sums = createLoadSums({
       clock,
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -39,6 +39,7 @@
     getDigest: getNameDigest,
     isAlive: () => true,
     getStatedCapacity: () => 100,
+    getLearned: () => [],
   });
   let sequence = 0;
   /** What this host tells each other one in a small fleet. */
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -11,10 +11,21 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
+import {
+  addEvidence,
+  NO_EVIDENCE,
+  type PacingEvidence,
+} from "../pacing/mod.ts";
 import { REPORT_KEEP_MS } from "./load_sums.ts";
 import { createRate, type Rate } from "./rate.ts";
 import { getFairLevel } from "./team_shares.ts";
-import type { LoadReport, TeamUse, UpstreamUse } from "./types.ts";
+import type {
+  LearnedOfService,
+  LoadContent,
+  LoadReport,
+  TeamUse,
+  UpstreamUse,
+} from "./types.ts";
 
 /** What the view needs of the process. */
 export interface LoadViewHost {
@@ -25,6 +36,8 @@
   isAlive(host: string): boolean;
   /** Tokens that the upstreams do in a second, as operators state it. */
   getStatedCapacity(): number;
+  /** What this host has learned of upstreams, by service. */
+  getLearned(): readonly LearnedOfService[];
 }
 
 /** The load of the fleet, as this host sees it. */
@@ -44,12 +57,14 @@
   getInFlight(upstream: string): number;
   /** What is being read there for all hosts, in tokens. */
   getReadingTokens(upstream: string): number;
+  /** What the other hosts have learned of the service's upstreams. */
+  getOthersLearned(service: string): PacingEvidence;
   /** What the team was given over its share, as a ratio; 1 is the share. */
   getShareUsed(team: string): number;
   /** Takes in the use of another host, or of all others together. */
   receive(report: LoadReport): void;
   /** This host's own use, to be told to others. */
-  createUse(): Pick<LoadReport, "upstreams" | "teams">;
+  createUse(): LoadContent;
 }
 
 /** Rates fade to a half in so long, in ms: shares are owed by four seconds. */
@@ -85,6 +100,7 @@
   const teams = new Map<number, TeamRates>();
   const reports = new Map<string, HeardReport>();
   const othersUse = new Map<number, Use>();
+  const othersLearned = new Map<number, PacingEvidence>();
   const sizes = createRate(HALF_LIFE_MS);
   const works = createRate(HALF_LIFE_MS);
   let forgotAtMs = -Infinity;
@@ -118,6 +134,13 @@
       use.inFlight += sign * inFlight;
       use.readingTokens += sign * readingTokens;
     }
+    for (const learned of report.learned) {
+      const known = othersLearned.get(learned.service) ?? NO_EVIDENCE;
+      const sum = addEvidence(known, learned, sign);
+      // Without hosts only errors of rounding are left.
+      if (sum.hosts > 0) othersLearned.set(learned.service, sum);
+      else othersLearned.delete(learned.service);
+    }
   }
 
   function forget(from: string): void {
@@ -205,6 +228,10 @@
       getUse(upstream).inFlight + getOthers(upstream).inFlight,
     getReadingTokens: (upstream) =>
       getUse(upstream).readingTokens + getOthers(upstream).readingTokens,
+    getOthersLearned(service) {
+      forgetOld();
+      return othersLearned.get(getDigest(service)) ?? NO_EVIDENCE;
+    },
     getShareUsed(team) {
       updateLevel();
       return (begunByTeam.get(getDigest(team)) ?? 0) / level;
@@ -229,7 +256,7 @@
         } else uses.delete(upstream);
       }
       const used = getOwnTeams().filter((each) => each.asked > 0);
-      return { upstreams, teams: used };
+      return { upstreams, teams: used, learned: host.getLearned() };
     },
   };
 }
--- a/src/load/report_sums.ts
+++ b/src/load/report_sums.ts
@@ -5,17 +5,22 @@
  */
 
 import { getOrCreate } from "../core/mod.ts";
-import type { LoadReport, TeamUse, UpstreamUse } from "./types.ts";
-
-type Content = Pick<LoadReport, "upstreams" | "teams">;
+import { addEvidence, NO_EVIDENCE } from "../pacing/mod.ts";
+import type {
+  LearnedOfService,
+  LoadContent,
+  LoadReport,
+  TeamUse,
+  UpstreamUse,
+} from "./types.ts";
 
 /** Use by upstream and team over all reports. */
-export function addReports(reports: readonly Content[]): Content {
+export function addReports(reports: readonly LoadContent[]): LoadContent {
   return combine(reports.map((report) => ({ report, sign: 1 })));
 }
 
 /** What is left of a sum without one of its parts. */
-export function subtractReport(sum: LoadReport, part: Content): LoadReport {
+export function subtractReport(sum: LoadReport, part: LoadContent): LoadReport {
   return {
     ...sum,
     ...combine([{ report: sum, sign: 1 }, { report: part, sign: -1 }]),
@@ -23,13 +28,14 @@
 }
 
 interface Signed {
-  readonly report: Content;
+  readonly report: LoadContent;
   readonly sign: 1 | -1;
 }
 
-function combine(all: readonly Signed[]): Content {
+function combine(all: readonly Signed[]): LoadContent {
   const upstreams = new Map<number, Mutable<UpstreamUse>>();
   const teams = new Map<number, Mutable<TeamUse>>();
+  const learned = new Map<number, LearnedOfService>();
   for (const { report, sign } of all) {
     for (const { upstream, inFlight, readingTokens } of report.upstreams) {
       const use = getOrCreate(upstreams, upstream, () => ({
@@ -49,11 +55,17 @@
       use.asked += sign * asked;
       use.begun += sign * begun;
     }
+    for (const each of report.learned) {
+      const known = learned.get(each.service) ?? NO_EVIDENCE;
+      const sum = addEvidence(known, each, sign);
+      learned.set(each.service, { ...sum, service: each.service });
+    }
   }
   return {
     upstreams: [...upstreams.values()]
       .filter((each) => each.inFlight > 0 || each.readingTokens > 0),
     teams: [...teams.values()].filter((each) => each.asked > 0),
+    learned: [...learned.values()].filter((each) => each.hosts > 0),
   };
 }
 
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { PacingEvidence } from "../pacing/mod.ts";
+
 /** What is used of an upstream now. */
 export interface UpstreamUse {
   /** Digest of the upstream's id. */
@@ -21,6 +23,12 @@
   readonly begun: number;
 }
 
+/** What hosts have learned of a service's upstreams. */
+export interface LearnedOfService extends PacingEvidence {
+  /** Digest of the service's name. */
+  readonly service: number;
+}
+
 /** Whose use a report adds up. */
 export type LoadScope = "host" | "data-centre" | "fleet";
 
@@ -31,6 +39,9 @@
   readonly sequence: number;
 }
 
+/** What reports add up. */
+export type LoadContent = Pick<LoadReport, "upstreams" | "teams" | "learned">;
+
 /** All of it, as sent between hosts. */
 export interface LoadReport {
   /** Peer address of the sender. */
@@ -39,6 +50,7 @@
   readonly sequence: number;
   readonly upstreams: readonly UpstreamUse[];
   readonly teams: readonly TeamUse[];
+  readonly learned: readonly LearnedOfService[];
   readonly scope: LoadScope;
   /** Of the sender. */
   readonly dataCentre: string;
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -101,6 +101,9 @@
   readonly pacing: Pacing;
 }
 
+const SERVICE = "model";
+const SERVICE_DIGEST = getNameDigest(SERVICE);
+
 /** Plays twenty seconds. */
 export function playPrompts(options: PromptWorldOptions): PromptResult {
   const { getReading = getReadingTokens } = options;
@@ -123,6 +126,12 @@
       getDigest: getNameDigest,
       isAlive: () => true,
       getStatedCapacity: () => STATED_CAPACITY,
+      getLearned: () => [{ ...pacing.getEvidence(), service: SERVICE_DIGEST }],
+    });
+    const pacing: Pacing = createPacing({
+      nowMs,
+      getOthers: () => view.getOthersLearned(SERVICE),
+      onChanged: () => {},
     });
     const sums = createLoadSums({
       clock,
@@ -132,7 +141,6 @@
       createOwn: view.createUse,
       onOthers: view.receive,
     });
-    const pacing = createPacing({ nowMs, onChanged: () => {} });
     return { view, sums, pacing, queue: createQueue(view, pacing) };
   });
   const meant: Meant[] = [];
@@ -200,7 +208,7 @@
       team: req.team,
       arrivedMs: nowMs(),
       targetMs: kind.targetMs,
-      service: "model",
+      service: SERVICE,
       size,
       workTokens,
       getChoices: () => choices,
--- a/src/pacing/first_event_model.ts
+++ b/src/pacing/first_event_model.ts
@@ -9,6 +9,12 @@
  * @module
  */
 
+import {
+  addFirstEvents,
+  type FirstEventSums,
+  NO_FIRST_EVENTS,
+} from "./types.ts";
+
 /** The line, as it is now. */
 export interface FirstEventModel {
   /** A first event came so long after its prompt was sent. */
@@ -17,11 +23,15 @@
   predictMs(readingTokens: number): number;
   /** Tokens behind which the first event comes in the time given. */
   getTokensWithin(ms: number): number;
+  /** What this host alone has seen. */
+  getOwnSums(): FirstEventSums;
 }
 
 /** What the model needs of the process. */
 export interface FirstEventModelHost {
   nowMs(): number;
+  /** What the other hosts have seen. */
+  getOthers(): FirstEventSums;
 }
 
 /** Samples fade to a half in so long, in ms: some eighty of a busy host. */
@@ -54,53 +64,62 @@
   host: FirstEventModelHost,
 ): FirstEventModel {
   let atMs = host.nowMs();
-  let count = 0;
-  let sumTokens = 0;
-  let sumMs = 0;
-  let sumTokensSquared = 0;
-  let sumTokensMs = 0;
+  let own = NO_FIRST_EVENTS;
 
   function fade(): void {
     const factor = 0.5 ** ((host.nowMs() - atMs) / HALF_LIFE_MS);
     atMs = host.nowMs();
-    count *= factor;
-    sumTokens *= factor;
-    sumMs *= factor;
-    sumTokensSquared *= factor;
-    sumTokensMs *= factor;
+    own = {
+      count: own.count * factor,
+      tokens: own.tokens * factor,
+      ms: own.ms * factor,
+      tokensSquared: own.tokensSquared * factor,
+      tokensMs: own.tokensMs * factor,
+    };
   }
 
-  function getSlope(): number {
-    if (count === 0) return FIRST_MS_PER_TOKEN;
-    const spread = sumTokensSquared - sumTokens ** 2 / count;
-    const common = sumTokensMs - sumTokens * sumMs / count;
-    const slope = (common + FIRST_MS_PER_TOKEN * PRIOR_SPREAD) /
-      (spread + PRIOR_SPREAD);
-    return Math.max(MIN_MS_PER_TOKEN, slope);
-  }
-
-  function getBaseMs(slope: number): number {
-    const sum = sumMs - slope * sumTokens + FIRST_BASE_MS * PRIOR_SAMPLES;
-    return Math.max(0, sum / (count + PRIOR_SAMPLES));
-  }
+  const getSums = () => addFirstEvents(own, host.getOthers());
 
   return {
     note(readingTokens, tookMs) {
       fade();
       const ms = Math.min(tookMs, MAX_SAMPLE_MS);
-      count++;
-      sumTokens += readingTokens;
-      sumMs += ms;
-      sumTokensSquared += readingTokens ** 2;
-      sumTokensMs += readingTokens * ms;
+      own = addFirstEvents(own, {
+        count: 1,
+        tokens: readingTokens,
+        ms,
+        tokensSquared: readingTokens ** 2,
+        tokensMs: readingTokens * ms,
+      });
     },
     predictMs(readingTokens) {
-      const slope = getSlope();
-      return getBaseMs(slope) + slope * readingTokens;
+      const sums = getSums();
+      const slope = getSlope(sums);
+      return getBaseMs(sums, slope) + slope * readingTokens;
     },
     getTokensWithin(ms) {
-      const slope = getSlope();
-      return Math.max(0, (ms - getBaseMs(slope)) / slope);
+      const sums = getSums();
+      const slope = getSlope(sums);
+      return Math.max(0, (ms - getBaseMs(sums, slope)) / slope);
+    },
+    getOwnSums() {
+      fade();
+      return own;
     },
   };
 }
+
+function getSlope(sums: FirstEventSums): number {
+  const { count, tokens, ms } = sums;
+  if (count === 0) return FIRST_MS_PER_TOKEN;
+  const spread = sums.tokensSquared - tokens ** 2 / count;
+  const common = sums.tokensMs - tokens * ms / count;
+  const slope = (common + FIRST_MS_PER_TOKEN * PRIOR_SPREAD) /
+    (spread + PRIOR_SPREAD);
+  return Math.max(MIN_MS_PER_TOKEN, slope);
+}
+
+function getBaseMs({ count, tokens, ms }: FirstEventSums, slope: number) {
+  const sum = ms - slope * tokens + FIRST_BASE_MS * PRIOR_SAMPLES;
+  return Math.max(0, sum / (count + PRIOR_SAMPLES));
+}
--- a/src/pacing/mod.ts
+++ b/src/pacing/mod.ts
@@ -7,3 +7,4 @@
 export * from "./first_event_model.ts";
 export * from "./pacing.ts";
 export * from "./pause_limit.ts";
+export * from "./types.ts";
--- a/src/pacing/pacing.ts
+++ b/src/pacing/pacing.ts
@@ -3,6 +3,10 @@
  * than lets first events come in time, and no more than lets the answers beside
  * go on in time.
  *
+ * All hosts learn from what all have seen: the room at an upstream is common to
+ * them, and where their limits differ the host with the widest takes all of it,
+ * and the teams whose callers use another get nothing.
+ *
  * Load: heavy days of deployments whose engines, targets and prompts differ.
  * Gain: worth over two heavy days of 0.518 and 0.519 with a limit fixed for
  * another deployment's engines, 0.566 and 0.590 with one fixed for these; the
@@ -13,6 +17,7 @@
 
 import { createFirstEventModel } from "./first_event_model.ts";
 import { createPauseLimit } from "./pause_limit.ts";
+import type { PacingEvidence } from "./types.ts";
 
 /** What has been seen of a service, and the limit that follows. */
 export interface Pacing {
@@ -25,11 +30,15 @@
    * of the service's first events is so long, in ms.
    */
   getLimitTokens(targetMs: number): number;
+  /** What this host has seen, for the others. */
+  getEvidence(): PacingEvidence;
 }
 
 /** What pacing needs of the process. */
 export interface PacingHost {
   nowMs(): number;
+  /** What the other hosts have seen of the service. */
+  getOthers(): PacingEvidence;
   /** The limit is another than when it was last told. */
   onChanged(change: PacingChange): void;
 }
@@ -55,8 +64,12 @@
 
 /** Makes the pacing of a service of which nothing has been seen. */
 export function createPacing(host: PacingHost): Pacing {
-  const firstEvents = createFirstEventModel(host);
-  const pauses = createPauseLimit(host);
+  const { nowMs, getOthers } = host;
+  const firstEvents = createFirstEventModel({
+    nowMs,
+    getOthers: () => getOthers().firstEvents,
+  });
+  const pauses = createPauseLimit({ nowMs, getOthers });
   let toldTokens = 0;
 
   function tell(limitTokens: number, inTimeTokens: number): void {
@@ -70,6 +83,10 @@
   return {
     noteFirstEvent: firstEvents.note,
     notePause: pauses.note,
+    getEvidence: () => ({
+      ...pauses.getOwn(),
+      firstEvents: firstEvents.getOwnSums(),
+    }),
     getLimitTokens(targetMs) {
       const inTimeTokens = firstEvents.getTokensWithin(targetMs * TARGET_SHARE);
       const limitTokens = pauses.getTokens(inTimeTokens);
--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -11,6 +11,8 @@
  * @module
  */
 
+import type { PacingEvidence } from "./types.ts";
+
 /** The limit, as it is now. */
 export interface PauseLimit {
   /** An answer has paused past its target, or gone on for a while without. */
@@ -19,11 +21,18 @@
   getTokens(ceilingTokens: number): number;
   /** Share of the answers of the last seconds that paused past their target. */
   getLateShare(): number;
+  /** What this host alone has seen, and its limit. */
+  getOwn(): PauseEvidence;
 }
 
+/** The part of the evidence that pauses give. */
+export type PauseEvidence = Omit<PacingEvidence, "firstEvents">;
+
 /** What the limit needs of the process. */
 export interface PauseLimitHost {
   nowMs(): number;
+  /** What the other hosts have seen, and their limits. */
+  getOthers(): PauseEvidence;
 }
 
 /**
@@ -55,38 +64,61 @@
 const NARROW_FACTOR = 0.85;
 const WIDEN_FACTOR = 1.15;
 
-/** What is left of the counts at each change: a half-life of two seconds. */
-const FADE_FACTOR = 0.85;
+/** Counts fade to a half in so long, in ms. */
+const HALF_LIFE_MS = 2_000;
 
-/** And of those that a narrowing has answered. */
+/** What is left of the counts that a narrowing has answered. */
 const ANSWERED_FACTOR = 0.5;
 
 /** Makes a limit that has seen nothing. */
 export function createPauseLimit(host: PauseLimitHost): PauseLimit {
   let tokens = FIRST_TOKENS;
   let changedAtMs = host.nowMs();
+  let fadedAtMs = host.nowMs();
   let late = 0;
   let all = 0;
 
-  const getLateShare = () => all === 0 ? 0 : late / all;
+  function scale(factor: number): void {
+    late *= factor;
+    all *= factor;
+  }
+
+  function fade(): void {
+    scale(0.5 ** ((host.nowMs() - fadedAtMs) / HALF_LIFE_MS));
+    fadedAtMs = host.nowMs();
+  }
+
+  const getAnswers = () => all + host.getOthers().answers;
+
+  function getLateShare(): number {
+    const answers = getAnswers();
+    const lateAnswers = late + host.getOthers().lateAnswers;
+    return answers <= 0 ? 0 : lateAnswers / answers;
+  }
+
+  /** Hosts that learned at different times would keep different limits. */
+  function approachOthers(): void {
+    const { hosts, limitTokens } = host.getOthers();
+    if (hosts > 0) tokens = (tokens + limitTokens / hosts) / 2;
+  }
 
   function change(ceilingTokens: number): void {
-    if (all > MIN_ANSWERS) {
+    fade();
+    approachOthers();
+    if (getAnswers() > MIN_ANSWERS) {
       const share = getLateShare();
       if (share > NARROW_SHARE) {
         tokens *= NARROW_FACTOR;
-        late *= ANSWERED_FACTOR;
-        all *= ANSWERED_FACTOR;
+        scale(ANSWERED_FACTOR);
       } else if (share < WIDEN_SHARE) tokens *= WIDEN_FACTOR;
     }
-    late *= FADE_FACTOR;
-    all *= FADE_FACTOR;
     tokens = Math.max(MIN_TOKENS, Math.min(tokens, ceilingTokens));
   }
 
   return {
     getLateShare,
     note(isLate) {
+      fade();
       all++;
       if (isLate) late++;
     },
@@ -97,5 +129,14 @@
       }
       return tokens;
     },
+    getOwn() {
+      fade();
+      return {
+        hosts: 1,
+        limitTokens: tokens,
+        answers: all,
+        lateAnswers: late,
+      };
+    },
   };
 }
--- a/src/peers/load_codec.ts
+++ b/src/peers/load_codec.ts
@@ -10,10 +10,12 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { getOrCreate } from "../core/mod.ts";
 import {
+  type LearnedOfService as WireLearned,
   LoadReportSchema,
   LoadScope as WireScope,
 } from "../generated/peer_pb.ts";
-import type { LoadReport, LoadScope } from "../load/types.ts";
+import type { LearnedOfService, LoadReport, LoadScope } from "../load/types.ts";
+import { NO_FIRST_EVENTS } from "../pacing/mod.ts";
 import { createSealedCodec, type DatagramCodec } from "./datagrams.ts";
 
 const toWireScope: Readonly<Record<LoadScope, WireScope>> = {
@@ -37,11 +39,15 @@
       const wire = fromBinary(LoadReportSchema, bytes);
       const scope = fromWireScope.get(wire.scope);
       if (scope === undefined) throw new TypeError("Unknown scope");
-      return { ...wire, scope };
+      return { ...wire, scope, learned: wire.learned.map(fromWireLearned) };
     },
   });
 }
 
+function fromWireLearned(wire: WireLearned): LearnedOfService {
+  return { ...wire, firstEvents: wire.firstEvents ?? NO_FIRST_EVENTS };
+}
+
 function toWire(report: LoadReport) {
   return {
     ...report,
@@ -49,6 +55,7 @@
     upstreams: [...report.upstreams],
     teams: [...report.teams],
     included: [...report.included],
+    learned: [...report.learned],
   };
 }
 /** Names kept with their digests; more are forgotten all at once. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -23,7 +23,7 @@
 } from "../forwarding/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import type { Pacing } from "../pacing/mod.ts";
+import { NO_EVIDENCE, type Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
 import { createHealthWatch } from "../upstreams/mod.ts";
@@ -200,11 +200,13 @@
     getDigest: getNameDigest,
     isAlive: () => true,
     getStatedCapacity: () => 0,
+    getLearned: () => [],
   });
   const pacing: Pacing = {
     noteFirstEvent: (tokens) => void parts.paced.firstEvents.push(tokens),
     notePause: (isLate) => void parts.paced.pauses.push(isLate),
     getLimitTokens: () => LIMIT_TOKENS,
+    getEvidence: () => NO_EVIDENCE,
   };
   return {
     log: parts.log,
