Look at the queue by a timer, not by a fiber that sleeps

Cause of the largest part: the look at the queue, a hundred times a second, was an Effect fiber that sleeps. Each sleep ends in one turn and goes on in another.

Evidence: five seconds on an idle machine, 10 ms apart, Node 20: as a fiber 435 looks, 869 turns, 157 ms of processor time; by an interval 450 looks, 452 turns, 66 ms.

Change: entry/ticker.ts.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -41,6 +41,7 @@
   listen,
   setCallerLimits,
 } from "./servers.ts";
+import { startTicker } from "./ticker.ts";
 import type { EntryHost, EntrySettings } from "./types.ts";
 
 /** A running entry host. */
@@ -275,12 +276,12 @@
   }
 
   /** Prompts wait for time to pass as well as for events. */
-  const tickQueue = Effect.sync(() => {
+  function tick(): void {
     loop.tick();
     queue.tick();
     const limits = knowledge.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
-  }).pipe(Effect.andThen(Effect.sleep(QUEUE_TICK_MS)), Effect.forever);
+  }
 
   const directory = followHostDirectory({
     directory: host.platform.hosts,
@@ -301,10 +302,10 @@
     exchange.run,
     peers.run,
     knowledge.run,
-    tickQueue,
     directory.run,
   ]
     .map((task) => Effect.runFork(task));
+  const ticker = startTicker(QUEUE_TICK_MS, tick);
   log({
     event: "started",
     name: settings.name,
@@ -321,6 +322,7 @@
       return result;
     },
     async [Symbol.asyncDispose]() {
+      ticker[Symbol.dispose]();
       for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
       for (const server of servers) await server[Symbol.asyncDispose]();
       agent.destroy();
