Let a host that accepts too slowly say that it is not ready

What callers saw: in a data centre with a team that floods, over 90 in 100 requests ended with "no connection", at one host, those of calm teams there too; its neighbours were idle.

Cause: callers of some teams keep to one ready host whatever they are told, and Node 20 accepts one connection in each turn of the event loop. Under load a turn takes 15 to 100 ms instead of 5, the 17 places of the accept queue fill, and what comes further is dropped unseen: 31 connections accepted a second of several hundred tried. The host was "ready" all the while.

Evidence (logs of connections, answers and turns, scratch copies): 721 connections opened by callers of the data centre, 427 accepted; twelve waiting connections are accepted in twelve turns; told two hosts drawn for each caller, the team's 133 requests all came to the same one, and with that host in no answer 131 of 131; with readiness at 503 from second 5 on all came to a neighbour within two seconds. Ruled out: herds that pass refusing hosts over, kept connections, the answers to callers.

Change: a host whose turns take 25 ms on average over a second tells the others, is not ready and is not named, for three seconds at least; half of a data centre's hosts at most.

Tests: entry/intake_test.ts, full_hosts_test.ts, and that a full host is not named, which fails without the change.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -89,6 +89,13 @@
     readonly queue: QueueInputs | undefined;
     readonly inputs: Inputs;
   }
+  | {
+    /** This host takes no new callers for now, or does again. */
+    readonly event: "intake-changed";
+    readonly isFull: boolean;
+    /** Of the event loop, over the last second. */
+    readonly meanTurnMs: number;
+  }
   | {
     /** What upstreams of the service may have to read at once is another. */
     readonly event: "reading-limit-changed";
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -132,6 +132,9 @@
         `${decision.limitTokens} tokens to read, of ${decision.inTimeTokens} ` +
         `that it reads in time; ${decision.lateShare} of the answers paused ` +
         `too long`;
+    case "intake-changed":
+      return `${decision.isFull ? "Takes no" : "Takes"} new callers: a turn ` +
+        `took ${decision.meanTurnMs} ms on average`;
     case "config-in-force":
       return `Configuration ${decision.version} in force, from ${decision.from}`;
     case "upstream-changed":
--- a/src/entry/caller_addresses.ts
+++ b/src/entry/caller_addresses.ts
@@ -16,6 +16,8 @@
   readonly query: ResolveQuery;
   readonly members: readonly Member[];
   getRegion(dataCentre: string): string | undefined;
+  /** The host takes no new callers for now. */
+  isFull(member: Member): boolean;
 }
 
 /**
@@ -35,7 +37,10 @@
   const usable = alive.length > 0
     ? alive
     : members.filter((each) => each.state === "suspect");
-  const ranked = usable
+  const withRoom = usable.filter((each) => !input.isFull(each));
+  // A full host is better than none, too.
+  const named = withRoom.length > 0 ? withRoom : usable;
+  const ranked = named
     .map((member) => ({ member, distance: getDistance(member, input) }))
     .sort((a, b) => a.distance - b.distance);
   const own = ranked.filter((each) => each.distance === 0).length;
--- a/src/entry/caller_addresses_test.ts
+++ b/src/entry/caller_addresses_test.ts
@@ -21,11 +21,15 @@
   };
 }
 
-function choose(members: readonly Member[], dataCentre = "a", region = "one") {
+function choose(
+  members: readonly Member[],
+  fullHosts: readonly string[] = [],
+): readonly string[] {
   return chooseAddresses({
     members,
-    query: { dataCentre, region },
+    query: { dataCentre: "a", region: "one" },
     getRegion: (each) => regions.get(each),
+    isFull: (member) => fullHosts.includes(member.host),
   });
 }
 
@@ -58,3 +62,11 @@
   );
   strictEqual(choose(members).length, 64);
 });
+
+test("a full host is not named while another takes callers", () => {
+  // Guards against callers of calm teams that wait for a connection at a host
+  // which a flood keeps busy.
+  const members = [createMember("a1", "a"), createMember("b1", "b")];
+  deepStrictEqual(choose(members, ["a1"]), ["b1"]);
+  deepStrictEqual(choose(members, ["a1", "b1"]), ["a1", "b1"]);
+});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -27,6 +27,8 @@
 import { createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
+import { createFullHosts, FULL_KEY } from "./full_hosts.ts";
+import { createIntake } from "./intake.ts";
 import { createKnowledge } from "./knowledge.ts";
 import { createLeaving } from "./leaving.ts";
 import { createLoopWatch } from "./loop_watch.ts";
@@ -92,10 +94,29 @@
   function onFact(fact: Fact): void {
     if (fact.key.startsWith(REPORT_KEY)) knowledge.receive(fact);
     else if (fact.key.startsWith(CRASH_KEY)) crashes.receive(fact);
+    else if (fact.key.startsWith(FULL_KEY)) fullHosts.receive(fact);
   }
 
   const health = createHealthWatch(clock);
   const loop = createLoopWatch(clock, QUEUE_TICK_MS);
+  const fullHosts = createFullHosts({
+    clock,
+    peerAddress,
+    dataCentre: settings.dataCentre,
+    incarnation,
+  });
+  const intake = createIntake({
+    clock,
+    mayRest: () => fullHosts.mayRest(getAlive()),
+    onFull({ isFull, meanTurnMs }) {
+      peers.membership.pushFact(fullHosts.createFact(isFull));
+      log({
+        event: "intake-changed",
+        isFull,
+        meanTurnMs: Math.round(meanTurnMs),
+      });
+    },
+  });
   const load = createLoadView({
     clock,
     getDigest: getNameDigest,
@@ -173,7 +194,8 @@
       log({ event: "drain-phase", phase, inFlight }),
   });
   const isReady = () =>
-    !leaving.isLeaving() && knowledge.tryGetRoutes() !== undefined;
+    !leaving.isLeaving() && !intake.isFull() &&
+    knowledge.tryGetRoutes() !== undefined;
   const metrics = createEntryMetrics({
     getConfigVersion: () => knowledge.getInputs().configVersion,
     getQueued: queue.getCount,
@@ -259,10 +281,17 @@
         chooseAddresses({
           query,
           members: peers.membership.getMembers(),
+          isFull,
           getRegion: (dataCentre) => settings.regions.get(dataCentre),
         }),
     }),
   );
+  function isFull(member: Member): boolean {
+    return member.peerAddress === peerAddress
+      ? intake.isFull()
+      : fullHosts.isFull(member.peerAddress);
+  }
+
   const servers = [callers, readiness, resolve];
   if (host.metrics !== undefined) {
     const { port, path } = host.metrics;
@@ -278,6 +307,7 @@
   /** Prompts wait for time to pass as well as for events. */
   function tick(): void {
     loop.tick();
+    intake.tick();
     queue.tick();
     const limits = knowledge.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
--- /dev/null
+++ b/src/entry/full_hosts_test.ts
@@ -0,0 +1,60 @@
+import { deepStrictEqual, strictEqual } from "node:assert";
+import { test } from "node:test";
+import { createManualClock } from "../core/mod.ts";
+import type { Fact, Member } from "../membership/mod.ts";
+import { createFullHosts } from "./full_hosts.ts";
+
+function createMember(host: string, dataCentre = "a"): Member {
+  return {
+    host,
+    incarnation: 1,
+    revision: 1,
+    state: "alive",
+    dataCentre,
+    peerAddress: host,
+    publicAddress: host,
+  };
+}
+
+/** Hosts of one data centre that hear each other's facts at once. */
+function createFixture(names: readonly string[]) {
+  const clock = createManualClock(1_000);
+  const members = [...names.map((name) => createMember(name))];
+  members.push(createMember("other", "b"));
+  const views = names.map((peerAddress) =>
+    createFullHosts({ clock, peerAddress, dataCentre: "a", incarnation: 1 })
+  );
+  const tell = (fact: Fact) => views.forEach((view) => view.receive(fact));
+  return { clock, members, views, tell };
+}
+
+test("hosts leave out of their answers what has told that it is full", () => {
+  const { views: [first, second], tell } = createFixture(["h1", "h2"]);
+  tell(first!.createFact(true));
+  strictEqual(second!.isFull("h1"), true);
+  tell(first!.createFact(false));
+  strictEqual(second!.isFull("h1"), false);
+});
+
+test("a full host that is gone counts as full no longer", () => {
+  const { clock, views: [first, second], tell } = createFixture(["h1", "h2"]);
+  tell(first!.createFact(true));
+  clock.advance(3_000);
+  strictEqual(second!.isFull("h1"), false);
+});
+
+test("however many hosts are full, half of a data centre takes callers", () => {
+  // Guards against a load on all hosts that leaves callers no host at all.
+  const names = ["h1", "h2", "h3", "h4", "h5"];
+  const { views, members, tell } = createFixture(names);
+  for (const view of views) tell(view.createFact(true));
+  deepStrictEqual(
+    views.map((view) => view.mayRest(members)),
+    [true, true, false, false, false],
+  );
+});
+
+test("a data centre's only host goes on", () => {
+  const { views: [only], members } = createFixture(["h1"]);
+  strictEqual(only!.mayRest(members), false);
+});
--- /dev/null
+++ b/src/entry/intake_test.ts
@@ -0,0 +1,95 @@
+import { deepStrictEqual, ok, strictEqual } from "node:assert";
+import { connect, createServer, type Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createManualClock } from "../core/mod.ts";
+import { createIntake, type IntakeState } from "./intake.ts";
+
+function createFixture() {
+  const clock = createManualClock(1_000);
+  const states: IntakeState[] = [];
+  let mayRest = true;
+  const intake = createIntake({
+    clock,
+    mayRest: () => mayRest,
+    onFull: (state) => void states.push(state),
+  });
+  return {
+    intake,
+    states,
+    forbidRest: () => void (mayRest = false),
+    /** Turns of the length given, for so long. */
+    run(turnMs: number, forMs: number): void {
+      for (let atMs = 0; atMs < forMs; atMs += turnMs) {
+        clock.advance(turnMs);
+        intake.tick();
+      }
+    },
+  };
+}
+
+test("a host whose turns stay long says that it takes no new callers", () => {
+  // Guards against a flood that keeps to one host because that host is ready.
+  const fixture = createFixture();
+  fixture.run(11, 2_000);
+  strictEqual(fixture.intake.isFull(), false);
+  fixture.run(60, 2_000);
+  strictEqual(fixture.intake.isFull(), true);
+});
+
+test("one long turn is no reason to turn callers away", () => {
+  const fixture = createFixture();
+  fixture.run(400, 400);
+  fixture.run(11, 1_000);
+  deepStrictEqual(fixture.states, []);
+});
+
+test("a host that has rested takes callers again, not before", () => {
+  // Guards against callers that go back and forth each second.
+  const fixture = createFixture();
+  fixture.run(60, 1_100);
+  fixture.run(11, 2_000);
+  strictEqual(fixture.intake.isFull(), true);
+  fixture.run(11, 2_500);
+  strictEqual(fixture.intake.isFull(), false);
+  strictEqual(fixture.states.at(-1)!.isFull, false);
+});
+
+test("a host that may not rest goes on, however long its turns are", () => {
+  const fixture = createFixture();
+  fixture.run(60, 2_000);
+  fixture.forbidRest();
+  fixture.run(60, 2_000);
+  strictEqual(fixture.intake.isFull(), false);
+});
+
+test("one connection is accepted in each turn, so turns tell of the intake", async () => {
+  // Guards against a runtime that accepts otherwise: the bound would be wrong.
+  let turn = 0;
+  let isCounting = true;
+  const count = () => {
+    turn++;
+    if (isCounting) setImmediate(count);
+  };
+  const turns: number[] = [];
+  const callers: Socket[] = [];
+  const server = createServer((socket) => {
+    turns.push(turn);
+    socket.destroy();
+  });
+  await new Promise<void>((resolve) =>
+    server.listen({ host: "127.0.0.1", port: 0, backlog: 64 }, resolve)
+  );
+  const address = server.address();
+  ok(address !== null && typeof address === "object");
+  for (let at = 0; at < 12; at++) {
+    callers.push(connect(address.port, "127.0.0.1").on("error", () => {}));
+  }
+  // All wait to be accepted before the first turn is counted.
+  count();
+  while (turns.length < callers.length) await sleep(5);
+  isCounting = false;
+  strictEqual(new Set(turns).size, turns.length);
+  for (const caller of callers) caller.destroy();
+  server.close();
+});
--- a/src/entry/loop_watch.ts
+++ b/src/entry/loop_watch.ts
@@ -8,7 +8,7 @@
  * were read five seconds after they came, and sent on after their callers had
  * left, while callers of other teams found no place to connect to. So what is
  * read late in a long turn is refused, not run, and its connection closed: the
- * caller comes back on a new one, mostly to another host.
+ * caller comes back on a new one, to another host if it uses several.
  *
  * @module
  */
