Weigh each host's limit of reading by the answers behind it

Found when reading the change that shares what hosts have learned: a host with few prompts looks at its limit seldom, so that it would have told all others its first limit, or an old one, for ever, and sixty of them would hold the limit of a large fleet there.

Change: the limit travels times the answers that it was found from; the mean is over answers.

--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -98,8 +98,8 @@
 
   /** Hosts that learned at different times would keep different limits. */
   function approachOthers(): void {
-    const { hosts, limitTokens } = host.getOthers();
-    if (hosts > 0) tokens = (tokens + limitTokens / hosts) / 2;
+    const { answers, limitTokens } = host.getOthers();
+    if (answers > MIN_ANSWERS) tokens = (tokens + limitTokens / answers) / 2;
   }
 
   function change(ceilingTokens: number): void {
@@ -133,7 +133,7 @@
       fade();
       return {
         hosts: 1,
-        limitTokens: tokens,
+        limitTokens: tokens * all,
         answers: all,
         lateAnswers: late,
       };
--- a/src/pacing/types.ts
+++ b/src/pacing/types.ts
@@ -9,7 +9,10 @@
 export interface PacingEvidence {
   /** Hosts that it adds up. */
   readonly hosts: number;
-  /** Sum of their limits by pauses, in tokens. */
+  /**
+   * Sum of their limits by pauses, in tokens, each times the answers that it was
+   * found from: a host without answers says nothing of the limit.
+   */
   readonly limitTokens: number;
   /** Answers, and those that paused past their target. */
   readonly answers: number;
