--- a/src/pacing/pacing.ts
+++ b/src/pacing/pacing.ts
@@ -7,10 +7,9 @@
  * them, and where their limits differ the host with the widest takes all of it,
  * and the teams whose callers use another get nothing.
  *
- * Load: heavy days of deployments whose engines, targets and prompts differ.
- * Gain: worth over two heavy days of 0.518 and 0.519 with a limit fixed for
- * another deployment's engines, 0.566 and 0.590 with one fixed for these; the
- * learned one comes near the better on each (docs/design/decisions.md).
+ * Load: heavy days of deployments whose engines, targets and prompts differ. Each
+ * has its own best limit, and one that is learned comes near it on all
+ * (docs/design/decisions.md).
  *
  * @module
  */
--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -49,8 +49,7 @@
 
 /**
  * Over this share of late answers the limit narrows: below it more answers are
- * lost by waiting than by pausing (worth at 5 and 12 of 100: 0.607 and 0.601 on
- * a heavy day, noise; 0.55 with no limit by pauses).
+ * lost by waiting than by pausing.
  */
 const NARROW_SHARE = 0.05;
 
--- a/src/placement/prefix_affinity.ts
+++ b/src/placement/prefix_affinity.ts
@@ -24,8 +24,8 @@
  * The part that decides: the last of those that are shared. The ones before it
  * are few and soon kept by every upstream; by the first one a kind of prompt
  * with four of them was at four upstreams of seven while others idled, and
- * fewer came in time (worth of that kind 0.75 and 0.82, measured). The last part
- * is the request's own, and decides only where it is the only one.
+ * fewer came in time. The last part is the request's own, and decides only where
+ * it is the only one.
  */
 export function getAffinityKey(
   model: string,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -133,27 +133,20 @@
 }
 
 /**
- * - 0.6 of the slots: with more in flight each answer takes so much longer
- *   that more of them come too late than are gained (worth over five heavy days
- *   2.35 with 0.6, 2.29 with 0.92; measured). The rest is also room for what
- *   hosts send in the tenth of a second before they know of each other.
+ * - A part of the slots stays free: with more in flight each answer takes longer,
+ *   and hosts send for a tenth of a second before they know of each other.
  * - Prompts that yield (of a team over its share, or sparse) leave a quarter of
- *   the slots, and half of the reading, to the others. With nothing to read beside
- *   others, chats of teams over their share starved (0.66 of their worth, not
- *   0.96); with 0.35 of the slots and 40 ms for sparse ones worth was no better.
- * - 1,400 tokens are read in 15 to 20 ms: a prompt with no more to share than that
- *   goes to the less busy of two upstreams, or of the next two.
- * - A prompt counts for three quarters of the limit at most. Counted whole, those
- *   larger than the limit started only where nothing was read, which on a heavy
- *   day is nowhere: 0.43 of the largest tenth were served, of all prompts 0.93.
- *   Counted for a half at most they displace too many others: 0.53 on time, not
- *   0.59 (emulated heavy day, ten seeds).
- * - 0.55 of the target, right before the refusal, and only to an upstream that has
- *   nothing at all to do: a shared part of 13,300 tokens is read again there for
- *   180 ms, in which every answer beside it pauses. Sent to upstreams that answered
- *   with up to 0.15 of their slots, prompts of a calm day read 0.98 million tokens
- *   again, a tenth of the answers paused too long, and the limit on reading closed.
- * - 0.6 of the target leaves an upstream the time to read the prompt.
+ *   the slots, and half of the reading, to the others. With no reading beside
+ *   others, short prompts of teams over their share would starve.
+ * - A prompt with little to share goes to the less busy of two upstreams, or of
+ *   the next two.
+ * - Counted whole, prompts larger than the limit would start only where nothing is
+ *   read, which under load is nowhere; counted for less than three quarters they
+ *   displace too many others.
+ * - A prompt goes elsewhere right before its refusal, and only to an upstream that
+ *   has nothing at all to do: a shared part that is read again there makes every
+ *   answer beside it pause.
+ * - The rest of the target leaves an upstream the time to read the prompt.
  * - After a second a queue of so short waits holds others.
  */
 export const defaultPromptQueueOptions: PromptQueueOptions = {
@@ -193,8 +186,7 @@
  * Upstreams among which the least busy gets a prompt with little to share; the
  * next so many where none of these has room. Of two one is little busy, and each
  * more keeps a copy of the shared parts, which together push longer ones out of
- * memory: of eight, 0.93 million tokens were read again on a heavy day, of two
- * 0.77 million.
+ * memory.
  */
 const LIKE_GROUP = 2;
 
