--- a/src/queue/common_room_test.ts
+++ b/src/queue/common_room_test.ts
@@ -3,45 +3,54 @@
 import { createLoadSums, createLoadView } from "../load/mod.ts";
 import { createAgenda } from "../measure/agenda.ts";
 import { createPacing } from "../pacing/mod.ts";
+import { createRandom } from "../measure/random.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPromptQueue } from "./prompt_queue.ts";
 
 const SERVICE = "model";
 const UPSTREAMS = ["upstream-0", "upstream-1"];
 const TOKENS_PER_MS = 93;
-const PROMPT_TOKENS = 2_800;
 const TARGET_MS = 800;
 const LINK_MS = 8;
 const REPORT_MS = 100;
 const TICK_MS = 10;
 const PLAYED_MS = 20_000;
 
-/** Share of a host's answers that pause past their target. */
-type LateShare = number;
+/** A team that asks for as many tokens as each other. */
+interface PlayedTeam {
+  /** Hosts that its callers use in turn. */
+  readonly hosts: readonly number[];
+}
 
 interface PlayOptions {
   /** Tokens that the teams ask for together, over what upstreams read. */
   readonly demand: number;
-  /** Of each host; one team's callers use it alone. */
-  readonly lateShares: readonly LateShare[];
+  /** Of each prompt; nothing of it is shared. */
+  readonly promptTokens: number;
+  readonly teams: readonly PlayedTeam[];
+  /** Of each host's answers, those that pause past their target. */
+  readonly lateShares: readonly number[];
 }
 
 /**
  * Hosts before two upstreams that read one prompt after the other; gives the part
- * of its tokens that each host's team got.
+ * of its tokens that each team got.
  */
 function play(options: PlayOptions): readonly number[] {
+  const { promptTokens } = options;
   const agenda = createAgenda();
   const { clock } = agenda;
+  const random = createRandom(1);
   const readUntilMs = new Map<string, number>();
+  const asked = options.teams.map(() => 0);
+  const begun = options.teams.map(() => 0);
   const peers = options.lateShares.map((_, at) => ({
     peerAddress: `host-${at}`,
     dataCentre: "one",
   }));
 
   const hosts = peers.map((self, hostAt) => {
-    let asked = 0;
-    let begun = 0;
+    let answers = 0;
     const view = createLoadView({
       clock,
       getDigest: getNameDigest,
@@ -75,7 +84,7 @@
       getShareUsed: view.getShareUsed,
       getMeanYield: view.getMeanYield,
       getLimitTokens: () => pacing.getLimitTokens(TARGET_MS),
-      random: () => 0.5,
+      random,
       onStart(prompt, upstream, readingTokens) {
         view.beginReading(upstream, readingTokens);
         view.noteBegun(prompt.team, prompt.size);
@@ -85,47 +94,55 @@
     function read(upstream: string, queuedTokens: number): void {
       const startedMs = clock.monotonicMs();
       const beginMs = Math.max(startedMs, readUntilMs.get(upstream) ?? 0);
-      const endMs = beginMs + PROMPT_TOKENS / TOKENS_PER_MS;
+      const endMs = beginMs + promptTokens / TOKENS_PER_MS;
       readUntilMs.set(upstream, endMs);
-      begun++;
-      const isLate = begun % 100 < options.lateShares[hostAt]! * 100;
+      answers++;
+      const isLate = answers % 100 < options.lateShares[hostAt]! * 100;
       agenda.after(endMs - startedMs + LINK_MS, () => {
-        view.endReading(upstream, PROMPT_TOKENS);
+        view.endReading(upstream, promptTokens);
         pacing.noteFirstEvent(queuedTokens, clock.monotonicMs() - startedMs);
         pacing.notePause(isLate);
       });
     }
 
-    function ask(): void {
-      const first = asked++ % UPSTREAMS.length;
-      const team = `team-${hostAt}`;
-      view.noteAsked(team, PROMPT_TOKENS);
-      view.noteWork(PROMPT_TOKENS, PROMPT_TOKENS);
+    function ask(teamAt: number): void {
+      const first = Math.floor(random() * UPSTREAMS.length);
+      const team = `team-${teamAt}`;
+      asked[teamAt]!++;
+      view.noteAsked(team, promptTokens);
+      view.noteWork(promptTokens, promptTokens);
       queue.add({
-        request: `${team}-${asked}`,
+        request: `${team}-${asked[teamAt]}`,
         team,
         service: SERVICE,
         arrivedMs: clock.monotonicMs(),
         targetMs: TARGET_MS,
-        size: PROMPT_TOKENS,
-        workTokens: PROMPT_TOKENS,
+        size: promptTokens,
+        workTokens: promptTokens,
         getChoices: () => [{
           upstream: UPSTREAMS[first]!,
-          readingTokens: PROMPT_TOKENS,
+          readingTokens: promptTokens,
         }],
-        start: (upstream, { queuedTokens }) => read(upstream, queuedTokens),
+        start(upstream, { queuedTokens }) {
+          begun[teamAt]!++;
+          read(upstream, queuedTokens);
+        },
         refuse: () => {},
       });
     }
 
-    return { sums, queue, ask, getServedShare: () => begun / asked };
+    return { sums, queue, ask };
   });
 
   const perMs = options.demand * TOKENS_PER_MS * UPSTREAMS.length;
-  agenda.every(PROMPT_TOKENS * hosts.length / perMs, () => {
-    for (const host of hosts) host.ask();
+  agenda.every(promptTokens * options.teams.length / perMs, () => {
+    options.teams.forEach((team, at) => {
+      hosts[team.hosts[asked[at]! % team.hosts.length]!]!.ask(at);
+    });
+  });
+  hosts.forEach((host, at) => {
+    agenda.after(at, () => agenda.every(TICK_MS, host.queue.tick));
   });
-  agenda.every(TICK_MS, () => hosts.forEach((host) => host.queue.tick()));
   agenda.every(REPORT_MS, () => {
     for (const { sums } of hosts) {
       for (const { to, report } of sums.createReports()) {
@@ -138,15 +155,40 @@
     }
   });
   agenda.runUntil(PLAYED_MS);
-  return hosts.map((host) => host.getServedShare());
+  return options.teams.map((_, at) => begun[at]! / asked[at]!);
+}
+
+function getRatio(shares: readonly number[]): number {
+  return Math.min(...shares) / Math.max(...shares);
 }
 
 test("a team whose one host sees its answers pause gets what the others get", () => {
   // Hosts that learn the limit of reading alone differ by far; the room at an
   // upstream is common, and the widest takes all of it.
   for (const demand of [1.2, 2]) {
-    const shares = play({ demand, lateShares: [0.2, 0] });
-    const ratio = Math.min(...shares) / Math.max(...shares);
-    ok(ratio >= 0.8, `${shares} at ${demand}`);
+    const shares = play({
+      demand,
+      promptTokens: 2_800,
+      teams: [{ hosts: [0] }, { hosts: [1] }],
+      lateShares: [0.2, 0],
+    });
+    ok(getRatio(shares) >= 0.8, `${shares} at ${demand}`);
+  }
+});
+
+test("a team at one host gets more than half of what one at six hosts gets", () => {
+  // Where hardly more than one prompt may be read at once, hosts race for each
+  // upstream that has read all; six win six times of seven, whoever their team is.
+  for (const promptTokens of [2_800, 8_000, 17_000]) {
+    for (const demand of [2, 4]) {
+      const shares = play({
+        demand,
+        promptTokens,
+        teams: [{ hosts: [0] }, { hosts: [1, 2, 3, 4, 5, 6] }],
+        lateShares: Array.from({ length: 7 }, () => 0.3),
+      });
+      const what = `${shares} of ${promptTokens} tokens at ${demand}`;
+      ok(getRatio(shares) > 0.5, what);
+    }
   }
 });
