Shorten the stories of tests that share what hosts learned

A test's name and one line say which failure it guards against; the stories stand in the commits that brought the tests. No check is touched.

--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -55,8 +55,7 @@
 }
 
 test("hosts count each other's requests at an upstream", () => {
-  // Two hosts see 30 of their own requests each at an upstream of 48 slots.
-  // Each would send 18 more; they would wait inside the upstream.
+  // Guards against hosts that each fill an upstream to its slots.
   const a = createView("a");
   const b = createView("b", a.clock);
   for (let at = 0; at < 30; at++) {
@@ -90,8 +89,7 @@
 });
 
 test("a team that floods one host is over its share at all of them", () => {
-  // The flood has 900 of the 920 tokens that the upstreams do in a second; the
-  // calm team asks for 200 and gets 20. Shared fairly the flood has 720.
+  // Guards against a flood that other hosts take for a calm team.
   const a = createView("a");
   const b = createView("b", a.clock);
   for (let at = 0; at < 10; at++) {
--- a/src/pacing/pacing_test.ts
+++ b/src/pacing/pacing_test.ts
@@ -33,9 +33,7 @@
 }
 
 test("the limit widens to what is read in time while no answer pauses", () => {
-  // With the limit of another deployment's engines 465 of 1,741 long prompts were
-  // refused after half a second while engines could have read twice as much; no
-  // answer had paused longer than 165 of 200 ms.
+  // Guards against long prompts refused while engines could read twice as much.
   const fixture = createFixture(0.018);
   fixture.play(15, 0);
   const inTime = (TARGET_MS * 0.75 - 100) / 0.018;
@@ -53,8 +51,7 @@
 });
 
 test("the limit narrows while answers pause too long, and recovers", () => {
-  // Engines that read 4,096 tokens of each prompt between two steps: with as much
-  // to read as is read in time, 22 of 100 answers paused past their target.
+  // Guards against answers that pause while engines read long prompts beside them.
   const fixture = createFixture(0.018);
   fixture.play(15, 0);
   const wide = fixture.getLimit();
