Let a team that lacks its share fill an upstream further

Cause: where one long prompt fills the limit of reading, a prompt starts only where nothing is read, whatever its team yields, and each host hears of the others' starts a tenth of a second late. So every host has one prompt at an upstream and hosts take turns, not teams.

Change: the limit counts for up to nine times as much to a team that asks for more than its share and was given less, in proportion to what it lacks. Ruled out: starts by chance for teams over their share (no difference).

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -154,6 +154,7 @@
       readingTokens: load.getReadingTokens(upstream),
     }),
     getShareUsed: load.getShareUsed,
+    getShareLacked: load.getShareLacked,
     getMeanYield: load.getMeanYield,
     getLimitTokens,
     random: host.random,
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -159,6 +159,7 @@
         readingTokens: view.getReadingTokens(engine),
       }),
       getShareUsed: view.getShareUsed,
+      getShareLacked: view.getShareLacked,
       getMeanYield: view.getMeanYield,
       getLimitTokens: () =>
         options.limitTokens ?? pacing.getLimitTokens(TIGHTEST_TARGET_MS),
--- a/src/queue/common_room_test.ts
+++ b/src/queue/common_room_test.ts
@@ -82,6 +82,7 @@
         readingTokens: view.getReadingTokens(upstream),
       }),
       getShareUsed: view.getShareUsed,
+      getShareLacked: view.getShareLacked,
       getMeanYield: view.getMeanYield,
       getLimitTokens: () => pacing.getLimitTokens(TARGET_MS),
       random,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -74,6 +74,8 @@
   getLoad(upstream: string): UpstreamLoad;
   /** What the team was given of late, over its fair share; 1 is the share. */
   getShareUsed(team: string): number;
+  /** What the team lacks of the share that it asks for, as a ratio. */
+  getShareLacked(team: string): number;
   /** Service for a token of work, over all prompts of late. */
   getMeanYield(): number;
   /** Tokens that an upstream of the service may have to read at once. */
@@ -199,6 +201,13 @@
  */
 const RETRY_SPREAD = 0.5;
 
+/**
+ * How much further a team that lacks its whole share may fill an upstream. Where
+ * one prompt fills it, hosts take turns there: a team whose callers use one host
+ * gets one turn, one that uses six gets six.
+ */
+const LACK_WEIGHT = 8;
+
 interface Ranked {
   readonly prompt: WaitingPrompt;
   readonly yields: 0 | 1 | 2;
@@ -226,7 +235,8 @@
     nowMs: number,
   ): Choice | undefined {
     const limit = limits[yields];
-    const limitTokens = host.getLimitTokens(prompt.service);
+    const limitTokens = host.getLimitTokens(prompt.service) *
+      (1 + LACK_WEIGHT * host.getShareLacked(prompt.team));
     const largestTokens = limitTokens * options.largestShare;
     const hasRoom = ({ upstream, readingTokens }: Choice) =>
       decideRoom(getLoad(upstream), {
