--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -230,13 +230,18 @@
   const getLoad = (upstream: string) =>
     getOrCreate(seen, upstream, () => host.getLoad(upstream));
 
+  /** What an upstream may have to read at once, as it counts for the prompt. */
+  function getLimitTokens({ service, team }: WaitingPrompt): number {
+    const lackFactor = 1 + LACK_WEIGHT * host.getShareLacked(team);
+    return host.getLimitTokens(service) * lackFactor;
+  }
+
   function tryPlace(
     { prompt, yields }: Ranked,
     nowMs: number,
   ): Choice | undefined {
     const limit = limits[yields];
-    const limitTokens = host.getLimitTokens(prompt.service) *
-      (1 + LACK_WEIGHT * host.getShareLacked(prompt.team));
+    const limitTokens = getLimitTokens(prompt);
     const largestTokens = limitTokens * options.largestShare;
     const hasRoom = ({ upstream, readingTokens }: Choice) =>
       decideRoom(getLoad(upstream), {
@@ -307,7 +312,7 @@
       waiting: waiting.size,
       yields: getYield(prompt),
       shareUsed: Number(host.getShareUsed(prompt.team).toFixed(2)),
-      limitTokens: Math.round(host.getLimitTokens(prompt.service)),
+      limitTokens: Math.round(getLimitTokens(prompt)),
       upstream,
       load: upstream === undefined ? undefined : getLoad(upstream),
     };
