--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -154,7 +154,6 @@
       readingTokens: load.getReadingTokens(upstream),
     }),
     getShareUsed: load.getShareUsed,
-    getShareLacked: load.getShareLacked,
     getMeanYield: load.getMeanYield,
     getLimitTokens,
     random: host.random,
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -104,19 +104,3 @@
   ok(b.view.getShareUsed("calm") < 1);
   deepStrictEqual(b.view.getShareUsed("nobody"), 0);
 });
-
-test("only a team that asks for more than its share lacks any of it", () => {
-  // Guards against calm teams that fill upstreams as if they starved.
-  const { clock, view } = createView("a");
-  for (let at = 0; at < 10; at++) {
-    view.noteAsked("flood", 500);
-    view.noteBegun("flood", 90);
-    view.noteAsked("starved", 500);
-    view.noteBegun("starved", 9);
-    view.noteAsked("calm", 2);
-    clock.advance(100);
-  }
-  strictEqual(view.getShareLacked("flood"), 0);
-  ok(view.getShareLacked("starved") > 0.5);
-  strictEqual(view.getShareLacked("calm"), 0);
-});
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -61,11 +61,6 @@
   getOthersLearned(service: string): PacingEvidence;
   /** What the team was given over its share, as a ratio; 1 is the share. */
   getShareUsed(team: string): number;
-  /**
-   * What the team lacks of its share, as a ratio; 0 for one that has it, or asks
-   * for no more than that.
-   */
-  getShareLacked(team: string): number;
   /** Takes in the use of another host, or of all others together. */
   receive(report: LoadReport): void;
   /** This host's own use, to be told to others. */
@@ -110,7 +105,6 @@
   const works = createRate(HALF_LIFE_MS);
   let forgotAtMs = -Infinity;
   let level = Infinity;
-  let askedByTeam: ReadonlyMap<number, number> = new Map();
   let begunByTeam: ReadonlyMap<number, number> = new Map();
   let levelAtMs = -Infinity;
 
@@ -205,15 +199,9 @@
     // What upstreams keep need not be read, so that they do more than stated.
     const capacity = Math.max(total, host.getStatedCapacity());
     level = getFairLevel([...asked.values()], capacity);
-    askedByTeam = asked;
     begunByTeam = begun;
   }
 
-  function getShareUsed(team: string): number {
-    updateLevel();
-    return (begunByTeam.get(getDigest(team)) ?? 0) / level;
-  }
-
   return {
     begin: (upstream) => void getUse(upstream).inFlight++,
     end: (upstream) => void getUse(upstream).inFlight--,
@@ -244,11 +232,9 @@
       forgetOld();
       return othersLearned.get(getDigest(service)) ?? NO_EVIDENCE;
     },
-    getShareUsed,
-    getShareLacked(team) {
-      const lacked = Math.max(0, 1 - getShareUsed(team));
-      const asksForMore = (askedByTeam.get(getDigest(team)) ?? 0) > level;
-      return asksForMore ? lacked : 0;
+    getShareUsed(team) {
+      updateLevel();
+      return (begunByTeam.get(getDigest(team)) ?? 0) / level;
     },
     receive(report) {
       const known = reports.get(report.from);
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -159,7 +159,6 @@
         readingTokens: view.getReadingTokens(engine),
       }),
       getShareUsed: view.getShareUsed,
-      getShareLacked: view.getShareLacked,
       getMeanYield: view.getMeanYield,
       getLimitTokens: () =>
         options.limitTokens ?? pacing.getLimitTokens(TIGHTEST_TARGET_MS),
--- a/src/queue/common_room_test.ts
+++ b/src/queue/common_room_test.ts
@@ -82,7 +82,6 @@
         readingTokens: view.getReadingTokens(upstream),
       }),
       getShareUsed: view.getShareUsed,
-      getShareLacked: view.getShareLacked,
       getMeanYield: view.getMeanYield,
       getLimitTokens: () => pacing.getLimitTokens(TARGET_MS),
       random,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -74,8 +74,6 @@
   getLoad(upstream: string): UpstreamLoad;
   /** What the team was given of late, over its fair share; 1 is the share. */
   getShareUsed(team: string): number;
-  /** What the team lacks of the share that it asks for, as a ratio. */
-  getShareLacked(team: string): number;
   /** Service for a token of work, over all prompts of late. */
   getMeanYield(): number;
   /** Tokens that an upstream of the service may have to read at once. */
@@ -201,13 +199,6 @@
  */
 const RETRY_SPREAD = 0.5;
 
-/**
- * How much further a team that lacks its whole share may fill an upstream. Where
- * one prompt fills it, hosts take turns there: a team whose callers use one host
- * gets one turn, one that uses six gets six.
- */
-const LACK_WEIGHT = 8;
-
 interface Ranked {
   readonly prompt: WaitingPrompt;
   readonly yields: 0 | 1 | 2;
@@ -230,18 +221,12 @@
   const getLoad = (upstream: string) =>
     getOrCreate(seen, upstream, () => host.getLoad(upstream));
 
-  /** What an upstream may have to read at once, as it counts for the prompt. */
-  function getLimitTokens({ service, team }: WaitingPrompt): number {
-    const lackFactor = 1 + LACK_WEIGHT * host.getShareLacked(team);
-    return host.getLimitTokens(service) * lackFactor;
-  }
-
   function tryPlace(
     { prompt, yields }: Ranked,
     nowMs: number,
   ): Choice | undefined {
     const limit = limits[yields];
-    const limitTokens = getLimitTokens(prompt);
+    const limitTokens = host.getLimitTokens(prompt.service);
     const largestTokens = limitTokens * options.largestShare;
     const hasRoom = ({ upstream, readingTokens }: Choice) =>
       decideRoom(getLoad(upstream), {
@@ -312,7 +297,7 @@
       waiting: waiting.size,
       yields: getYield(prompt),
       shareUsed: Number(host.getShareUsed(prompt.team).toFixed(2)),
-      limitTokens: Math.round(getLimitTokens(prompt)),
+      limitTokens: Math.round(host.getLimitTokens(prompt.service)),
       upstream,
       load: upstream === undefined ? undefined : getLoad(upstream),
     };
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -45,7 +45,6 @@
       return { slots: 48, ...getUse(upstream) };
     },
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
-    getShareLacked: () => 0,
     getMeanYield: () => 60,
     getLimitTokens: () => LIMIT_TOKENS,
     random: () => randoms.shift() ?? 0.5,
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -222,7 +222,6 @@
       nowMs: clock.monotonicMs,
       getLoad: () => ({ slots: 48, inFlight: 0, readingTokens: 0 }),
       getShareUsed: () => 0,
-      getShareLacked: () => 0,
       getMeanYield: () => 0,
       getLimitTokens: () => LIMIT_TOKENS,
       random: () => 0.5,
