Refuse by its headers what a team over its share would wait for in vain

Seen: at a host that a flood reaches, each prompt's body was read, two fibers and a timer run for it and a place in the queue kept for half a second, for the refusal that was certain before.

Change: the queue counts, by team and route, what waits at the host and how fast it starts. A team over its share is refused at once where more wait than can start in the time. The answer needs no body and no fiber. Callers, routes and keys are checked before a fiber is run as well; body, caller's leaving and time limit take one race instead of three.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -26,8 +26,13 @@
   readonly yields: 0 | 1 | 2;
   /** What the team was given of late, over its fair share. */
   readonly shareUsed: number;
+  /** Of a prompt refused before it waited: what of its kind did, and started. */
+  readonly backlog?: {
+    readonly waiting: number;
+    readonly startedPerSecond: number;
+  };
   /** Tokens that an upstream may have to read at once, for all but it. */
-  readonly limitTokens: number;
+  readonly limitTokens: number | undefined;
   /** The upstream that it waited for, and that one's load from all hosts. */
   readonly upstream: string | undefined;
   readonly load:
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -265,7 +265,7 @@
     settings.callerAddress,
     (req, res) => {
       leaving.track(res);
-      Effect.runFork(serve(forwardHost, req, res));
+      serve(forwardHost, req, res);
     },
     getBacklog(settings.processorShare),
   );
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -290,3 +290,29 @@
     "request-ended",
   ]);
 });
+
+test("what would wait in vain is refused before its body has come", async () => {
+  // Guards against a flood that takes a host's time for requests it refuses.
+  await using fixture = await createForwardFixture([answers], {
+    kind: "stream",
+    hasPrompts: true,
+  });
+  fixture.delay.inFlight = 48;
+  fixture.delay.shareUsed = 2;
+  const waiting = ["1", "2", "3", "4"].map((id) =>
+    fixture.call({ id, leaveAfterMs: 400 }).catch(() => undefined)
+  );
+  await sleep(200);
+  ok((await fixture.sendHead()).startsWith("HTTP/1.1 503 "));
+  const end = fixture.log.findLast((each) => each.event === "request-ended");
+  ok(end?.event === "request-ended");
+  deepStrictEqual([end.request, end.team, end.outcome, end.attempts], [
+    "head",
+    "fitters",
+    "not-run",
+    0,
+  ]);
+  strictEqual(end.queue?.backlog?.waiting, 4);
+  strictEqual(fixture.arrivals.length, 0);
+  await Promise.all(waiting);
+});
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -90,8 +90,7 @@
 ): Effect.Effect<Picked, Rejected> {
   const size = getSize(prompt);
   const workTokens = getWorkTokens(prompt);
-  host.load.noteAsked(call.team ?? "", size);
-  host.load.noteWork(size, workTokens);
+  noteAsked(host, call.team ?? "", prompt);
   return Effect.callback<Picked, Rejected>((resume) => {
     const waiting: WaitingPrompt = {
       request: call.headers.requestId,
@@ -99,6 +98,7 @@
       arrivedMs: host.clock.monotonicMs(),
       targetMs: Math.min(call.route.targetMs, getLeftMs(host, call)),
       service: call.service,
+      route: call.route.name,
       size,
       workTokens,
       getChoices: keepChoices(host, call, prompt),
@@ -119,6 +119,17 @@
   });
 }
 
+/** Counts a prompt in what its team asks for, however it ends. */
+export function noteAsked(
+  host: ForwardHost,
+  team: string,
+  prompt: Prompt,
+): void {
+  const size = getSize(prompt);
+  host.load.noteAsked(team, size);
+  host.load.noteWork(size, getWorkTokens(prompt));
+}
+
 /** Works the choices out anew after a while, and when upstreams change. */
 function keepChoices(
   host: ForwardHost,
@@ -202,6 +213,11 @@
 
 function toRejected(call: Call, refusal: PromptRefusal): Rejected {
   if (refusal.reason === "no-upstream") return createNoUpstream(call);
+  return toBusy(refusal);
+}
+
+/** The answer to a prompt that the queue refuses. */
+export function toBusy(refusal: PromptRefusal): Rejected {
   return new Rejected({
     status: 503,
     reason: "Upstreams are busy past the time in which the answer is on time",
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -6,40 +6,66 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
+import { CallerLost } from "../requests/caller.ts";
 import { Rejected } from "./replies.ts";
 
 /** A body that takes longer is given up, in ms; nothing has run by then. */
 const BODY_LIMIT_MS = 10_000;
 
+/** A request and its answer, as the server gives them. */
+export interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+}
+
 /** Reads up to the bytes given. */
 export function readWholeBody(
-  req: IncomingMessage,
+  { req, res }: Exchange,
   maxBytes: number,
-): Effect.Effect<Buffer, Rejected> {
-  return Effect.callback<Buffer, Rejected>((resume) => {
+): Effect.Effect<Buffer, Rejected | CallerLost> {
+  return Effect.callback<Buffer, Rejected | CallerLost>((resume) => {
     const chunks: Buffer[] = [];
     let size = 0;
-    const onData = (chunk: Buffer) => {
+
+    function finish(result: Effect.Effect<Buffer, Rejected | CallerLost>) {
+      stop();
+      resume(result);
+    }
+
+    function reject(status: 408 | 413, reason: string): void {
+      finish(Effect.fail(new Rejected({ status, reason })));
+    }
+
+    function onData(chunk: Buffer): void {
       size += chunk.length;
-      if (size > maxBytes) {
-        const reason = `The body is larger than ${maxBytes} bytes`;
-        resume(Effect.fail(new Rejected({ status: 413, reason })));
-      } else chunks.push(chunk);
-    };
-    const onEnd = () => resume(Effect.succeed(Buffer.concat(chunks)));
-    req.on("data", onData);
-    req.on("end", onEnd);
-    return Effect.sync(() => {
+      if (size <= maxBytes) chunks.push(chunk);
+      else reject(413, `The body is larger than ${maxBytes} bytes`);
+    }
+
+    function onEnd(): void {
+      finish(Effect.succeed(Buffer.concat(chunks)));
+    }
+
+    function onClose(): void {
+      finish(Effect.fail(new CallerLost({ reason: "The caller vanished" })));
+    }
+
+    function stop(): void {
+      clearTimeout(timer);
       req.off("data", onData);
       req.off("end", onEnd);
-    });
-  }).pipe(Effect.timeoutOrElse({
-    duration: BODY_LIMIT_MS,
-    orElse: () => {
-      const reason = `The body did not arrive in ${BODY_LIMIT_MS} ms`;
-      return Effect.fail(new Rejected({ status: 408, reason }));
-    },
-  }));
+      res.off("close", onClose);
+    }
+
+    const timer = setTimeout(
+      () => reject(408, `The body did not arrive in ${BODY_LIMIT_MS} ms`),
+      BODY_LIMIT_MS,
+    );
+    req.on("data", onData);
+    req.on("end", onEnd);
+    res.on("close", onClose);
+    return Effect.sync(stop);
+  });
 }
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import { getDigest } from "../core/mod.ts";
-import { type CallerLost, watchCaller } from "../requests/caller.ts";
+import { CallerLost } from "../requests/caller.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { pickService, type Route, type RouteTable } from "../routing/mod.ts";
 import {
@@ -19,7 +19,7 @@
   getLeftMs,
 } from "./call.ts";
 import { forward } from "./forward.ts";
-import { readWholeBody } from "./read_body.ts";
+import { type Exchange, readWholeBody } from "./read_body.ts";
 import {
   createNotRun,
   getOutcome,
@@ -27,6 +27,7 @@
   sendRejection,
 } from "./replies.ts";
 import { FAILED_RETRY_MS, getNoConfigRetryMs } from "./retry_after.ts";
+import { tryTurnAway } from "./turn_away.ts";
 import type { CallHeaders } from "./types.ts";
 
 /** Another host takes the request at once; this one is leaving. */
@@ -35,9 +36,11 @@
 /** And so does one that is less busy than this one. */
 const BEHIND_RETRY_MS = 200;
 
-/** What is known of a request that may have been turned away early. */
+/** What is known of a request, however far it gets. */
 interface Trail {
   headers: CallHeaders | undefined;
+  route: Route | undefined;
+  team: string | undefined;
   call: Call | undefined;
   /** Monotonic milliseconds; at the latest. */
   readonly arrivedMs: number;
@@ -45,21 +48,50 @@
   readonly isTooMuch: boolean;
 }
 
-/** Serves one request to its end; never fails. */
+/** A request whose caller and route are known; its body has not been read. */
+interface Asked {
+  readonly headers: CallHeaders;
+  readonly routes: RouteTable;
+  readonly route: Route;
+  readonly team: string | undefined;
+}
+
+/**
+ * Serves one request to its end. What its headers alone decide is answered at
+ * once; a fiber is run for the rest.
+ */
 export function serve(
   host: ForwardHost,
   req: IncomingMessage,
   res: ServerResponse,
-): Effect.Effect<void> {
+): void {
   const trail: Trail = {
     headers: undefined,
+    route: undefined,
+    team: undefined,
     call: undefined,
     arrivedMs: host.clock.monotonicMs() - host.getUnreadMs(),
     isTooMuch: host.isBehind(),
   };
-  return accept(host, trail, { req, res }).pipe(
+  const asked = identify(host, trail, req);
+  if (asked instanceof Rejected) return endRejected(host, trail, res, asked);
+  const turnedAway = tryTurnAway(host, asked);
+  if (turnedAway !== undefined) {
+    return endRejected(host, trail, res, turnedAway);
+  }
+  Effect.runFork(run(host, trail, asked, { req, res }));
+}
+
+/** Reads the request and forwards it; never fails. */
+function run(
+  host: ForwardHost,
+  trail: Trail,
+  asked: Asked,
+  exchange: Exchange,
+): Effect.Effect<void> {
+  const { res } = exchange;
+  return accept(host, trail, asked, exchange).pipe(
     Effect.flatMap((call) => forwardInTime(host, call)),
-    Effect.raceFirst(watchCaller(res)),
     Effect.flatMap(() => Effect.sync(() => logAnswered(host, trail, res))),
     Effect.catchTag(
       "Rejected",
@@ -78,34 +110,51 @@
   );
 }
 
-/** Checks the request and reads its body. */
+/** Finds who asks for which route; `trail` is told what is known. */
+function identify(
+  host: ForwardHost,
+  trail: Trail,
+  req: IncomingMessage,
+): Asked | Rejected {
+  const headers = host.codec.tryReadCall(req);
+  if (headers === undefined) {
+    return createRejected(400, "The request has no usable id");
+  }
+  trail.headers = headers;
+  const routes = host.tryGetRoutes();
+  if (routes === undefined) {
+    const retryAfterMs = getNoConfigRetryMs({
+      sinceStartMs: host.clock.monotonicMs() - host.startedMs,
+      patienceMs: headers.patienceMs,
+      random: host.random(),
+    });
+    return createNotRun("No configuration is known yet", retryAfterMs);
+  }
+  const route = routes.tryGetRoute(req.headers.host ?? "", req.url ?? "/");
+  if (route === undefined) return createRejected(404, "No route matches");
+  trail.route = route;
+  const team = headers.key === undefined
+    ? undefined
+    : routes.tryGetTeam(headers.key);
+  trail.team = team;
+  const needsTeam = routes.config.teams.length > 0 && !route.isPublic;
+  if (needsTeam && team === undefined) {
+    return createRejected(401, "The key belongs to no team");
+  }
+  return { headers, routes, route, team };
+}
+
+/** Reads the body, and checks what may have changed meanwhile. */
 function accept(
   host: ForwardHost,
   trail: Trail,
-  { req, res }: { readonly req: IncomingMessage; readonly res: ServerResponse },
-): Effect.Effect<Call, Rejected> {
+  { headers, routes, route, team }: Asked,
+  { req, res }: Exchange,
+): Effect.Effect<Call, Rejected | CallerLost> {
   return Effect.gen(function* () {
-    const headers = host.codec.tryReadCall(req);
-    if (headers === undefined) {
-      return yield* reject(400, "The request has no usable id");
-    }
-    trail.headers = headers;
-    const routes = host.tryGetRoutes();
-    if (routes === undefined) {
-      const reason = "No configuration is known yet";
-      const retryAfterMs = getNoConfigRetryMs({
-        sinceStartMs: host.clock.monotonicMs() - host.startedMs,
-        patienceMs: headers.patienceMs,
-        random: host.random(),
-      });
-      return yield* Effect.fail(createNotRun(reason, retryAfterMs));
-    }
-    const route = routes.tryGetRoute(req.headers.host ?? "", req.url ?? "/");
-    if (route === undefined) return yield* reject(404, "No route matches");
-    const team = yield* authenticate(routes, route, headers);
     const { maxBodyBytes } = routes.config.callerLimits;
-    const body = yield* readWholeBody(req, maxBodyBytes);
-    yield* takeInClose;
+    const body = yield* readWholeBody({ req, res }, maxBodyBytes);
+    yield* takeInClose(res);
     yield* checkTime(host, trail, { res, headers });
     const patienceMs = headers.patienceMs ?? route.timeoutMs;
     const call: Call = {
@@ -152,31 +201,25 @@
  * next turn, which has passed at the second callback; without the wait the
  * request would be sent on for nobody.
  */
-const takeInClose = Effect.callback<void>((resume) => {
-  let turn = setImmediate(() => {
-    turn = setImmediate(() => resume(Effect.void));
+function takeInClose(res: ServerResponse): Effect.Effect<void, CallerLost> {
+  return Effect.callback<void, CallerLost>((resume) => {
+    let turn = setImmediate(() => {
+      turn = setImmediate(() => resume(checkCaller(res)));
+    });
+    return Effect.sync(() => clearImmediate(turn));
   });
-  return Effect.sync(() => clearImmediate(turn));
-});
+}
 
-function reject(
-  status: 400 | 401 | 404,
-  reason: string,
-): Effect.Effect<never, Rejected> {
-  return Effect.fail(new Rejected({ status, reason }));
+function checkCaller(res: ServerResponse): Effect.Effect<void, CallerLost> {
+  return res.destroyed ? Effect.fail(createVanished()) : Effect.void;
 }
 
-function authenticate(
-  routes: RouteTable,
-  route: Route,
-  headers: CallHeaders,
-): Effect.Effect<string | undefined, Rejected> {
-  if (routes.config.teams.length === 0) return Effect.succeed(undefined);
-  const team = headers.key === undefined
-    ? undefined
-    : routes.tryGetTeam(headers.key);
-  if (team !== undefined || route.isPublic) return Effect.succeed(team);
-  return reject(401, "The key belongs to no team");
+function createVanished(): CallerLost {
+  return new CallerLost({ reason: "The caller vanished" });
+}
+
+function createRejected(status: 400 | 401 | 404, reason: string): Rejected {
+  return new Rejected({ status, reason });
 }
 
 /** What is known to be unservable is refused before it waits. */
@@ -216,12 +259,30 @@
   host: ForwardHost,
   call: Call,
 ): Effect.Effect<void, Rejected | CallerLost> {
-  return forward(host, call).pipe(
-    Effect.timeoutOrElse({
-      duration: Math.max(0, getLeftMs(host, call)),
-      orElse: () => Effect.fail(createTimeLimit(call)),
-    }),
-  );
+  return forward(host, call).pipe(Effect.raceFirst(watchEnd(host, call)));
+}
+
+/** Fails when the caller leaves or the time is over; never succeeds. */
+function watchEnd(
+  host: ForwardHost,
+  call: Call,
+): Effect.Effect<never, Rejected | CallerLost> {
+  const { res } = call;
+  return Effect.callback<never, Rejected | CallerLost>((resume) => {
+    const onClose = () => {
+      if (!res.writableFinished) resume(Effect.fail(createVanished()));
+    };
+    if (res.destroyed) onClose();
+    res.on("close", onClose);
+    const timer = setTimeout(
+      () => resume(Effect.fail(createTimeLimit(call))),
+      Math.max(0, getLeftMs(host, call)),
+    );
+    return Effect.sync(() => {
+      clearTimeout(timer);
+      res.off("close", onClose);
+    });
+  });
 }
 
 function createTimeLimit(call: Call): Rejected {
@@ -291,13 +352,13 @@
 }
 
 function logEnd(host: ForwardHost, trail: Trail, end: End): void {
-  const { call, headers } = trail;
+  const { call, headers, route, team } = trail;
   const totalMs = Math.round(host.clock.monotonicMs() - trail.arrivedMs);
   host.log({
     event: "request-ended",
     request: headers?.requestId ?? "",
-    team: call?.team,
-    route: call?.route.name,
+    team,
+    route: route?.name,
     outcome: end.outcome,
     status: end.status,
     reason: end.reason,
@@ -312,7 +373,7 @@
     inputs: host.getInputs(),
   });
   host.onEnded({
-    route: call?.route.name,
+    route: route?.name,
     outcome: end.outcome,
     status: end.status,
     totalMs,
--- a/src/load/mod.ts
+++ b/src/load/mod.ts
@@ -6,5 +6,6 @@
 
 export * from "./load_sums.ts";
 export * from "./load_view.ts";
+export * from "./rate.ts";
 export * from "./team_shares.ts";
 export * from "./types.ts";
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -22,6 +22,7 @@
   createPromptQueue,
   type PromptQueue,
   type PromptQueueOptions,
+  type PromptRefusal,
   type StartedReading,
 } from "../queue/mod.ts";
 import {
@@ -197,6 +198,12 @@
     const workTokens = getWorkTokens(prompt);
     view.noteAsked(req.team, size);
     view.noteWork(size, workTokens);
+    const early = queue.tryRefuseEarly({
+      team: req.team,
+      route: kind.name,
+      targetMs: kind.targetMs,
+    });
+    if (early !== undefined) return comeBack(req, early);
     const wholeReading = getReading(prompt.promptTokens, 0);
     const choices = rankByRendezvous(req.part, engineIds)
       .map((upstream, at) => ({
@@ -209,18 +216,20 @@
       arrivedMs: nowMs(),
       targetMs: kind.targetMs,
       service: SERVICE,
+      route: kind.name,
       size,
       workTokens,
       getChoices: () => choices,
       start: (engine, reading) => run(req, host, engine, reading),
-      refuse({ retryAfterMs }) {
-        if (req.tries < MAX_TRIES) {
-          runAt(nowMs() + retryAfterMs, () => send(req));
-        }
-      },
+      refuse: (refusal) => comeBack(req, refusal),
     });
   }
 
+  function comeBack(req: Meant, { retryAfterMs }: PromptRefusal): void {
+    if (req.tries >= MAX_TRIES) return;
+    runAt(nowMs() + retryAfterMs, () => send(req));
+  }
+
   function run(
     req: Meant,
     { view, pacing }: Host,
--- a/src/queue/common_room_test.ts
+++ b/src/queue/common_room_test.ts
@@ -115,6 +115,7 @@
         request: `${team}-${asked[teamAt]}`,
         team,
         service: SERVICE,
+        route: "drafts",
         arrivedMs: clock.monotonicMs(),
         targetMs: TARGET_MS,
         size: promptTokens,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -23,12 +23,15 @@
 import { getOrCreate } from "../core/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { FREE_TOKENS } from "../placement/mod.ts";
+import { createBacklogs, isInVain } from "./backlog.ts";
 
 /** A prompt that waits. */
 export interface WaitingPrompt {
   readonly request: string;
   readonly team: string;
   readonly service: string;
+  /** Name of its route; prompts of one route are alike. */
+  readonly route: string;
   /** Monotonic milliseconds. */
   readonly arrivedMs: number;
   /** Time to the first event that is on time, in ms. */
@@ -45,6 +48,9 @@
   refuse(refusal: PromptRefusal): void;
 }
 
+/** What is known of a prompt before its request has been read. */
+export type NewPrompt = Pick<WaitingPrompt, "team" | "route" | "targetMs">;
+
 /** What an upstream reads from the start of a prompt on, in tokens. */
 export interface StartedReading {
   /** Of the prompt itself. */
@@ -62,7 +68,7 @@
 
 /** Why a prompt is refused, and when to come back. */
 export interface PromptRefusal {
-  readonly reason: "late" | "no-upstream";
+  readonly reason: "late" | "in-vain" | "no-upstream";
   readonly retryAfterMs: number;
   readonly inputs: QueueInputs;
 }
@@ -167,6 +173,11 @@
   add(prompt: WaitingPrompt): void;
   /** Takes out a prompt whose caller left; false when it had left already. */
   remove(prompt: WaitingPrompt): boolean;
+  /**
+   * The refusal of a prompt that would wait in vain, before it is added;
+   * `undefined` for one that may be added.
+   */
+  tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined;
   /**
    * Looks at all that wait. Called by the clock alone, and not at each change of
    * load: before 42 upstreams and 22 other hosts a look takes milliseconds, and
@@ -210,6 +221,7 @@
   options: PromptQueueOptions = defaultPromptQueueOptions,
 ): PromptQueue {
   const waiting = new Set<WaitingPrompt>();
+  const backlogs = createBacklogs(host.nowMs);
   /** Loads seen in the present look; asked once each, not by every prompt. */
   const seen = new Map<string, UpstreamLoad>();
   const limits = [
@@ -255,8 +267,15 @@
     return readingTokens <= 0 && inFlight <= 0;
   }
 
+  /** Takes a prompt out; false when it had left already. */
+  function takeOut(prompt: WaitingPrompt, isStarted: boolean): boolean {
+    if (!waiting.delete(prompt)) return false;
+    backlogs.noteLeft(prompt, isStarted);
+    return true;
+  }
+
   function start(prompt: WaitingPrompt, choice: Choice): void {
-    waiting.delete(prompt);
+    takeOut(prompt, true);
     const { upstream, readingTokens } = choice;
     const queuedTokens = getLoad(upstream).readingTokens + readingTokens;
     host.onStart(prompt, upstream, readingTokens);
@@ -305,10 +324,38 @@
 
   function refuse(prompt: WaitingPrompt, reason: PromptRefusal["reason"]) {
     const inputs = getRefusalInputs(prompt);
-    waiting.delete(prompt);
-    const retryAfterMs = options.retryAfterMs *
-      (1 + RETRY_SPREAD * (host.random() - 0.5));
-    prompt.refuse({ reason, retryAfterMs, inputs });
+    takeOut(prompt, false);
+    prompt.refuse({ reason, retryAfterMs: getRetryAfterMs(), inputs });
+  }
+
+  function getRetryAfterMs(): number {
+    return options.retryAfterMs * (1 + RETRY_SPREAD * (host.random() - 0.5));
+  }
+
+  /** Only for teams over their share: what others ask for is owed to them. */
+  function tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined {
+    const { team, targetMs } = prompt;
+    const shareUsed = host.getShareUsed(team);
+    if (shareUsed <= 1) return undefined;
+    const backlog = backlogs.getBacklog(prompt);
+    if (!isInVain(backlog, targetMs * options.refuseShare)) return undefined;
+    return {
+      reason: "in-vain",
+      retryAfterMs: getRetryAfterMs(),
+      inputs: {
+        waitedMs: 0,
+        waiting: waiting.size,
+        yields: 2,
+        shareUsed: Number(shareUsed.toFixed(2)),
+        backlog: {
+          waiting: backlog.waiting,
+          startedPerSecond: Number(backlog.startedPerSecond.toFixed(1)),
+        },
+        limitTokens: undefined,
+        upstream: undefined,
+        load: undefined,
+      },
+    };
   }
 
   function refuseLate(): void {
@@ -325,13 +372,15 @@
       // Behind others it takes its turn at the next look.
       const isFirst = waiting.size === 0;
       waiting.add(prompt);
+      backlogs.noteAdded(prompt);
       if (isFirst) startAll();
       // Known to be unservable: nothing is gained by keeping it.
       if (waiting.has(prompt) && prompt.getChoices().length === 0) {
         refuse(prompt, "no-upstream");
       }
     },
-    remove: (prompt) => waiting.delete(prompt),
+    remove: (prompt) => takeOut(prompt, false),
+    tryRefuseEarly,
     tick() {
       startAll();
       refuseLate();
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -64,6 +64,7 @@
       request,
       team,
       service: "model",
+      route: "drafts",
       arrivedMs: nowMs,
       targetMs: 800,
       size: workTokens * serviceYield,
@@ -310,6 +311,35 @@
   deepStrictEqual(fixture.log, ["calm-1 to a"]);
 });
 
+test("a team over its share is refused at once what would wait in vain", () => {
+  // Guards against a flood whose prompts wait for half a second for a refusal.
+  const fixture = createFixture();
+  const asked = { team: "flood", route: "drafts", targetMs: 800 };
+  fixture.getUse("a").inFlight = 48;
+  for (let at = 0; at < 4; at++) fixture.add({ team: "flood", ranked: ["a"] });
+  strictEqual(fixture.queue.tryRefuseEarly(asked), undefined);
+  fixture.overShare.add("flood");
+  strictEqual(fixture.queue.tryRefuseEarly(asked)?.reason, "in-vain");
+  const other = { ...asked, route: "chats" };
+  strictEqual(fixture.queue.tryRefuseEarly(other), undefined);
+});
+
+test("as many may wait as start in the time, and more", () => {
+  // Guards against refusals where upstreams would have had room.
+  const fixture = createFixture();
+  const asked = { team: "flood", route: "drafts", targetMs: 800 };
+  fixture.overShare.add("flood");
+  for (let at = 0; at < 40; at++) {
+    fixture.add({ team: "flood", readingTokens: 100, ranked: ["a"] });
+    fixture.getUse("a").inFlight = 0;
+    fixture.getUse("a").readingTokens = 0;
+    fixture.advance(10);
+  }
+  fixture.getUse("a").inFlight = 48;
+  for (let at = 0; at < 10; at++) fixture.add({ team: "flood", ranked: ["a"] });
+  strictEqual(fixture.queue.tryRefuseEarly(asked), undefined);
+});
+
 test("a long queue before many upstreams is looked at in little time", () => {
   // At 23 hosts and 42 upstreams, two thousand looks at the load for each look
   // at the queue made hosts fall seconds behind: requests were sent on after
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -8,7 +8,6 @@
 import { Buffer } from "node:buffer";
 import { type IncomingHttpHeaders, request } from "node:http";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
-import * as Effect from "effect/Effect";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
@@ -52,6 +51,8 @@
 export interface ForwardFixture extends AsyncDisposable {
   /** Sends a request and waits for its end. */
   call(options?: CallOptions): Promise<CallerAnswer>;
+  /** Sends a request's head alone; gives what comes first of the answer. */
+  sendHead(): Promise<string>;
   /** Sends a request and closes without a moment between. */
   sendAndClose(): Promise<void>;
   /** Reading that counts at the first upstream, in tokens. */
@@ -71,10 +72,14 @@
   readonly pauses: boolean[];
 }
 
-/** How far the host is behind; set by tests. */
+/** How busy host and upstreams are; set by tests. */
 export interface Delay {
   isBehind: boolean;
   unreadMs: number;
+  /** Requests in flight at each upstream. */
+  inFlight: number;
+  /** What each team was given, over its share. */
+  shareUsed: number;
 }
 
 /** A request of the caller. */
@@ -156,7 +161,12 @@
   );
   const route = createRoute({ hasPrompts: false, ...routeChanges });
   const routes = createRouteTable(createRoutingConfig({ routes: [route] }));
-  const delay: Delay = { isBehind: false, unreadMs: 0 };
+  const delay: Delay = {
+    isBehind: false,
+    unreadMs: 0,
+    inFlight: 0,
+    shareUsed: 0,
+  };
   const paced: Paced = { firstEvents: [], pauses: [] };
   const host = createHost(directory, {
     delay,
@@ -166,7 +176,7 @@
   });
   const callers = await listen(
     "127.0.0.1:0",
-    (req, res) => void Effect.runFork(serve(host, req, res)),
+    (req, res) => serve(host, req, res),
   );
   const { port } = callers.server.address() as AddressInfo;
 
@@ -176,6 +186,7 @@
     delay,
     paced,
     call: (options = {}) => send(port, options),
+    sendHead: () => sendHead(port),
     sendAndClose: () => sendAndClose(port),
     getReadingTokens: () => host.load.getReadingTokens("up-0"),
     async [Symbol.asyncDispose]() {
@@ -220,8 +231,12 @@
     getPacing: () => pacing,
     queue: createPromptQueue({
       nowMs: clock.monotonicMs,
-      getLoad: () => ({ slots: 48, inFlight: 0, readingTokens: 0 }),
-      getShareUsed: () => 0,
+      getLoad: () => ({
+        slots: 48,
+        inFlight: parts.delay.inFlight,
+        readingTokens: 0,
+      }),
+      getShareUsed: () => parts.delay.shareUsed,
       getMeanYield: () => 0,
       getLimitTokens: () => LIMIT_TOKENS,
       random: () => 0.5,
@@ -285,6 +300,21 @@
   });
 }
 
+function sendHead(port: number): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", reject);
+    socket.once("data", (bytes) => {
+      socket.destroy();
+      resolve(bytes.toString("latin1"));
+    });
+    socket.write(
+      "POST /drafts/1 HTTP/1.1\r\nhost: model.example\r\n" +
+        "x-id: head\r\nx-key: key-of-fitters\r\ncontent-length: 2\r\n\r\n",
+    );
+  });
+}
+
 function send(port: number, options: CallOptions): Promise<CallerAnswer> {
   const { id = "request-1", body = "{}", key = "key-of-fitters" } = options;
   return new Promise((resolve, reject) => {
