Leave an upstream to teams that lack, whichever host they wait at

Where one prompt fills what an upstream may have to read, it starts where nothing is read, and hosts race for that moment; each sees the others' starts a tenth of a second late. So hosts take turns, not teams: one at one host has a seventh of them.

Change: each host knows what every team asks and is given over the fleet. One that is given under three quarters of what the best served is, though it asks for more, lacks. Hosts tell in their reports of load how many prompts of such teams wait for each upstream. A team over its share that doesn't lack itself starts nothing there meanwhile.

The comparison with the earlier policy of the queue switches both new mechanisms off for that policy, which had neither.

--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -19,6 +19,7 @@
 import { REPORT_KEEP_MS } from "./load_sums.ts";
 import { createRate, type Rate } from "./rate.ts";
 import { getFairLevel } from "./team_shares.ts";
+import { addUse, createUse, isUsed, type Use } from "./use.ts";
 import type {
   LearnedOfService,
   LoadContent,
@@ -61,6 +62,12 @@
   getOthersLearned(service: string): PacingEvidence;
   /** What the team was given over its share, as a ratio; 1 is the share. */
   getShareUsed(team: string): number;
+  /** Whether the team is given far less than others, and asks for more. */
+  isLacking(team: string): boolean;
+  /** Prompts of lacking teams that wait at this host, by upstream. */
+  setLacking(waiting: ReadonlyMap<string, number>): void;
+  /** Those that wait at other hosts for the upstream. */
+  getLackingElsewhere(upstream: string): number;
   /** Takes in the use of another host, or of all others together. */
   receive(report: LoadReport): void;
   /** This host's own use, to be told to others. */
@@ -76,12 +83,13 @@
 /** The level is worked out anew after so long, in ms. */
 const LEVEL_KEEP_MS = 50;
 
-interface Use {
-  inFlight: number;
-  readingTokens: number;
-}
+/**
+ * A team lacks that is given less than this share of what the best served is
+ * given, though it asks for more.
+ */
+const LACK_SHARE = 0.75;
 
-const NO_USE: Use = { inFlight: 0, readingTokens: 0 };
+const NO_USE: Readonly<Use> = createUse();
 
 interface HeardReport {
   readonly report: LoadReport;
@@ -105,15 +113,13 @@
   const works = createRate(HALF_LIFE_MS);
   let forgotAtMs = -Infinity;
   let level = Infinity;
+  let askedByTeam: ReadonlyMap<number, number> = new Map();
   let begunByTeam: ReadonlyMap<number, number> = new Map();
+  let mostBegun = 0;
   let levelAtMs = -Infinity;
 
   function getUse(upstream: string): Use {
-    return getOrCreate(
-      uses,
-      getDigest(upstream),
-      () => ({ inFlight: 0, readingTokens: 0 }),
-    );
+    return getOrCreate(uses, getDigest(upstream), createUse);
   }
 
   function getTeam(team: string): TeamRates {
@@ -125,14 +131,8 @@
 
   /** Adds a report to the sums over all other hosts, or takes it out again. */
   function count(report: LoadReport, sign: 1 | -1): void {
-    for (const { upstream, inFlight, readingTokens } of report.upstreams) {
-      const use = getOrCreate(
-        othersUse,
-        upstream,
-        () => ({ inFlight: 0, readingTokens: 0 }),
-      );
-      use.inFlight += sign * inFlight;
-      use.readingTokens += sign * readingTokens;
+    for (const each of report.upstreams) {
+      addUse(getOrCreate(othersUse, each.upstream, createUse), each, sign);
     }
     for (const learned of report.learned) {
       const known = othersLearned.get(learned.service) ?? NO_EVIDENCE;
@@ -168,7 +168,7 @@
     }
   }
 
-  function getOthers(upstream: string): Use {
+  function getOthers(upstream: string): Readonly<Use> {
     forgetOld();
     return othersUse.get(getDigest(upstream)) ?? NO_USE;
   }
@@ -199,7 +199,9 @@
     // What upstreams keep need not be read, so that they do more than stated.
     const capacity = Math.max(total, host.getStatedCapacity());
     level = getFairLevel([...asked.values()], capacity);
+    askedByTeam = asked;
     begunByTeam = begun;
+    mostBegun = Math.max(0, ...begun.values());
   }
 
   return {
@@ -236,6 +238,20 @@
       updateLevel();
       return (begunByTeam.get(getDigest(team)) ?? 0) / level;
     },
+    isLacking(team) {
+      updateLevel();
+      const digest = getDigest(team);
+      const begun = begunByTeam.get(digest) ?? 0;
+      const due = Math.min(askedByTeam.get(digest) ?? 0, mostBegun);
+      return begun < due * LACK_SHARE;
+    },
+    setLacking(waiting) {
+      for (const use of uses.values()) use.lacking = 0;
+      for (const [upstream, prompts] of waiting) {
+        getUse(upstream).lacking = prompts;
+      }
+    },
+    getLackingElsewhere: (upstream) => getOthers(upstream).lacking,
     receive(report) {
       const known = reports.get(report.from);
       const isOlder = known !== undefined &&
@@ -251,9 +267,8 @@
     createUse() {
       const upstreams: UpstreamUse[] = [];
       for (const [upstream, use] of uses) {
-        if (use.inFlight > 0 || use.readingTokens > 0) {
-          upstreams.push({ upstream, ...use });
-        } else uses.delete(upstream);
+        if (isUsed(use)) upstreams.push({ upstream, ...use });
+        else uses.delete(upstream);
       }
       const used = getOwnTeams().filter((each) => each.asked > 0);
       return { upstreams, teams: used, learned: host.getLearned() };
--- a/src/load/report_sums.ts
+++ b/src/load/report_sums.ts
@@ -6,6 +6,7 @@
 
 import { getOrCreate } from "../core/mod.ts";
 import { addEvidence, NO_EVIDENCE } from "../pacing/mod.ts";
+import { addUse, createUse, isUsed } from "./use.ts";
 import type {
   LearnedOfService,
   LoadContent,
@@ -37,14 +38,13 @@
   const teams = new Map<number, Mutable<TeamUse>>();
   const learned = new Map<number, LearnedOfService>();
   for (const { report, sign } of all) {
-    for (const { upstream, inFlight, readingTokens } of report.upstreams) {
+    for (const each of report.upstreams) {
+      const { upstream } = each;
       const use = getOrCreate(upstreams, upstream, () => ({
         upstream,
-        inFlight: 0,
-        readingTokens: 0,
+        ...createUse(),
       }));
-      use.inFlight += sign * inFlight;
-      use.readingTokens += sign * readingTokens;
+      addUse(use, each, sign);
     }
     for (const { team, asked, begun } of report.teams) {
       const use = getOrCreate(teams, team, () => ({
@@ -63,7 +63,7 @@
   }
   return {
     upstreams: [...upstreams.values()]
-      .filter((each) => each.inFlight > 0 || each.readingTokens > 0),
+      .filter(isUsed),
     teams: [...teams.values()].filter((each) => each.asked > 0),
     learned: [...learned.values()].filter((each) => each.hosts > 0),
   };
--- /dev/null
+++ b/src/load/use.ts
@@ -0,0 +1,29 @@
+/**
+ * What is used of one upstream, as sums that grow and shrink.
+ *
+ * @module
+ */
+
+import type { UpstreamUse } from "./types.ts";
+
+/** The use of an upstream, whichever it is. */
+export type Use = {
+  -readonly [Key in Exclude<keyof UpstreamUse, "upstream">]: UpstreamUse[Key];
+};
+
+/** No use. */
+export function createUse(): Use {
+  return { inFlight: 0, readingTokens: 0, lacking: 0 };
+}
+
+/** Adds the second to the first, or with a sign of -1 takes it out. */
+export function addUse(use: Use, other: Readonly<Use>, sign: 1 | -1): void {
+  use.inFlight += sign * other.inFlight;
+  use.readingTokens += sign * other.readingTokens;
+  use.lacking += sign * other.lacking;
+}
+
+/** Whether anything of it is above zero. */
+export function isUsed(use: Readonly<Use>): boolean {
+  return use.inFlight > 0 || use.readingTokens > 0 || use.lacking > 0;
+}
--- a/src/measure/prompt_load.ts
+++ b/src/measure/prompt_load.ts
@@ -66,6 +66,8 @@
   queue: {
     ...countedByOneSheet.queue,
     spillShare: 0.25,
+    refusesEarly: false,
+    givesWay: false,
     compare: compareOldestFirst,
   },
   limitTokens: 300,
@@ -100,6 +102,14 @@
     ...ours,
     queue: { ...defaultPromptQueueOptions, spillShare: Infinity },
   },
+  never_refused_early: {
+    ...ours,
+    queue: { ...defaultPromptQueueOptions, refusesEarly: false },
+  },
+  nothing_left_to_lacking: {
+    ...ours,
+    queue: { ...defaultPromptQueueOptions, givesWay: false },
+  },
   all_slots: {
     ...ours,
     queue: {
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -158,8 +158,11 @@
         slots: options.engine.slots,
         inFlight: view.getInFlight(engine),
         readingTokens: view.getReadingTokens(engine),
+        lackingElsewhere: view.getLackingElsewhere(engine),
       }),
       getShareUsed: view.getShareUsed,
+      isLacking: view.isLacking,
+      onLackingWaiting: view.setLacking,
       getMeanYield: view.getMeanYield,
       getLimitTokens: () =>
         options.limitTokens ?? pacing.getLimitTokens(TIGHTEST_TARGET_MS),
--- /dev/null
+++ b/src/peers/load_codec_test.ts
@@ -0,0 +1,27 @@
+import { deepStrictEqual } from "node:assert";
+import { test } from "node:test";
+import type { UpstreamUse } from "../load/types.ts";
+import { createLoadCodec } from "./load_codec.ts";
+
+test("each count of an upstream's use reaches the other hosts", () => {
+  const codec = createLoadCodec("secret");
+  const use: UpstreamUse = {
+    upstream: 7,
+    inFlight: 1,
+    readingTokens: 2,
+    lacking: 3,
+  };
+  const bytes = codec.encode({
+    from: "host-1",
+    sequence: 1,
+    upstreams: [use],
+    teams: [],
+    learned: [],
+    scope: "host",
+    dataCentre: "one",
+    included: [],
+  });
+  const [decoded] = codec.tryDecode(bytes)?.upstreams ?? [];
+  const { upstream, inFlight, readingTokens, lacking } = decoded!;
+  deepStrictEqual({ upstream, inFlight, readingTokens, lacking }, use);
+});
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -11,6 +11,9 @@
  *   than a share of its slots; the rest waits here.
  * - A team that floods would stand before all others. So a team that has had
  *   more than its share goes last, and leaves a part of each upstream free.
+ * - Where one prompt fills an upstream, hosts take turns there and not teams, so
+ *   that a team with one host gets the least. So a team over its share starts
+ *   nothing where a prompt of a team that lacks waits at another host.
  * - A request that waits past its use holds the place of one that could still
  *   be on time. So the newest go first, and one is refused as soon as it is too
  *   late, with when to come back.
@@ -80,6 +83,10 @@
   getLoad(upstream: string): UpstreamLoad;
   /** What the team was given of late, over its fair share; 1 is the share. */
   getShareUsed(team: string): number;
+  /** Whether the team is given far less than others, and asks for more. */
+  isLacking(team: string): boolean;
+  /** Told at each look, by the upstream that they wait for. */
+  onLackingWaiting(prompts: ReadonlyMap<string, number>): void;
   /** Service for a token of work, over all prompts of late. */
   getMeanYield(): number;
   /** Tokens that an upstream of the service may have to read at once. */
@@ -97,6 +104,8 @@
   readonly inFlight: number;
   /** What is being read there, in tokens, attention counted. */
   readonly readingTokens: number;
+  /** Prompts of teams that lack, waiting for it at other hosts. */
+  readonly lackingElsewhere: number;
 }
 
 /** Limits of the queue. */
@@ -119,6 +128,10 @@
   /** And is refused after this share of it. */
   readonly refuseShare: number;
   readonly retryAfterMs: number;
+  /** Whether prompts of teams over their share that wait in vain are refused. */
+  readonly refusesEarly: boolean;
+  /** Whether teams over their share leave upstreams to teams that lack. */
+  readonly givesWay: boolean;
   /** Order of those that yield alike. */
   readonly compare: (a: WaitingPrompt, b: WaitingPrompt) => number;
 }
@@ -164,6 +177,8 @@
   spillShare: 0.55,
   refuseShare: 0.6,
   retryAfterMs: 1_000,
+  refusesEarly: true,
+  givesWay: true,
   compare: compareNewestFirst,
 };
 
@@ -240,11 +255,14 @@
     const limit = limits[yields];
     const limitTokens = host.getLimitTokens(prompt.service);
     const largestTokens = limitTokens * options.largestShare;
+    const givesWay = options.givesWay && yields === 2 &&
+      !host.isLacking(prompt.team);
     const hasRoom = ({ upstream, readingTokens }: Choice) =>
       decideRoom(getLoad(upstream), {
         readingTokens: Math.min(readingTokens, largestTokens),
         slotShare: limit.slotShare,
         limitTokens: limitTokens * limit.readingShare,
+        givesWay,
       });
     const choices = prompt.getChoices();
     const [first] = choices;
@@ -309,6 +327,17 @@
     }
   }
 
+  /** Other hosts leave the upstreams to these. */
+  function tellLacking(): void {
+    const prompts = new Map<string, number>();
+    for (const prompt of waiting) {
+      const first = prompt.getChoices()[0]?.upstream;
+      if (first === undefined || !host.isLacking(prompt.team)) continue;
+      prompts.set(first, (prompts.get(first) ?? 0) + 1);
+    }
+    host.onLackingWaiting(prompts);
+  }
+
   function getRefusalInputs(prompt: WaitingPrompt): QueueInputs {
     const upstream = prompt.getChoices()[0]?.upstream;
     return {
@@ -334,6 +363,7 @@
 
   /** Only for teams over their share: what others ask for is owed to them. */
   function tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined {
+    if (!options.refusesEarly) return undefined;
     const { team, targetMs } = prompt;
     const shareUsed = host.getShareUsed(team);
     if (shareUsed <= 1) return undefined;
@@ -384,6 +414,7 @@
     tick() {
       startAll();
       refuseLate();
+      tellLacking();
     },
     getCount: () => waiting.size,
   };
@@ -422,11 +453,14 @@
   readonly slotShare: number;
   /** What may be read at the upstream at once. */
   readonly limitTokens: number;
+  /** It leaves the upstream to prompts of teams that lack. */
+  readonly givesWay: boolean;
 }
 
 /** Whether an upstream has room for a prompt. */
 export function decideRoom(load: UpstreamLoad, need: Need): boolean {
   if (load.inFlight >= load.slots * need.slotShare) return false;
+  if (need.givesWay && load.lackingElsewhere > 0) return false;
   // A prompt that counts for more than the limit starts where nothing is read.
   if (load.readingTokens <= 0) return true;
   return load.readingTokens + need.readingTokens <= need.limitTokens;
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -32,6 +32,10 @@
   let looks = 0;
   const loads = new Map<string, { inFlight: number; readingTokens: number }>();
   const overShare = new Set<string>();
+  const lackingTeams = new Set<string>();
+  /** Prompts of lacking teams at other hosts, by upstream. */
+  const lacking = new Map<string, number>();
+  const told: Readonly<Record<string, number>>[] = [];
   const log: string[] = [];
   const randoms: number[] = [];
   const retryAfterMs: number[] = [];
@@ -42,8 +46,11 @@
     nowMs: () => nowMs,
     getLoad(upstream) {
       looks++;
-      return { slots: 48, ...getUse(upstream) };
+      const lackingElsewhere = lacking.get(upstream) ?? 0;
+      return { slots: 48, ...getUse(upstream), lackingElsewhere };
     },
+    isLacking: (team) => lackingTeams.has(team),
+    onLackingWaiting: (prompts) => void told.push(Object.fromEntries(prompts)),
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getMeanYield: () => 60,
     getLimitTokens: () => LIMIT_TOKENS,
@@ -94,6 +101,9 @@
     log,
     add,
     overShare,
+    lackingTeams,
+    lacking,
+    told,
     randoms,
     retryAfterMs,
     refusals,
@@ -218,7 +228,12 @@
     waitedMs: 480,
     limitTokens: LIMIT_TOKENS,
     upstream: "a",
-    load: { slots: 48, inFlight: 30, readingTokens: 14_000 },
+    load: {
+      slots: 48,
+      inFlight: 30,
+      readingTokens: 14_000,
+      lackingElsewhere: 0,
+    },
   };
   deepStrictEqual(fixture.refusals, [
     { ...seen, waiting: 2, yields: 2, shareUsed: 2 },
@@ -291,8 +306,18 @@
 });
 
 test("a prompt that counts for more than the limit starts where nothing is read", () => {
-  const idle = { slots: 48, inFlight: 10, readingTokens: 0 };
-  const need = { readingTokens: 100_000, slotShare: 0.6, limitTokens: 15_000 };
+  const idle = {
+    slots: 48,
+    inFlight: 10,
+    readingTokens: 0,
+    lackingElsewhere: 0,
+  };
+  const need = {
+    readingTokens: 100_000,
+    slotShare: 0.6,
+    limitTokens: 15_000,
+    givesWay: false,
+  };
   strictEqual(decideRoom(idle, need), true);
   strictEqual(decideRoom({ ...idle, readingTokens: 1_200 }, need), false);
   const busy = { ...idle, readingTokens: 15_000 };
@@ -311,6 +336,43 @@
   deepStrictEqual(fixture.log, ["calm-1 to a"]);
 });
 
+test("a team over its share leaves an upstream to teams that lack", () => {
+  // Guards against a team with one host that never gets a turn at an upstream.
+  const fixture = createFixture();
+  fixture.overShare.add("flood");
+  fixture.lacking.set("a", 1);
+  fixture.add({ team: "flood", ranked: ["a"] });
+  deepStrictEqual(fixture.log, []);
+  fixture.add({ ranked: ["a"] });
+  deepStrictEqual(fixture.log, ["calm-2 to a"]);
+  fixture.getUse("a").readingTokens = 0;
+  fixture.lacking.clear();
+  fixture.queue.tick();
+  strictEqual(fixture.log.at(-1), "flood-1 to a");
+});
+
+test("two teams that lack do not wait for each other", () => {
+  // Guards against upstreams that idle since each host leaves them to the other.
+  const fixture = createFixture();
+  for (const set of [fixture.overShare, fixture.lackingTeams]) set.add("poor");
+  fixture.lacking.set("a", 1);
+  fixture.add({ team: "poor", ranked: ["a"] });
+  deepStrictEqual(fixture.log, ["poor-1 to a"]);
+});
+
+test("other hosts are told of the waiting prompts of teams that lack", () => {
+  const fixture = createFixture();
+  fixture.lackingTeams.add("poor");
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ team: "poor", ranked: ["a"] });
+  fixture.add({ team: "poor", ranked: ["a"] });
+  fixture.add({ ranked: ["a"] });
+  deepStrictEqual(fixture.told.at(-1), { a: 2 });
+  fixture.getUse("a").inFlight = 0;
+  fixture.advance(0);
+  deepStrictEqual(fixture.told.at(-1), {});
+});
+
 test("a team over its share is refused at once what would wait in vain", () => {
   // Guards against a flood whose prompts wait for half a second for a refusal.
   const fixture = createFixture();
