--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -86,6 +86,37 @@
   }
 });
 
+test("hosts find each other while many report facts", () => {
+  // Guards against reports that fill datagrams, so that hosts never meet.
+  for (const seed of SEEDS) {
+    const fixture = createMembershipFixture({
+      hosts: 100,
+      seed,
+      loss: 0.01,
+      areJoined: false,
+      encodes: true,
+    });
+    fixture.setListed(fixture.names.slice(0, 3));
+    let version = 0;
+    fixture.agenda.every(700, () => {
+      version++;
+      for (const name of fixture.names.slice(0, 10)) {
+        const fact = { key: `report/${name}`, version, value: "r".repeat(150) };
+        fixture.get(name).spreadFact(fact);
+      }
+    });
+    getTimeUntil(
+      fixture,
+      () =>
+        fixture.names.every((name) =>
+          fixture.get(name).getUsable().length === fixture.names.length
+        ),
+      60_000,
+    );
+    assert.ok(fixture.getTraffic().largestBytes <= 1_300);
+  }
+});
+
 test("a dead host is known everywhere soon, and nobody else is", () => {
   // Requests wait for slots of a host that is gone, until the others notice.
   for (const seed of SEEDS) {
