--- a/src/queue/mod.ts
+++ b/src/queue/mod.ts
@@ -6,3 +6,4 @@
 
 export * from "./prompt_queue.ts";
 export * from "./team_queue.ts";
+export * from "./types.ts";
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -6,8 +6,8 @@
   createPromptQueue,
   decideRoom,
   defaultPromptQueueOptions,
-  type WaitingPrompt,
 } from "./prompt_queue.ts";
+import type { WaitingPrompt } from "./types.ts";
 
 const { overShareLimit, yieldingLimit } = defaultPromptQueueOptions;
 
