--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -192,13 +192,21 @@
 
 function formatQueue(queue: QueueInputs | undefined): string {
   if (queue === undefined) return "";
-  const { load } = queue;
-  const room = load === undefined
-    ? "no upstream to wait for"
-    : `${queue.upstream} with ${load.inFlight} of ${load.slots} slots in use ` +
-      `and ${load.readingTokens} of ${queue.limitTokens} tokens to read`;
   return `; of ${queue.waiting} that waited it ${yieldTexts[queue.yields]} ` +
-    `(${queue.shareUsed} of the share used), for ${room}`;
+    `(${queue.shareUsed} of the share used), for ${formatRoom(queue)}`;
+}
+
+function formatRoom(queue: QueueInputs): string {
+  const { backlog, load, upstream, limitTokens } = queue;
+  if (backlog !== undefined) {
+    return `a place behind ${backlog.waiting} of its team and route, of which ` +
+      `${backlog.startedPerSecond} start in a second`;
+  }
+  if (load === undefined) return "no upstream to wait for";
+  const room = `${upstream} with ${load.inFlight} of ${load.slots} slots in ` +
+    `use and ${load.readingTokens} of ${limitTokens} tokens to read`;
+  if (load.lackingElsewhere === 0) return room;
+  return `${room}, left to ${load.lackingElsewhere} of teams that lack`;
 }
 
 function formatInputs(inputs: Inputs): string {
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -120,7 +120,12 @@
       shareUsed: 1.4,
       upstream: "i-1",
       limitTokens: 14_000,
-      load: { slots: 48, inFlight: 27, readingTokens: 13_900 },
+      load: {
+        slots: 48,
+        inFlight: 27,
+        readingTokens: 13_900,
+        lackingElsewhere: 0,
+      },
     },
   });
   const { logged } = parseDecisionLines(createLine("h1", 0, end));
@@ -134,6 +139,27 @@
   );
 });
 
+test("a refusal before a wait says what waited already", () => {
+  const end = createEnd("r-1", {
+    outcome: "not-run",
+    status: 503,
+    reason: "Upstreams are busy past the time in which the answer is on time",
+    queue: {
+      waitedMs: 0,
+      waiting: 31,
+      yields: 2,
+      shareUsed: 1.4,
+      backlog: { waiting: 12, startedPerSecond: 3.5 },
+      upstream: undefined,
+      limitTokens: undefined,
+      load: undefined,
+    },
+  });
+  const { logged } = parseDecisionLines(createLine("h1", 0, end));
+  const [, line] = formatRequestTrace(tryTraceRequest(logged, "r-1")!);
+  match(line!, /behind 12 of its team and route, of which 3.5 start in a sec/);
+});
+
 test("lines that are no decisions are passed over and counted", () => {
   // The output of many processes, cut at its start, with a prefix from a shipper.
   const text = `{"event":"request-en\nplain words\n12.5 h1 ${
