Let a fault while headers are looked at end one request, and name underserved teams so

Since callers and routes are checked before a fiber runs, an exception there would have ended the process with all its requests; a fiber's faults were turned into a 502 already. Found by reading; no play showed it. The test fails without the guard.

Teams that "lack" are now "underserved", the usual word; names only.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -41,8 +41,8 @@
       readonly inFlight: number;
       /** Tokens being read there, attention counted. */
       readonly readingTokens: number;
-      /** Prompts of teams that lack, waiting for it at other hosts. */
-      readonly lackingElsewhere: number;
+      /** Prompts of underserved teams, waiting for it at other hosts. */
+      readonly underservedElsewhere: number;
     }
     | undefined;
 }
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -205,8 +205,8 @@
   if (load === undefined) return "no upstream to wait for";
   const room = `${upstream} with ${load.inFlight} of ${load.slots} slots in ` +
     `use and ${load.readingTokens} of ${limitTokens} tokens to read`;
-  if (load.lackingElsewhere === 0) return room;
-  return `${room}, left to ${load.lackingElsewhere} of teams that lack`;
+  if (load.underservedElsewhere === 0) return room;
+  return `${room}, left to ${load.underservedElsewhere} of underserved teams`;
 }
 
 function formatInputs(inputs: Inputs): string {
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -124,7 +124,7 @@
         slots: 48,
         inFlight: 27,
         readingTokens: 13_900,
-        lackingElsewhere: 0,
+        underservedElsewhere: 0,
       },
     },
   });
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -4,6 +4,7 @@
 import {
   type Behaviour,
   createForwardFixture,
+  FAULTY_ID,
 } from "../testing/forward_fixture.ts";
 
 const plain = { kind: "idempotent", isResumable: false } as const;
@@ -316,3 +317,10 @@
   strictEqual(fixture.arrivals.length, 0);
   await Promise.all(waiting);
 });
+
+test("a fault while a request is looked at ends that request alone", async () => {
+  // Guards against a process that ends, and cuts all that it serves.
+  await using fixture = await createForwardFixture([answers], once);
+  strictEqual((await fixture.call({ id: FAULTY_ID })).status, 502);
+  strictEqual((await fixture.call()).status, 200);
+});
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -73,13 +73,16 @@
     arrivedMs: host.clock.monotonicMs() - host.getUnreadMs(),
     isTooMuch: host.isBehind(),
   };
-  const asked = identify(host, trail, req);
-  if (asked instanceof Rejected) return endRejected(host, trail, res, asked);
-  const turnedAway = tryTurnAway(host, asked);
-  if (turnedAway !== undefined) {
-    return endRejected(host, trail, res, turnedAway);
+  try {
+    const asked = identify(host, trail, req);
+    if (asked instanceof Rejected) return endRejected(host, trail, res, asked);
+    const refused = tryTurnAway(host, asked);
+    if (refused !== undefined) return endRejected(host, trail, res, refused);
+    Effect.runFork(run(host, trail, asked, { req, res }));
+  } catch (err) {
+    // Thrown on, it would end the process with all its requests.
+    endRejected(host, trail, res, createFault(String(err)));
   }
-  Effect.runFork(run(host, trail, asked, { req, res }));
 }
 
 /** Reads the request and forwards it; never fails. */
@@ -102,10 +105,9 @@
       (err) => Effect.sync(() => endCallerLost(host, trail, err)),
     ),
     Effect.catchCause((cause) =>
-      Effect.sync(() => {
-        const reason = `Fault of this program: ${String(cause)}`;
-        endRejected(host, trail, res, new Rejected({ status: 502, reason }));
-      })
+      Effect.sync(() =>
+        endRejected(host, trail, res, createFault(String(cause)))
+      )
     ),
   );
 }
@@ -218,6 +220,11 @@
   return new CallerLost({ reason: "The caller vanished" });
 }
 
+function createFault(what: string): Rejected {
+  const reason = `Fault of this program: ${what}`;
+  return new Rejected({ status: 502, reason });
+}
+
 function createRejected(status: 400 | 401 | 404, reason: string): Rejected {
   return new Rejected({ status, reason });
 }
--- a/src/load/load_sums_test.ts
+++ b/src/load/load_sums_test.ts
@@ -107,14 +107,14 @@
   ok(fleet.countAcross() / 3 <= 30);
 });
 
-test("hosts of a large fleet know what waits elsewhere for teams that lack", () => {
+test("hosts of a large fleet know what waits elsewhere for underserved teams", () => {
   const fleet = createFleet(2, 12);
   const [first, ...others] = fleet.hosts;
-  first!.view.setLacking(new Map([["engine-1", 2]]));
+  first!.view.setUnderserved(new Map([["engine-1", 2]]));
   fleet.play(3);
-  strictEqual(first!.view.getLackingElsewhere("engine-1"), 0);
+  strictEqual(first!.view.getUnderservedElsewhere("engine-1"), 0);
   for (const { view } of others) {
-    strictEqual(view.getLackingElsewhere("engine-1"), 2);
+    strictEqual(view.getUnderservedElsewhere("engine-1"), 2);
   }
 });
 
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -105,7 +105,7 @@
   deepStrictEqual(b.view.getShareUsed("nobody"), 0);
 });
 
-test("a team lacks that is given far less than it asks for and others get", () => {
+test("a team is underserved that is given far less than it asks for and others get", () => {
   const { clock, view } = createView("a");
   for (let at = 0; at < 10; at++) {
     view.noteAsked("rich", 500);
@@ -116,28 +116,30 @@
     view.noteBegun("small", 19);
     clock.advance(100);
   }
-  const lacking = ["rich", "poor", "small", "nobody"].filter(view.isLacking);
-  deepStrictEqual(lacking, ["poor"]);
+  const underserved = ["rich", "poor", "small", "nobody"].filter(
+    view.isUnderserved,
+  );
+  deepStrictEqual(underserved, ["poor"]);
 });
 
-test("hosts know what waits elsewhere for teams that lack, and when it is gone", () => {
+test("hosts know what waits elsewhere for underserved teams, and when it is gone", () => {
   // Guards against upstreams that idle for prompts that wait no longer.
   const a = createView("a");
   const b = createView("b", a.clock);
-  a.view.setLacking(new Map([["engine-1", 2]]));
+  a.view.setUnderserved(new Map([["engine-1", 2]]));
   b.view.receive(a.createReport());
-  strictEqual(b.view.getLackingElsewhere("engine-1"), 2);
-  strictEqual(a.view.getLackingElsewhere("engine-1"), 0);
-  a.view.setLacking(new Map());
+  strictEqual(b.view.getUnderservedElsewhere("engine-1"), 2);
+  strictEqual(a.view.getUnderservedElsewhere("engine-1"), 0);
+  a.view.setUnderserved(new Map());
   b.view.receive(a.createReport());
-  strictEqual(b.view.getLackingElsewhere("engine-1"), 0);
+  strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
 });
 
 test("what waits at a host that was killed holds nobody back", () => {
   const a = createView("a");
   const b = createView("b", a.clock);
-  a.view.setLacking(new Map([["engine-1", 2]]));
+  a.view.setUnderserved(new Map([["engine-1", 2]]));
   b.view.receive(a.createReport());
   a.clock.advance(2_000);
-  strictEqual(b.view.getLackingElsewhere("engine-1"), 0);
+  strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
 });
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -63,11 +63,11 @@
   /** What the team was given over its share, as a ratio; 1 is the share. */
   getShareUsed(team: string): number;
   /** Whether the team is given far less than others, and asks for more. */
-  isLacking(team: string): boolean;
-  /** Prompts of lacking teams that wait at this host, by upstream. */
-  setLacking(waiting: ReadonlyMap<string, number>): void;
+  isUnderserved(team: string): boolean;
+  /** Prompts of underserved teams that wait at this host, by upstream. */
+  setUnderserved(waiting: ReadonlyMap<string, number>): void;
   /** Those that wait at other hosts for the upstream. */
-  getLackingElsewhere(upstream: string): number;
+  getUnderservedElsewhere(upstream: string): number;
   /** Takes in the use of another host, or of all others together. */
   receive(report: LoadReport): void;
   /** This host's own use, to be told to others. */
@@ -84,10 +84,10 @@
 const LEVEL_KEEP_MS = 50;
 
 /**
- * A team lacks that is given less than this share of what the best served is
+ * A team is underserved that is given less than this share of what the best served is
  * given, though it asks for more.
  */
-const LACK_SHARE = 0.75;
+const UNDERSERVED_SHARE = 0.75;
 
 const NO_USE: Readonly<Use> = createUse();
 
@@ -238,20 +238,20 @@
       updateLevel();
       return (begunByTeam.get(getDigest(team)) ?? 0) / level;
     },
-    isLacking(team) {
+    isUnderserved(team) {
       updateLevel();
       const digest = getDigest(team);
       const begun = begunByTeam.get(digest) ?? 0;
       const due = Math.min(askedByTeam.get(digest) ?? 0, mostBegun);
-      return begun < due * LACK_SHARE;
+      return begun < due * UNDERSERVED_SHARE;
     },
-    setLacking(waiting) {
-      for (const use of uses.values()) use.lacking = 0;
+    setUnderserved(waiting) {
+      for (const use of uses.values()) use.underserved = 0;
       for (const [upstream, prompts] of waiting) {
-        getUse(upstream).lacking = prompts;
+        getUse(upstream).underserved = prompts;
       }
     },
-    getLackingElsewhere: (upstream) => getOthers(upstream).lacking,
+    getUnderservedElsewhere: (upstream) => getOthers(upstream).underserved,
     receive(report) {
       const known = reports.get(report.from);
       const isOlder = known !== undefined &&
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -13,8 +13,8 @@
   readonly inFlight: number;
   /** Tokens of the prompts being read there, attention counted. */
   readonly readingTokens: number;
-  /** Prompts that wait for it, of teams that lack. */
-  readonly lacking: number;
+  /** Prompts that wait for it, of underserved teams. */
+  readonly underserved: number;
 }
 
 /** What hosts were asked for by a team and gave it, in tokens a second. */
--- a/src/load/use.ts
+++ b/src/load/use.ts
@@ -13,17 +13,17 @@
 
 /** No use. */
 export function createUse(): Use {
-  return { inFlight: 0, readingTokens: 0, lacking: 0 };
+  return { inFlight: 0, readingTokens: 0, underserved: 0 };
 }
 
 /** Adds the second to the first, or with a sign of -1 takes it out. */
 export function addUse(use: Use, other: Readonly<Use>, sign: 1 | -1): void {
   use.inFlight += sign * other.inFlight;
   use.readingTokens += sign * other.readingTokens;
-  use.lacking += sign * other.lacking;
+  use.underserved += sign * other.underserved;
 }
 
 /** Whether anything of it is above zero. */
 export function isUsed(use: Readonly<Use>): boolean {
-  return use.inFlight > 0 || use.readingTokens > 0 || use.lacking > 0;
+  return use.inFlight > 0 || use.readingTokens > 0 || use.underserved > 0;
 }
--- a/src/measure/prompt_load.ts
+++ b/src/measure/prompt_load.ts
@@ -106,7 +106,7 @@
     ...ours,
     queue: { ...defaultPromptQueueOptions, refusesEarly: false },
   },
-  nothing_left_to_lacking: {
+  nothing_left_to_underserved: {
     ...ours,
     queue: { ...defaultPromptQueueOptions, givesWay: false },
   },
--- a/src/peers/load_codec_test.ts
+++ b/src/peers/load_codec_test.ts
@@ -9,7 +9,7 @@
     upstream: 7,
     inFlight: 1,
     readingTokens: 2,
-    lacking: 3,
+    underserved: 3,
   };
   const bytes = codec.encode({
     from: "host-1",
@@ -22,6 +22,6 @@
     included: [],
   });
   const [decoded] = codec.tryDecode(bytes)?.upstreams ?? [];
-  const { upstream, inFlight, readingTokens, lacking } = decoded!;
-  deepStrictEqual({ upstream, inFlight, readingTokens, lacking }, use);
+  const { upstream, inFlight, readingTokens, underserved } = decoded!;
+  deepStrictEqual({ upstream, inFlight, readingTokens, underserved }, use);
 });
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -13,7 +13,7 @@
  *   more than its share goes last, and leaves a part of each upstream free.
  * - Where one prompt fills an upstream, hosts take turns there and not teams, so
  *   that a team with one host gets the least. So a team over its share starts
- *   nothing where a prompt of a team that lacks waits at another host.
+ *   nothing where a prompt of a underserved team waits at another host.
  * - A request that waits past its use holds the place of one that could still
  *   be on time. So the newest go first, and one is refused as soon as it is too
  *   late, with when to come back.
@@ -131,7 +131,7 @@
     const limitTokens = host.getLimitTokens(prompt.service);
     const largestTokens = limitTokens * options.largestShare;
     const givesWay = options.givesWay && yields === 2 &&
-      !host.isLacking(prompt.team);
+      !host.isUnderserved(prompt.team);
     const hasRoom = ({ upstream, readingTokens }: Choice) =>
       decideRoom(getLoad(upstream), {
         readingTokens: Math.min(readingTokens, largestTokens),
@@ -203,14 +203,14 @@
   }
 
   /** Other hosts leave the upstreams to these. */
-  function tellLacking(): void {
+  function tellUnderserved(): void {
     const prompts = new Map<string, number>();
     for (const prompt of waiting) {
       const first = prompt.getChoices()[0]?.upstream;
-      if (first === undefined || !host.isLacking(prompt.team)) continue;
+      if (first === undefined || !host.isUnderserved(prompt.team)) continue;
       prompts.set(first, (prompts.get(first) ?? 0) + 1);
     }
-    host.onLackingWaiting(prompts);
+    host.onUnderservedWaiting(prompts);
   }
 
   function getRefusalInputs(prompt: WaitingPrompt): QueueInputs {
@@ -289,7 +289,7 @@
     tick() {
       startAll();
       refuseLate();
-      tellLacking();
+      tellUnderserved();
     },
     getCount: () => waiting.size,
   };
@@ -328,14 +328,14 @@
   readonly slotShare: number;
   /** What may be read at the upstream at once. */
   readonly limitTokens: number;
-  /** It leaves the upstream to prompts of teams that lack. */
+  /** It leaves the upstream to prompts of underserved teams. */
   readonly givesWay: boolean;
 }
 
 /** Whether an upstream has room for a prompt. */
 export function decideRoom(load: UpstreamLoad, need: Need): boolean {
   if (load.inFlight >= load.slots * need.slotShare) return false;
-  if (need.givesWay && load.lackingElsewhere > 0) return false;
+  if (need.givesWay && load.underservedElsewhere > 0) return false;
   // A prompt that counts for more than the limit starts where nothing is read.
   if (load.readingTokens <= 0) return true;
   return load.readingTokens + need.readingTokens <= need.limitTokens;
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -32,9 +32,9 @@
   let looks = 0;
   const loads = new Map<string, { inFlight: number; readingTokens: number }>();
   const overShare = new Set<string>();
-  const lackingTeams = new Set<string>();
-  /** Prompts of lacking teams at other hosts, by upstream. */
-  const lacking = new Map<string, number>();
+  const underservedTeams = new Set<string>();
+  /** Prompts of underserved teams at other hosts, by upstream. */
+  const underserved = new Map<string, number>();
   const told: Readonly<Record<string, number>>[] = [];
   const log: string[] = [];
   const randoms: number[] = [];
@@ -46,11 +46,12 @@
     nowMs: () => nowMs,
     getLoad(upstream) {
       looks++;
-      const lackingElsewhere = lacking.get(upstream) ?? 0;
-      return { slots: 48, ...getUse(upstream), lackingElsewhere };
+      const underservedElsewhere = underserved.get(upstream) ?? 0;
+      return { slots: 48, ...getUse(upstream), underservedElsewhere };
     },
-    isLacking: (team) => lackingTeams.has(team),
-    onLackingWaiting: (prompts) => void told.push(Object.fromEntries(prompts)),
+    isUnderserved: (team) => underservedTeams.has(team),
+    onUnderservedWaiting: (prompts) =>
+      void told.push(Object.fromEntries(prompts)),
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getMeanYield: () => 60,
     getLimitTokens: () => LIMIT_TOKENS,
@@ -101,8 +102,8 @@
     log,
     add,
     overShare,
-    lackingTeams,
-    lacking,
+    underservedTeams,
+    underserved,
     told,
     randoms,
     retryAfterMs,
@@ -232,7 +233,7 @@
       slots: 48,
       inFlight: 30,
       readingTokens: 14_000,
-      lackingElsewhere: 0,
+      underservedElsewhere: 0,
     },
   };
   deepStrictEqual(fixture.refusals, [
@@ -310,7 +311,7 @@
     slots: 48,
     inFlight: 10,
     readingTokens: 0,
-    lackingElsewhere: 0,
+    underservedElsewhere: 0,
   };
   const need = {
     readingTokens: 100_000,
@@ -336,33 +337,35 @@
   deepStrictEqual(fixture.log, ["calm-1 to a"]);
 });
 
-test("a team over its share leaves an upstream to teams that lack", () => {
+test("a team over its share leaves an upstream to underserved teams", () => {
   // Guards against a team with one host that never gets a turn at an upstream.
   const fixture = createFixture();
   fixture.overShare.add("flood");
-  fixture.lacking.set("a", 1);
+  fixture.underserved.set("a", 1);
   fixture.add({ team: "flood", ranked: ["a"] });
   deepStrictEqual(fixture.log, []);
   fixture.add({ ranked: ["a"] });
   deepStrictEqual(fixture.log, ["calm-2 to a"]);
   fixture.getUse("a").readingTokens = 0;
-  fixture.lacking.clear();
+  fixture.underserved.clear();
   fixture.queue.tick();
   strictEqual(fixture.log.at(-1), "flood-1 to a");
 });
 
-test("two teams that lack do not wait for each other", () => {
+test("two underserved teams do not wait for each other", () => {
   // Guards against upstreams that idle since each host leaves them to the other.
   const fixture = createFixture();
-  for (const set of [fixture.overShare, fixture.lackingTeams]) set.add("poor");
-  fixture.lacking.set("a", 1);
+  for (const set of [fixture.overShare, fixture.underservedTeams]) {
+    set.add("poor");
+  }
+  fixture.underserved.set("a", 1);
   fixture.add({ team: "poor", ranked: ["a"] });
   deepStrictEqual(fixture.log, ["poor-1 to a"]);
 });
 
-test("other hosts are told of the waiting prompts of teams that lack", () => {
+test("other hosts are told of the waiting prompts of underserved teams", () => {
   const fixture = createFixture();
-  fixture.lackingTeams.add("poor");
+  fixture.underservedTeams.add("poor");
   fixture.getUse("a").inFlight = 48;
   fixture.add({ team: "poor", ranked: ["a"] });
   fixture.add({ team: "poor", ranked: ["a"] });
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -63,9 +63,9 @@
   /** What the team was given of late, over its fair share; 1 is the share. */
   getShareUsed(team: string): number;
   /** Whether the team is given far less than others, and asks for more. */
-  isLacking(team: string): boolean;
+  isUnderserved(team: string): boolean;
   /** Told at each look, by the upstream that they wait for. */
-  onLackingWaiting(prompts: ReadonlyMap<string, number>): void;
+  onUnderservedWaiting(prompts: ReadonlyMap<string, number>): void;
   /** Service for a token of work, over all prompts of late. */
   getMeanYield(): number;
   /** Tokens that an upstream of the service may have to read at once. */
@@ -83,8 +83,8 @@
   readonly inFlight: number;
   /** What is being read there, in tokens, attention counted. */
   readonly readingTokens: number;
-  /** Prompts of teams that lack, waiting for it at other hosts. */
-  readonly lackingElsewhere: number;
+  /** Prompts of underserved teams, waiting for it at other hosts. */
+  readonly underservedElsewhere: number;
 }
 
 /** Limits of the queue. */
@@ -109,7 +109,7 @@
   readonly retryAfterMs: number;
   /** Whether prompts of teams over their share that wait in vain are refused. */
   readonly refusesEarly: boolean;
-  /** Whether teams over their share leave upstreams to teams that lack. */
+  /** Whether teams over their share leave upstreams to underserved teams. */
   readonly givesWay: boolean;
   /** Order of those that yield alike. */
   readonly compare: (a: WaitingPrompt, b: WaitingPrompt) => number;
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -94,12 +94,16 @@
 /** What an upstream may have to read at once. */
 const LIMIT_TOKENS = 14_000;
 
+/** A request of this id meets a fault of the program. */
+export const FAULTY_ID = "faulty";
+
 /** The product's own header names, for tests. */
 export function createTestCodec(): CallCodec {
   return {
     tryReadCall(req) {
       const id = req.headers["x-id"];
       if (typeof id !== "string") return undefined;
+      if (id === FAULTY_ID) throw new TypeError("Meant by the test");
       return {
         requestId: id,
         patienceMs: 4_000,
@@ -235,11 +239,11 @@
         slots: 48,
         inFlight: parts.delay.inFlight,
         readingTokens: 0,
-        lackingElsewhere: 0,
+        underservedElsewhere: 0,
       }),
       getShareUsed: () => parts.delay.shareUsed,
-      isLacking: () => false,
-      onLackingWaiting: () => {},
+      isUnderserved: () => false,
+      onUnderservedWaiting: () => {},
       getMeanYield: () => 0,
       getLimitTokens: () => LIMIT_TOKENS,
       random: () => 0.5,
