--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -84,8 +84,8 @@
 const LEVEL_KEEP_MS = 50;
 
 /**
- * A team is underserved that is given less than this share of what the best served is
- * given, though it asks for more.
+ * A team is underserved that is given less than this share of what the best
+ * served one is given, though it asks for more.
  */
 const UNDERSERVED_SHARE = 0.75;
 
