Leave an upstream to underserved teams only where one prompt fills it

Reports of what waits elsewhere are up to a second old at that size, so a team over its share was held back from upstreams that had room for all.

Change: a prompt that fits beside what is read starts, whoever waits elsewhere; only one that would start since nothing is read gives way. The test of two teams that listed red, unchanged, still passes.

--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -335,8 +335,9 @@
 /** Whether an upstream has room for a prompt. */
 export function decideRoom(load: UpstreamLoad, need: Need): boolean {
   if (load.inFlight >= load.slots * need.slotShare) return false;
-  if (need.givesWay && load.underservedElsewhere > 0) return false;
+  const isBeside = load.readingTokens + need.readingTokens <= need.limitTokens;
+  if (isBeside) return true;
   // A prompt that counts for more than the limit starts where nothing is read.
-  if (load.readingTokens <= 0) return true;
-  return load.readingTokens + need.readingTokens <= need.limitTokens;
+  if (load.readingTokens > 0) return false;
+  return !need.givesWay || load.underservedElsewhere === 0;
 }
