--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -159,16 +159,11 @@
     return { ...message, ...parts };
   }
 
-  /**
-   * Adds the news that fits beside the entries that the message has. While there
-   * is news of members, facts get half of the room: hosts that report each second
-   * would else keep hundreds that have just started from learning of each other.
-   */
+  /** Adds the news that fits beside the entries that the message has. */
   function addNews(message: MembershipMessage): MembershipMessage {
     let leftBytes = options.maxPayloadBytes;
     for (const entry of message.updates) leftBytes -= getEntryBytes(entry);
-    const factBytes = updates.getCount() === 0 ? leftBytes : leftBytes / 2;
-    const newFacts = factNews.take(factBytes, getFactBytes)
+    const newFacts = factNews.take(leftBytes, getFactBytes)
       .map((key) => facts.tryGet(key)!);
     for (const fact of newFacts) leftBytes -= getFactBytes(fact.key);
     const newEntries = updates.take(leftBytes, getMemberBytes)
