--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -13,7 +13,7 @@
  *   more than its share goes last, and leaves a part of each upstream free.
  * - Where one prompt fills an upstream, hosts take turns there and not teams, so
  *   that a team with one host gets the least. So a team over its share starts
- *   nothing where a prompt of an underserved team waits at another host.
+ *   nothing that fills an upstream for which an underserved team's prompt waits.
  * - A request that waits past its use holds the place of one that could still
  *   be on time. So the newest go first, and one is refused as soon as it is too
  *   late, with when to come back.
