Start nothing for callers that left while this host read nothing

Cause: Node runs the timers that are due before it reads sockets. After a turn of the event loop of some hundred milliseconds, or a pause of the process, the look at the queue ran first, started what waited, late or not, and the closes behind it were read right after. The look also started before it refused what was late.

The queue refuses what is late before it starts anything, and asks whether the caller still waits. A caller's close counts from the end of what it sends, two turns before Node destroys the response; that was noticed in four places and is in one now.

--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -7,3 +7,4 @@
 export * from "./clock.ts";
 export * from "./core.ts";
 export * from "./hlc.ts";
+export * from "./read_first.ts";
--- /dev/null
+++ b/src/core/read_first.ts
@@ -0,0 +1,47 @@
+/**
+ * Timers that decide only after the event loop has read what came before them.
+ *
+ * Load: a host with an eighth of a core whose turns of the event loop take a
+ * second, or a process that was stopped for some. Harm prevented: Node runs the
+ * timers that are due before it reads sockets. An answer, or a caller's close,
+ * that came in time still lies unread when the timer runs, so a request was
+ * started for a caller that had left, and an upstream that had answered was
+ * called silent and asked again.
+ *
+ * @module
+ */
+
+/**
+ * Turns of the event loop after which what had come has been read and acted
+ * upon: a message, the close behind it, and the end of the connection.
+ */
+const READ_TURNS = 3;
+
+/** Runs once what has come so far is read; disposing of it prevents that. */
+export function afterReading(run: () => void): Disposable {
+  let turns = 0;
+  function endTurn(): void {
+    turns++;
+    if (turns === READ_TURNS) run();
+    else immediate = setImmediate(endTurn);
+  }
+  let immediate = setImmediate(endTurn);
+  return { [Symbol.dispose]: () => clearImmediate(immediate) };
+}
+
+/**
+ * Runs after so long, in ms, unless what is read until then disposes of it: for
+ * limits on the time in which something has to come.
+ */
+export function startTimeLimit(limitMs: number, run: () => void): Disposable {
+  let reading: Disposable | undefined;
+  const timer = setTimeout(() => {
+    reading = afterReading(run);
+  }, limitMs);
+  return {
+    [Symbol.dispose]() {
+      clearTimeout(timer);
+      reading?.[Symbol.dispose]();
+    },
+  };
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -307,10 +307,13 @@
     );
   }
 
-  /** Prompts wait for time to pass as well as for events. */
-  function tick(): void {
+  function watch(): void {
     loop.tick();
     intake.tick();
+  }
+
+  /** Prompts wait for time to pass as well as for events. */
+  function decide(): void {
     queue.tick();
     const limits = knowledge.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
@@ -338,7 +341,7 @@
     directory.run,
   ]
     .map((task) => Effect.runFork(task));
-  const ticker = startTicker(QUEUE_TICK_MS, tick);
+  const ticker = startTicker(QUEUE_TICK_MS, { watch, decide });
   log({
     event: "started",
     name: settings.name,
--- a/src/entry/ticker_test.ts
+++ b/src/entry/ticker_test.ts
@@ -19,10 +19,12 @@
   const startTurns = getTurns();
   let ticks = 0;
   await new Promise<void>((resolve) => {
-    const ticker = startTicker(PERIOD_MS, () => {
-      if (++ticks < TICKS) return;
-      ticker[Symbol.dispose]();
-      resolve();
+    const ticker = startTicker(PERIOD_MS, {
+      decide() {
+        if (++ticks < TICKS) return;
+        ticker[Symbol.dispose]();
+        resolve();
+      },
     });
   });
   const perTick = (getTurns() - startTurns) / TICKS;
--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -9,7 +9,11 @@
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { CallerLost } from "../requests/caller.ts";
+import {
+  type CallerLost,
+  createVanished,
+  onCallerLeft,
+} from "../requests/caller.ts";
 import type { Call, ForwardHost } from "./call.ts";
 import { createEventFrames, type EventChunk } from "./event_frames.ts";
 import { getForwardable } from "./headers.ts";
@@ -98,11 +102,12 @@
       clearTimeout(silence);
       resume(answer.isWhole.pipe(Effect.flatMap(finish)));
     });
-    caller.once("close", () => {
-      if (caller.writableFinished) return;
-      resume(Effect.fail(new CallerLost({ reason: "The caller vanished" })));
-    });
+    const watch = onCallerLeft(
+      caller,
+      () => resume(Effect.fail(createVanished())),
+    );
     return Effect.sync(() => {
+      watch[Symbol.dispose]();
       clearTimeout(silence);
       if (!upstreamRes.complete) answer.abort();
     });
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -8,7 +8,11 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { CallerLost } from "../requests/caller.ts";
+import {
+  type CallerLost,
+  createVanished,
+  onCallerLeft,
+} from "../requests/caller.ts";
 import { Rejected } from "./replies.ts";
 
 /** A body that takes longer is given up, in ms; nothing has run by then. */
@@ -48,15 +52,11 @@
       finish(Effect.succeed(Buffer.concat(chunks)));
     }
 
-    function onClose(): void {
-      finish(Effect.fail(new CallerLost({ reason: "The caller vanished" })));
-    }
-
     function stop(): void {
       clearTimeout(timer);
       req.off("data", onData);
       req.off("end", onEnd);
-      res.off("close", onClose);
+      caller[Symbol.dispose]();
     }
 
     const timer = setTimeout(
@@ -65,7 +65,10 @@
     );
     req.on("data", onData);
     req.on("end", onEnd);
-    res.on("close", onClose);
+    const caller = onCallerLeft(
+      res,
+      () => finish(Effect.fail(createVanished())),
+    );
     return Effect.sync(stop);
   });
 }
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -9,7 +9,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import { getDigest } from "../core/mod.ts";
-import { CallerLost } from "../requests/caller.ts";
+import {
+  type CallerLost,
+  createVanished,
+  hasLeft,
+  onCallerLeft,
+} from "../requests/caller.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { pickService, type Route, type RouteTable } from "../routing/mod.ts";
 import {
@@ -213,11 +218,7 @@
 }
 
 function checkCaller(res: ServerResponse): Effect.Effect<void, CallerLost> {
-  return res.destroyed ? Effect.fail(createVanished()) : Effect.void;
-}
-
-function createVanished(): CallerLost {
-  return new CallerLost({ reason: "The caller vanished" });
+  return hasLeft(res) ? Effect.fail(createVanished()) : Effect.void;
 }
 
 function createFault(what: string): Rejected {
@@ -276,18 +277,17 @@
 ): Effect.Effect<never, Rejected | CallerLost> {
   const { res } = call;
   return Effect.callback<never, Rejected | CallerLost>((resume) => {
-    const onClose = () => {
-      if (!res.writableFinished) resume(Effect.fail(createVanished()));
-    };
-    if (res.destroyed) onClose();
-    res.on("close", onClose);
+    const caller = onCallerLeft(
+      res,
+      () => resume(Effect.fail(createVanished())),
+    );
     const timer = setTimeout(
       () => resume(Effect.fail(createTimeLimit(call))),
       Math.max(0, getLeftMs(host, call)),
     );
     return Effect.sync(() => {
       clearTimeout(timer);
-      res.off("close", onClose);
+      caller[Symbol.dispose]();
     });
   });
 }
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -223,6 +223,7 @@
       size,
       workTokens,
       getChoices: () => choices,
+      isWanted: () => true,
       start: (engine, reading) => run(req, host, engine, reading),
       refuse: (refusal) => comeBack(req, refusal),
     });
--- a/src/queue/common_room_test.ts
+++ b/src/queue/common_room_test.ts
@@ -123,6 +123,7 @@
         targetMs: TARGET_MS,
         size: promptTokens,
         workTokens: promptTokens,
+        isWanted: () => true,
         getChoices: () => [{
           upstream: UPSTREAMS[first]!,
           readingTokens: promptTokens,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -17,6 +17,9 @@
  * - A request that waits past its use holds the place of one that could still
  *   be on time. So the newest go first, and one is refused as soon as it is too
  *   late, with when to come back.
+ * - After a long turn of the event loop much of what waits is late. So what is too
+ *   late is refused before anything starts, and nothing starts for a caller that
+ *   has left.
  * - A shared part that is read at a second upstream takes that one's time from all
  *   others. So a prompt leaves its own upstream only for one that idles.
  *
@@ -197,6 +200,7 @@
     const nowMs = host.nowMs();
     seen.clear();
     for (const ranked of getInOrder()) {
+      if (!ranked.prompt.isWanted()) continue;
       const choice = tryPlace(ranked, nowMs);
       if (choice !== undefined) start(ranked.prompt, choice);
     }
@@ -287,8 +291,8 @@
     remove: (prompt) => takeOut(prompt, false),
     tryRefuseEarly,
     tick() {
-      startAll();
       refuseLate();
+      startAll();
       tellUnderserved();
     },
     getCount: () => waiting.size,
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -37,6 +37,8 @@
   const underserved = new Map<string, number>();
   const told: Readonly<Record<string, number>>[] = [];
   const log: string[] = [];
+  /** Requests whose callers have left. */
+  const gone = new Set<string>();
   const randoms: number[] = [];
   const retryAfterMs: number[] = [];
   const refusals: QueueInputs[] = [];
@@ -77,6 +79,7 @@
       targetMs: 800,
       size: workTokens * serviceYield,
       workTokens,
+      isWanted: () => !gone.has(request),
       // All but the first have a shared part of 13,300 tokens to read as well.
       getChoices: () =>
         ranked.map((upstream, at) => ({
@@ -101,6 +104,7 @@
     queue,
     log,
     add,
+    gone,
     overShare,
     underservedTeams,
     underserved,
@@ -118,6 +122,28 @@
   };
 }
 
+test("a prompt that is found late is refused, though there is room for it", () => {
+  // Guards against starts, after a long turn, of what can't be on time.
+  const fixture = createFixture();
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ ranked: ["a"] });
+  fixture.getUse("a").inFlight = 0;
+  fixture.advance(600);
+  deepStrictEqual(fixture.log, ["calm-1 late"]);
+});
+
+test("nothing is started for a caller that has left", () => {
+  // Guards against upstreams that work for nobody.
+  const fixture = createFixture();
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ ranked: ["a"] });
+  fixture.add({ ranked: ["a"] });
+  fixture.getUse("a").inFlight = 0;
+  fixture.gone.add("calm-2");
+  fixture.advance(100);
+  deepStrictEqual(fixture.log, ["calm-1 to a"]);
+});
+
 test("an upstream whose slots are in use is sent nothing more", () => {
   // Bursts on nine hosts: with 48 slots in use a request waits inside the
   // upstream for 0.9 s (median, measured), where it can't be refused in time.
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -24,6 +24,8 @@
   readonly workTokens: number;
   /** Upstreams that may be asked, the best first; asked anew at each look. */
   getChoices(): readonly Choice[];
+  /** Whether its caller still waits; asked before a start. */
+  isWanted(): boolean;
   /** Called once, after it has left the queue. */
   start(upstream: string, reading: StartedReading): void;
   /** Called once, after it has left the queue; it has not run. */
--- a/src/requests/caller.ts
+++ b/src/requests/caller.ts
@@ -29,28 +29,62 @@
   text: string,
 ): Effect.Effect<void, CallerLost> {
   return Effect.suspend(() => {
-    if (res.destroyed) {
-      return Effect.fail(new CallerLost({ reason: "The caller vanished" }));
-    }
+    if (res.destroyed) return Effect.fail(createVanished());
     if (res.write(text)) return Effect.void;
     return waitForDrain(res);
   });
 }
 
+/** The failure of a request whose caller closed its connection. */
+export function createVanished(): CallerLost {
+  return new CallerLost({ reason: "The caller vanished" });
+}
+
+/**
+ * Whether the caller closed its connection before it had its answer. The end of
+ * what it sends is read two turns before Node destroys the response.
+ */
+export function hasLeft(res: ServerResponse): boolean {
+  if (res.writableFinished) return false;
+  return res.destroyed || res.req.socket.readableEnded;
+}
+
+/**
+ * Runs once, as soon as the caller has left, and never before this returns;
+ * disposing of it prevents that.
+ */
+export function onCallerLeft(
+  res: ServerResponse,
+  run: () => void,
+): Disposable {
+  const { socket } = res.req;
+  let isOver = false;
+  function stop(): void {
+    isOver = true;
+    res.off("close", look);
+    socket.off("end", look);
+  }
+  function look(): void {
+    if (isOver || !hasLeft(res)) return;
+    stop();
+    run();
+  }
+  res.on("close", look);
+  socket.on("end", look);
+  queueMicrotask(look);
+  return { [Symbol.dispose]: stop };
+}
+
 /** Fails as soon as the caller's connection closes; never succeeds. */
 export function watchCaller(
   res: ServerResponse,
 ): Effect.Effect<never, CallerLost> {
   return Effect.callback<never, CallerLost>((resume) => {
-    const onClose = () => {
-      if (res.writableFinished) return;
-      resume(
-        Effect.fail(new CallerLost({ reason: "The caller vanished" })),
-      );
-    };
-    if (res.destroyed) onClose();
-    res.on("close", onClose);
-    return Effect.sync(() => res.off("close", onClose));
+    const watch = onCallerLeft(
+      res,
+      () => resume(Effect.fail(createVanished())),
+    );
+    return Effect.sync(() => watch[Symbol.dispose]());
   });
 }
 
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -13,6 +13,7 @@
 import type { Decision } from "../diagnostics/mod.ts";
 import { createUpstreamDirectory } from "../discovery/mod.ts";
 import { listen } from "../entry/servers.ts";
+import { startTicker } from "../entry/ticker.ts";
 import {
   type CallCodec,
   createCrashWatch,
@@ -55,6 +56,10 @@
   sendHead(): Promise<string>;
   /** Sends a request and closes without a moment between. */
   sendAndClose(): Promise<void>;
+  /** Sends a request; gives its connection at once. */
+  sendRaw(id: string): Socket;
+  /** Looks at the queue again and again, as an entry host does. */
+  startLooks(): Disposable;
   /** Reading that counts at the first upstream, in tokens. */
   getReadingTokens(): number;
   /** Requests that have reached upstreams, by upstream. */
@@ -94,6 +99,9 @@
 /** What an upstream may have to read at once. */
 const LIMIT_TOKENS = 14_000;
 
+/** Between two looks at the queue, in ms. */
+const LOOK_PERIOD_MS = 10;
+
 /** A request of this id meets a fault of the program. */
 export const FAULTY_ID = "faulty";
 
@@ -192,6 +200,8 @@
     call: (options = {}) => send(port, options),
     sendHead: () => sendHead(port),
     sendAndClose: () => sendAndClose(port),
+    sendRaw: (id) => sendRaw(port, id),
+    startLooks: () => startTicker(LOOK_PERIOD_MS, { decide: host.queue.tick }),
     getReadingTokens: () => host.load.getReadingTokens("up-0"),
     async [Symbol.asyncDispose]() {
       host.agent.destroy();
@@ -296,17 +306,23 @@
 
 function sendAndClose(port: number): Promise<void> {
   return new Promise((resolve) => {
-    const socket = connect(port, "127.0.0.1");
-    socket.on("error", () => {});
+    const socket = sendRaw(port, "gone");
     socket.on("close", () => resolve());
-    socket.end(
-      "POST /drafts/1 HTTP/1.1\r\nhost: model.example\r\n" +
-        "x-id: gone\r\nx-key: key-of-fitters\r\ncontent-length: 2\r\n\r\n{}",
-    );
+    socket.end();
     socket.resume();
   });
 }
 
+function sendRaw(port: number, id: string): Socket {
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => {});
+  socket.write(
+    "POST /drafts/1 HTTP/1.1\r\nhost: model.example\r\n" +
+      `x-id: ${id}\r\nx-key: key-of-fitters\r\ncontent-length: 2\r\n\r\n{}`,
+  );
+  return socket;
+}
+
 function sendHead(port: number): Promise<string> {
   return new Promise((resolve, reject) => {
     const socket = connect(port, "127.0.0.1");
