Read what has come before calling an upstream silent

What callers saw: while their host stood still for two seconds, an upstream that had answered after 0.3 s was called silent; idempotent calls and resumable streams were sent once more, whole answers ended 504 at their time limit, and connections that had been made counted as refused. It spends the budget of retries, doubles work at upstreams and notes them as failed, just when the host is behind.

A limit's timer is due after the pause, and Node runs it before it reads the socket in which the answer lies.

Evidence: tests that keep the process busy behind an answer. Before: an idempotent call 504 after two runs, a stream sent twice from its first event and from its second, a finished booking 504, a new connection 503 without an attempt; each is answered by its first run now. A caller that leaves while a connection is made was looked at as well: nothing was sent for it before the change either; its test stays.

Change: limits on what has to come (connection, head, body, next event, the request's whole time, a caller's body) run after three turns in which sockets are read, and not if these bring it. Without a pause that is some microseconds later.

--- a/src/core/read_first.ts
+++ b/src/core/read_first.ts
@@ -29,16 +29,23 @@
   return { [Symbol.dispose]: () => clearImmediate(immediate) };
 }
 
-/**
- * Runs after so long, in ms, unless what is read until then disposes of it: for
- * limits on the time in which something has to come.
- */
-export function startTimeLimit(limitMs: number, run: () => void): Disposable {
+/** A limit on the time in which something has to come. */
+export interface TimeLimit extends Disposable {
+  /** It came; the next has the whole time again. */
+  restart(): void;
+}
+
+/** Runs after so long, in ms, unless what is read until then disposes of it. */
+export function startTimeLimit(limitMs: number, run: () => void): TimeLimit {
   let reading: Disposable | undefined;
   const timer = setTimeout(() => {
     reading = afterReading(run);
   }, limitMs);
   return {
+    restart() {
+      reading?.[Symbol.dispose]();
+      timer.refresh();
+    },
     [Symbol.dispose]() {
       clearTimeout(timer);
       reading?.[Symbol.dispose]();
--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -14,6 +14,7 @@
   createVanished,
   onCallerLeft,
 } from "../requests/caller.ts";
+import { startTimeLimit } from "../core/mod.ts";
 import type { Call, ForwardHost } from "./call.ts";
 import { createEventFrames, type EventChunk } from "./event_frames.ts";
 import { getForwardable } from "./headers.ts";
@@ -43,16 +44,14 @@
     const { res: upstreamRes } = answer;
     const frames = createEventFrames();
     const mayMove = route.isResumable && progress.runs < route.maxAttempts;
-    let silence: NodeJS.Timeout | undefined;
+    const silence = mayMove
+      ? startTimeLimit(RESUME_SILENCE_MS, onSilence)
+      : undefined;
 
-    function restartSilence(): void {
-      clearTimeout(silence);
-      if (!mayMove) return;
-      silence = setTimeout(() => {
-        answer.abort();
-        const reason = `No event in ${RESUME_SILENCE_MS} ms`;
-        resume(Effect.fail(new AttemptFailed({ kind: "silent", reason })));
-      }, RESUME_SILENCE_MS);
+    function onSilence(): void {
+      answer.abort();
+      const reason = `No event in ${RESUME_SILENCE_MS} ms`;
+      resume(Effect.fail(new AttemptFailed({ kind: "silent", reason })));
     }
 
     function onFirstEvent(nowMs: number): void {
@@ -80,10 +79,9 @@
     }
 
     const notePause = createPauseNotes(host, call);
-    restartSilence();
     upstreamRes.on("data", (bytes: Buffer) => {
       host.health.noteLife(picked.upstream.id);
-      restartSilence();
+      silence?.restart();
       const chunk = frames.push(bytes);
       if (chunk !== undefined) passOn(chunk);
     });
@@ -99,7 +97,7 @@
     }
 
     upstreamRes.on("close", () => {
-      clearTimeout(silence);
+      silence?.[Symbol.dispose]();
       resume(answer.isWhole.pipe(Effect.flatMap(finish)));
     });
     const watch = onCallerLeft(
@@ -108,7 +106,7 @@
     );
     return Effect.sync(() => {
       watch[Symbol.dispose]();
-      clearTimeout(silence);
+      silence?.[Symbol.dispose]();
       if (!upstreamRes.complete) answer.abort();
     });
   });
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -13,6 +13,7 @@
   createVanished,
   onCallerLeft,
 } from "../requests/caller.ts";
+import { startTimeLimit } from "../core/mod.ts";
 import { Rejected } from "./replies.ts";
 
 /** A body that takes longer is given up, in ms; nothing has run by then. */
@@ -53,15 +54,15 @@
     }
 
     function stop(): void {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       req.off("data", onData);
       req.off("end", onEnd);
       caller[Symbol.dispose]();
     }
 
-    const timer = setTimeout(
-      () => reject(408, `The body did not arrive in ${BODY_LIMIT_MS} ms`),
+    const limit = startTimeLimit(
       BODY_LIMIT_MS,
+      () => reject(408, `The body did not arrive in ${BODY_LIMIT_MS} ms`),
     );
     req.on("data", onData);
     req.on("end", onEnd);
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -8,7 +8,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { getDigest } from "../core/mod.ts";
+import { getDigest, startTimeLimit } from "../core/mod.ts";
 import {
   type CallerLost,
   createVanished,
@@ -281,12 +281,12 @@
       res,
       () => resume(Effect.fail(createVanished())),
     );
-    const timer = setTimeout(
-      () => resume(Effect.fail(createTimeLimit(call))),
+    const limit = startTimeLimit(
       Math.max(0, getLeftMs(host, call)),
+      () => resume(Effect.fail(createTimeLimit(call))),
     );
     return Effect.sync(() => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       caller[Symbol.dispose]();
     });
   });
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -13,6 +13,7 @@
   request as sendRequest,
 } from "node:http";
 import * as Effect from "effect/Effect";
+import { startTimeLimit } from "../core/mod.ts";
 import { AttemptFailed } from "./types.ts";
 
 /** A request on its way to an upstream. */
@@ -66,26 +67,26 @@
     });
 
     function fail(kind: AttemptFailed["kind"], reason: string): void {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       req.destroy();
       if (!isOpen) resume(Effect.fail(new AttemptFailed({ kind, reason })));
     }
 
-    let timer = setTimeout(
-      () => fail("not-sent", `No connection in ${CONNECT_LIMIT_MS} ms`),
+    let limit = startTimeLimit(
       CONNECT_LIMIT_MS,
+      () => fail("not-sent", `No connection in ${CONNECT_LIMIT_MS} ms`),
     );
     onConnected(req, () => {
       isSent = true;
       call.onSent();
-      clearTimeout(timer);
-      timer = setTimeout(
-        () => fail("silent", `No answer in ${call.headLimitMs} ms`),
+      limit[Symbol.dispose]();
+      limit = startTimeLimit(
         call.headLimitMs,
+        () => fail("silent", `No answer in ${call.headLimitMs} ms`),
       );
     });
     req.on("response", (res) => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       isOpen = true;
       // Without a listener an error of the body would end the process.
       res.on("error", () => {});
@@ -100,7 +101,7 @@
     });
     req.end(call.body);
     return Effect.sync(() => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       if (!isOpen) req.destroy();
     });
   });
@@ -116,13 +117,13 @@
     const chunks: Buffer[] = [];
     let size = 0;
     const fail = (kind: "broken" | "silent", reason: string) => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       abort();
       resume(Effect.fail(new AttemptFailed({ kind, reason })));
     };
-    const timer = setTimeout(
-      () => fail("silent", `The body took over ${limits.limitMs} ms`),
+    const limit = startTimeLimit(
       limits.limitMs,
+      () => fail("silent", `The body took over ${limits.limitMs} ms`),
     );
     res.on("data", (chunk: Buffer) => {
       size += chunk.length;
@@ -130,7 +131,7 @@
       else chunks.push(chunk);
     });
     res.on("close", () => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       resume(
         answer.isWhole.pipe(
           Effect.flatMap((isWhole) =>
@@ -140,7 +141,7 @@
       );
     });
     return Effect.sync(() => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       if (!res.complete) abort();
     });
   });
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -85,6 +85,8 @@
   inFlight: number;
   /** What each team was given, over its share. */
   shareUsed: number;
+  /** Called with each decision as it is logged. */
+  onDecision(decision: Decision): void;
 }
 
 /** A request of the caller. */
@@ -178,12 +180,16 @@
     unreadMs: 0,
     inFlight: 0,
     shareUsed: 0,
+    onDecision: () => {},
   };
   const paced: Paced = { firstEvents: [], pauses: [] };
   const host = createHost(directory, {
     delay,
     paced,
-    log: (decision) => log.push(decision),
+    log(decision) {
+      log.push(decision);
+      delay.onDecision(decision);
+    },
     tryGetRoutes: () => routes,
   });
   const callers = await listen(
