Count the silence of others by a clock that stands still with its process

After a pause of 1.5 s, or a turn that long, reports of load were forgotten before the newer ones in the socket were read: every upstream looked free, and upstreams with work in flight looked silent.

Evidence: the new test of the view, over the plain clock, gives 0 tokens at an upstream at which 9,000 are being read (1.6 s after the report). With the working clock, for which a turn counts 200 ms at most, it gives 9,000, and 0 after 1.6 s of short turns without news. A host that is gone is still left out by the members' list, whose time is its own. Not changed: rates, leases and limits of requests, which callers and upstreams count by real time.

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -38,3 +38,34 @@
     },
   };
 }
+
+/** A clock that stands still while its process does. */
+export interface WorkingClock extends Clock {
+  /** Called in each turn of the event loop. */
+  tick(): void;
+}
+
+/** A turn counts for so long at most, in ms. */
+const MAX_TURN_MS = 200;
+
+/**
+ * Makes a clock for the age of what others tell and for their silence.
+ *
+ * Load: a process that is stopped for seconds, or whose turns of the event loop
+ * take that long. Harm prevented: what others sent meanwhile lies unread, and by
+ * the process's own pause it took their last news for old: upstreams looked free
+ * that others had filled, and busy ones looked silent.
+ */
+export function createWorkingClock(clock: Clock): WorkingClock {
+  let turnMs = clock.monotonicMs();
+  let workedMs = turnMs;
+  const getInTurn = () => Math.min(clock.monotonicMs() - turnMs, MAX_TURN_MS);
+  return {
+    monotonicMs: () => workedMs + getInTurn(),
+    wallMs: clock.wallMs,
+    tick() {
+      workedMs += getInTurn();
+      turnMs = clock.monotonicMs();
+    },
+  };
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -8,7 +8,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetOptions } from "../admission/mod.ts";
-import { getOrCreate } from "../core/mod.ts";
+import { createWorkingClock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import { REPORT_KEY } from "../discovery/mod.ts";
 import {
@@ -97,7 +97,8 @@
     else if (fact.key.startsWith(FULL_KEY)) fullHosts.receive(fact);
   }
 
-  const health = createHealthWatch(clock);
+  const workingClock = createWorkingClock(clock);
+  const health = createHealthWatch(workingClock);
   const loop = createLoopWatch(clock, QUEUE_TICK_MS);
   const fullHosts = createFullHosts({
     clock,
@@ -118,7 +119,7 @@
     },
   });
   const load = createLoadView({
-    clock,
+    clock: workingClock,
     getDigest: getNameDigest,
     isAlive: (address) => peers.membership.isUsable(address),
     getStatedCapacity: () =>
@@ -308,6 +309,7 @@
   }
 
   function watch(): void {
+    workingClock.tick();
     loop.tick();
     intake.tick();
   }
@@ -329,7 +331,7 @@
       log({ event: "platform-lost", table: "hosts", reason }),
   });
   const exchange = await openLoadExchange({
-    clock,
+    clock: workingClock,
     self: { peerAddress, dataCentre: settings.dataCentre },
     view: load,
     getHosts: getAlive,
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -1,7 +1,11 @@
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { test } from "node:test";
 import * as fc from "fast-check";
-import { createManualClock } from "../core/mod.ts";
+import {
+  type Clock,
+  createManualClock,
+  createWorkingClock,
+} from "../core/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createLoadView } from "./load_view.ts";
 import { getFairLevel } from "./team_shares.ts";
@@ -33,9 +37,13 @@
   ));
 });
 
-function createView(from: string, clock = createManualClock(1_000)) {
+function createView(
+  from: string,
+  clock = createManualClock(1_000),
+  viewClock: Clock = clock,
+) {
   const view = createLoadView({
-    clock,
+    clock: viewClock,
     getDigest: getNameDigest,
     isAlive: () => true,
     getStatedCapacity: () => 100,
@@ -143,3 +151,19 @@
   a.clock.advance(2_000);
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
 });
+
+test("an upstream that others have filled is not free after a pause of this host", () => {
+  // Guards against starts on the ground of a host's own silence.
+  const a = createView("a");
+  const working = createWorkingClock(a.clock);
+  const b = createView("b", a.clock, working);
+  a.view.beginReading("engine-1", 9_000);
+  b.view.receive(a.createReport());
+  a.clock.advance(1_600);
+  strictEqual(b.view.getReadingTokens("engine-1"), 9_000);
+  for (let turn = 0; turn < 160; turn++) {
+    working.tick();
+    a.clock.advance(10);
+  }
+  strictEqual(b.view.getReadingTokens("engine-1"), 0);
+});
