Suspect no host whose reply to a probe lies unread

The tick of the members' list now runs by the ticker, which reads before it decides when it is late.

--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -21,6 +21,7 @@
   openDatagrams,
   tryFetchConfiguration,
 } from "../peers/mod.ts";
+import { startTicker } from "./ticker.ts";
 import type { EntrySettings } from "./types.ts";
 
 /** What the peers' part needs of the process. */
@@ -104,12 +105,22 @@
     tryGetConfiguration: host.tryGetTable,
     countHosts: () => membership.getMembers().length,
   });
-  const tick = Effect.try({
-    try: () => membership.tick(),
-    catch: (err) => String(err),
-  }).pipe(
-    Effect.catch((reason) => Effect.sync(() => host.onFailed(reason))),
-  );
+
+  function tick(): void {
+    try {
+      membership.tick();
+    } catch (err) {
+      // Thrown on, it would end the process with all its requests.
+      host.onFailed(String(err));
+    }
+  }
+
+  /** Replies that lie unread after a long turn are no silence of the others. */
+  const run = Effect.callback<never>(() => {
+    tick();
+    const ticker = startTicker(membershipOptions.periodMs, { decide: tick });
+    return Effect.sync(() => ticker[Symbol.dispose]());
+  });
 
   return {
     membership,
@@ -128,9 +139,7 @@
       }));
       membership.setSeeds(seeds);
     },
-    run: Effect.forever(
-      tick.pipe(Effect.andThen(Effect.sleep(membershipOptions.periodMs))),
-    ),
+    run,
     async [Symbol.asyncDispose]() {
       await server[Symbol.asyncDispose]();
       await datagrams[Symbol.asyncDispose]();
--- /dev/null
+++ b/src/entry/peers_test.ts
@@ -0,0 +1,88 @@
+import { deepStrictEqual } from "node:assert";
+import { createSocket } from "node:dgram";
+import process from "node:process";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import { systemClock } from "../core/mod.ts";
+import { openPeers, type Peers } from "./peers.ts";
+import type { EntrySettings } from "./types.ts";
+
+/** A port that is free for datagrams. */
+async function findPort(): Promise<number> {
+  const socket = createSocket("udp4");
+  await new Promise<void>((resolve) => socket.bind(0, "127.0.0.1", resolve));
+  const { port } = socket.address();
+  await new Promise<void>((resolve) => socket.close(() => resolve()));
+  return port;
+}
+
+function openHost(
+  peerAddress: string,
+  { onSuspect, onProbe }: {
+    onSuspect(): void;
+    onProbe(): void;
+  },
+): Promise<Peers> {
+  const settings = {
+    peerAddress,
+    dataCentre: "one",
+    callerAddress: peerAddress,
+  } as EntrySettings;
+  return openPeers(settings, {
+    clock: systemClock,
+    incarnation: 1,
+    random() {
+      onProbe();
+      return 0;
+    },
+    onMember: ({ state }) => void (state === "suspect" && onSuspect()),
+    onFact: () => {},
+    tryGetTable: () => undefined,
+    onFailed: (reason) => {
+      throw new Error(reason);
+    },
+  });
+}
+
+function countAlive({ membership }: Peers): number {
+  return membership.getMembers().filter((each) => each.state === "alive")
+    .length;
+}
+
+test("a host whose turns are long suspects nobody whose replies lie unread", async () => {
+  // Guards against hosts that are left out of answers for another host's pause.
+  const addresses = [
+    `127.0.0.1:${await findPort()}`,
+    `127.0.0.1:${await findPort()}`,
+  ];
+  const suspects: string[] = [];
+  let pauses = 0;
+  const onProbe = () => {
+    if (pauses === 0) return;
+    pauses--;
+    // Behind the sending of the probe, before its reply is read.
+    process.nextTick(() => {
+      const untilMs = performance.now() + 700;
+      while (performance.now() < untilMs);
+    });
+  };
+  const open = (at: number) =>
+    openHost(addresses[at]!, {
+      onSuspect: () => void suspects.push(`by host ${at}`),
+      onProbe,
+    });
+  await using a = await open(0);
+  await using b = await open(1);
+  const tasks = [a, b].map((each) => {
+    each.setSeeds(addresses);
+    return Effect.runFork(each.run);
+  });
+  while (countAlive(a) < 2 || countAlive(b) < 2) await sleep(20);
+  pauses = 4;
+  while (pauses > 0) await sleep(20);
+  await sleep(300);
+  deepStrictEqual(suspects, []);
+  for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
+});
