Log what parts the causes of requests sent on for nobody

GONE could not be traced from a host's lines: they did not tell a request read late from one started late after a long turn, nor one sent late. A start now says how long it waited in the queue, in which turn it began and how long what is read then may have waited; an end says how long after the latest attempt it came. A counter tells of closes that are read within 100 ms after a start, which should be none.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -56,6 +56,12 @@
     readonly upstream: string;
     readonly attempt: number;
     readonly waitedMs: number;
+    /** Of it, in the queue; absent for what doesn't wait there. */
+    readonly queuedMs: number | undefined;
+    /** The present turn of the event loop has taken so long. */
+    readonly turnMs: number;
+    /** What is read now may have waited so long unread. */
+    readonly unreadMs: number;
     /** Requests of this host at the upstream, this one not counted. */
     readonly inFlight: number;
     /** Tokens to read there, attention counted, as far as this host knows. */
@@ -84,6 +90,8 @@
     readonly reason: string;
     readonly upstream: string | undefined;
     readonly attempts: number;
+    /** Since the latest attempt began; absent without one. */
+    readonly sinceAttemptMs: number | undefined;
     readonly totalMs: number;
     /** Of a stream; absent before its first event. */
     readonly firstEventMs: number | undefined;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -257,6 +257,7 @@
     tryGetRoutes: knowledge.tryGetRoutes,
     getDistance,
     isBehind: loop.isBehind,
+    getTurnMs: loop.getTurnMs,
     getUnreadMs: loop.getUnreadMs,
     mayStart: leaving.mayStart,
     getInputs: knowledge.getInputs,
--- a/src/entry/loop_watch.ts
+++ b/src/entry/loop_watch.ts
@@ -21,6 +21,8 @@
   tick(): void;
   /** The present turn takes too long for anything new to be on time. */
   isBehind(): boolean;
+  /** How long the present turn has taken beyond the period, in ms. */
+  getTurnMs(): number;
   /** How long a request that is read now may have waited unread, in ms. */
   getUnreadMs(): number;
 }
@@ -36,12 +38,15 @@
   let turnMs = clock.monotonicMs();
   let turnBeforeMs = turnMs;
 
+  const getTurnMs = () => Math.max(0, clock.monotonicMs() - turnMs - periodMs);
+
   return {
+    getTurnMs,
     tick() {
       turnBeforeMs = turnMs;
       turnMs = clock.monotonicMs();
     },
-    isBehind: () => clock.monotonicMs() - turnMs - periodMs > MAX_TURN_MS,
+    isBehind: () => getTurnMs() > MAX_TURN_MS,
     // What came during the turn before is read in this one.
     getUnreadMs: () =>
       Math.max(0, clock.monotonicMs() - turnBeforeMs - 2 * periodMs),
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -51,6 +51,16 @@
   16,
 ];
 
+/** A close that is read so soon after a start, in ms, was there before it. */
+const CLOSED_BEFORE_MS = 100;
+
+function isSentForNobody(decision: Decision): boolean {
+  return decision.event === "request-ended" &&
+    decision.outcome === "caller-left" &&
+    decision.sinceAttemptMs !== undefined &&
+    decision.sinceAttemptMs < CLOSED_BEFORE_MS;
+}
+
 /** Makes the metrics, all zero. */
 export function createEntryMetrics(host: MetricsHost): EntryMetrics {
   const registry = new Registry();
@@ -93,6 +103,12 @@
     labelNames: ["table", "outcome"],
     registers,
   });
+  const sentForNobody = new Counter({
+    name: "azurestile_requests_sent_for_nobody_total",
+    help:
+      "Requests whose caller's close was read right after they were sent on",
+    registers,
+  });
   const logLinesDropped = new Counter({
     name: "azurestile_log_lines_dropped_total",
     help: "Log lines lost since the reader of the output fell behind",
@@ -164,6 +180,8 @@
       decisions.inc({ event: decision.event });
       if (decision.event === "attempt-failed") {
         attemptsFailed.inc({ kind: decision.kind, next: decision.next });
+      } else if (isSentForNobody(decision)) {
+        sentForNobody.inc();
       } else if (decision.event === "log-lines-dropped") {
         logLinesDropped.inc(decision.lines);
       }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -40,6 +40,8 @@
   getDistance(dataCentre: string): Distance;
   /** This process is so busy that a new request would come too late. */
   isBehind(): boolean;
+  /** How long the present turn of the event loop has taken, in ms. */
+  getTurnMs(): number;
   /** How long a request that is read now may have waited unread, in ms. */
   getUnreadMs(): number;
   /** Whether the time left to this process allows the request to end. */
@@ -80,6 +82,8 @@
 
 /** What has been done for a request. */
 export interface Progress {
+  /** Monotonic milliseconds; of a prompt that waits or has waited. */
+  queuedAtMs: number | undefined;
   /** Upstreams that were sent the request. */
   attempts: number;
   /** Upstreams that may have run it. */
@@ -107,6 +111,7 @@
 /** Makes the state of a request for which nothing has been done. */
 export function createProgress(lastEventId: string | undefined): Progress {
   return {
+    queuedAtMs: undefined,
     attempts: 0,
     runs: 0,
     tried: new Set(),
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -217,13 +217,20 @@
 }
 
 function logAttempt(host: ForwardHost, call: Call, picked: Picked): void {
+  const nowMs = host.clock.monotonicMs();
+  const { queuedAtMs } = call.progress;
   host.log({
     event: "attempt-started",
     request: call.headers.requestId,
     team: call.team,
     upstream: picked.upstream.id,
     attempt: call.progress.attempts + 1,
-    waitedMs: Math.round(host.clock.monotonicMs() - call.arrivedMs),
+    waitedMs: Math.round(nowMs - call.arrivedMs),
+    queuedMs: queuedAtMs === undefined
+      ? undefined
+      : Math.round(nowMs - queuedAtMs),
+    turnMs: Math.round(host.getTurnMs()),
+    unreadMs: Math.round(host.getUnreadMs()),
     inFlight: host.health.getInFlight(picked.upstream.id),
     readingTokens: picked.readingTokens,
     inputs: host.getInputs(),
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -324,3 +324,19 @@
   strictEqual((await fixture.call({ id: FAULTY_ID })).status, 502);
   strictEqual((await fixture.call()).status, 200);
 });
+
+test("a start says how long the request waited, and in which turn it began", async () => {
+  // Guards against requests sent on for nobody whose cause no line tells.
+  await using fixture = await createForwardFixture([answers], {
+    kind: "stream",
+    hasPrompts: true,
+  });
+  fixture.delay.unreadMs = 40;
+  await fixture.call();
+  const start = fixture.log.find((each) => each.event === "attempt-started");
+  ok(start?.event === "attempt-started");
+  ok(start.waitedMs >= 40 && start.queuedMs! < 40);
+  deepStrictEqual([start.turnMs, start.unreadMs], [0, 40]);
+  const end = fixture.log.find((each) => each.event === "request-ended");
+  ok(end?.event === "request-ended" && end.sinceAttemptMs! <= end.totalMs);
+});
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -93,10 +93,12 @@
   const workTokens = getWorkTokens(prompt);
   noteAsked(host, call.team ?? "", prompt);
   return Effect.callback<Picked, Rejected>((resume) => {
+    const queuedAtMs = host.clock.monotonicMs();
+    call.progress.queuedAtMs = queuedAtMs;
     const waiting: WaitingPrompt = {
       request: call.headers.requestId,
       team: call.team ?? "",
-      arrivedMs: host.clock.monotonicMs(),
+      arrivedMs: queuedAtMs,
       targetMs: Math.min(call.route.targetMs, getLeftMs(host, call)),
       service: call.service,
       route: call.route.name,
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -360,7 +360,9 @@
 
 function logEnd(host: ForwardHost, trail: Trail, end: End): void {
   const { call, headers, route, team } = trail;
-  const totalMs = Math.round(host.clock.monotonicMs() - trail.arrivedMs);
+  const nowMs = host.clock.monotonicMs();
+  const totalMs = Math.round(nowMs - trail.arrivedMs);
+  const attempts = call?.progress.attempts ?? 0;
   host.log({
     event: "request-ended",
     request: headers?.requestId ?? "",
@@ -370,7 +372,10 @@
     status: end.status,
     reason: end.reason,
     upstream: call?.progress.upstream?.id,
-    attempts: call?.progress.attempts ?? 0,
+    attempts,
+    sinceAttemptMs: attempts === 0
+      ? undefined
+      : Math.round(nowMs - call!.progress.attemptedMs),
     totalMs,
     firstEventMs: toWhole(call?.progress.firstEventMs),
     chunks: call?.progress.chunks ?? 0,
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -275,6 +275,7 @@
     retryBudget: createRetryBudget(clock),
     getDistance: () => "same-data-centre",
     isBehind: () => parts.delay.isBehind,
+    getTurnMs: () => 0,
     getUnreadMs: () => parts.delay.unreadMs,
     mayStart: () => true,
     getInputs: () => ({
