Share what upstreams really give, not what operators state

Cause: a team is over its share of the larger of what is begun and what operators state. Upstreams give far less than is stated there, so nobody was over any share, no team yielded, and the team that uses 18 hosts won nearly each race for an upstream against the one that uses two. And a team over its share gave way only where a prompt did not fit beside others; where one prompt fills the limit and nothing is read, it counts as fitting.

Change: a team that has had more than an even part of what is really given, while more is asked, is ahead: it goes last and starts nothing that fills an upstream for which an underserved team's prompt waits.

Why it holds: all hosts work out the same level from the same sums, and it needs no figure that operators state.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -156,6 +156,7 @@
       underservedElsewhere: load.getUnderservedElsewhere(upstream),
     }),
     getShareUsed: load.getShareUsed,
+    isAhead: load.isAhead,
     isUnderserved: load.isUnderserved,
     onUnderservedWaiting: load.setUnderserved,
     getMeanYield: load.getMeanYield,
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -62,6 +62,8 @@
   getOthersLearned(service: string): PacingEvidence;
   /** What the team was given over its share, as a ratio; 1 is the share. */
   getShareUsed(team: string): number;
+  /** Whether the team is given more than an even part of what is short. */
+  isAhead(team: string): boolean;
   /** Whether the team is given far less than others, and asks for more. */
   isUnderserved(team: string): boolean;
   /** Prompts of underserved teams that wait at this host, by upstream. */
@@ -89,6 +91,12 @@
  */
 const UNDERSERVED_SHARE = 0.75;
 
+/**
+ * What upstreams give is short when more than so many times as much is asked:
+ * what waits for a moment is asked and not begun.
+ */
+const SHORT_FACTOR = 1.15;
+
 const NO_USE: Readonly<Use> = createUse();
 
 interface HeardReport {
@@ -113,6 +121,8 @@
   const works = createRate(HALF_LIFE_MS);
   let forgotAtMs = -Infinity;
   let level = Infinity;
+  /** The level of what is really given, which may be far below what is stated. */
+  let givenLevel = Infinity;
   let askedByTeam: ReadonlyMap<number, number> = new Map();
   let begunByTeam: ReadonlyMap<number, number> = new Map();
   let mostBegun = 0;
@@ -195,10 +205,13 @@
       asked.set(use.team, (asked.get(use.team) ?? 0) + use.asked);
       begun.set(use.team, (begun.get(use.team) ?? 0) + use.begun);
     }
-    const total = [...begun.values()].reduce((sum, each) => sum + each, 0);
+    const total = sumOf(begun.values());
     // What upstreams keep need not be read, so that they do more than stated.
     const capacity = Math.max(total, host.getStatedCapacity());
-    level = getFairLevel([...asked.values()], capacity);
+    const demands = [...asked.values()];
+    level = getFairLevel(demands, capacity);
+    const isShort = sumOf(demands) > total * SHORT_FACTOR;
+    givenLevel = isShort ? getFairLevel(demands, total) : Infinity;
     askedByTeam = asked;
     begunByTeam = begun;
     mostBegun = Math.max(0, ...begun.values());
@@ -238,6 +251,10 @@
       updateLevel();
       return (begunByTeam.get(getDigest(team)) ?? 0) / level;
     },
+    isAhead(team) {
+      updateLevel();
+      return (begunByTeam.get(getDigest(team)) ?? 0) > givenLevel;
+    },
     isUnderserved(team) {
       updateLevel();
       const digest = getDigest(team);
@@ -275,3 +292,9 @@
     },
   };
 }
+
+function sumOf(amounts: Iterable<number>): number {
+  let sum = 0;
+  for (const each of amounts) sum += each;
+  return sum;
+}
--- a/src/measure/prompt_world.ts
+++ b/src/measure/prompt_world.ts
@@ -161,6 +161,7 @@
         underservedElsewhere: view.getUnderservedElsewhere(engine),
       }),
       getShareUsed: view.getShareUsed,
+      isAhead: view.isAhead,
       isUnderserved: view.isUnderserved,
       onUnderservedWaiting: view.setUnderserved,
       getMeanYield: view.getMeanYield,
--- a/src/queue/common_room_test.ts
+++ b/src/queue/common_room_test.ts
@@ -16,10 +16,12 @@
 const TICK_MS = 10;
 const PLAYED_MS = 20_000;
 
-/** A team that asks for as many tokens as each other. */
+/** A team; without a weight it asks for as many tokens as each other. */
 interface PlayedTeam {
   /** Hosts that its callers use in turn. */
   readonly hosts: readonly number[];
+  /** What it asks for, over an even part of the demand. */
+  readonly weight?: number;
 }
 
 interface PlayOptions {
@@ -30,13 +32,23 @@
   readonly teams: readonly PlayedTeam[];
   /** Of each host's answers, those that pause past their target. */
   readonly lateShares: readonly number[];
+  /** What operators state that upstreams do, over what they read. */
+  readonly statedFactor?: number;
+}
+
+/** What a team asked for and got, in prompts. */
+interface Served {
+  readonly asked: number;
+  readonly begun: number;
+  /** The part of what it asked for that it got. */
+  readonly share: number;
 }
 
 /**
- * Hosts before two upstreams that read one prompt after the other; gives the part
- * of its tokens that each team got.
+ * Hosts before two upstreams that read one prompt after the other; gives what
+ * each team got.
  */
-function play(options: PlayOptions): readonly number[] {
+function play(options: PlayOptions): readonly Served[] {
   const { promptTokens } = options;
   const agenda = createAgenda();
   const { clock } = agenda;
@@ -55,7 +67,8 @@
       clock,
       getDigest: getNameDigest,
       isAlive: () => true,
-      getStatedCapacity: () => TOKENS_PER_MS * UPSTREAMS.length * 1_000,
+      getStatedCapacity: () =>
+        TOKENS_PER_MS * UPSTREAMS.length * 1_000 * (options.statedFactor ?? 1),
       getLearned: () => [{
         ...pacing.getEvidence(),
         service: getNameDigest(SERVICE),
@@ -83,6 +96,7 @@
         underservedElsewhere: view.getUnderservedElsewhere(upstream),
       }),
       getShareUsed: view.getShareUsed,
+      isAhead: view.isAhead,
       isUnderserved: view.isUnderserved,
       onUnderservedWaiting: view.setUnderserved,
       getMeanYield: view.getMeanYield,
@@ -140,9 +154,10 @@
   });
 
   const perMs = options.demand * TOKENS_PER_MS * UPSTREAMS.length;
-  agenda.every(promptTokens * options.teams.length / perMs, () => {
-    options.teams.forEach((team, at) => {
-      hosts[team.hosts[asked[at]! % team.hosts.length]!]!.ask(at);
+  const periodMs = promptTokens * options.teams.length / perMs;
+  options.teams.forEach(({ hosts: used, weight = 1 }, at) => {
+    agenda.every(periodMs / weight, () => {
+      hosts[used[asked[at]! % used.length]!]!.ask(at);
     });
   });
   hosts.forEach((host, at) => {
@@ -160,7 +175,15 @@
     }
   });
   agenda.runUntil(PLAYED_MS);
-  return options.teams.map((_, at) => begun[at]! / asked[at]!);
+  return options.teams.map((_, at) => ({
+    asked: asked[at]!,
+    begun: begun[at]!,
+    share: begun[at]! / asked[at]!,
+  }));
+}
+
+function getShares(teams: readonly Served[]): readonly number[] {
+  return teams.map((each) => each.share);
 }
 
 function getRatio(shares: readonly number[]): number {
@@ -171,12 +194,12 @@
   // Hosts that learn the limit of reading alone differ by far; the room at an
   // upstream is common, and the widest takes all of it.
   for (const demand of [1.2, 2]) {
-    const shares = play({
+    const shares = getShares(play({
       demand,
       promptTokens: 2_800,
       teams: [{ hosts: [0] }, { hosts: [1] }],
       lateShares: [0.2, 0],
-    });
+    }));
     ok(getRatio(shares) >= 0.8, `${shares} at ${demand}`);
   }
 });
@@ -186,14 +209,38 @@
   // upstream that has read all; six win six times of seven, whoever their team is.
   for (const promptTokens of [2_800, 8_000, 17_000]) {
     for (const demand of [2, 4]) {
-      const shares = play({
+      const shares = getShares(play({
         demand,
         promptTokens,
         teams: [{ hosts: [0] }, { hosts: [1, 2, 3, 4, 5, 6] }],
         lateShares: Array.from({ length: 7 }, () => 0.3),
-      });
+      }));
       const what = `${shares} of ${promptTokens} tokens at ${demand}`;
       ok(getRatio(shares) > 0.5, what);
     }
   }
 });
+
+test("a calm team gets half of what it asks for beside a flood, whatever is stated", () => {
+  // Guards against shares of a capacity that upstreams do not have: nobody is over
+  // such a share, so the team with the most hosts takes what there is.
+  for (const promptTokens of [2_800, 8_000, 17_000]) {
+    for (const statedFactor of [1, 3, 10]) {
+      const [calm, flood] = play({
+        demand: 3,
+        promptTokens,
+        teams: [
+          { hosts: [0, 1], weight: 0.3 },
+          { hosts: [0, 1, 2, 3, 4, 5, 6], weight: 1.7 },
+        ],
+        lateShares: Array.from({ length: 7 }, () => 0.3),
+        statedFactor,
+      });
+      const due = Math.min(calm!.asked, flood!.begun) / 2;
+      const what = `${calm!.begun} of ${due} due, ${
+        flood!.begun
+      } for the flood`;
+      ok(calm!.begun >= due, `${what}; ${promptTokens}, ${statedFactor}`);
+    }
+  }
+});
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -12,8 +12,11 @@
  * - A team that floods would stand before all others. So a team that has had
  *   more than its share goes last, and leaves a part of each upstream free.
  * - Where one prompt fills an upstream, hosts take turns there and not teams, so
- *   that a team with one host gets the least. So a team over its share starts
- *   nothing that fills an upstream for which an underserved team's prompt waits.
+ *   that a team with few hosts gets the least. So a team over its share, or ahead
+ *   of others while upstreams give less than is asked, starts nothing that fills
+ *   an upstream for which an underserved team's prompt waits.
+ * - Operators may state more than upstreams do. Nobody is over a share of that, so
+ *   teams that are ahead go last, too; they keep the room that nobody waits for.
  * - A request that waits past its use holds the place of one that could still
  *   be on time. So the newest go first, and one is refused as soon as it is too
  *   late, with when to come back.
@@ -106,6 +109,8 @@
 interface Ranked {
   readonly prompt: WaitingPrompt;
   readonly yields: 0 | 1 | 2;
+  /** Its team has had more than others that wait. */
+  readonly isLast: boolean;
 }
 
 /** Makes an empty queue. */
@@ -127,19 +132,20 @@
     getOrCreate(seen, upstream, () => host.getLoad(upstream));
 
   function tryPlace(
-    { prompt, yields }: Ranked,
+    { prompt, yields, isLast }: Ranked,
     nowMs: number,
   ): Choice | undefined {
     const limit = limits[yields];
     const limitTokens = host.getLimitTokens(prompt.service);
     const largestTokens = limitTokens * options.largestShare;
-    const givesWay = options.givesWay && yields === 2 &&
+    const givesWay = options.givesWay && isLast &&
       !host.isUnderserved(prompt.team);
     const hasRoom = ({ upstream, readingTokens }: Choice) =>
       decideRoom(getLoad(upstream), {
         readingTokens: Math.min(readingTokens, largestTokens),
         slotShare: limit.slotShare,
         limitTokens: limitTokens * limit.readingShare,
+        fullTokens: limitTokens,
         givesWay,
       });
     const choices = prompt.getChoices();
@@ -187,12 +193,14 @@
 
   /** Those that yield least first. */
   function getInOrder(): readonly Ranked[] {
-    const ranked = [...waiting].map((prompt) => ({
-      prompt,
-      yields: getYield(prompt),
-    }));
+    const ranked = [...waiting].map((prompt) => {
+      const yields = getYield(prompt);
+      const isLast = yields === 2 || host.isAhead(prompt.team);
+      return { prompt, yields, isLast };
+    });
     return ranked.sort((a, b) =>
-      a.yields - b.yields || options.compare(a.prompt, b.prompt)
+      Number(a.isLast) - Number(b.isLast) || a.yields - b.yields ||
+      options.compare(a.prompt, b.prompt)
     );
   }
 
@@ -332,6 +340,8 @@
   readonly slotShare: number;
   /** What may be read at the upstream at once. */
   readonly limitTokens: number;
+  /** What prompts that don't yield may have read there at once. */
+  readonly fullTokens: number;
   /** It leaves the upstream to prompts of underserved teams. */
   readonly givesWay: boolean;
 }
@@ -339,9 +349,10 @@
 /** Whether an upstream has room for a prompt. */
 export function decideRoom(load: UpstreamLoad, need: Need): boolean {
   if (load.inFlight >= load.slots * need.slotShare) return false;
-  const isBeside = load.readingTokens + need.readingTokens <= need.limitTokens;
-  if (isBeside) return true;
+  const readingTokens = load.readingTokens + need.readingTokens;
+  const isBeside = readingTokens <= need.limitTokens;
   // A prompt that counts for more than the limit starts where nothing is read.
-  if (load.readingTokens > 0) return false;
-  return !need.givesWay || load.underservedElsewhere === 0;
+  if (!isBeside && load.readingTokens > 0) return false;
+  const leavesRoom = readingTokens + need.readingTokens <= need.fullTokens;
+  return leavesRoom || !need.givesWay || load.underservedElsewhere === 0;
 }
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -32,6 +32,7 @@
   let looks = 0;
   const loads = new Map<string, { inFlight: number; readingTokens: number }>();
   const overShare = new Set<string>();
+  const ahead = new Set<string>();
   const underservedTeams = new Set<string>();
   /** Prompts of underserved teams at other hosts, by upstream. */
   const underserved = new Map<string, number>();
@@ -51,6 +52,7 @@
       const underservedElsewhere = underserved.get(upstream) ?? 0;
       return { slots: 48, ...getUse(upstream), underservedElsewhere };
     },
+    isAhead: (team) => ahead.has(team),
     isUnderserved: (team) => underservedTeams.has(team),
     onUnderservedWaiting: (prompts) =>
       void told.push(Object.fromEntries(prompts)),
@@ -106,6 +108,7 @@
     add,
     gone,
     overShare,
+    ahead,
     underservedTeams,
     underserved,
     told,
@@ -132,6 +135,31 @@
   deepStrictEqual(fixture.log, ["calm-1 late"]);
 });
 
+test("a team that is ahead goes last, and gets the room that nobody waits for", () => {
+  // Guards against a flood that starts before calm teams, and against upstreams
+  // that idle beside it.
+  const fixture = createFixture();
+  fixture.ahead.add("flood");
+  fixture.getUse("a").readingTokens = LIMIT_TOKENS;
+  fixture.add({ ranked: ["a"] });
+  fixture.add({ team: "flood", ranked: ["a"] });
+  fixture.getUse("a").readingTokens = 0;
+  fixture.advance(100);
+  deepStrictEqual(fixture.log, ["calm-1 to a", "flood-2 to a"]);
+});
+
+test("a team that is ahead fills no upstream for which an underserved one waits", () => {
+  // Guards against teams that get less the fewer hosts their callers use.
+  const fixture = createFixture();
+  fixture.ahead.add("flood");
+  fixture.underserved.set("a", 1);
+  fixture.add({ team: "flood", ranked: ["a"], readingTokens: 9_000 });
+  deepStrictEqual(fixture.log, []);
+  fixture.underserved.clear();
+  fixture.queue.tick();
+  deepStrictEqual(fixture.log, ["flood-1 to a"]);
+});
+
 test("nothing is started for a caller that has left", () => {
   // Guards against upstreams that work for nobody.
   const fixture = createFixture();
@@ -343,6 +371,7 @@
     readingTokens: 100_000,
     slotShare: 0.6,
     limitTokens: 15_000,
+    fullTokens: LIMIT_TOKENS,
     givesWay: false,
   };
   strictEqual(decideRoom(idle, need), true);
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -64,6 +64,8 @@
   getLoad(upstream: string): UpstreamLoad;
   /** What the team was given of late, over its fair share; 1 is the share. */
   getShareUsed(team: string): number;
+  /** Whether the team is given more than an even part of what is short. */
+  isAhead(team: string): boolean;
   /** Whether the team is given far less than others, and asks for more. */
   isUnderserved(team: string): boolean;
   /** Told at each look, by the upstream that they wait for. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -258,6 +258,7 @@
         underservedElsewhere: 0,
       }),
       getShareUsed: () => parts.delay.shareUsed,
+      isAhead: () => false,
       isUnderserved: () => false,
       onUnderservedWaiting: () => {},
       getMeanYield: () => 0,
