--- a/src/orders/order_client.ts
+++ b/src/orders/order_client.ts
@@ -6,6 +6,7 @@
 
 import { request as sendRequest } from "node:http";
 import * as Effect from "effect/Effect";
+import { startTimeLimit } from "../core/mod.ts";
 import type { Upstream } from "../types.ts";
 import { formatOrder, type Order, type OrderResult } from "./types.ts";
 
@@ -48,7 +49,7 @@
       agent: false,
       timeout: ORDER_TIMEOUT_MS,
     });
-    const late = setTimeout(() => req.destroy(), ORDER_TIMEOUT_MS);
+    const limit = startTimeLimit(ORDER_TIMEOUT_MS, () => req.destroy());
     req.on("response", (res) => {
       res.resume();
       end(res.statusCode === 200 ? "taken" : "refused");
@@ -66,7 +67,7 @@
         req.end(body);
       }));
     return Effect.sync(() => {
-      clearTimeout(late);
+      limit[Symbol.dispose]();
       req.destroy();
     });
   });
--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -9,6 +9,7 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
 import * as Effect from "effect/Effect";
 import { createParser } from "eventsource-parser";
+import { startTimeLimit } from "../core/mod.ts";
 import {
   type AnswerEvent,
   type AnswerStream,
@@ -119,18 +120,18 @@
       },
     });
     // A connection can go silent for good without raising any error.
-    const timer = setTimeout(
-      () => req.destroy(createSilence(call.limitMs)),
+    const limit = startTimeLimit(
       call.limitMs,
+      () => req.destroy(createSilence(call.limitMs)),
     );
     req.on("response", (res) => {
       if (call.path.startsWith("/calls/")) {
-        res.on("close", () => clearTimeout(timer));
-      } else clearTimeout(timer);
+        res.on("close", () => limit[Symbol.dispose]());
+      } else limit[Symbol.dispose]();
       resolve(res);
     });
     req.on("error", (err) => {
-      clearTimeout(timer);
+      limit[Symbol.dispose]();
       reject(toUpstreamError(err));
     });
     req.end(call.body);
@@ -198,15 +199,11 @@
   res: IncomingMessage,
   chunks: AsyncIterator<string>,
 ): Promise<IteratorResult<string>> {
-  const timer = setTimeout(
-    () => res.destroy(createSilence(STREAM_SILENCE_MS)),
+  using _limit = startTimeLimit(
     STREAM_SILENCE_MS,
+    () => res.destroy(createSilence(STREAM_SILENCE_MS)),
   );
-  try {
-    return await chunks.next();
-  } finally {
-    clearTimeout(timer);
-  }
+  return await chunks.next();
 }
 
 async function readBody(res: IncomingMessage): Promise<string> {
