Count short answers that were on time in what the limit of reading is learned from

What callers saw: the limit of what an upstream may read fell from 14,000 to its floor of 5,600 tokens within seconds of light load and stayed there; prompts of 9,000 and 17,000 tokens then start only where nothing is read.

Cause: an answer counted when it paused too long, or once it had gone on for a second. Most answers end sooner and counted only when late.

The new test gives no count for an answer on time of 200 ms with the rule before.

Change: an answer that ends uncounted counts once. The notes are a module of their own, tested without a network.

--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -18,6 +18,7 @@
 import type { Call, ForwardHost } from "./call.ts";
 import { createEventFrames, type EventChunk } from "./event_frames.ts";
 import { getForwardable } from "./headers.ts";
+import { createPauseNotes, type PauseNotes } from "./pause_notes.ts";
 import type { Picked } from "./pick_upstream.ts";
 import { AttemptFailed } from "./types.ts";
 import { createEndedEarly, type OpenAnswer } from "./upstream_call.ts";
@@ -29,9 +30,6 @@
  */
 const RESUME_SILENCE_MS = 1_600;
 
-/** An answer without a late pause counts once in so long, in ms. */
-const PAUSE_NOTE_MS = 1_000;
-
 /** Passes on to the end; fails when the stream ends early. */
 export function passOnStream(
   host: ForwardHost,
@@ -70,7 +68,7 @@
       progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
       progress.chunks++;
       lastChunkMs = nowMs;
-      notePause(pauseMs, nowMs);
+      notes?.note(pauseMs, nowMs);
       if (!caller.headersSent) startStream(call, answer);
       progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
       if (caller.write(chunk.bytes)) return;
@@ -78,7 +76,7 @@
       caller.once("drain", () => upstreamRes.resume());
     }
 
-    const notePause = createPauseNotes(host, call);
+    const notes = createNotes(host, call);
     upstreamRes.on("data", (bytes: Buffer) => {
       host.health.noteLife(picked.upstream.id);
       silence?.restart();
@@ -91,6 +89,7 @@
         const reason = "The stream ended in the middle of an event";
         return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
       }
+      notes?.end();
       if (!caller.headersSent) startStream(call, answer);
       caller.end();
       return Effect.void;
@@ -112,27 +111,17 @@
   });
 }
 
-/**
- * Tells the service's pacing of an answer: once that it has paused past its
- * target, and each second until then that it has not.
- */
-function createPauseNotes(
+/** Tells the service's pacing of the pauses of one answer. */
+function createNotes(
   host: ForwardHost,
   { route, service }: Call,
-): (pauseMs: number, nowMs: number) => void {
+): PauseNotes | undefined {
   const { pauseTargetMs } = route;
-  if (pauseTargetMs === undefined) return () => {};
-  const pacing = host.getPacing(service);
-  let isLate = false;
-  let notedMs: number | undefined;
-  return (pauseMs, nowMs) => {
-    notedMs ??= nowMs;
-    if (isLate) return;
-    isLate = pauseMs > pauseTargetMs;
-    if (!isLate && nowMs - notedMs < PAUSE_NOTE_MS) return;
-    notedMs = nowMs;
-    pacing.notePause(isLate);
-  };
+  if (pauseTargetMs === undefined) return undefined;
+  return createPauseNotes({
+    targetMs: pauseTargetMs,
+    onCounted: host.getPacing(service).notePause,
+  });
 }
 
 function startStream(call: Call, answer: OpenAnswer): void {
