Learn what upstreams may read from their pauses, not from this host's

Cause: a busy host's long turns counted as pauses of upstreams, and as time that they took to read; what it learns narrows the limit of all hosts.

The new test: an event 60 ms after the last, read in a turn of 100 ms, counted as late at a target of 20 ms.

Change: what may have waited unread is taken off the pause and off the time to the first event; in short turns it is 0.

--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -340,3 +340,15 @@
   const end = fixture.log.find((each) => each.event === "request-ended");
   ok(end?.event === "request-ended" && end.sinceAttemptMs! <= end.totalMs);
 });
+
+test("pacing is not told of a pause that was this host's own", async () => {
+  // Guards against a busy host that narrows what all hosts give upstreams to read.
+  await using fixture = await createForwardFixture([async (socket, { id }) => {
+    socket.write(streamHead(id) + chunk("id: 1\ndata: a\n\n"));
+    await sleep(60);
+    socket.write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  }], { kind: "stream", hasPrompts: true, pauseTargetMs: 20 });
+  fixture.delay.unreadMs = 100;
+  strictEqual((await fixture.call()).status, 200);
+  deepStrictEqual(fixture.paced.pauses, [false]);
+});
--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -56,8 +56,9 @@
       progress.endReading();
       progress.firstEventMs ??= nowMs - call.arrivedMs;
       if (picked.queuedTokens === undefined) return;
-      const tookMs = nowMs - progress.attemptedMs;
-      host.getPacing(call.service).noteFirstEvent(picked.queuedTokens, tookMs);
+      const tookMs = nowMs - progress.attemptedMs - host.getUnreadMs();
+      host.getPacing(call.service)
+        .noteFirstEvent(picked.queuedTokens, Math.max(0, tookMs));
     }
 
     let lastChunkMs: number | undefined;
@@ -68,7 +69,8 @@
       progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
       progress.chunks++;
       lastChunkMs = nowMs;
-      notes?.note(pauseMs, nowMs);
+      // What lay unread in a long turn is this host's pause, not the upstream's.
+      notes?.note(pauseMs - host.getUnreadMs(), nowMs);
       if (!caller.headersSent) startStream(call, answer);
       progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
       if (caller.write(chunk.bytes)) return;
