--- a/src/forwarding/pass_on_stream.ts
+++ b/src/forwarding/pass_on_stream.ts
@@ -9,12 +9,12 @@
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
+import { startTimeLimit } from "../core/mod.ts";
 import {
   type CallerLost,
   createVanished,
   onCallerLeft,
 } from "../requests/caller.ts";
-import { startTimeLimit } from "../core/mod.ts";
 import type { Call, ForwardHost } from "./call.ts";
 import { createEventFrames, type EventChunk } from "./event_frames.ts";
 import { getForwardable } from "./headers.ts";
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -8,12 +8,12 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
+import { startTimeLimit } from "../core/mod.ts";
 import {
   type CallerLost,
   createVanished,
   onCallerLeft,
 } from "../requests/caller.ts";
-import { startTimeLimit } from "../core/mod.ts";
 import { Rejected } from "./replies.ts";
 
 /** A body that takes longer is given up, in ms; nothing has run by then. */
