Let four tests share what keeps the process busy, and the server's listener

The loop that blocks the event loop stood four times, and two tests opened and closed an HTTP server by hand beside entry/servers.ts. Checks are unchanged.

--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -6,6 +6,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { systemClock } from "../core/mod.ts";
+import { block } from "../testing/block.ts";
 import { openPeers, type Peers } from "./peers.ts";
 import type { EntrySettings } from "./types.ts";
 
@@ -63,10 +64,7 @@
     if (pauses === 0) return;
     pauses--;
     // Behind the sending of the probe, before its reply is read.
-    process.nextTick(() => {
-      const untilMs = performance.now() + 700;
-      while (performance.now() < untilMs);
-    });
+    process.nextTick(() => block(700));
   };
   const open = (at: number) =>
     openHost(addresses[at]!, {
--- a/src/forwarding/long_turn_test.ts
+++ b/src/forwarding/long_turn_test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Socket } from "node:net";
+import { block } from "../testing/block.ts";
 import {
   type Behaviour,
   createForwardFixture,
@@ -11,12 +12,6 @@
 
 const CALLERS = 8;
 
-/** Keeps this process from reading anything for so long, in ms. */
-function block(forMs: number): void {
-  const untilMs = performance.now() + forMs;
-  while (performance.now() < untilMs);
-}
-
 /** Callers whose prompts wait since no upstream has room. */
 async function openWaiting(
   fixture: ForwardFixture,
--- /dev/null
+++ b/src/testing/block.ts
@@ -0,0 +1,13 @@
+/**
+ * Long turns of the event loop, for tests.
+ *
+ * @module
+ */
+
+import { performance } from "node:perf_hooks";
+
+/** Keeps this process from reading anything for so long, in ms. */
+export function block(forMs: number): void {
+  const untilMs = performance.now() + forMs;
+  while (performance.now() < untilMs);
+}
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -1,40 +1,27 @@
 import { deepStrictEqual } from "node:assert";
-import { createServer, type RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
+import { listen, type Listening } from "../entry/servers.ts";
+import { block } from "../testing/block.ts";
 import { createHttpUpstreams, STREAM_SILENCE_MS } from "./http_upstreams.ts";
 
-/** Keeps this process from reading anything for so long, in ms. */
-function block(forMs: number): void {
-  const untilMs = performance.now() + forMs;
-  while (performance.now() < untilMs);
-}
+const LOOPBACK = "127.0.0.1:0";
 
-/** Answers on loopback until it is disposed of. */
-async function listen(onRequest: RequestListener) {
-  const server = createServer(onRequest);
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
-  );
-  return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    [Symbol.dispose]() {
-      server.closeAllConnections();
-      server.close();
-    },
-  };
+/** Where the server listens, IP and port. */
+function getAddress({ server }: Listening): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
 test("a call that was answered in a long turn of this host is not silent", async () => {
   // Guards against work that has ended and is told to its caller as lost.
-  using upstream = await listen((_req, res) => {
+  await using upstream = await listen(LOOPBACK, (_req, res) => {
     res.end("done");
     res.on("finish", () => block(500));
   });
   const answer = await Effect.runPromise(
     createHttpUpstreams().call({
-      address: upstream.address,
+      address: getAddress(upstream),
       operation: "book",
       request: "request-1",
       idempotencyKey: "key-1",
@@ -47,7 +34,7 @@
 
 test("a stream whose event came in a long turn of this host is not lost", async () => {
   // Guards against streams that are broken off for the host's own pause.
-  using upstream = await listen((_req, res) => {
+  await using upstream = await listen(LOOPBACK, (_req, res) => {
     res.write("id: 1\ndata: a\n\n");
     // Timers that fall due meanwhile run next, as after any long turn.
     const sendNext = () => {
@@ -58,7 +45,7 @@
   });
   const stream = await Effect.runPromise(
     createHttpUpstreams().generate({
-      address: upstream.address,
+      address: getAddress(upstream),
       stream: "stream-1",
       body: "{}",
       remainingMs: 10_000,
