Log what upstreams say of themselves in their answers

The lines of the incident can't tell an upstream's word that was not heard from one that was heard and not followed: a refusal's line says "Status 503, not run" and nothing of Retry-After, an answer's line nothing of Server-Leaving.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -135,6 +135,20 @@
     readonly change: string;
     readonly platformVersion: number;
   }
+  | {
+    /** An upstream said something of itself in an answer. */
+    readonly event: "upstream-said";
+    readonly request: string;
+    readonly upstream: string;
+    /** Wall milliseconds of its start. */
+    readonly incarnation: number;
+    readonly status: number;
+    readonly said: "leaving" | "rest" | "unreadable-rest";
+    /** How long it wants no request from this host. */
+    readonly restMs: number | undefined;
+    /** What can't be read. */
+    readonly text: string | undefined;
+  }
   | {
     readonly event: "member-changed";
     readonly member: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -68,6 +68,7 @@
     case "attempt-failed":
       return about.upstreams.has(decision.upstream);
     case "upstream-changed":
+    case "upstream-said":
       return isHere || about.upstreams.has(decision.upstream);
     default:
       return isHere;
@@ -140,6 +141,8 @@
     case "upstream-changed":
       return `Upstream ${decision.upstream} of ${decision.service}: ` +
         `${decision.change} (platform's version ${decision.platformVersion})`;
+    case "upstream-said":
+      return describeSaid(decision);
     case "member-changed":
       return `Host ${decision.member} is ${decision.state}`;
     case "table-reader-changed":
@@ -174,6 +177,20 @@
   }
 }
 
+function describeSaid(
+  said: Extract<Decision, { readonly event: "upstream-said" }>,
+): string {
+  const from = `Upstream ${said.upstream} with status ${said.status}`;
+  switch (said.said) {
+    case "leaving":
+      return `${from}: it leaves`;
+    case "rest":
+      return `${from}: no requests of this host for ${said.restMs} ms`;
+    case "unreadable-rest":
+      return `${from}: a rest that can't be read, "${said.text}"`;
+  }
+}
+
 function formatReading(readingTokens: number | undefined): string {
   if (readingTokens === undefined) return "";
   return `, which reads ${readingTokens} tokens of it`;
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -9,6 +9,7 @@
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import { type Call, type ForwardHost, getLeftMs } from "./call.ts";
 import { getForwardable } from "./headers.ts";
+import { noteSaid } from "./note_said.ts";
 import { AttemptFailed } from "./types.ts";
 import { type OpenAnswer, openCall } from "./upstream_call.ts";
 
@@ -52,7 +53,9 @@
         progress.runs++;
       },
     });
-  }).pipe(Effect.flatMap((answer) => check(host, call, answer)));
+  }).pipe(
+    Effect.flatMap((answer) => check(host, call, upstream, answer)),
+  );
 }
 
 /**
@@ -63,14 +66,14 @@
 function check(
   host: ForwardHost,
   call: Call,
+  upstream: UpstreamEntry,
   answer: OpenAnswer,
 ): Effect.Effect<OpenAnswer, AttemptFailed> {
   const { res } = answer;
   const status = res.statusCode ?? 0;
-  const { requestId, isSealed, isNotRun } = host.codec.readAnswer(
-    status,
-    res.headers,
-  );
+  const headers = host.codec.readAnswer(status, res.headers);
+  const { requestId, isSealed, isNotRun } = headers;
+  noteSaid(host, call, { upstream, status, headers });
   const isOther = requestId !== undefined &&
     requestId !== call.headers.requestId;
   if (isOther) return drop(answer, "broken", "Answer to another request");
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -52,8 +52,17 @@
   readonly isSealed: boolean;
   /** The upstream says that it has not run the request, nor will. */
   readonly isNotRun: boolean;
+  /** The upstream says that it leaves. */
+  readonly isLeaving: boolean;
+  /** How long it wants no request from this host; absent where it says nothing. */
+  readonly rest: RestAsked | undefined;
 }
 
+/** A rest that an upstream asks for, or what can't be read as one. */
+export type RestAsked =
+  | { readonly kind: "for"; readonly ms: number }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Reads and writes the headers of the platform. */
 export interface CallCodec {
   /** `undefined` for a request without a usable id. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -138,6 +138,10 @@
       requestId: headers["x-id"] as string | undefined,
       isSealed: headers["x-seal"] !== undefined,
       isNotRun: status === 421 || headers["x-not-run"] !== undefined,
+      isLeaving: headers["x-leaving"] !== undefined,
+      rest: headers["x-rest-ms"] === undefined
+        ? undefined
+        : { kind: "for", ms: Number(headers["x-rest-ms"]) },
     }),
     createReplyHeaders({ retryAfterMs }): Record<string, string> {
       if (retryAfterMs === undefined) return {};
