Believe an upstream that says in its answers that it leaves

Cause: a host learned of leaving from the platform's table alone. Class: an upstream's own word is not believed until the store repeats it. While the store is away the row can't be written, and nothing else was listened to.

Ruled out: a choice made before (the requests had waited 6 and 1 ms); a report lost among hosts (no host had the row before the store was back); connections kept in reserve (a new request is what uses them).

Change: the directory keeps the starts (id and incarnation) that are known to leave, by their own answers, by another host or by the table, whichever is first. Any answer counts, whatever its status, from the moment its head has been read. A row that calls the same start ready doesn't bring it back, another start of the id does. Who is told first tells all others at once. What waits picks anew at the next look, since the ready ones have changed; streams that run go on. All of a service's upstreams leaving: the refusal at once that was there before.

Why it holds: every choice of an upstream goes through the directory's ready ones.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -133,6 +133,8 @@
     readonly service: string;
     readonly address: string;
     readonly change: string;
+    /** The platform's table, the upstream's own answer, or another host. */
+    readonly from: string;
     readonly platformVersion: number;
   }
   | {
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -140,7 +140,8 @@
       return `Configuration ${decision.version} in force, from ${decision.from}`;
     case "upstream-changed":
       return `Upstream ${decision.upstream} of ${decision.service}: ` +
-        `${decision.change} (platform's version ${decision.platformVersion})`;
+        `${decision.change}, from ${decision.from} (platform's version ` +
+        `${decision.platformVersion})`;
     case "upstream-said":
       return describeSaid(decision);
     case "member-changed":
--- a/src/discovery/mod.ts
+++ b/src/discovery/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./leaving_lives.ts";
 export * from "./passing_on.ts";
 export * from "./readers.ts";
 export * from "./shared_table.ts";
--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -1,7 +1,9 @@
 /**
- * The upstreams that may get work, by service, from the platform's table.
+ * The upstreams that may get work, by service, from the platform's table and
+ * from what upstreams say of themselves.
  *
  * An entry that is removed or says that it leaves gets no new work from then on.
+ * Its own word counts before the platform's, which may be away just then.
  * One exception: after an outage of the platform, entries that lapsed meanwhile
  * come back within about two seconds if their upstream lives. Dropping them at
  * once would refuse every request of those seconds, so an entry that vanishes
@@ -12,6 +14,7 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
+import { createLeavingLives, type UpstreamLife } from "./leaving_lives.ts";
 import type { TableRow, UpstreamEntry } from "./types.ts";
 
 /** Upstreams by service. */
@@ -22,6 +25,8 @@
   isReady(entry: UpstreamEntry): boolean;
   /** Requests that the upstream works on at once; 0 for an unknown one. */
   getSlots(upstream: string): number;
+  /** An upstream has said itself that it leaves; false when it was known. */
+  noteLeaving(life: UpstreamLife, from: LeavingSource): boolean;
   /** Takes in the table's rows. */
   update(rows: ReadonlyMap<string, TableRow<UpstreamEntry>>): void;
 }
@@ -32,9 +37,19 @@
   /** Whether the platform was away within the time given, in ms. */
   wasOutageWithin(ms: number): boolean;
   /** An upstream has come, left, or is kept for the grace after an outage. */
-  onChange(entry: UpstreamEntry, change: UpstreamChange): void;
+  onChange(
+    entry: UpstreamEntry,
+    change: UpstreamChange,
+    from: ChangeSource,
+  ): void;
 }
 
+/** Who said that an upstream leaves: it itself, or a host that it told. */
+export type LeavingSource = "answer" | "host";
+
+/** Where a change was learned. */
+export type ChangeSource = LeavingSource | "table";
+
 /** What became of an upstream. */
 export type UpstreamChange = "added" | "leaving" | "removed" | "kept";
 
@@ -53,6 +68,7 @@
 ): UpstreamDirectory {
   let entries: ReadonlyMap<string, UpstreamEntry> = new Map();
   let ready: ReadonlyMap<string, readonly UpstreamEntry[]> = new Map();
+  const leaving = createLeavingLives();
   const keptUntilMs = new Map<string, number>();
   let nextExpiryMs = Infinity;
 
@@ -61,13 +77,17 @@
     const ids = [...entries.keys()].sort();
     for (const id of ids) {
       const entry = entries.get(id)!;
-      if (entry.state !== "ready") continue;
+      if (!isTakingWork(entry)) continue;
       getOrCreate(next, entry.service, () => []).push(entry);
     }
     ready = next;
     nextExpiryMs = Math.min(Infinity, ...keptUntilMs.values());
   }
 
+  function isTakingWork(entry: UpstreamEntry): boolean {
+    return entry.state === "ready" && !leaving.has(entry);
+  }
+
   function expireKept(): void {
     const nowMs = host.clock.monotonicMs();
     if (nowMs < nextExpiryMs) return;
@@ -75,7 +95,7 @@
     for (const [id, untilMs] of keptUntilMs) {
       if (nowMs < untilMs) continue;
       keptUntilMs.delete(id);
-      host.onChange(next.get(id)!, "removed");
+      host.onChange(next.get(id)!, "removed", "table");
       next.delete(id);
     }
     entries = next;
@@ -86,20 +106,22 @@
     const known = entries.get(id);
     const isSameLife = known?.incarnation === entry.incarnation;
     if (isSameLife && known?.state === entry.state) return;
-    host.onChange(entry, entry.state === "leaving" ? "leaving" : "added");
+    if (entry.state === "leaving") {
+      if (leaving.add(entry)) host.onChange(entry, "leaving", "table");
+    } else if (!leaving.has(entry)) host.onChange(entry, "added", "table");
   }
 
   function keepOrRemove(id: string, entry: UpstreamEntry): boolean {
-    const mayReturn = entry.state === "ready" &&
+    const mayReturn = isTakingWork(entry) &&
       host.wasOutageWithin(OUTAGE_MEMORY_MS);
     if (!mayReturn) {
       keptUntilMs.delete(id);
-      host.onChange(entry, "removed");
+      host.onChange(entry, "removed", "table");
       return false;
     }
     if (!keptUntilMs.has(id)) {
       keptUntilMs.set(id, host.clock.monotonicMs() + LAPSE_GRACE_MS);
-      host.onChange(entry, "kept");
+      host.onChange(entry, "kept", "table");
     }
     return true;
   }
@@ -112,10 +134,19 @@
     isReady(entry) {
       expireKept();
       const known = entries.get(entry.id);
-      return known?.state === "ready" &&
+      return known !== undefined && isTakingWork(known) &&
         known.incarnation === entry.incarnation;
     },
     getSlots: (upstream) => entries.get(upstream)?.slots ?? 0,
+    noteLeaving(life, from) {
+      if (!leaving.add(life)) return false;
+      const known = entries.get(life.id);
+      if (known?.incarnation === life.incarnation) {
+        host.onChange(known, "leaving", from);
+        rebuild();
+      }
+      return true;
+    },
     update(rows) {
       const next = new Map<string, UpstreamEntry>();
       for (const [id, row] of rows) {
--- a/src/discovery/upstream_directory_test.ts
+++ b/src/discovery/upstream_directory_test.ts
@@ -22,6 +22,7 @@
     directory,
     changes,
     setOutage: (value: boolean) => isOutage = value,
+    leave: (entry: UpstreamEntry) => directory.noteLeaving(entry, "answer"),
     update(...entries: readonly UpstreamEntry[]) {
       directory.update(
         new Map(
@@ -81,3 +82,44 @@
   deepStrictEqual(fixture.changes, ["one added", "one added"]);
   deepStrictEqual(fixture.directory.isReady(one), false);
 });
+
+test("what has said that it leaves stays so, whatever the table says of that start", () => {
+  // Guards against an old or late row that calls it ready.
+  const fixture = createFixture();
+  fixture.update(one, two);
+  deepStrictEqual(fixture.leave(one), true);
+  deepStrictEqual(fixture.leave(one), false);
+  deepStrictEqual(fixture.getReadyIds(), ["two"]);
+  fixture.update({ ...one, slots: 9 }, { ...two, state: "leaving" });
+  fixture.update(one, two);
+  deepStrictEqual(fixture.getReadyIds(), []);
+  deepStrictEqual(fixture.directory.isReady(one), false);
+  deepStrictEqual(fixture.changes, [
+    "one added",
+    "two added",
+    "one leaving",
+    "two leaving",
+  ]);
+  const again = { ...one, incarnation: one.incarnation + 1 };
+  fixture.update(again, two);
+  deepStrictEqual(fixture.getReadyIds(), ["one"]);
+});
+
+test("one whose leaving is heard of before its row gets no work", () => {
+  // Guards against a host that has just started, and asks others before the platform.
+  const fixture = createFixture();
+  fixture.leave(one);
+  fixture.update(one, two);
+  deepStrictEqual(fixture.getReadyIds(), ["two"]);
+});
+
+test("one that leaves by its own word is not kept when its entry lapses", () => {
+  // Guards against work for it in the grace after an outage.
+  const fixture = createFixture();
+  fixture.update(one, two);
+  fixture.leave(one);
+  fixture.setOutage(true);
+  fixture.update();
+  fixture.update(one);
+  deepStrictEqual(fixture.getReadyIds(), ["two"]);
+});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -31,6 +31,7 @@
 import { createIntake } from "./intake.ts";
 import { createKnowledge } from "./knowledge.ts";
 import { createLeaving } from "./leaving.ts";
+import { LEAVING_KEY } from "./leaving_facts.ts";
 import { createLoopWatch } from "./loop_watch.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
@@ -94,6 +95,7 @@
   function onFact(fact: Fact): void {
     if (fact.key.startsWith(REPORT_KEY)) knowledge.receive(fact);
     else if (fact.key.startsWith(CRASH_KEY)) crashes.receive(fact);
+    else if (fact.key.startsWith(LEAVING_KEY)) knowledge.receiveLeaving(fact);
     else if (fact.key.startsWith(FULL_KEY)) fullHosts.receive(fact);
   }
 
@@ -246,6 +248,7 @@
     codec: protocol.calls,
     agent,
     directory: knowledge.directory,
+    noteLeaving: knowledge.noteLeaving,
     queue,
     load,
     getPacing,
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -25,8 +25,10 @@
   type TableState,
   type UpstreamDirectory,
   type UpstreamEntry,
+  type UpstreamLife,
 } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
+import { createLeavingFact, readLeavingFact } from "./leaving_facts.ts";
 import {
   createRouteTable,
   type RouteTable,
@@ -60,6 +62,10 @@
   getInputs(): Inputs;
   /** Takes in a reader's report. */
   receive(fact: Fact): void;
+  /** An upstream has told this host that it leaves; the others are told. */
+  noteLeaving(life: UpstreamLife): void;
+  /** Takes in what an upstream has told another host. */
+  receiveLeaving(fact: Fact): void;
   /** A table as it is passed on; `undefined` for one never seen. */
   tryGetTable(name: string): Uint8Array | undefined;
   /** Follows the platform; never ends. */
@@ -93,13 +99,14 @@
   const directory = createUpstreamDirectory({
     clock: host.clock,
     wasOutageWithin: passingOn.wasOutageWithin,
-    onChange(entry, change) {
+    onChange(entry, change, from) {
       host.log({
         event: "upstream-changed",
         upstream: entry.id,
         service: entry.service,
         address: entry.address,
         change,
+        from,
         platformVersion: upstreams.getVersion(),
       });
     },
@@ -220,6 +227,13 @@
       ),
     }),
     receive: passingOn.receive,
+    noteLeaving(life) {
+      if (!directory.noteLeaving(life, "answer")) return;
+      host.pushFact(createLeavingFact(life));
+    },
+    receiveLeaving(fact) {
+      directory.noteLeaving(readLeavingFact(fact), "host");
+    },
     tryGetTable(name) {
       const table = tables[name as TableName];
       if (table === undefined || table.getVersion() === 0) return undefined;
--- /dev/null
+++ b/src/entry/leaving_facts.ts
@@ -0,0 +1,27 @@
+/**
+ * How hosts tell each other that an upstream leaves. A host that the platform
+ * turns away may be the only one that the upstream has told.
+ *
+ * @module
+ */
+
+import type { UpstreamLife } from "../discovery/mod.ts";
+import type { Fact } from "../membership/mod.ts";
+
+/** Key prefix of these facts; behind it stand incarnation and id. */
+export const LEAVING_KEY = "upstream-leaving/";
+
+/** The fact that this start of the upstream leaves. */
+export function createLeavingFact({ id, incarnation }: UpstreamLife): Fact {
+  return { key: `${LEAVING_KEY}${incarnation}/${id}`, version: 1, value: "" };
+}
+
+/** Reads what `createLeavingFact` has made. */
+export function readLeavingFact(fact: Fact): UpstreamLife {
+  const text = fact.key.slice(LEAVING_KEY.length);
+  const slash = text.indexOf("/");
+  return {
+    id: text.slice(slash + 1),
+    incarnation: Number(text.slice(0, slash)),
+  };
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -10,7 +10,11 @@
 import type { RetryBudget } from "../admission/mod.ts";
 import type { Clock } from "../core/mod.ts";
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
-import type { UpstreamDirectory, UpstreamEntry } from "../discovery/mod.ts";
+import type {
+  UpstreamDirectory,
+  UpstreamEntry,
+  UpstreamLife,
+} from "../discovery/mod.ts";
 import type { LoadView } from "../load/mod.ts";
 import type { Distance } from "../placement/mod.ts";
 import type { Pacing } from "../pacing/mod.ts";
@@ -28,6 +32,8 @@
   readonly codec: CallCodec;
   readonly agent: Agent;
   readonly directory: UpstreamDirectory;
+  /** An upstream has said in an answer that it leaves. */
+  noteLeaving(life: UpstreamLife): void;
   readonly queue: PromptQueue;
   readonly load: LoadView;
   /** What has been seen of the service, and what its upstreams may read. */
--- a/src/forwarding/note_said.ts
+++ b/src/forwarding/note_said.ts
@@ -19,7 +19,10 @@
 /** Takes in what the upstream says, whatever becomes of the answer. */
 export function noteSaid(host: ForwardHost, call: Call, said: Said): void {
   const { isLeaving, rest } = said.headers;
-  if (isLeaving) log(host, call, said, { said: "leaving" });
+  if (isLeaving) {
+    log(host, call, said, { said: "leaving" });
+    host.noteLeaving(said.upstream);
+  }
   if (rest !== undefined) noteRest(host, call, said, rest);
 }
 
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -251,6 +251,7 @@
     codec: createTestCodec(),
     agent: createUpstreamAgent(),
     directory,
+    noteLeaving: (life) => void directory.noteLeaving(life, "answer"),
     load,
     getPacing: () => pacing,
     queue: createPromptQueue({
