End with 502 what may have run and finds no other upstream

What callers would see: a read whose answer was lost, at the only upstream that is left, ended 503; so did a resumable stream that had been read at one upstream and then waited for another in vain. 503 promises that a request has not run and never will.

Cause: after a failure the choice of the next upstream, or the queue, refused the request as it refuses one that has been sent nowhere. Found while the choice was looked through for upstreams that rest. Class: a refusal that is true of the wait is told of the request.

Change: what may have run is given up before it asks for a retry where no upstream is left, and a refusal of the choice is told as 502 once it has been sent. What has not run is refused as before.

Two tests seen failing before (503 !== 502), and one of the decision.

--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -13,7 +13,7 @@
 import { getForwardable } from "./headers.ts";
 import { decideNextStep, type NextStep } from "./next_step.ts";
 import { passOnStream } from "./pass_on_stream.ts";
-import { type Picked, pickUpstream } from "./pick_upstream.ts";
+import { getCandidates, type Picked, pickUpstream } from "./pick_upstream.ts";
 import { createNotRun, Rejected } from "./replies.ts";
 import { FAILED_RETRY_MS } from "./retry_after.ts";
 import { AttemptFailed } from "./types.ts";
@@ -44,6 +44,7 @@
   const turn: Effect.Effect<void, Rejected | CallerLost> = Effect.suspend(
     () =>
       pickUpstream(host, call).pipe(
+        Effect.mapError((err) => toTruthful(call, err)),
         Effect.flatMap((picked) => {
           connects++;
           return runAt(host, call, picked);
@@ -67,6 +68,7 @@
       hasSentEvents: call.res.headersSent,
       hasEventId: progress.lastEventId !== undefined,
       leftMs: getLeftMs(host, call),
+      hasCandidate: getCandidates(host, call).length > 0,
       tryTakeRetry: () => host.retryBudget.tryTake("", service),
     });
     logFailure(host, call, err, step);
@@ -175,8 +177,7 @@
 function mayAskAnother(host: ForwardHost, call: Call): boolean {
   const { route, progress } = call;
   const isRepeatable = route.kind === "idempotent" || route.isResumable;
-  const hasOther = host.directory.getReady(call.service)
-    .some((each) => !progress.tried.has(each.id));
+  const hasOther = getCandidates(host, call).length > 0;
   return isRepeatable && hasOther && progress.runs < route.maxAttempts;
 }
 
@@ -207,6 +208,12 @@
   return leftMs;
 }
 
+/** What may have run at an upstream before is not refused as "not run". */
+function toTruthful(call: Call, rejected: Rejected): Rejected {
+  if (call.progress.runs === 0) return rejected;
+  return new Rejected({ status: 502, reason: rejected.reason });
+}
+
 /** What the caller is told once nothing more is tried. */
 function toRejected(call: Call, err: AttemptFailed): Rejected {
   if (call.progress.runs === 0) {
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -121,6 +121,27 @@
   strictEqual((await fixture.call()).status, 200);
 });
 
+test("a read whose answer is lost ends 502 where no other upstream is left", async () => {
+  // Guards against 503, which promises that it has not run.
+  const loses: Behaviour = (socket) => socket.resetAndDestroy();
+  await using fixture = await createForwardFixture([loses], plain);
+  strictEqual((await fixture.call()).status, 502);
+});
+
+test("a stream that has run and waits for another upstream in vain ends 502", async () => {
+  // Guards against the queue's 503, which promises that it has not run.
+  const breaks: Behaviour = (socket) => {
+    fixture.delay.inFlight = 48;
+    socket.resetAndDestroy();
+  };
+  await using fixture = await createForwardFixture([breaks, answers], {
+    hasPrompts: true,
+  });
+  using _looks = fixture.startLooks();
+  strictEqual((await fixture.call()).status, 502);
+  strictEqual(fixture.arrivals.length, 1);
+});
+
 test("a stream that breaks off goes on at another upstream without a gap", async () => {
   // The first upstream crashes in the middle of its third event. The caller
   // must get each event once, whole, and see one answer.
--- a/src/forwarding/next_step.ts
+++ b/src/forwarding/next_step.ts
@@ -29,6 +29,8 @@
   /** Those events had ids, so that the stream can go on behind them. */
   readonly hasEventId: boolean;
   readonly leftMs: number;
+  /** There is an upstream that has not been asked and may be asked now. */
+  readonly hasCandidate: boolean;
   /** Takes a retry from the budget that all hosts share. */
   tryTakeRetry(): boolean;
 }
@@ -64,6 +66,7 @@
   if (input.connects >= MAX_CONNECTS) return "Too many connections failed";
   if (input.attempts >= MAX_ATTEMPTS) return "Too many upstreams refused it";
   if (input.runs === 0) return undefined;
+  if (!input.hasCandidate) return "No other upstream takes requests";
   if (!mayRepeat(input)) return "It may have run and may not be repeated";
   if (input.runs >= input.maxAttempts) return "The route allows no more runs";
   if (input.hasSentEvents && !input.hasEventId) {
--- a/src/forwarding/next_step_test.ts
+++ b/src/forwarding/next_step_test.ts
@@ -15,6 +15,7 @@
     hasSentEvents: false,
     hasEventId: false,
     leftMs: 1_000,
+    hasCandidate: true,
     tryTakeRetry() {
       taken++;
       return true;
@@ -53,6 +54,14 @@
   strictEqual(decide({ ...begun, hasEventId: false }).step, "give-up");
 });
 
+test("what may have run is given up where no upstream is left, at no cost", () => {
+  // Guards against a 503 for it from the choice of an upstream.
+  deepStrictEqual(decide({ hasCandidate: false }), {
+    step: "give-up",
+    taken: 0,
+  });
+});
+
 test("the route's number of runs is kept to", () => {
   strictEqual(decide({ runs: 2, attempts: 2 }).step, "give-up");
 });
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -55,7 +55,7 @@
 }
 
 /** Upstreams that may get the request, the failing ones left out. */
-function getCandidates(
+export function getCandidates(
   host: ForwardHost,
   call: Call,
 ): readonly UpstreamEntry[] {
