Send nothing to an upstream that has asked for a rest

Cause: Retry-After of an upstream's 503 was not followed. Class: an upstream's own word is not believed. What decides instead, counts of failures and of work in flight, makes an upstream that refuses at once look the freest of all, so that the queue spills to it.

Ruled out: requests on their way (chosen 1.0 and 2.1 s after the answer), calls of the host's own (there are none).

Change: each host keeps, for each start of an upstream, until when it wants nothing, from the moment the answer was read, by the monotonic clock; of several the later end holds. Retries, resumes and waiting prompts choose among the others. Where all rest, requests are refused at once as not run, told what remains of the shortest rest and spread behind it; such a refusal takes no retry of the common budget. After a rest an upstream gets one request at a time, then twice as many with each answer, while others can take the rest.

Why it holds: every choice of an upstream goes through getCandidates, which leaves out those that rest even if none is left.

New: the rest's rules, and that a refusal costs no retry.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -24,7 +24,7 @@
 import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
 import type { Distance } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
-import { createHealthWatch } from "../upstreams/mod.ts";
+import { createHealthWatch, createRestWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { createFullHosts, FULL_KEY } from "./full_hosts.ts";
@@ -253,6 +253,7 @@
     load,
     getPacing,
     health,
+    rests: createRestWatch(clock),
     crashes,
     retryBudget: createRetryBudget(
       clock,
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -13,7 +13,12 @@
 import { getForwardable } from "./headers.ts";
 import { decideNextStep, type NextStep } from "./next_step.ts";
 import { passOnStream } from "./pass_on_stream.ts";
-import { getCandidates, type Picked, pickUpstream } from "./pick_upstream.ts";
+import {
+  createNoUpstream,
+  getCandidates,
+  type Picked,
+  pickUpstream,
+} from "./pick_upstream.ts";
 import { createNotRun, Rejected } from "./replies.ts";
 import { FAILED_RETRY_MS } from "./retry_after.ts";
 import { AttemptFailed } from "./types.ts";
@@ -73,7 +78,7 @@
     });
     logFailure(host, call, err, step);
     if (step.kind !== "give-up") return turn;
-    return Effect.fail(toRejected(call, err));
+    return Effect.fail(toRejected(host, call, err));
   }
 
   return turn.pipe(
@@ -97,7 +102,12 @@
   host.load.begin(upstream.id);
   const headLimitMs = getHeadLimitMs(host, call);
   return attempt(host, call, { upstream, headLimitMs }).pipe(
-    Effect.tap(() => Effect.sync(() => health.noteLife(upstream.id))),
+    Effect.tap(() =>
+      Effect.sync(() => {
+        health.noteLife(upstream.id);
+        host.rests.noteAnswered(upstream);
+      })
+    ),
     Effect.flatMap((answer) => passOn(host, call, picked, answer)),
     Effect.tap(() =>
       Effect.sync(() => {
@@ -215,8 +225,14 @@
 }
 
 /** What the caller is told once nothing more is tried. */
-function toRejected(call: Call, err: AttemptFailed): Rejected {
+function toRejected(
+  host: ForwardHost,
+  call: Call,
+  err: AttemptFailed,
+): Rejected {
   if (call.progress.runs === 0) {
+    const isAnyLeft = getCandidates(host, call).length > 0;
+    if (!isAnyLeft) return createNoUpstream(host, call);
     return createNotRun(err.reason, FAILED_RETRY_MS);
   }
   const status = err.kind === "silent" ? 504 : 502;
--- a/src/forwarding/next_step.ts
+++ b/src/forwarding/next_step.ts
@@ -65,8 +65,8 @@
   if (input.leftMs < MIN_LEFT_MS) return "No time is left";
   if (input.connects >= MAX_CONNECTS) return "Too many connections failed";
   if (input.attempts >= MAX_ATTEMPTS) return "Too many upstreams refused it";
-  if (input.runs === 0) return undefined;
   if (!input.hasCandidate) return "No other upstream takes requests";
+  if (input.runs === 0) return undefined;
   if (!mayRepeat(input)) return "It may have run and may not be repeated";
   if (input.runs >= input.maxAttempts) return "The route allows no more runs";
   if (input.hasSentEvents && !input.hasEventId) {
--- a/src/forwarding/next_step_test.ts
+++ b/src/forwarding/next_step_test.ts
@@ -62,6 +62,12 @@
   });
 });
 
+test("what has not run costs no retry where no upstream takes it", () => {
+  // Guards against retries of all hosts that are spent on refusals while upstreams rest.
+  const input = { failure: "not-run", runs: 0, hasCandidate: false } as const;
+  deepStrictEqual(decide(input), { step: "give-up", taken: 0 });
+});
+
 test("the route's number of runs is kept to", () => {
   strictEqual(decide({ runs: 2, attempts: 2 }).step, "give-up");
 });
--- a/src/forwarding/note_said.ts
+++ b/src/forwarding/note_said.ts
@@ -37,6 +37,7 @@
     return;
   }
   log(host, call, said, { said: "rest", restMs: Math.round(rest.ms) });
+  host.rests.note(said.upstream, rest.ms);
 }
 
 /** What a line adds to the answer. */
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -18,6 +18,7 @@
 import { hasLeft } from "../requests/caller.ts";
 import { type Call, type ForwardHost, getLeftMs } from "./call.ts";
 import { createNotRun, Rejected } from "./replies.ts";
+import { getRestRetryMs } from "./retry_after.ts";
 import type { Prompt } from "./types.ts";
 
 /** An upstream that a request may be sent to. */
@@ -54,14 +55,18 @@
   return waitInQueue(host, call, prompt);
 }
 
-/** Upstreams that may get the request, the failing ones left out. */
+/**
+ * Upstreams that may get the request: none that rests, and the failing ones left
+ * out while there are others.
+ */
 export function getCandidates(
   host: ForwardHost,
   call: Call,
 ): readonly UpstreamEntry[] {
   const ready = host.directory.getReady(call.service);
   const untried = ready.filter((each) => !call.progress.tried.has(each.id));
-  return host.health.filterSound(untried);
+  const open = host.rests.filterOpen(untried, host.health.getInFlight);
+  return host.health.filterSound(open);
 }
 
 function pickPlain(
@@ -76,7 +81,9 @@
     distance: host.getDistance(each.dataCentre),
   })));
   const upstream = candidates.find((each) => each.id === first);
-  if (upstream === undefined) return Effect.fail(createNoUpstream(call));
+  if (upstream === undefined) {
+    return Effect.fail(createNoUpstream(host, call));
+  }
   return Effect.succeed({
     upstream,
     readingTokens: undefined,
@@ -116,7 +123,7 @@
         };
         resume(Effect.succeed({ upstream, readingTokens, queuedTokens }));
       },
-      refuse: (refusal) => resume(Effect.fail(toRejected(call, refusal))),
+      refuse: (refusal) => resume(Effect.fail(toRejected(host, call, refusal))),
     };
     host.queue.add(waiting);
     return Effect.sync(() => void host.queue.remove(waiting));
@@ -215,8 +222,12 @@
   return getReadingTokens(ownTokens, prompt.promptTokens - ownTokens);
 }
 
-function toRejected(call: Call, refusal: PromptRefusal): Rejected {
-  if (refusal.reason === "no-upstream") return createNoUpstream(call);
+function toRejected(
+  host: ForwardHost,
+  call: Call,
+  refusal: PromptRefusal,
+): Rejected {
+  if (refusal.reason === "no-upstream") return createNoUpstream(host, call);
   return toBusy(refusal);
 }
 
@@ -230,7 +241,14 @@
   });
 }
 
-function createNoUpstream(call: Call): Rejected {
+/** The answer to a request that no upstream takes now, which has not run. */
+export function createNoUpstream(host: ForwardHost, call: Call): Rejected {
+  const ready = host.directory.getReady(call.service);
+  const restMs = Math.min(...ready.map(host.rests.getLeftMs));
+  if (restMs > 0 && restMs < Infinity) {
+    const reason = `All upstreams of "${call.service}" have asked for a rest`;
+    return createNotRun(reason, getRestRetryMs(restMs, host.random()));
+  }
   const tried = call.progress.tried.size;
   const reason = tried === 0
     ? `No upstream of "${call.service}" is ready`
--- a/src/forwarding/retry_after.ts
+++ b/src/forwarding/retry_after.ts
@@ -48,3 +48,19 @@
     patienceMs * PATIENCE_SHARE,
   );
 }
+
+/** Callers of a rest come back over so much of it, and at least so long, in ms. */
+const REST_SPREAD_SHARE = 0.25;
+const LEAST_REST_SPREAD_MS = 500;
+
+/**
+ * When to come back while all upstreams rest, in ms; `random` from 0 up to 1.
+ *
+ * Load: all upstreams of a service shed at once. Harm prevented: callers that are
+ * told less than the rest are refused again and again, and told the same moment
+ * they all come in it.
+ */
+export function getRestRetryMs(leftMs: number, random: number): number {
+  const spreadMs = Math.max(LEAST_REST_SPREAD_MS, leftMs * REST_SPREAD_SHARE);
+  return leftMs + spreadMs * random;
+}
--- a/src/forwarding/retry_after_test.ts
+++ b/src/forwarding/retry_after_test.ts
@@ -1,6 +1,10 @@
 import { ok, strictEqual } from "node:assert";
 import { test } from "node:test";
-import { getNoConfigRetryMs, NO_CONFIG_RETRY_MS } from "./retry_after.ts";
+import {
+  getNoConfigRetryMs,
+  getRestRetryMs,
+  NO_CONFIG_RETRY_MS,
+} from "./retry_after.ts";
 
 test("after a usual start callers come back in half a second", () => {
   const input = { sinceStartMs: 40, patienceMs: 15_000, random: 0.5 };
@@ -31,3 +35,10 @@
   );
   strictEqual(new Set(times).size, times.length);
 });
+
+test("callers of upstreams that rest are told no less than the rest, and not all the same", () => {
+  // Guards against callers that are refused again in the rest, or come in one moment.
+  strictEqual(getRestRetryMs(4_000, 0), 4_000);
+  strictEqual(getRestRetryMs(4_000, 0.5), 4_500);
+  strictEqual(getRestRetryMs(100, 0.5), 350);
+});
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -26,7 +26,7 @@
 import { NO_EVIDENCE, type Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
-import { createHealthWatch } from "../upstreams/mod.ts";
+import { createHealthWatch, createRestWatch } from "../upstreams/mod.ts";
 import {
   createRoute,
   createRoutingConfig,
@@ -273,6 +273,7 @@
         load.beginReading(upstream, readingTokens),
     }),
     health: createHealthWatch(clock),
+    rests: createRestWatch(clock),
     crashes: createCrashWatch({
       clock,
       pushFact: () => {},
