Send nothing over a connection made after the upstream wanted no more

What callers would see: a request is chosen for an upstream, the connection takes up to half a second, and meanwhile the upstream says to another request that it leaves or wants a rest; the request is sent all the same.

Change: right before the first byte the directory and the rests are asked again.

Test seen failing with the question left out, over a new connection and a kept one; the slow connection itself was not provoked on loopback.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -48,6 +48,9 @@
       headers,
       body: call.body,
       headLimitMs,
+      mayStillSend: () =>
+        host.directory.isReady(upstream) &&
+        host.rests.getLeftMs(upstream) === 0,
       onSent() {
         progress.attempts++;
         progress.runs++;
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -129,7 +129,7 @@
   call: Call,
   err: AttemptFailed | CallerLost,
 ): void {
-  if (err._tag === "CallerLost") return;
+  if (err._tag === "CallerLost" || err.kind === "unwanted") return;
   const { id } = call.progress.upstream!;
   if (err.kind === "not-sent") {
     host.health.noteFailed(id, "unreachable");
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -88,11 +88,13 @@
  * An attempt that gave no answer to pass on.
  *
  * - `not-sent`: no connection; no byte of the request has left this host.
+ * - `unwanted`: like `not-sent`; while the connection was made the upstream has
+ *   said that it leaves or wants a rest.
  * - `not-run`: the upstream says that it has not run it, nor will.
  * - `broken`: it was sent and may have run.
  * - `silent`: like `broken`; nothing at all came in the time allowed.
  */
 export class AttemptFailed extends Data.TaggedError("AttemptFailed")<{
-  readonly kind: "not-sent" | "not-run" | "broken" | "silent";
+  readonly kind: "not-sent" | "unwanted" | "not-run" | "broken" | "silent";
   readonly reason: string;
 }> {}
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -29,6 +29,8 @@
   readonly body: Buffer;
   /** Time until the head of the answer, in ms. */
   readonly headLimitMs: number;
+  /** Asked right before the first byte: a connection may take a while. */
+  mayStillSend(): boolean;
   /** Called when the first byte may have left this host. */
   onSent(): void;
 }
@@ -77,6 +79,9 @@
       () => fail("not-sent", `No connection in ${CONNECT_LIMIT_MS} ms`),
     );
     onConnected(req, () => {
+      if (!call.mayStillSend()) {
+        return fail("unwanted", "It takes no requests any more");
+      }
       isSent = true;
       call.onSent();
       limit[Symbol.dispose]();
--- /dev/null
+++ b/src/forwarding/upstream_call_test.ts
@@ -0,0 +1,48 @@
+import { deepStrictEqual, strictEqual } from "node:assert";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { Buffer } from "node:buffer";
+import { Agent } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import * as Effect from "effect/Effect";
+import { listen } from "../entry/servers.ts";
+import { openCall } from "./upstream_call.ts";
+
+test("nothing is sent to an upstream that wants no requests by the time it is connected", async () => {
+  // Guards against a request that reaches a leaving upstream over a slow connection.
+  let arrivals = 0;
+  let sent = 0;
+  await using upstream = await listen("127.0.0.1:0", (_req, res) => {
+    arrivals++;
+    res.end();
+  });
+  const { port } = upstream.server.address() as AddressInfo;
+  const agent = new Agent({ keepAlive: true });
+  const open = (mayStillSend: boolean) =>
+    openCall({
+      agent,
+      address: `127.0.0.1:${port}`,
+      method: "POST",
+      target: "/",
+      headers: ["Host", "model.example"],
+      body: Buffer.from("{}"),
+      headLimitMs: 1_000,
+      mayStillSend: () => mayStillSend,
+      onSent: () => sent++,
+    });
+  const getFailure = async () => {
+    const failed = await Effect.runPromise(Effect.flip(open(false)));
+    return failed.kind;
+  };
+  // A new connection, then one that is kept from an answer.
+  const kinds = [await getFailure()];
+  const { res } = await Effect.runPromise(open(true));
+  await new Promise((resolve) => res.resume().on("end", resolve));
+  await sleep(0);
+  kinds.push(await getFailure());
+  deepStrictEqual(kinds, ["unwanted", "unwanted"]);
+  await sleep(20);
+  strictEqual(arrivals, 1);
+  strictEqual(sent, 1);
+  agent.destroy();
+});
