--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -24,13 +24,14 @@
 import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
 import type { Distance } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
-import { createHealthWatch } from "../upstreams/mod.ts";
+import { createHealthWatch, createRestWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { createFullHosts, FULL_KEY } from "./full_hosts.ts";
 import { createIntake } from "./intake.ts";
 import { createKnowledge } from "./knowledge.ts";
 import { createLeaving } from "./leaving.ts";
+import { LEAVING_KEY } from "./leaving_facts.ts";
 import { createLoopWatch } from "./loop_watch.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
@@ -94,6 +95,7 @@
   function onFact(fact: Fact): void {
     if (fact.key.startsWith(REPORT_KEY)) knowledge.receive(fact);
     else if (fact.key.startsWith(CRASH_KEY)) crashes.receive(fact);
+    else if (fact.key.startsWith(LEAVING_KEY)) knowledge.receiveLeaving(fact);
     else if (fact.key.startsWith(FULL_KEY)) fullHosts.receive(fact);
   }
 
@@ -246,10 +248,12 @@
     codec: protocol.calls,
     agent,
     directory: knowledge.directory,
+    noteLeaving: knowledge.noteLeaving,
     queue,
     load,
     getPacing,
     health,
+    rests: createRestWatch(clock),
     crashes,
     retryBudget: createRetryBudget(
       clock,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -10,13 +10,17 @@
 import type { RetryBudget } from "../admission/mod.ts";
 import type { Clock } from "../core/mod.ts";
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
-import type { UpstreamDirectory, UpstreamEntry } from "../discovery/mod.ts";
+import type {
+  UpstreamDirectory,
+  UpstreamEntry,
+  UpstreamLife,
+} from "../discovery/mod.ts";
 import type { LoadView } from "../load/mod.ts";
 import type { Distance } from "../placement/mod.ts";
 import type { Pacing } from "../pacing/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
-import type { HealthWatch } from "../upstreams/mod.ts";
+import type { HealthWatch, RestWatch } from "../upstreams/mod.ts";
 import type { CrashWatch } from "./crash_watch.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
@@ -28,11 +32,14 @@
   readonly codec: CallCodec;
   readonly agent: Agent;
   readonly directory: UpstreamDirectory;
+  /** An upstream has said in an answer that it leaves. */
+  noteLeaving(life: UpstreamLife): void;
   readonly queue: PromptQueue;
   readonly load: LoadView;
   /** What has been seen of the service, and what its upstreams may read. */
   getPacing(service: string): Pacing;
   readonly health: HealthWatch;
+  readonly rests: RestWatch;
   readonly crashes: CrashWatch;
   readonly retryBudget: RetryBudget;
   tryGetRoutes(): RouteTable | undefined;
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -13,7 +13,12 @@
 import { getForwardable } from "./headers.ts";
 import { decideNextStep, type NextStep } from "./next_step.ts";
 import { passOnStream } from "./pass_on_stream.ts";
-import { type Picked, pickUpstream } from "./pick_upstream.ts";
+import {
+  createNoUpstream,
+  getCandidates,
+  type Picked,
+  pickUpstream,
+} from "./pick_upstream.ts";
 import { createNotRun, Rejected } from "./replies.ts";
 import { FAILED_RETRY_MS } from "./retry_after.ts";
 import { AttemptFailed } from "./types.ts";
@@ -44,6 +49,7 @@
   const turn: Effect.Effect<void, Rejected | CallerLost> = Effect.suspend(
     () =>
       pickUpstream(host, call).pipe(
+        Effect.mapError((err) => toTruthful(call, err)),
         Effect.flatMap((picked) => {
           connects++;
           return runAt(host, call, picked);
@@ -67,11 +73,12 @@
       hasSentEvents: call.res.headersSent,
       hasEventId: progress.lastEventId !== undefined,
       leftMs: getLeftMs(host, call),
+      hasCandidate: getCandidates(host, call).length > 0,
       tryTakeRetry: () => host.retryBudget.tryTake("", service),
     });
     logFailure(host, call, err, step);
     if (step.kind !== "give-up") return turn;
-    return Effect.fail(toRejected(call, err));
+    return Effect.fail(toRejected(host, call, err));
   }
 
   return turn.pipe(
@@ -95,7 +102,12 @@
   host.load.begin(upstream.id);
   const headLimitMs = getHeadLimitMs(host, call);
   return attempt(host, call, { upstream, headLimitMs }).pipe(
-    Effect.tap(() => Effect.sync(() => health.noteLife(upstream.id))),
+    Effect.tap(() =>
+      Effect.sync(() => {
+        health.noteLife(upstream.id);
+        host.rests.noteAnswered(upstream);
+      })
+    ),
     Effect.flatMap((answer) => passOn(host, call, picked, answer)),
     Effect.tap(() =>
       Effect.sync(() => {
@@ -117,7 +129,7 @@
   call: Call,
   err: AttemptFailed | CallerLost,
 ): void {
-  if (err._tag === "CallerLost") return;
+  if (err._tag === "CallerLost" || err.kind === "unwanted") return;
   const { id } = call.progress.upstream!;
   if (err.kind === "not-sent") {
     host.health.noteFailed(id, "unreachable");
@@ -175,8 +187,7 @@
 function mayAskAnother(host: ForwardHost, call: Call): boolean {
   const { route, progress } = call;
   const isRepeatable = route.kind === "idempotent" || route.isResumable;
-  const hasOther = host.directory.getReady(call.service)
-    .some((each) => !progress.tried.has(each.id));
+  const hasOther = getCandidates(host, call).length > 0;
   return isRepeatable && hasOther && progress.runs < route.maxAttempts;
 }
 
@@ -207,9 +218,21 @@
   return leftMs;
 }
 
+/** What may have run at an upstream before is not refused as "not run". */
+function toTruthful(call: Call, rejected: Rejected): Rejected {
+  if (call.progress.runs === 0) return rejected;
+  return new Rejected({ status: 502, reason: rejected.reason });
+}
+
 /** What the caller is told once nothing more is tried. */
-function toRejected(call: Call, err: AttemptFailed): Rejected {
+function toRejected(
+  host: ForwardHost,
+  call: Call,
+  err: AttemptFailed,
+): Rejected {
   if (call.progress.runs === 0) {
+    const isAnyLeft = getCandidates(host, call).length > 0;
+    if (!isAnyLeft) return createNoUpstream(host, call);
     return createNotRun(err.reason, FAILED_RETRY_MS);
   }
   const status = err.kind === "silent" ? 504 : 502;
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -52,8 +52,17 @@
   readonly isSealed: boolean;
   /** The upstream says that it has not run the request, nor will. */
   readonly isNotRun: boolean;
+  /** The upstream says that it leaves. */
+  readonly isLeaving: boolean;
+  /** How long it wants no request from this host; absent where it says nothing. */
+  readonly rest: RestAsked | undefined;
 }
 
+/** A rest that an upstream asks for, or what can't be read as one. */
+export type RestAsked =
+  | { readonly kind: "for"; readonly ms: number }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Reads and writes the headers of the platform. */
 export interface CallCodec {
   /** `undefined` for a request without a usable id. */
@@ -79,11 +88,13 @@
  * An attempt that gave no answer to pass on.
  *
  * - `not-sent`: no connection; no byte of the request has left this host.
+ * - `unwanted`: like `not-sent`; while the connection was made the upstream has
+ *   said that it leaves or wants a rest.
  * - `not-run`: the upstream says that it has not run it, nor will.
  * - `broken`: it was sent and may have run.
  * - `silent`: like `broken`; nothing at all came in the time allowed.
  */
 export class AttemptFailed extends Data.TaggedError("AttemptFailed")<{
-  readonly kind: "not-sent" | "not-run" | "broken" | "silent";
+  readonly kind: "not-sent" | "unwanted" | "not-run" | "broken" | "silent";
   readonly reason: string;
 }> {}
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -26,7 +26,7 @@
 import { NO_EVIDENCE, type Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
-import { createHealthWatch } from "../upstreams/mod.ts";
+import { createHealthWatch, createRestWatch } from "../upstreams/mod.ts";
 import {
   createRoute,
   createRoutingConfig,
@@ -138,6 +138,10 @@
       requestId: headers["x-id"] as string | undefined,
       isSealed: headers["x-seal"] !== undefined,
       isNotRun: status === 421 || headers["x-not-run"] !== undefined,
+      isLeaving: headers["x-leaving"] !== undefined,
+      rest: headers["x-rest-ms"] === undefined
+        ? undefined
+        : { kind: "for", ms: Number(headers["x-rest-ms"]) },
     }),
     createReplyHeaders({ retryAfterMs }): Record<string, string> {
       if (retryAfterMs === undefined) return {};
@@ -247,6 +251,7 @@
     codec: createTestCodec(),
     agent: createUpstreamAgent(),
     directory,
+    noteLeaving: (life) => void directory.noteLeaving(life, "answer"),
     load,
     getPacing: () => pacing,
     queue: createPromptQueue({
@@ -268,6 +273,7 @@
         load.beginReading(upstream, readingTokens),
     }),
     health: createHealthWatch(clock),
+    rests: createRestWatch(clock),
     crashes: createCrashWatch({
       clock,
       pushFact: () => {},
