Pause before a whole read of the platform is tried again in vain

Cause: where the history that is asked for is gone, a reader reads the whole table and follows from there at once. When the read brings no version to follow from, both repeat without a pause. Class: a retry whose first cause stays. Seen while copies stay at a version that the store no longer has; any store that keeps refusing would do it.

Change: the history lost right behind a whole read waits like any failure; the first one still reads at once.

--- a/src/discovery/table_follower.ts
+++ b/src/discovery/table_follower.ts
@@ -58,15 +58,21 @@
 export function followTable<T>(host: FollowerHost<T>): Effect.Effect<never> {
   const startedMs = host.clock.monotonicMs();
   let mustRead = true;
+  /** Nothing has been followed since the last whole read. */
+  let hasJustRead = false;
 
   const read = host.source.read().pipe(Effect.map((state) => {
     mustRead = false;
+    hasJustRead = true;
     return host.table.replace(state);
   }));
 
   const follow = Effect.suspend(() =>
     host.source.follow(host.table.getVersion(), FOLLOW_WAIT_MS)
-  ).pipe(Effect.map((change) => host.table.apply(change)));
+  ).pipe(Effect.map((change) => {
+    hasJustRead = false;
+    return host.table.apply(change);
+  }));
 
   const settle = Effect.suspend(() =>
     host.clock.monotonicMs() - startedMs > START_MS
@@ -89,12 +95,17 @@
   function recover(err: TableError): Effect.Effect<void> {
     if (err.kind === "history-lost") {
       mustRead = true;
-      return Effect.void;
+      // Without a wait a read that brings no way to follow repeats at once.
+      return hasJustRead ? wait(RETRY_WAIT_MS) : Effect.void;
     }
     host.onFailure(err);
     const isKnown = host.table.getVersion() > 0;
-    const waitMs = isKnown ? RETRY_WAIT_MS : FIRST_RETRY_WAIT_MS;
-    return Effect.sleep(waitMs * (0.5 + host.random() / 2));
+    return wait(isKnown ? RETRY_WAIT_MS : FIRST_RETRY_WAIT_MS);
+  }
+
+  /** About so long, in ms; half of it is random. */
+  function wait(ms: number): Effect.Effect<void> {
+    return Effect.sleep(ms * (0.5 + host.random() / 2));
   }
 
   const turn = Effect.suspend(() =>
--- a/src/discovery/table_follower_test.ts
+++ b/src/discovery/table_follower_test.ts
@@ -6,6 +6,7 @@
 import { createManualClock } from "../core/mod.ts";
 import { createSharedTable } from "./shared_table.ts";
 import { followTable } from "./table_follower.ts";
+import { TableError } from "./types.ts";
 
 const STEP_MS = 100;
 
@@ -111,3 +112,47 @@
   }));
   deepStrictEqual(fixture.defects, [new RangeError("Too large to be told")]);
 });
+
+test("a platform that never has the history asked for is not called without a pause", async () => {
+  // Guards against hundreds of calls a second of each reader.
+  let calls = 0;
+  const clock = createManualClock(10_000);
+  const follower = followTable<string>({
+    clock,
+    source: {
+      read: () =>
+        Effect.sync(() => {
+          calls++;
+          return { version: 5, rows: [] };
+        }),
+      follow: () => {
+        calls++;
+        const reason = "The history is gone";
+        return Effect.fail(new TableError({ kind: "history-lost", reason }));
+      },
+    },
+    table: createSharedTable<string>(),
+    isReader: () => true,
+    onContact: () => {},
+    onFailure: () => {},
+    onDefect: () => {},
+    random: () => 0.5,
+  });
+  await Effect.runPromise(
+    Effect.gen(function* () {
+      const running = yield* Effect.forkChild(follower);
+      for (let at = 0; at < 20_000; at += STEP_MS) {
+        clock.advance(STEP_MS);
+        yield* TestClock.adjust(STEP_MS);
+      }
+      calls = 0;
+      for (let at = 0; at < 10_000; at += STEP_MS) {
+        clock.advance(STEP_MS);
+        yield* TestClock.adjust(STEP_MS);
+      }
+      yield* Fiber.interrupt(running);
+    }).pipe(Effect.provide(TestClock.layer())),
+  );
+  // Two calls for each try, and a try takes a quarter of a second at least.
+  ok(calls <= 80, `${calls} calls in ten seconds`);
+});
