Order what is known of the platform by its era first, then by version

Cause: versions were taken for an order though the line that they count had been cut. Copies, changes and what hosts tell each other were compared by version alone. After the return versions are lower: whole reads were refused until the counter had come by, and what had been written below the old version stood in no change that was asked for later. Class: a number is taken for an order though the line it counts has been cut.

Change: `discovery/positions.ts` is the one place that compares. A copy bears era and version; a whole read of the next era replaces the copy whatever its version, one of an earlier era never does. Changes are added only if they were asked for, and answered, in the copy's own era; a later era in any answer leads to a whole read, so that no refusal is needed to show it. Reports among hosts and the tables that they fetch carry the era. What the store names no era for is compared by version as before, with one line in the log. For the time after a return the entries that are missing from the copy are kept as after an outage; what has said that it leaves stays leaving, and the configuration in force never goes back, both as before.

Why it holds: rows of two eras are never mixed in a copy, and every comparison between copies goes through the one function.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -11,7 +11,9 @@
 export interface Inputs {
   /** The operator's version of the configuration in force. */
   readonly configVersion: number;
-  /** The platform's version of the list of upstreams. */
+  /** The platform's era, by the list of upstreams; absent if it names none. */
+  readonly platformEra?: number | undefined;
+  /** The platform's version of the list of upstreams, in that era. */
   readonly upstreamsVersion: number;
   /** Time since a host last read the older of both at the platform, in ms. */
   readonly confirmedMsAgo: number;
@@ -124,9 +126,28 @@
   | {
     readonly event: "config-in-force";
     readonly version: number;
+    readonly platformEra?: number | undefined;
     readonly platformVersion: number;
     readonly from: string;
   }
+  | {
+    /** The platform has come back from an older copy of itself. */
+    readonly event: "platform-era-changed";
+    readonly table: string;
+    /** The platform, or the host that has passed the table on. */
+    readonly from: string;
+    readonly era: number;
+    readonly platformVersion: number;
+    /** Of the copy that this host had. */
+    readonly lastEra: number;
+    readonly lastVersion: number;
+  }
+  | {
+    /** Answers of the platform name no era that can be read, or do again. */
+    readonly event: "platform-era-unnamed" | "platform-era-named";
+    /** What stands in the answer instead; absent for nothing. */
+    readonly text: string | undefined;
+  }
   | {
     readonly event: "upstream-changed";
     readonly upstream: string;
@@ -135,6 +156,7 @@
     readonly change: string;
     /** The platform's table, the upstream's own answer, or another host. */
     readonly from: string;
+    readonly platformEra?: number | undefined;
     readonly platformVersion: number;
   }
   | {
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -138,6 +138,14 @@
         `took ${decision.meanTurnMs} ms on average`;
     case "config-in-force":
       return `Configuration ${decision.version} in force, from ${decision.from}`;
+    case "platform-era-changed":
+      return `The platform came back from a copy: ${decision.table} at version ` +
+        `${decision.platformVersion} of era ${decision.era}, after ` +
+        `${decision.lastVersion} of era ${decision.lastEra}; from ` +
+        `${decision.from}`;
+    case "platform-era-unnamed":
+    case "platform-era-named":
+      return `${decision.event}: "${decision.text ?? ""}"`;
     case "upstream-changed":
       return `Upstream ${decision.upstream} of ${decision.service}: ` +
         `${decision.change}, from ${decision.from} (platform's version ` +
--- a/src/discovery/mod.ts
+++ b/src/discovery/mod.ts
@@ -6,6 +6,7 @@
 
 export * from "./leaving_lives.ts";
 export * from "./passing_on.ts";
+export * from "./positions.ts";
 export * from "./readers.ts";
 export * from "./shared_table.ts";
 export * from "./table_follower.ts";
--- a/src/discovery/passing_on.ts
+++ b/src/discovery/passing_on.ts
@@ -17,6 +17,7 @@
 
 import type { Clock } from "../core/mod.ts";
 import type { Fact } from "../membership/mod.ts";
+import { isNewer, type TablePosition } from "./positions.ts";
 import { TURNED_AWAY_MS } from "./readers.ts";
 
 /** The tables that are passed on. */
@@ -25,10 +26,8 @@
 /** Names of the tables that are passed on. */
 export const TABLE_NAMES: readonly TableName[] = ["config", "upstreams"];
 
-/** What a reader tells of one table. */
-export interface TableReport {
-  /** Of the newest change that the reader has. */
-  readonly version: number;
+/** What a reader tells of one table, besides where its newest change stands. */
+export interface TableReport extends TablePosition {
   /** Since the platform last answered the reader itself; absent for never. */
   readonly readMsAgo?: number;
   /** Since the platform turned the reader away, in ms; absent if it did not. */
@@ -52,10 +51,10 @@
   /** To all hosts by gossip. */
   spreadFact(fact: Fact): void;
   countHosts(): number;
-  /** Version up to which this host knows the table. */
-  getVersion(table: TableName): number;
-  /** Version of the newest change that this host has of the table. */
-  getChangedVersion(table: TableName): number;
+  /** Up to which this host knows the table. */
+  getPosition(table: TableName): TablePosition;
+  /** Of the newest change that this host has of the table. */
+  getChangedPosition(table: TableName): TablePosition;
   /** Gets a table that is behind from the reader named. */
   fetch(table: TableName, peerAddress: string): void;
 }
@@ -124,7 +123,7 @@
     return {
       // Up to which it was read rises with each change of any table: told, it
       // would have every host fetch a copy that it has, at each report.
-      version: host.getChangedVersion(table),
+      ...host.getChangedPosition(table),
       readMsAgo: getAgeMs(readMs),
       turnedAwayMsAgo: getAgeMs(turnedAwayMs.get(host.peerAddress)),
     };
@@ -172,7 +171,7 @@
     peerAddress: string,
     report: TableReport,
   ): void {
-    const { readMsAgo, turnedAwayMsAgo, version } = report;
+    const { readMsAgo, turnedAwayMsAgo } = report;
     const state = states[table];
     const nowMs = clock.monotonicMs();
     if (turnedAwayMsAgo === undefined) state.turnedAwayMs.delete(peerAddress);
@@ -180,7 +179,9 @@
     if (readMsAgo !== undefined) {
       state.confirmedMs = Math.max(state.confirmedMs, nowMs - readMsAgo);
     }
-    if (version > host.getVersion(table)) host.fetch(table, peerAddress);
+    if (isNewer(report, host.getPosition(table))) {
+      host.fetch(table, peerAddress);
+    }
   }
 
   function isTurnedAway(table: TableName, peerAddress: string): boolean {
--- a/src/discovery/passing_on_test.ts
+++ b/src/discovery/passing_on_test.ts
@@ -6,6 +6,7 @@
 
 function createHost(peerAddress: string, clock = createManualClock(5_000)) {
   const versions: Record<TableName, number> = { config: 0, upstreams: 0 };
+  const platform: { era: number | undefined } = { era: undefined };
   const sent: Fact[] = [];
   const fetched: string[] = [];
   const passingOn = createPassingOn({
@@ -15,11 +16,11 @@
     pushFact: (fact) => sent.push(fact),
     spreadFact: (fact) => sent.push(fact),
     countHosts: () => 9,
-    getVersion: (table) => versions[table],
-    getChangedVersion: (table) => versions[table],
+    getPosition: (table) => ({ ...platform, version: versions[table] }),
+    getChangedPosition: (table) => ({ ...platform, version: versions[table] }),
     fetch: (table, peer) => fetched.push(`${table} from ${peer}`),
   });
-  return { clock, passingOn, versions, sent, fetched };
+  return { clock, passingOn, versions, platform, sent, fetched };
 }
 
 test("a host that lacks a version fetches it from the reader that has it", () => {
@@ -128,3 +129,19 @@
   other.passingOn.receive(reader.sent[1]!);
   strictEqual(other.passingOn.isTurnedAway("config", "a:1"), false);
 });
+
+test("a reader of the next era is asked for a lower version, one of an earlier era never", () => {
+  // Guards against hosts that take the copy with the higher number for the newer one.
+  const reader = createHost("a:1");
+  const other = createHost("b:1");
+  Object.assign(reader.versions, { config: 12, upstreams: 12 });
+  Object.assign(other.versions, { config: 40, upstreams: 40 });
+  reader.platform.era = 2;
+  other.platform.era = 1;
+  reader.passingOn.confirm("config", true);
+  other.passingOn.confirm("config", true);
+  other.passingOn.receive(reader.sent[0]!);
+  reader.passingOn.receive(other.sent[0]!);
+  deepStrictEqual(other.fetched, ["config from a:1", "upstreams from a:1"]);
+  deepStrictEqual(reader.fetched, []);
+});
--- a/src/discovery/shared_table.ts
+++ b/src/discovery/shared_table.ts
@@ -1,24 +1,34 @@
 /**
  * One table of the platform as this host knows it, whether it read the table
- * itself or another host passed it on. A copy bears the platform's version, and
- * an older copy never replaces a newer one: what a slow or cut-off peer says
- * can't take this host back.
+ * itself or another host passed it on. A copy bears the platform's era and
+ * version, and an older copy never replaces a newer one: what a slow or cut-off
+ * peer says can't take this host back.
  *
  * @module
  */
 
+import {
+  isLaterEra,
+  isNewer,
+  isSameEra,
+  NO_POSITION,
+  type TablePosition,
+} from "./positions.ts";
 import type { TableChange, TableRow, TableState } from "./types.ts";
 
 /** A host's copy of a table. */
 export interface SharedTable<T> {
-  /** Version up to which the platform was read; 0 for a table never seen. */
-  getVersion(): number;
-  /** Version of the newest change; differs from host to host only by lag. */
-  getChangedVersion(): number;
+  /** Up to which the platform was read. */
+  getPosition(): TablePosition;
+  /** Of the newest change; differs from host to host only by lag. */
+  getChangedPosition(): TablePosition;
   getRows(): ReadonlyMap<string, TableRow<T>>;
   /** Takes a whole copy; false when it is not newer. */
   replace(state: TableState<T>): boolean;
-  /** Takes what changed since the version given; false when nothing did. */
+  /**
+   * Takes what changed since the position that was asked for; false when nothing
+   * did, or when it does not add to the present copy.
+   */
   apply(change: TableChange<T>): boolean;
   /** The copy as it is passed on. */
   getState(): TableState<T>;
@@ -27,42 +37,54 @@
 /** Makes a copy of a table never seen. */
 export function createSharedTable<T>(): SharedTable<T> {
   let rows: ReadonlyMap<string, TableRow<T>> = new Map();
-  let version = 0;
-  let changedVersion = 0;
+  let position = NO_POSITION;
+  let changedPosition = NO_POSITION;
 
-  function set(next: ReadonlyMap<string, TableRow<T>>, nextVersion: number) {
+  /** Goes on to the version in its era, or in the known one if it names none. */
+  function moveTo({ era = position.era, version }: TablePosition): void {
+    position = { era, version };
+  }
+
+  function set(
+    next: ReadonlyMap<string, TableRow<T>>,
+    nextPosition: TablePosition,
+  ): void {
     rows = next;
-    version = nextVersion;
-    changedVersion = nextVersion;
+    moveTo(nextPosition);
+    changedPosition = position;
   }
 
   return {
-    getVersion: () => version,
-    getChangedVersion: () => changedVersion,
+    getPosition: () => position,
+    getChangedPosition: () => changedPosition,
     getRows: () => rows,
     replace(state) {
-      if (state.version <= version) return false;
+      if (!isNewer(state, position)) return false;
       const next = new Map(state.rows.map((row) => [row.key, row]));
-      if (changedVersion > 0 && isSame(rows, next)) {
-        version = state.version;
+      // Rows of two eras may bear the same version and be others.
+      const isKnown = changedPosition.version > 0 &&
+        !isLaterEra(state, position) && isSame(rows, next);
+      if (isKnown) {
+        moveTo(state);
         return false;
       }
-      set(next, state.version);
+      set(next, state);
       return true;
     },
     apply(change) {
-      if (change.version <= version) return false;
+      if (!isSameEra(change, position)) return false;
+      if (change.version <= position.version) return false;
       const next = new Map(rows);
       for (const key of change.removed) next.delete(key);
       for (const row of change.changed) next.set(row.key, row);
       if (isSame(rows, next)) {
-        version = change.version;
+        moveTo(change);
         return false;
       }
-      set(next, change.version);
+      set(next, change);
       return true;
     },
-    getState: () => ({ version: changedVersion, rows: [...rows.values()] }),
+    getState: () => ({ ...changedPosition, rows: [...rows.values()] }),
   };
 }
 
--- a/src/discovery/shared_table_test.ts
+++ b/src/discovery/shared_table_test.ts
@@ -37,6 +37,49 @@
   const table = createSharedTable<string>();
   table.replace({ version: 5, rows: [row("a", 1)] });
   strictEqual(table.replace({ version: 9, rows: [row("a", 1)] }), false);
-  strictEqual(table.getVersion(), 9);
-  strictEqual(table.getChangedVersion(), 5);
+  strictEqual(table.getPosition().version, 9);
+  strictEqual(table.getChangedPosition().version, 5);
+});
+
+test("a copy of the next era replaces one of higher versions, and no other way round", () => {
+  // Guards against a host that waits until a store back from a copy has come by.
+  const table = createSharedTable<string>();
+  table.replace({ era: 1, version: 20, rows: [row("a", 7), row("b", 19)] });
+  strictEqual(
+    table.replace({ era: 2, version: 15, rows: [row("a", 7)] }),
+    true,
+  );
+  deepStrictEqual([...table.getRows().keys()], ["a"]);
+  deepStrictEqual(table.getState(), {
+    era: 2,
+    version: 15,
+    rows: [row("a", 7)],
+  });
+  strictEqual(
+    table.replace({ era: 1, version: 99, rows: [row("b", 98)] }),
+    false,
+  );
+  strictEqual(
+    table.apply({ era: 1, version: 99, changed: [row("b", 98)], removed: [] }),
+    false,
+  );
+});
+
+test("a row of the next era with the version of another one is not taken for it", () => {
+  // Guards against a copy that keeps what the store has lost.
+  const table = createSharedTable<string>();
+  table.replace({ era: 1, version: 20, rows: [row("a", 19)] });
+  const again = { key: "a", version: 19, value: "written again" };
+  strictEqual(table.replace({ era: 2, version: 20, rows: [again] }), true);
+  strictEqual(table.getRows().get("a")?.value, "written again");
+});
+
+test("where no era is named, versions alone count, and a known era stays", () => {
+  const table = createSharedTable<string>();
+  table.replace({ version: 20, rows: [row("a", 19)] });
+  strictEqual(table.replace({ version: 12, rows: [] }), false);
+  table.apply({ era: 3, version: 21, changed: [row("b", 21)], removed: [] });
+  deepStrictEqual(table.getPosition(), { era: 3, version: 21 });
+  table.apply({ version: 22, changed: [row("c", 22)], removed: [] });
+  deepStrictEqual(table.getPosition(), { era: 3, version: 22 });
 });
--- a/src/discovery/table_follower.ts
+++ b/src/discovery/table_follower.ts
@@ -8,8 +8,9 @@
 
 import * as Effect from "effect/Effect";
 import type { Clock } from "../core/mod.ts";
+import { isLaterEra, isSameEra, type TablePosition } from "./positions.ts";
 import type { SharedTable } from "./shared_table.ts";
-import type { TableError, WatchedTable } from "./types.ts";
+import { type TableChange, TableError, type WatchedTable } from "./types.ts";
 
 /** What a follower needs of the process. */
 export interface FollowerHost<T> {
@@ -54,6 +55,21 @@
 const START_MS = 5_000;
 const START_WAIT_MS = 800;
 
+/**
+ * Failure guarded against: the platform has come back from an older copy, and has
+ * given out again the version that was asked from. What it wrote below that
+ * version stands in no change; only a whole read shows it.
+ */
+function checkEra<T>(
+  change: TableChange<T>,
+  asked: TablePosition,
+): Effect.Effect<TableChange<T>, TableError> {
+  if (isSameEra(change, asked)) return Effect.succeed(change);
+  const reason = `The platform's era is ${change.era}, not ${asked.era}`;
+  const kind = isLaterEra(change, asked) ? "history-lost" : "unreachable";
+  return Effect.fail(new TableError({ kind, reason }));
+}
+
 /** Follows for ever; interrupt it to end. */
 export function followTable<T>(host: FollowerHost<T>): Effect.Effect<never> {
   const startedMs = host.clock.monotonicMs();
@@ -67,12 +83,18 @@
     return host.table.replace(state);
   }));
 
-  const follow = Effect.suspend(() =>
-    host.source.follow(host.table.getVersion(), FOLLOW_WAIT_MS)
-  ).pipe(Effect.map((change) => {
-    hasJustRead = false;
-    return host.table.apply(change);
-  }));
+  const follow = Effect.suspend(() => {
+    const asked = host.table.getPosition();
+    return host.source.follow(asked.version, FOLLOW_WAIT_MS).pipe(
+      Effect.flatMap((change) => checkEra(change, asked)),
+      Effect.map((change) => {
+        hasJustRead = false;
+        // Meanwhile a whole copy of another era may have come from a peer.
+        const isOther = !isSameEra(asked, host.table.getPosition());
+        return isOther ? false : host.table.apply(change);
+      }),
+    );
+  });
 
   const settle = Effect.suspend(() =>
     host.clock.monotonicMs() - startedMs > START_MS
@@ -99,7 +121,7 @@
       return hasJustRead ? wait(RETRY_WAIT_MS) : Effect.void;
     }
     host.onFailure(err);
-    const isKnown = host.table.getVersion() > 0;
+    const isKnown = host.table.getPosition().version > 0;
     return wait(isKnown ? RETRY_WAIT_MS : FIRST_RETRY_WAIT_MS);
   }
 
--- a/src/discovery/table_follower_test.ts
+++ b/src/discovery/table_follower_test.ts
@@ -156,3 +156,50 @@
   // Two calls for each try, and a try takes a quarter of a second at least.
   ok(calls <= 80, `${calls} calls in ten seconds`);
 });
+
+test("changes of another era are not added; the whole table is read", async () => {
+  // Guards against a gap: versions below the one asked from were given out again.
+  const clock = createManualClock(10_000);
+  const table = createSharedTable<string>();
+  const states = [
+    { era: 1, version: 20, rows: [] },
+    {
+      era: 2,
+      version: 23,
+      rows: [{ key: "a", version: 18, value: "leaving" }],
+    },
+  ];
+  let follows = 0;
+  const follower = followTable<string>({
+    clock,
+    source: {
+      read: () => Effect.sync(() => states.shift()!),
+      follow: () =>
+        Effect.sync(() => {
+          follows++;
+          const change = { version: 23, changed: [], removed: [] };
+          // A late answer of the earlier era comes after the second read.
+          return { ...change, era: follows === 2 ? 1 : 2 };
+        }).pipe(Effect.delay(STEP_MS)),
+    },
+    table,
+    isReader: () => true,
+    onContact: () => {},
+    onFailure: () => {},
+    onDefect: () => {},
+    random: () => 0.5,
+  });
+  await Effect.runPromise(
+    Effect.gen(function* () {
+      const running = yield* Effect.forkChild(follower);
+      for (let at = 0; at < 9_000; at += STEP_MS) {
+        clock.advance(STEP_MS);
+        yield* TestClock.adjust(STEP_MS);
+      }
+      yield* Fiber.interrupt(running);
+    }).pipe(Effect.provide(TestClock.layer())),
+  );
+  deepStrictEqual(table.getPosition(), { era: 2, version: 23 });
+  deepStrictEqual(table.getRows().get("a")?.value, "leaving");
+  ok(follows > 3);
+});
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -9,6 +9,7 @@
 import * as Data from "effect/Data";
 import type * as Effect from "effect/Effect";
 import type { RoutingConfig } from "../routing/mod.ts";
+import type { TablePosition } from "./positions.ts";
 
 /** An upstream as it has registered itself. */
 export interface UpstreamEntry {
@@ -33,14 +34,12 @@
 }
 
 /** A whole table as of one version of the platform. */
-export interface TableState<T> {
-  readonly version: number;
+export interface TableState<T> extends TablePosition {
   readonly rows: readonly TableRow<T>[];
 }
 
 /** What has changed in a table since the version that was asked for. */
-export interface TableChange<T> {
-  readonly version: number;
+export interface TableChange<T> extends TablePosition {
   readonly changed: readonly TableRow<T>[];
   readonly removed: readonly string[];
 }
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -28,6 +28,7 @@
   type UpstreamLife,
 } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
+import { createEraWatch } from "./era_watch.ts";
 import { createLeavingFact, readLeavingFact } from "./leaving_facts.ts";
 import {
   createRouteTable,
@@ -60,6 +61,8 @@
   /** `undefined` until a configuration is known. */
   tryGetRoutes(): RouteTable | undefined;
   getInputs(): Inputs;
+  /** The platform's newest era that this host knows; `undefined` for none. */
+  tryGetEra(): number | undefined;
   /** Takes in a reader's report. */
   receive(fact: Fact): void;
   /** An upstream has told this host that it leaves; the others are told. */
@@ -83,6 +86,7 @@
   const fetching = new Set<TableName>();
   const lost = new Set<TableName>();
   const choices = new Map<TableName, ReadingChoice>();
+  const eras = createEraWatch(host);
   let routes: RouteTable | undefined;
 
   const passingOn: PassingOn = createPassingOn({
@@ -92,13 +96,14 @@
     pushFact: host.pushFact,
     spreadFact: host.spreadFact,
     countHosts: () => host.getHosts().length,
-    getVersion: (table) => tables[table].getVersion(),
-    getChangedVersion: (table) => tables[table].getChangedVersion(),
+    getPosition: (table) => tables[table].getPosition(),
+    getChangedPosition: (table) => tables[table].getChangedPosition(),
     fetch: (table, peer) => void fetchFrom(table, peer),
   });
   const directory = createUpstreamDirectory({
     clock: host.clock,
-    wasOutageWithin: passingOn.wasOutageWithin,
+    wasOutageWithin: (ms) =>
+      passingOn.wasOutageWithin(ms) || eras.wasReturnWithin(ms),
     onChange(entry, change, from) {
       host.log({
         event: "upstream-changed",
@@ -107,7 +112,8 @@
         address: entry.address,
         change,
         from,
-        platformVersion: upstreams.getVersion(),
+        platformEra: upstreams.getPosition().era,
+        platformVersion: upstreams.getPosition().version,
       });
     },
   });
@@ -120,13 +126,15 @@
       host.log({
         event: "config-in-force",
         version: value.version,
-        platformVersion: config.getVersion(),
+        platformEra: config.getPosition().era,
+        platformVersion: config.getPosition().version,
         from,
       });
     }
   }
 
   function onChanged(table: TableName, from: string): void {
+    eras.note(table, tables[table].getPosition(), from);
     if (table === "config") updateRoutes(from);
     else directory.update(upstreams.getRows());
   }
@@ -221,11 +229,13 @@
     tryGetRoutes: () => routes,
     getInputs: () => ({
       configVersion: routes?.config.version ?? 0,
-      upstreamsVersion: upstreams.getVersion(),
+      platformEra: upstreams.getPosition().era,
+      upstreamsVersion: upstreams.getPosition().version,
       confirmedMsAgo: roundMs(
         Math.max(...TABLE_NAMES.map(passingOn.getUnconfirmedMs)),
       ),
     }),
+    tryGetEra: eras.tryGet,
     receive: passingOn.receive,
     noteLeaving(life) {
       if (!directory.noteLeaving(life, "answer")) return;
@@ -236,7 +246,8 @@
     },
     tryGetTable(name) {
       const table = tables[name as TableName];
-      if (table === undefined || table.getVersion() === 0) return undefined;
+      if (table === undefined) return undefined;
+      if (table.getPosition().version === 0) return undefined;
       return Buffer.from(JSON.stringify(table.getState()));
     },
     run: Effect.all([follow("config"), follow("upstreams")], {
