Register a host again that the platform has lost

Hosts that start later, with seeds that are gone, find nobody and serve alone.

Cause: a host registered once, at its start. Class: what this system wrote is taken to be there for good.

Change: a host that does not find itself in the table registers again, at each of its looks; after a return of the platform it looks within three seconds, each host at a random moment of them, so that 195 hosts make 65 reads and 65 writes a second at most. A host that leaves does not come back.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -187,6 +187,7 @@
     incarnation,
     random: host.random,
     log,
+    onPlatformReturned: () => directory.refresh(),
     onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
     getHosts: () => getAlive().map((each) => each.peerAddress),
     pushFact: (fact) => peers.membership.pushFact(fact),
@@ -333,6 +334,7 @@
     seeds: settings.seeds,
     setSeeds: peers.setSeeds,
     isAlone: () => getAlive().length <= 1,
+    random: host.random,
     onFailure: (reason) =>
       log({ event: "platform-lost", table: "hosts", reason }),
   });
--- a/src/entry/era_watch.ts
+++ b/src/entry/era_watch.ts
@@ -17,14 +17,14 @@
 export interface EraWatchHost {
   readonly clock: Clock;
   log(decision: Decision): void;
+  /** Once for each return, whichever table shows it first. */
+  onReturned(): void;
 }
 
 /** The eras seen. */
 export interface EraWatch {
   /** This host has a copy of the table from there; `from` tells who gave it. */
   note(table: TableName, position: TablePosition, from: string): void;
-  /** The newest; `undefined` while the platform has named none. */
-  tryGet(): number | undefined;
   /** Whether a later era than before was seen within the time given, in ms. */
   wasReturnWithin(ms: number): boolean;
 }
@@ -32,16 +32,15 @@
 /** Makes a watch that has seen none. */
 export function createEraWatch(host: EraWatchHost): EraWatch {
   const known = new Map<TableName, TablePosition>();
-  let newest: number | undefined;
+  let newestEra = -Infinity;
   let returnedMs = -Infinity;
 
   return {
     note(table, position, from) {
       const before = known.get(table);
       known.set(table, position);
-      if (position.era !== undefined) {
-        newest = Math.max(newest ?? position.era, position.era);
-      }
+      const isNew = (position.era ?? -Infinity) > newestEra;
+      if (isNew) newestEra = position.era!;
       if (before === undefined || !isLaterEra(position, before)) return;
       returnedMs = host.clock.monotonicMs();
       host.log({
@@ -53,8 +52,8 @@
         lastEra: before.era!,
         lastVersion: before.version,
       });
+      if (isNew) host.onReturned();
     },
-    tryGet: () => newest,
     wasReturnWithin: (ms) => host.clock.monotonicMs() - returnedMs < ms,
   };
 }
--- a/src/entry/host_directory.ts
+++ b/src/entry/host_directory.ts
@@ -3,6 +3,10 @@
  * seeds of the settings are gone. Hosts that have met tell each other the rest,
  * so that the platform is asked seldom.
  *
+ * Failure guarded against: the platform comes back from a copy that is older than
+ * this host's registration, and hosts that start find nobody. So a host that does
+ * not find itself there registers again, and looks soon after such a return.
+ *
  * @module
  */
 
@@ -18,13 +22,17 @@
   /** This host has met no other. */
   isAlone(): boolean;
   onFailure(reason: string): void;
+  /** From 0 up to 1. */
+  random(): number;
 }
 
 /** Tasks of one host at the directory. */
 export interface HostDirectoryTasks {
   /** Registers and reads; never ends. */
   readonly run: Effect.Effect<never>;
-  /** Takes this host's address out, once. */
+  /** Looks soon: the platform has come back from an older copy. */
+  refresh(): void;
+  /** Takes this host's address out for good. */
   readonly remove: Effect.Effect<void>;
 }
 
@@ -37,6 +45,9 @@
 /** After a failed call, in ms. */
 const RETRY_MS = 1_500;
 
+/** All hosts look after a return of the platform, over so long, in ms. */
+const REFRESH_SPREAD_MS = 3_000;
+
 /** Makes the tasks. */
 export function followHostDirectory(
   host: HostDirectoryHost,
@@ -47,18 +58,47 @@
     Effect.sync(() => host.onFailure(err.reason));
 
   const register = directory.add(peerAddress);
+  let isRemoved = false;
+  let mustRefresh = false;
+  let wake = () => {};
 
-  const read = directory.read().pipe(Effect.map((addresses) => {
-    host.setSeeds([...new Set([...host.seeds, ...addresses])]);
-    return host.isAlone() ? ALONE_MS : REFRESH_MS;
-  }));
+  function registerIfMissing(
+    addresses: readonly string[],
+  ): Effect.Effect<void, TableError> {
+    const isThere = addresses.includes(peerAddress);
+    return isThere || isRemoved ? Effect.void : register;
+  }
+
+  const read = directory.read().pipe(
+    Effect.tap(registerIfMissing),
+    Effect.map((addresses) => {
+      host.setSeeds([...new Set([...host.seeds, ...addresses])]);
+      return host.isAlone() ? ALONE_MS : REFRESH_MS;
+    }),
+  );
+
+  const woken = Effect.callback<void>((resume) => {
+    wake = () => resume(Effect.void);
+    if (mustRefresh) wake();
+  });
+
+  /** Waits so long, in ms, or until a refresh is due. */
+  function wait(ms: number): Effect.Effect<void> {
+    return Effect.raceFirst(Effect.sleep(ms), woken).pipe(
+      Effect.andThen(Effect.suspend(() => {
+        if (!mustRefresh) return Effect.void;
+        mustRefresh = false;
+        return Effect.sleep(host.random() * REFRESH_SPREAD_MS);
+      })),
+    );
+  }
 
   const readOnce = read.pipe(
     Effect.catchTag(
       "TableError",
       (err) => onFailure(err).pipe(Effect.as(RETRY_MS)),
     ),
-    Effect.flatMap((waitMs) => Effect.sleep(waitMs)),
+    Effect.flatMap(wait),
   );
 
   const registerOnce: Effect.Effect<void> = register.pipe(
@@ -71,8 +111,13 @@
 
   return {
     run: registerOnce.pipe(Effect.andThen(Effect.forever(readOnce))),
-    remove: directory.remove(peerAddress).pipe(
-      Effect.catchTag("TableError", onFailure),
-    ),
+    refresh() {
+      mustRefresh = true;
+      wake();
+    },
+    remove: Effect.suspend(() => {
+      isRemoved = true;
+      return directory.remove(peerAddress);
+    }).pipe(Effect.catchTag("TableError", onFailure)),
   };
 }
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -45,6 +45,8 @@
   random(): number;
   log(decision: Decision): void;
   onFetched(table: string, outcome: FetchOutcome): void;
+  /** The platform has come back from an older copy of itself. */
+  onPlatformReturned(): void;
   /** Peer addresses of the hosts that are alive, this one included. */
   getHosts(): readonly string[];
   pushFact(fact: Fact): void;
@@ -61,8 +63,6 @@
   /** `undefined` until a configuration is known. */
   tryGetRoutes(): RouteTable | undefined;
   getInputs(): Inputs;
-  /** The platform's newest era that this host knows; `undefined` for none. */
-  tryGetEra(): number | undefined;
   /** Takes in a reader's report. */
   receive(fact: Fact): void;
   /** An upstream has told this host that it leaves; the others are told. */
@@ -86,7 +86,11 @@
   const fetching = new Set<TableName>();
   const lost = new Set<TableName>();
   const choices = new Map<TableName, ReadingChoice>();
-  const eras = createEraWatch(host);
+  const eras = createEraWatch({
+    clock: host.clock,
+    log: host.log,
+    onReturned: host.onPlatformReturned,
+  });
   let routes: RouteTable | undefined;
 
   const passingOn: PassingOn = createPassingOn({
@@ -235,7 +239,6 @@
         Math.max(...TABLE_NAMES.map(passingOn.getUnconfirmedMs)),
       ),
     }),
-    tryGetEra: eras.tryGet,
     receive: passingOn.receive,
     noteLeaving(life) {
       if (!directory.noteLeaving(life, "answer")) return;
