--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -28,6 +28,7 @@
   type UpstreamLife,
 } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
+import { createEraWatch } from "./era_watch.ts";
 import { createLeavingFact, readLeavingFact } from "./leaving_facts.ts";
 import {
   createRouteTable,
@@ -44,6 +45,8 @@
   random(): number;
   log(decision: Decision): void;
   onFetched(table: string, outcome: FetchOutcome): void;
+  /** The platform has come back from an older copy of itself. */
+  onPlatformReturned(): void;
   /** Peer addresses of the hosts that are alive, this one included. */
   getHosts(): readonly string[];
   pushFact(fact: Fact): void;
@@ -83,6 +86,11 @@
   const fetching = new Set<TableName>();
   const lost = new Set<TableName>();
   const choices = new Map<TableName, ReadingChoice>();
+  const eras = createEraWatch({
+    clock: host.clock,
+    log: host.log,
+    onReturned: host.onPlatformReturned,
+  });
   let routes: RouteTable | undefined;
 
   const passingOn: PassingOn = createPassingOn({
@@ -92,13 +100,14 @@
     pushFact: host.pushFact,
     spreadFact: host.spreadFact,
     countHosts: () => host.getHosts().length,
-    getVersion: (table) => tables[table].getVersion(),
-    getChangedVersion: (table) => tables[table].getChangedVersion(),
+    getPosition: (table) => tables[table].getPosition(),
+    getChangedPosition: (table) => tables[table].getChangedPosition(),
     fetch: (table, peer) => void fetchFrom(table, peer),
   });
   const directory = createUpstreamDirectory({
     clock: host.clock,
-    wasOutageWithin: passingOn.wasOutageWithin,
+    wasOutageWithin: (ms) =>
+      passingOn.wasOutageWithin(ms) || eras.wasReturnWithin(ms),
     onChange(entry, change, from) {
       host.log({
         event: "upstream-changed",
@@ -107,7 +116,8 @@
         address: entry.address,
         change,
         from,
-        platformVersion: upstreams.getVersion(),
+        platformEra: upstreams.getPosition().era,
+        platformVersion: upstreams.getPosition().version,
       });
     },
   });
@@ -120,13 +130,15 @@
       host.log({
         event: "config-in-force",
         version: value.version,
-        platformVersion: config.getVersion(),
+        platformEra: config.getPosition().era,
+        platformVersion: config.getPosition().version,
         from,
       });
     }
   }
 
   function onChanged(table: TableName, from: string): void {
+    eras.note(table, tables[table].getPosition(), from);
     if (table === "config") updateRoutes(from);
     else directory.update(upstreams.getRows());
   }
@@ -221,7 +233,8 @@
     tryGetRoutes: () => routes,
     getInputs: () => ({
       configVersion: routes?.config.version ?? 0,
-      upstreamsVersion: upstreams.getVersion(),
+      platformEra: upstreams.getPosition().era,
+      upstreamsVersion: upstreams.getPosition().version,
       confirmedMsAgo: roundMs(
         Math.max(...TABLE_NAMES.map(passingOn.getUnconfirmedMs)),
       ),
@@ -236,7 +249,8 @@
     },
     tryGetTable(name) {
       const table = tables[name as TableName];
-      if (table === undefined || table.getVersion() === 0) return undefined;
+      if (table === undefined) return undefined;
+      if (table.getPosition().version === 0) return undefined;
       return Buffer.from(JSON.stringify(table.getState()));
     },
     run: Effect.all([follow("config"), follow("upstreams")], {
