Use no upstream whose removed row an old copy of the platform still has

What callers would see: an upstream is removed, the store comes back from a copy made before, and requests go to it again for as long as the copy's row stands: to one that ends, or to an address that is another's by then.

Change: the directory remembers the rows that were removed, with era and version. In a later era the row of the same start is passed over while it is no newer than the removed one and than this host's first reading of the era; the upstream's next writing is newer. One that was missing from the copy, and is written again under a version that was given out before, is used: its removal was seen in the same era. What stays doubtful, an upstream that was removed wrongly and written again before the first reading, waits for its next change.

Tests: seen failing before (the upstream was used again), and one for the opposite.

--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -2,8 +2,8 @@
  * The upstreams that may get work, by service, from the platform's table and
  * from what upstreams say of themselves.
  *
- * An entry that is removed or says that it leaves gets no new work from then on.
- * Its own word counts before the platform's, which may be away just then.
+ * An entry that is removed or says that it leaves gets no new work from then on,
+ * also when the platform comes back from a copy that knows nothing of it. Its own word counts before the platform's, which may be away just then.
  * One exception: after an outage of the platform, entries that lapsed meanwhile
  * come back within about two seconds if their upstream lives. Dropping them at
  * once would refuse every request of those seconds, so an entry that vanishes
@@ -15,6 +15,8 @@
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
 import { createLeavingLives, type UpstreamLife } from "./leaving_lives.ts";
+import { isLaterEra, NO_POSITION, type TablePosition } from "./positions.ts";
+import { createRemovedRows } from "./removed_rows.ts";
 import type { TableRow, UpstreamEntry } from "./types.ts";
 
 /** Upstreams by service. */
@@ -27,8 +29,11 @@
   getSlots(upstream: string): number;
   /** An upstream has said itself that it leaves; false when it was known. */
   noteLeaving(life: UpstreamLife, from: LeavingSource): boolean;
-  /** Takes in the table's rows. */
-  update(rows: ReadonlyMap<string, TableRow<UpstreamEntry>>): void;
+  /** Takes in the table's rows as of the position. */
+  update(
+    rows: ReadonlyMap<string, TableRow<UpstreamEntry>>,
+    at: TablePosition,
+  ): void;
 }
 
 /** What the directory needs of the process. */
@@ -66,17 +71,21 @@
 export function createUpstreamDirectory(
   host: DirectoryHost,
 ): UpstreamDirectory {
-  let entries: ReadonlyMap<string, UpstreamEntry> = new Map();
+  let rows: ReadonlyMap<string, TableRow<UpstreamEntry>> = new Map();
+  let position = NO_POSITION;
+  /** Where the present era was first read. */
+  let returned = NO_POSITION;
   let ready: ReadonlyMap<string, readonly UpstreamEntry[]> = new Map();
   const leaving = createLeavingLives();
+  const removed = createRemovedRows();
   const keptUntilMs = new Map<string, number>();
   let nextExpiryMs = Infinity;
 
   function rebuild(): void {
     const next = new Map<string, UpstreamEntry[]>();
-    const ids = [...entries.keys()].sort();
+    const ids = [...rows.keys()].sort();
     for (const id of ids) {
-      const entry = entries.get(id)!;
+      const entry = rows.get(id)!.value;
       if (!isTakingWork(entry)) continue;
       getOrCreate(next, entry.service, () => []).push(entry);
     }
@@ -91,19 +100,24 @@
   function expireKept(): void {
     const nowMs = host.clock.monotonicMs();
     if (nowMs < nextExpiryMs) return;
-    const next = new Map(entries);
+    const next = new Map(rows);
     for (const [id, untilMs] of keptUntilMs) {
       if (nowMs < untilMs) continue;
-      keptUntilMs.delete(id);
-      host.onChange(next.get(id)!, "removed", "table");
+      remove(next.get(id)!);
       next.delete(id);
     }
-    entries = next;
+    rows = next;
     rebuild();
   }
 
+  function remove(row: TableRow<UpstreamEntry>): void {
+    keptUntilMs.delete(row.key);
+    removed.add(row, position);
+    host.onChange(row.value, "removed", "table");
+  }
+
   function tellChange(id: string, entry: UpstreamEntry): void {
-    const known = entries.get(id);
+    const known = rows.get(id)?.value;
     const isSameLife = known?.incarnation === entry.incarnation;
     if (isSameLife && known?.state === entry.state) return;
     if (entry.state === "leaving") {
@@ -111,17 +125,16 @@
     } else if (!leaving.has(entry)) host.onChange(entry, "added", "table");
   }
 
-  function keepOrRemove(id: string, entry: UpstreamEntry): boolean {
-    const mayReturn = isTakingWork(entry) &&
+  function keepOrRemove(row: TableRow<UpstreamEntry>): boolean {
+    const mayReturn = isTakingWork(row.value) &&
       host.wasOutageWithin(OUTAGE_MEMORY_MS);
     if (!mayReturn) {
-      keptUntilMs.delete(id);
-      host.onChange(entry, "removed", "table");
+      remove(row);
       return false;
     }
-    if (!keptUntilMs.has(id)) {
-      keptUntilMs.set(id, host.clock.monotonicMs() + LAPSE_GRACE_MS);
-      host.onChange(entry, "kept", "table");
+    if (!keptUntilMs.has(row.key)) {
+      keptUntilMs.set(row.key, host.clock.monotonicMs() + LAPSE_GRACE_MS);
+      host.onChange(row.value, "kept", "table");
     }
     return true;
   }
@@ -133,31 +146,34 @@
     },
     isReady(entry) {
       expireKept();
-      const known = entries.get(entry.id);
+      const known = rows.get(entry.id)?.value;
       return known !== undefined && isTakingWork(known) &&
         known.incarnation === entry.incarnation;
     },
-    getSlots: (upstream) => entries.get(upstream)?.slots ?? 0,
+    getSlots: (upstream) => rows.get(upstream)?.value.slots ?? 0,
     noteLeaving(life, from) {
       if (!leaving.add(life)) return false;
-      const known = entries.get(life.id);
+      const known = rows.get(life.id)?.value;
       if (known?.incarnation === life.incarnation) {
         host.onChange(known, "leaving", from);
         rebuild();
       }
       return true;
     },
-    update(rows) {
-      const next = new Map<string, UpstreamEntry>();
-      for (const [id, row] of rows) {
+    update(tableRows, at) {
+      const next = new Map<string, TableRow<UpstreamEntry>>();
+      if (isLaterEra(at, position)) returned = at;
+      for (const [id, row] of tableRows) {
+        if (removed.isOld(row, returned)) continue;
         keptUntilMs.delete(id);
         tellChange(id, row.value);
-        next.set(id, row.value);
+        next.set(id, row);
       }
-      for (const [id, entry] of entries) {
-        if (!next.has(id) && keepOrRemove(id, entry)) next.set(id, entry);
+      position = at;
+      for (const [id, row] of rows) {
+        if (!next.has(id) && keepOrRemove(row)) next.set(id, row);
       }
-      entries = next;
+      rows = next;
       rebuild();
     },
   };
--- a/src/discovery/upstream_directory_test.ts
+++ b/src/discovery/upstream_directory_test.ts
@@ -17,22 +17,29 @@
     wasOutageWithin: () => isOutage,
     onChange: (entry, change) => changes.push(`${entry.id} ${change}`),
   });
+  /** The table in that era, its rows written at the version. */
+  function updateIn(
+    { era, rowVersion }: { readonly era: number; readonly rowVersion: number },
+    entries: readonly UpstreamEntry[],
+  ): void {
+    const rows = entries.map((value) => ({
+      key: value.id,
+      version: rowVersion,
+      value,
+    }));
+    const position = { era, version: rowVersion };
+    directory.update(new Map(rows.map((row) => [row.key, row])), position);
+  }
+
   return {
     clock,
     directory,
     changes,
     setOutage: (value: boolean) => isOutage = value,
     leave: (entry: UpstreamEntry) => directory.noteLeaving(entry, "answer"),
-    update(...entries: readonly UpstreamEntry[]) {
-      directory.update(
-        new Map(
-          entries.map((entry) => [
-            entry.id,
-            { key: entry.id, version: 1, value: entry },
-          ]),
-        ),
-      );
-    },
+    update: (...entries: readonly UpstreamEntry[]) =>
+      updateIn({ era: 1, rowVersion: 1 }, entries),
+    updateIn,
     getReadyIds: () => directory.getReady("model").map((each) => each.id),
   };
 }
@@ -123,3 +130,28 @@
   fixture.update(one);
   deepStrictEqual(fixture.getReadyIds(), ["two"]);
 });
+
+test("a removed row that an old copy of the platform still has names no upstream to use", () => {
+  // Guards against requests to upstreams that are gone or about to be.
+  const fixture = createFixture();
+  fixture.updateIn({ era: 1, rowVersion: 4 }, [one, two]);
+  fixture.updateIn({ era: 1, rowVersion: 4 }, [two]);
+  fixture.setOutage(true);
+  fixture.updateIn({ era: 2, rowVersion: 3 }, [one, two]);
+  deepStrictEqual(fixture.getReadyIds(), ["two"]);
+  deepStrictEqual(fixture.changes.at(-1), "one removed");
+  fixture.updateIn({ era: 2, rowVersion: 9 }, [one, two]);
+  deepStrictEqual(fixture.getReadyIds(), ["one", "two"]);
+});
+
+test("an entry that a copy lacked is used when it is written under its old version", () => {
+  // Guards against an upstream taken for gone since versions are given out again.
+  const fixture = createFixture();
+  fixture.updateIn({ era: 1, rowVersion: 4 }, [one, two]);
+  fixture.setOutage(true);
+  fixture.updateIn({ era: 2, rowVersion: 4 }, [two]);
+  fixture.clock.advance(LAPSE_GRACE_MS);
+  deepStrictEqual(fixture.getReadyIds(), ["two"]);
+  fixture.updateIn({ era: 2, rowVersion: 4 }, [one, two]);
+  deepStrictEqual(fixture.getReadyIds(), ["one", "two"]);
+});
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -140,7 +140,7 @@
   function onChanged(table: TableName, from: string): void {
     eras.note(table, tables[table].getPosition(), from);
     if (table === "config") updateRoutes(from);
-    else directory.update(upstreams.getRows());
+    else directory.update(upstreams.getRows(), upstreams.getPosition());
   }
 
   async function fetchFrom(table: TableName, peer: string): Promise<void> {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -176,6 +176,7 @@
       value.id,
       { key: value.id, version: 1, value },
     ])),
+    { version: 1 },
   );
   const route = createRoute({ hasPrompts: false, ...routeChanges });
   const routes = createRouteTable(createRoutingConfig({ routes: [route] }));
