Play the platform's return from a copy among overlapping troubles

The seeded minute in virtual time knows two more troubles: the platform answers nobody for up to 2.5 s and comes back 0.5 to 7.5 s older, with the next era, what it lost being written again within a second, so that its versions pass the old ones now and then before a host asks; and upstreams that say to one host that they leave. Checked at every step: no host goes back to an upstream that was gone and is not registered, none sends on to one that has told it, none goes back to an older configuration.

The stand-in tells what was removed since a version, and leaves unchanged rows at the version at which they were written; both as the real tables do.

One entry for what other hosts tell (`Knowledge.receive`), so that the played fleet and the real one dispatch alike.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -10,7 +10,6 @@
 import { createRetryBudget, getFleetOptions } from "../admission/mod.ts";
 import { createWorkingClock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import { REPORT_KEY } from "../discovery/mod.ts";
 import {
   CRASH_KEY,
   createCrashWatch,
@@ -31,7 +30,6 @@
 import { createIntake } from "./intake.ts";
 import { createKnowledge } from "./knowledge.ts";
 import { createLeaving } from "./leaving.ts";
-import { LEAVING_KEY } from "./leaving_facts.ts";
 import { createLoopWatch } from "./loop_watch.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
@@ -93,10 +91,9 @@
   }
 
   function onFact(fact: Fact): void {
-    if (fact.key.startsWith(REPORT_KEY)) knowledge.receive(fact);
-    else if (fact.key.startsWith(CRASH_KEY)) crashes.receive(fact);
-    else if (fact.key.startsWith(LEAVING_KEY)) knowledge.receiveLeaving(fact);
+    if (fact.key.startsWith(CRASH_KEY)) crashes.receive(fact);
     else if (fact.key.startsWith(FULL_KEY)) fullHosts.receive(fact);
+    else knowledge.receive(fact);
   }
 
   const workingClock = createWorkingClock(clock);
--- a/src/entry/knowledge.ts
+++ b/src/entry/knowledge.ts
@@ -19,6 +19,7 @@
   followTable,
   type PassingOn,
   type ReadingChoice,
+  REPORT_KEY,
   type SharedTable,
   TABLE_NAMES,
   type TableName,
@@ -29,7 +30,11 @@
 } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 import { createEraWatch } from "./era_watch.ts";
-import { createLeavingFact, readLeavingFact } from "./leaving_facts.ts";
+import {
+  createLeavingFact,
+  LEAVING_KEY,
+  readLeavingFact,
+} from "./leaving_facts.ts";
 import {
   createRouteTable,
   type RouteTable,
@@ -63,12 +68,10 @@
   /** `undefined` until a configuration is known. */
   tryGetRoutes(): RouteTable | undefined;
   getInputs(): Inputs;
-  /** Takes in a reader's report. */
+  /** Takes in what another host tells: a reader's report, or who leaves. */
   receive(fact: Fact): void;
   /** An upstream has told this host that it leaves; the others are told. */
   noteLeaving(life: UpstreamLife): void;
-  /** Takes in what an upstream has told another host. */
-  receiveLeaving(fact: Fact): void;
   /** A table as it is passed on; `undefined` for one never seen. */
   tryGetTable(name: string): Uint8Array | undefined;
   /** Follows the platform; never ends. */
@@ -239,14 +242,16 @@
         Math.max(...TABLE_NAMES.map(passingOn.getUnconfirmedMs)),
       ),
     }),
-    receive: passingOn.receive,
+    receive(fact) {
+      if (fact.key.startsWith(REPORT_KEY)) passingOn.receive(fact);
+      else if (fact.key.startsWith(LEAVING_KEY)) {
+        directory.noteLeaving(readLeavingFact(fact), "host");
+      }
+    },
     noteLeaving(life) {
       if (!directory.noteLeaving(life, "answer")) return;
       host.pushFact(createLeavingFact(life));
     },
-    receiveLeaving(fact) {
-      directory.noteLeaving(readLeavingFact(fact), "host");
-    },
     tryGetTable(name) {
       const table = tables[name as TableName];
       if (table === undefined) return undefined;
--- a/src/testing/fake_tables.ts
+++ b/src/testing/fake_tables.ts
@@ -1,6 +1,7 @@
 /**
  * The platform's tables as entry hosts find them: it can turn hosts away, keep
- * silent to them, keep its watches silent and drop its history. In virtual time.
+ * silent to them, keep its watches silent, drop its history, and come back from an
+ * older copy. In virtual time.
  *
  * @module
  */
@@ -37,6 +38,8 @@
   silenceUntil(ms: number): void;
   /** Watches from an older version are told that the history is gone. */
   dropHistory(): void;
+  /** Comes back as it was so long ago, in ms, with the next era. */
+  rewind(ms: number): void;
   /** Calls of all hosts so far, those without an answer included. */
   countCalls(): number;
   /** The platform as the host finds it. */
@@ -46,6 +49,16 @@
 interface FakeTable<T> {
   changedVersion: number;
   rows: readonly TableRow<T>[];
+  /** Of all rows that ever were. */
+  readonly keys: Set<string>;
+}
+
+/** All tables as of a moment. */
+interface Snapshot {
+  readonly atMs: number;
+  readonly version: number;
+  readonly config: FakeTable<RoutingConfig>;
+  readonly upstreams: FakeTable<UpstreamEntry>;
 }
 
 /** Step in which a watch looks for news, in ms. */
@@ -63,26 +76,56 @@
     config: new Map(),
     upstreams: new Map(),
   };
-  const config: FakeTable<RoutingConfig> = { changedVersion: 0, rows: [] };
-  const upstreams: FakeTable<UpstreamEntry> = { changedVersion: 0, rows: [] };
+  const config: FakeTable<RoutingConfig> = {
+    changedVersion: 0,
+    rows: [],
+    keys: new Set(),
+  };
+  const upstreams: FakeTable<UpstreamEntry> = {
+    changedVersion: 0,
+    rows: [],
+    keys: new Set(),
+  };
+  const snapshots: Snapshot[] = [];
+  let era = 1;
   let version = 1;
   let keptFrom = 0;
   let silentUntilMs = 0;
   let calls = 0;
 
-  /** Replaces the rows; both tables count by the platform's one version. */
-  function putRows<T>(
+  function takeSnapshot(): void {
+    snapshots.push({
+      atMs: clock.monotonicMs(),
+      version,
+      config: { ...config },
+      upstreams: { ...upstreams },
+    });
+  }
+
+  /** Both tables count by the platform's one version. */
+  function setRows<T>(
     table: FakeTable<T>,
-    values: ReadonlyMap<string, T>,
+    rows: readonly TableRow<T>[],
   ): void {
-    version++;
     table.changedVersion = version;
-    table.rows = [...values]
-      .map(([key, value]) => ({ key, version, value }));
+    table.rows = rows;
+    for (const { key } of rows) table.keys.add(key);
+    takeSnapshot();
+  }
+
+  /** A row that is there stays as it was written. */
+  function putUpstream(id: string): TableRow<UpstreamEntry> {
+    const known = upstreams.rows.find((each) => each.key === id);
+    return known ?? { key: id, version, value: createUpstreamEntry({ id }) };
+  }
+
+  function getRemoved<T>(table: FakeTable<T>): readonly string[] {
+    const present = new Set(table.rows.map((row) => row.key));
+    return [...table.keys].filter((key) => !present.has(key));
   }
 
   function read<T>(table: FakeTable<T>): Effect.Effect<TableState<T>> {
-    return Effect.sync(() => ({ version, rows: table.rows }));
+    return Effect.sync(() => ({ era, version, rows: table.rows }));
   }
 
   function follow<T>(
@@ -92,16 +135,17 @@
   ): Effect.Effect<TableChange<T>, TableError> {
     return Effect.suspend(() => {
       const isSilent = clock.monotonicMs() < silentUntilMs;
-      if (!isSilent && after < keptFrom) {
+      if (!isSilent && (after < keptFrom || after > version)) {
         const reason = "The history is gone";
         return Effect.fail(new TableError({ kind: "history-lost", reason }));
       }
       const hasNews = !isSilent && table.changedVersion > after;
       if (hasNews || waitMs <= 0) {
         return Effect.succeed({
+          era,
           version: isSilent ? after : version,
           changed: hasNews ? table.rows : [],
-          removed: [],
+          removed: hasNews ? getRemoved(table) : [],
         });
       }
       return Effect.sleep(STEP_MS).pipe(
@@ -148,11 +192,12 @@
   return {
     put(next) {
       const value = createRoutingConfig({ version: next });
-      putRows(config, new Map([["config", value]]));
+      version++;
+      setRows(config, [{ key: "config", version, value }]);
     },
     putUpstreams(ids) {
-      const entries = ids.map((id) => createUpstreamEntry({ id }));
-      putRows(upstreams, new Map(entries.map((each) => [each.id, each])));
+      version++;
+      setRows(upstreams, ids.map(putUpstream));
     },
     treat(host, treatment) {
       for (const name of TABLE_NAMES) treatments[name].set(host, treatment);
@@ -161,6 +206,17 @@
       void treatments[table].set(host, treatment),
     silenceUntil: (ms) => silentUntilMs = ms,
     dropHistory: () => keptFrom = version,
+    rewind(ms) {
+      const untilMs = clock.monotonicMs() - ms;
+      const old = snapshots.findLast((each) => each.atMs <= untilMs);
+      if (old === undefined) return;
+      snapshots.length = snapshots.indexOf(old) + 1;
+      era++;
+      keptFrom = 0;
+      version = old.version;
+      Object.assign(config, old.config);
+      Object.assign(upstreams, old.upstreams);
+    },
     countCalls: () => calls,
     createPlatform: (host) => ({
       config: createTable(host, "config", config),
--- a/src/testing/fleet_troubles.ts
+++ b/src/testing/fleet_troubles.ts
@@ -17,13 +17,15 @@
  * `away`: the platform answers no host. `one-table`: it answers no host that asks
  * for one of the tables. `turned-away`: it treats a third of the hosts so.
  * `history-dropped`: watches hear nothing for a second, then what happened
- * meanwhile is forgotten.
+ * meanwhile is forgotten. `returned`: the platform answers no host, and comes back
+ * from an older copy of itself.
  */
 type TroubleKind =
   | "away"
   | "one-table"
   | "turned-away"
   | "history-dropped"
+  | "returned"
   | "killed"
   | "cut"
   | "lossy";
@@ -36,6 +38,8 @@
   "turned-away",
   "turned-away",
   "history-dropped",
+  "returned",
+  "returned",
   "killed",
   "cut",
   "lossy",
@@ -53,6 +57,8 @@
 
 /** The troubles of one fleet. */
 export interface Troubles {
+  /** How often the platform has come back from a copy. */
+  countReturns(): number;
   /** Begins what is due by now and ends what is over. */
   readonly update: Effect.Effect<void>;
   /** Whether there is any, hosts that are turned away included. */
@@ -76,6 +82,10 @@
 
 const LOST_SHARE = 0.1;
 
+/** How old a copy is from which the platform comes back, in ms. */
+const LEAST_LOST_MS = 500;
+const LOST_SPREAD_MS = 7_000;
+
 /** Makes the troubles; none has begun. */
 export function createTroubles(
   fleet: KnowledgeFleet,
@@ -83,6 +93,12 @@
 ): Troubles {
   const troubles = new Set<Trouble>();
   let nextMs = FIRST_MS + random() * GAP_MS;
+  let returns = 0;
+
+  function rewind(): void {
+    returns++;
+    fleet.tables.rewind(LEAST_LOST_MS + random() * LOST_SPREAD_MS);
+  }
 
   /** Where troubles overlap, the newest says how a host is treated. */
   function applyTreatments(): void {
@@ -116,6 +132,7 @@
       troubles.delete(trouble);
       applyTreatments();
       if (kind === "history-dropped") fleet.tables.dropHistory();
+      if (kind === "returned") rewind();
       if (kind === "lossy") fleet.loseDatagrams(0);
       for (const host of hosts) {
         const isDown = fleet.tryGetKnowledge(host) === undefined;
@@ -126,6 +143,7 @@
   }
 
   return {
+    countReturns: () => returns,
     update: Effect.gen(function* () {
       const nowMs = fleet.nowMs();
       if (nowMs >= nextMs) {
@@ -163,11 +181,14 @@
   table: TableName,
 ): readonly TableName[] {
   if (kind === "one-table") return [table];
-  return kind === "away" || kind === "turned-away" ? TABLE_NAMES : [];
+  const isWhole = kind === "away" || kind === "turned-away" ||
+    kind === "returned";
+  return isWhole ? TABLE_NAMES : [];
 }
 
 function drawLengthMs(kind: TroubleKind, random: Random): number {
   if (kind === "history-dropped") return 1_000;
+  if (kind === "returned") return random() * 2_500;
   if (kind === "killed") return 300 + random() * 3_000;
   return 1_000 + random() * 9_000;
 }
@@ -178,7 +199,7 @@
   random: Random,
 ): readonly string[] {
   if (kind === "lossy" || kind === "history-dropped") return [];
-  if (kind === "away" || kind === "one-table") return hosts;
+  if (["away", "one-table", "returned"].includes(kind)) return hosts;
   const isAll = kind === "killed" && random() < 0.3;
   const count = Math.ceil(hosts.length / (isAll ? 1 : 3));
   const first = Math.floor(random() * hosts.length);
--- a/src/testing/knowledge_checks.ts
+++ b/src/testing/knowledge_checks.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { getOrCreate } from "../core/mod.ts";
 import type { Knowledge } from "../entry/knowledge.ts";
 import type { KnowledgeFleet } from "./knowledge_fleet.ts";
 
@@ -15,6 +16,13 @@
   readonly number: number;
 }
 
+/** Ids of the upstreams that a host has had. */
+interface SeenUpstreams {
+  readonly ready: Set<string>;
+  /** Of these, those that it has not had for a while. */
+  readonly gone: Set<string>;
+}
+
 /** The checks of one fleet. */
 export interface KnowledgeChecks {
   /** Each broken promise as one sentence with its time. */
@@ -26,6 +34,10 @@
   changeConfig(): void;
   /** An upstream registers, and one leaves. */
   changeUpstreams(): void;
+  /** What the platform has lost by its return is written again. */
+  writeAgain(): void;
+  /** An upstream that is registered says to one host that it leaves. */
+  leave(host: string): void;
   /** That no host goes back. */
   checkOrder(): void;
   /** That every host knows what was accepted `BOUND_MS` before. */
@@ -47,6 +59,8 @@
   const configs: Accepted[] = [];
   const upstreams: Accepted[] = [];
   const highest = new Map<Knowledge, number>();
+  const seen = new Map<Knowledge, SeenUpstreams>();
+  const leaving = new Set<string>();
   let worstMs = 0;
 
   function accept(accepted: Accepted[]): number {
@@ -72,15 +86,54 @@
     fail(`${name} ${missing.number} is unknown after ${lateMs} ms`);
   }
 
+  function putUpstreams(): void {
+    const newest = upstreams.length;
+    const numbers = Array.from({ length: UPSTREAMS }, (_, at) => newest - at);
+    fleet.tables.putUpstreams(numbers.map(getUpstreamId));
+  }
+
+  function getRegistered(): readonly string[] {
+    return upstreams.slice(-UPSTREAMS).map((each) =>
+      getUpstreamId(each.number)
+    );
+  }
+
+  /** An upstream that is not registered any more, and was gone, stays gone. */
+  function checkUpstreams(host: string, knowledge: Knowledge): void {
+    const { ready, gone } = getOrCreate(seen, knowledge, createSeen);
+    const now = getReadyIds(knowledge);
+    const registered = getRegistered();
+    for (const id of ready) if (!now.has(id)) gone.add(id);
+    for (const id of now) {
+      if (gone.has(id) && !registered.includes(id)) {
+        fail(`${host} went back to ${id}`);
+      }
+      ready.add(id);
+    }
+  }
+
   return {
     broken,
     getWorstMs: () => worstMs,
     countChanges: () => configs.length + upstreams.length,
     changeConfig: () => fleet.tables.put(accept(configs)),
     changeUpstreams() {
-      const newest = accept(upstreams);
-      const numbers = Array.from({ length: UPSTREAMS }, (_, at) => newest - at);
-      fleet.tables.putUpstreams(numbers.map(getUpstreamId));
+      accept(upstreams);
+      putUpstreams();
+    },
+    writeAgain() {
+      if (configs.length > 0) fleet.tables.put(configs.length);
+      if (upstreams.length > 0) putUpstreams();
+    },
+    leave(host) {
+      const knowledge = fleet.tryGetKnowledge(host);
+      const ready = knowledge?.directory.getReady("model") ?? [];
+      const entry = ready.find((each) => !leaving.has(each.id));
+      if (entry === undefined) return;
+      leaving.add(entry.id);
+      knowledge!.noteLeaving(entry);
+      const isGone = !getReadyIds(knowledge!).has(entry.id);
+      if (!isGone) fail(`${host} sends on to ${entry.id}, which leaves`);
     },
     checkOrder() {
       for (const host of fleet.hosts) {
@@ -90,6 +143,7 @@
         const isBack = configVersion < (highest.get(knowledge) ?? 0);
         if (isBack) fail(`${host} went back to ${configVersion}`);
         highest.set(knowledge, configVersion);
+        checkUpstreams(host, knowledge);
       }
     },
     checkKnown() {
@@ -98,9 +152,11 @@
         const version = knowledge?.getInputs().configVersion ?? 0;
         const isInForce = (number: number) => number <= version;
         checkAccepted(`${host}: configuration`, configs, isInForce);
-        const ready = knowledge?.directory.getReady("model") ?? [];
-        const ids = new Set(ready.map((each) => each.id));
-        const isReady = (number: number) => ids.has(getUpstreamId(number));
+        const ids = knowledge === undefined
+          ? new Set<string>()
+          : getReadyIds(knowledge);
+        const isReady = (number: number) =>
+          ids.has(getUpstreamId(number)) || leaving.has(getUpstreamId(number));
         const registered = upstreams.slice(-UPSTREAMS);
         checkAccepted(`${host}: upstream`, registered, isReady);
       }
@@ -108,6 +164,15 @@
   };
 }
 
+function createSeen(): SeenUpstreams {
+  return { ready: new Set(), gone: new Set() };
+}
+
+function getReadyIds(knowledge: Knowledge): ReadonlySet<string> {
+  const ready = knowledge.directory.getReady("model");
+  return new Set(ready.map((each) => each.id));
+}
+
 function getUpstreamId(number: number): string {
   return `upstream-${number}`;
 }
--- a/src/testing/knowledge_soak.ts
+++ b/src/testing/knowledge_soak.ts
@@ -42,6 +42,12 @@
 const PLAYED_MS = 60_000;
 const STEP_MS = 100;
 
+/** After its return all is written again at the platform within so long, in ms. */
+const WRITTEN_AGAIN_MS = 1_000;
+
+/** In so many steps an upstream says that it leaves. */
+const LEAVE_SHARE = 0.01;
+
 /** Between two changes of a table, at most, in ms. */
 const CONFIG_GAP_MS = 2_500;
 const UPSTREAM_GAP_MS = 3_000;
@@ -57,12 +63,26 @@
     UPSTREAM_GAP_MS,
     checks.changeUpstreams,
   );
+  let returns = 0;
+  let writeAgainMs = Infinity;
   let excusedMs = 0;
   let calmCalls = 0;
   let neededCalls = 0;
 
   const getCalmMs = () => fleet.nowMs() - excusedMs;
 
+  /** What the platform has lost is written again a moment after its return. */
+  function writeAgain(): void {
+    const nowMs = fleet.nowMs();
+    if (troubles.countReturns() > returns) {
+      returns = troubles.countReturns();
+      writeAgainMs = nowMs + random() * WRITTEN_AGAIN_MS;
+    }
+    if (nowMs < writeAgainMs) return;
+    writeAgainMs = Infinity;
+    checks.writeAgain();
+  }
+
   /** What a step without any trouble cost. */
   function countCalls(calls: number, changes: number): void {
     if (troubles.hasAny() || getCalmMs() < 2 * CALM_MS) return;
@@ -75,7 +95,11 @@
     const changesBefore = checks.countChanges();
     changeConfig(fleet.nowMs(), random);
     changeUpstreams(fleet.nowMs(), random);
+    if (random() < LEAVE_SHARE) {
+      checks.leave(fleet.hosts[Math.floor(random() * fleet.hosts.length)]!);
+    }
     yield* troubles.update;
+    writeAgain();
     if (troubles.hasExcuse()) excusedMs = fleet.nowMs();
     yield* fleet.run(STEP_MS);
     checks.checkOrder();
