Tell a return of the platform that a table never read before shows first

What operators would see: the store loses a host's registration, the host reads one table for the first time after that and has the other from before; it takes the later era for seen and does not look for its registration until its next turn, 20 s later.

Cause: the newest era was kept apart from the returns that were told. Change: only a return that was told counts. Test seen failing before (no "returned").

--- a/src/entry/era_watch.ts
+++ b/src/entry/era_watch.ts
@@ -32,27 +32,28 @@
 /** Makes a watch that has seen none. */
 export function createEraWatch(host: EraWatchHost): EraWatch {
   const known = new Map<TableName, TablePosition>();
-  let newestEra = -Infinity;
+  let returnedEra = -Infinity;
   let returnedMs = -Infinity;
 
   return {
     note(table, position, from) {
       const before = known.get(table);
       known.set(table, position);
-      const isNew = (position.era ?? -Infinity) > newestEra;
-      if (isNew) newestEra = position.era!;
       if (before === undefined || !isLaterEra(position, before)) return;
+      const era = position.era!;
       returnedMs = host.clock.monotonicMs();
       host.log({
         event: "platform-era-changed",
         table,
         from,
-        era: position.era!,
+        era,
         platformVersion: position.version,
         lastEra: before.era!,
         lastVersion: before.version,
       });
-      if (isNew) host.onReturned();
+      if (era <= returnedEra) return;
+      returnedEra = era;
+      host.onReturned();
     },
     wasReturnWithin: (ms) => host.clock.monotonicMs() - returnedMs < ms,
   };
