--- a/src/discovery/table_follower_test.ts
+++ b/src/discovery/table_follower_test.ts
@@ -3,7 +3,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as TestClock from "effect/testing/TestClock";
-import { createManualClock } from "../core/mod.ts";
+import { createManualClock, type ManualClock } from "../core/mod.ts";
 import { createSharedTable } from "./shared_table.ts";
 import { followTable } from "./table_follower.ts";
 import { TableError } from "./types.ts";
@@ -50,10 +50,7 @@
   function run(ms: number): Effect.Effect<number> {
     return Effect.gen(function* () {
       const before = calls;
-      for (let at = 0; at < ms; at += STEP_MS) {
-        clock.advance(STEP_MS);
-        yield* TestClock.adjust(STEP_MS);
-      }
+      yield* advance(clock, ms);
       return calls - before;
     });
   }
@@ -63,17 +60,34 @@
     defects,
     throwOnce: () => void (mustThrow = true),
     setReader: (value: boolean) => void (isReader = value),
-    play: (steps: Effect.Effect<void>) =>
-      Effect.runPromise(
-        Effect.gen(function* () {
-          const running = yield* Effect.forkChild(follower);
-          yield* steps;
-          yield* Fiber.interrupt(running);
-        }).pipe(Effect.provide(TestClock.layer())),
-      ),
+    play: (steps: Effect.Effect<void>) => play(follower, steps),
   };
 }
 
+/** Lets so much time pass, in ms. */
+function advance(clock: ManualClock, ms: number): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    for (let at = 0; at < ms; at += STEP_MS) {
+      clock.advance(STEP_MS);
+      yield* TestClock.adjust(STEP_MS);
+    }
+  });
+}
+
+/** Runs the follower in virtual time while the steps pass. */
+function play(
+  follower: Effect.Effect<never>,
+  steps: Effect.Effect<void>,
+): Promise<void> {
+  return Effect.runPromise(
+    Effect.gen(function* () {
+      const running = yield* Effect.forkChild(follower);
+      yield* steps;
+      yield* Fiber.interrupt(running);
+    }).pipe(Effect.provide(TestClock.layer())),
+  );
+}
+
 test("a fleet's start does not cost a call for each upstream and host", async () => {
   // Eighty hosts start, none of which knows yet that others read, while sixty
   // upstreams register. Every host took a call for every upstream: 2,508 calls
@@ -138,20 +152,13 @@
     onDefect: () => {},
     random: () => 0.5,
   });
-  await Effect.runPromise(
+  await play(
+    follower,
     Effect.gen(function* () {
-      const running = yield* Effect.forkChild(follower);
-      for (let at = 0; at < 20_000; at += STEP_MS) {
-        clock.advance(STEP_MS);
-        yield* TestClock.adjust(STEP_MS);
-      }
+      yield* advance(clock, 20_000);
       calls = 0;
-      for (let at = 0; at < 10_000; at += STEP_MS) {
-        clock.advance(STEP_MS);
-        yield* TestClock.adjust(STEP_MS);
-      }
-      yield* Fiber.interrupt(running);
-    }).pipe(Effect.provide(TestClock.layer())),
+      yield* advance(clock, 10_000);
+    }),
   );
   // Two calls for each try, and a try takes a quarter of a second at least.
   ok(calls <= 80, `${calls} calls in ten seconds`);
@@ -189,16 +196,7 @@
     onDefect: () => {},
     random: () => 0.5,
   });
-  await Effect.runPromise(
-    Effect.gen(function* () {
-      const running = yield* Effect.forkChild(follower);
-      for (let at = 0; at < 9_000; at += STEP_MS) {
-        clock.advance(STEP_MS);
-        yield* TestClock.adjust(STEP_MS);
-      }
-      yield* Fiber.interrupt(running);
-    }).pipe(Effect.provide(TestClock.layer())),
-  );
+  await play(follower, advance(clock, 9_000));
   deepStrictEqual(table.getPosition(), { era: 2, version: 23 });
   deepStrictEqual(table.getRows().get("a")?.value, "leaving");
   ok(follows > 3);
