Put the end of a request into a module of its own

serve.ts held two jobs: the way of a request down to forwarding, and what is told and logged of its end.

--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -15,7 +15,6 @@
   hasLeft,
   onCallerLeft,
 } from "../requests/caller.ts";
-import type { QueueInputs } from "../diagnostics/mod.ts";
 import { pickService, type Route, type RouteTable } from "../routing/mod.ts";
 import {
   type Call,
@@ -25,12 +24,13 @@
 } from "./call.ts";
 import { forward } from "./forward.ts";
 import { type Exchange, readWholeBody } from "./read_body.ts";
+import { createNotRun, Rejected } from "./replies.ts";
 import {
-  createNotRun,
-  getOutcome,
-  Rejected,
-  sendRejection,
-} from "./replies.ts";
+  endAnswered,
+  endCallerLost,
+  endRejected,
+  type Trail,
+} from "./request_end.ts";
 import { FAILED_RETRY_MS, getNoConfigRetryMs } from "./retry_after.ts";
 import { tryTurnAway } from "./turn_away.ts";
 import type { CallHeaders } from "./types.ts";
@@ -41,18 +41,6 @@
 /** And so does one that is less busy than this one. */
 const BEHIND_RETRY_MS = 200;
 
-/** What is known of a request, however far it gets. */
-interface Trail {
-  headers: CallHeaders | undefined;
-  route: Route | undefined;
-  team: string | undefined;
-  call: Call | undefined;
-  /** Monotonic milliseconds; at the latest. */
-  readonly arrivedMs: number;
-  /** This host was too busy for it when it was read. */
-  readonly isTooMuch: boolean;
-}
-
 /** A request whose caller and route are known; its body has not been read. */
 interface Asked {
   readonly headers: CallHeaders;
@@ -100,7 +88,7 @@
   const { res } = exchange;
   return accept(host, trail, asked, exchange).pipe(
     Effect.flatMap((call) => forwardInTime(host, call)),
-    Effect.flatMap(() => Effect.sync(() => logAnswered(host, trail, res))),
+    Effect.flatMap(() => Effect.sync(() => endAnswered(host, trail, res))),
     Effect.catchTag(
       "Rejected",
       (err) => Effect.sync(() => endRejected(host, trail, res, err)),
@@ -298,101 +286,3 @@
     ? createNotRun(reason, FAILED_RETRY_MS)
     : new Rejected({ status: 504, reason });
 }
-
-function endRejected(
-  host: ForwardHost,
-  trail: Trail,
-  res: ServerResponse,
-  rejected: Rejected,
-): void {
-  const { status, reason, retryAfterMs, queue } = rejected;
-  const isCut = res.headersSent;
-  sendRejection(res, rejected, {
-    codec: host.codec,
-    id: trail.headers?.requestId,
-  });
-  // Part of an answer is out: only a closed connection tells that it is not
-  // whole.
-  if (isCut) res.destroy();
-  logEnd(host, trail, {
-    outcome: isCut ? "may-have-run" : getOutcome(status),
-    status: isCut ? 0 : status,
-    reason,
-    retryAfterMs,
-    queue,
-  });
-}
-
-function endCallerLost(
-  host: ForwardHost,
-  trail: Trail,
-  err: CallerLost,
-): void {
-  logEnd(host, trail, {
-    outcome: "caller-left",
-    status: 0,
-    reason: err.reason,
-    retryAfterMs: undefined,
-  });
-}
-
-function logAnswered(
-  host: ForwardHost,
-  trail: Trail,
-  res: ServerResponse,
-): void {
-  host.retryBudget.recordSuccess("", trail.call?.service ?? "");
-  logEnd(host, trail, {
-    outcome: "answered",
-    status: res.statusCode,
-    reason: "Passed on from the upstream",
-    retryAfterMs: undefined,
-  });
-}
-
-interface End {
-  readonly outcome: "answered" | "not-run" | "may-have-run" | "caller-left";
-  readonly status: number;
-  readonly reason: string;
-  readonly retryAfterMs: number | undefined;
-  readonly queue?: QueueInputs | undefined;
-}
-
-function logEnd(host: ForwardHost, trail: Trail, end: End): void {
-  const { call, headers, route, team } = trail;
-  const nowMs = host.clock.monotonicMs();
-  const totalMs = Math.round(nowMs - trail.arrivedMs);
-  const attempts = call?.progress.attempts ?? 0;
-  host.log({
-    event: "request-ended",
-    request: headers?.requestId ?? "",
-    team,
-    route: route?.name,
-    outcome: end.outcome,
-    status: end.status,
-    reason: end.reason,
-    upstream: call?.progress.upstream?.id,
-    attempts,
-    sinceAttemptMs: attempts === 0
-      ? undefined
-      : Math.round(nowMs - call!.progress.attemptedMs),
-    totalMs,
-    firstEventMs: toWhole(call?.progress.firstEventMs),
-    chunks: call?.progress.chunks ?? 0,
-    longestPauseMs: toWhole(call?.progress.longestPauseMs),
-    retryAfterMs: end.retryAfterMs,
-    queue: end.queue,
-    inputs: host.getInputs(),
-  });
-  host.onEnded({
-    route: route?.name,
-    outcome: end.outcome,
-    status: end.status,
-    totalMs,
-    firstEventMs: call?.progress.firstEventMs,
-  });
-}
-
-function toWhole(ms: number | undefined): number | undefined {
-  return ms === undefined ? undefined : Math.round(ms);
-}
