--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -3,7 +3,8 @@
  * from what upstreams say of themselves.
  *
  * An entry that is removed or says that it leaves gets no new work from then on,
- * also when the platform comes back from a copy that knows nothing of it. Its own word counts before the platform's, which may be away just then.
+ * also when the platform comes back from a copy that knows nothing of it. Its own
+ * word counts before the platform's, which may be away just then.
  * One exception: after an outage of the platform, entries that lapsed meanwhile
  * come back within about two seconds if their upstream lives. Dropping them at
  * once would refuse every request of those seconds, so an entry that vanishes
