--- a/src/discovery/table_follower_test.ts
+++ b/src/discovery/table_follower_test.ts
@@ -64,6 +64,18 @@
   };
 }
 
+/** A host that reads, and to which nothing it is told matters. */
+function createReaderHost(clock: ManualClock) {
+  return {
+    clock,
+    isReader: () => true,
+    onContact: () => {},
+    onFailure: () => {},
+    onDefect: () => {},
+    random: () => 0.5,
+  };
+}
+
 /** Lets so much time pass, in ms. */
 function advance(clock: ManualClock, ms: number): Effect.Effect<void> {
   return Effect.gen(function* () {
@@ -132,7 +144,7 @@
   let calls = 0;
   const clock = createManualClock(10_000);
   const follower = followTable<string>({
-    clock,
+    ...createReaderHost(clock),
     source: {
       read: () =>
         Effect.sync(() => {
@@ -146,11 +158,6 @@
       },
     },
     table: createSharedTable<string>(),
-    isReader: () => true,
-    onContact: () => {},
-    onFailure: () => {},
-    onDefect: () => {},
-    random: () => 0.5,
   });
   await play(
     follower,
@@ -178,7 +185,7 @@
   ];
   let follows = 0;
   const follower = followTable<string>({
-    clock,
+    ...createReaderHost(clock),
     source: {
       read: () => Effect.sync(() => states.shift()!),
       follow: () =>
@@ -190,11 +197,6 @@
         }).pipe(Effect.delay(STEP_MS)),
     },
     table,
-    isReader: () => true,
-    onContact: () => {},
-    onFailure: () => {},
-    onDefect: () => {},
-    random: () => 0.5,
   });
   await play(follower, advance(clock, 9_000));
   deepStrictEqual(table.getPosition(), { era: 2, version: 23 });
