Tell a lost connection from an unusable answer in the log

Nothing of what a host decides changes.

- attempt-failed has the kind cut-off when the connection ended before the answer did, with the content's fingerprint, which content-suspected names too.
Until now a 500 that came whole read alike (broken).
- The counters of decisions and of failed attempts come before the families that grow with the routes.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -90,6 +90,8 @@
     readonly next: "another-upstream" | "resume" | "give-up";
     /** Reason why there is no further attempt. */
     readonly because: string | undefined;
+    /** Digest of the content, if it may have crashed the upstream. */
+    readonly fingerprint: string | undefined;
   }
   | {
     readonly event: "request-ended";
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -70,26 +70,6 @@
 export function createEntryMetrics(host: MetricsHost): EntryMetrics {
   const registry = new Registry();
   const registers = [registry];
-  const ended = new Counter({
-    name: "azurestile_requests_ended_total",
-    help: "Requests ended, by route, outcome and status",
-    labelNames: ["route", "outcome", "status"],
-    registers,
-  });
-  const seconds = new Histogram({
-    name: "azurestile_request_seconds",
-    help: "Time from a request's arrival to its end, by route",
-    labelNames: ["route"],
-    buckets: TIME_BUCKETS_S,
-    registers,
-  });
-  const firstEventSeconds = new Histogram({
-    name: "azurestile_first_event_seconds",
-    help: "Time from a stream's arrival to its first event, by route",
-    labelNames: ["route"],
-    buckets: TIME_BUCKETS_S,
-    registers,
-  });
   const attemptsFailed = new Counter({
     name: "azurestile_attempts_failed_total",
     help: "Attempts at upstreams without an answer, by kind and next step",
@@ -161,6 +141,28 @@
     () => Number(host.isReady()),
   );
 
+  // The families that grow with the number of routes come last, since a scrape
+  // may be cut at some length.
+  const ended = new Counter({
+    name: "azurestile_requests_ended_total",
+    help: "Requests ended, by route, outcome and status",
+    labelNames: ["route", "outcome", "status"],
+    registers,
+  });
+  const seconds = new Histogram({
+    name: "azurestile_request_seconds",
+    help: "Time from a request's arrival to its end, by route",
+    labelNames: ["route"],
+    buckets: TIME_BUCKETS_S,
+    registers,
+  });
+  const firstEventSeconds = new Histogram({
+    name: "azurestile_first_event_seconds",
+    help: "Time from a stream's arrival to its first event, by route",
+    labelNames: ["route"],
+    buckets: TIME_BUCKETS_S,
+    registers,
+  });
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/src/forwarding/crash_watch.ts
+++ b/src/forwarding/crash_watch.ts
@@ -32,7 +32,7 @@
  * identified by the fingerprint of their content.
  */
 export interface CrashWatch {
-  /** Records that the upstream's response to the request broke off. */
+  /** Records that the connection ended before the response to the request. */
   recordBroken(upstream: string, fingerprint: string): void;
   /**
    * Records that the upstream refuses connections, which means that it crashed
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -149,7 +149,9 @@
     return;
   }
   host.health.recordFailure(id, "failed");
-  if (err.kind === "broken") host.crashes.recordBroken(id, call.fingerprint);
+  if (err.kind === "broken" || err.kind === "cut-off") {
+    host.crashes.recordBroken(id, call.fingerprint);
+  }
 }
 
 function relay(
@@ -297,5 +299,6 @@
     reason: err.reason,
     next: step.kind,
     because: step.kind === "give-up" ? step.because : undefined,
+    fingerprint: err.kind === "cut-off" ? call.fingerprint : undefined,
   });
 }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -110,6 +110,15 @@
   readonly retryAfterMs: number | undefined;
 }
 
+/** How an attempt failed; see `AttemptFailed`. */
+export type AttemptFailure =
+  | "not-sent"
+  | "unwanted"
+  | "not-run"
+  | "broken"
+  | "cut-off"
+  | "silent";
+
 /**
  * An attempt that produced no response that can be passed on to the caller.
  *
@@ -118,10 +127,11 @@
  *   upstream stated that it is leaving or asked for a back-off.
  * - `not-run`: the upstream states that it has not run the request and never
  *   will.
- * - `broken`: the request was sent and may have run.
+ * - `broken`: the request was sent and may have run; the answer is unusable.
+ * - `cut-off`: like `broken`, but the connection ended before the answer did.
  * - `silent`: like `broken`, but nothing at all arrived within the time-out.
  */
 export class AttemptFailed extends Data.TaggedError("AttemptFailed")<{
-  readonly kind: "not-sent" | "unwanted" | "not-run" | "broken" | "silent";
+  readonly kind: AttemptFailure;
   readonly reason: string;
 }> {}
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -107,7 +107,7 @@
     });
     req.on("error", (err) => {
       const reason = `${(err as NodeJS.ErrnoException).code ?? err.message}`;
-      fail(isSent ? "broken" : "not-sent", reason);
+      fail(isSent ? getSentFailure(reason) : "not-sent", reason);
     });
     req.end(call.body);
     return Effect.sync(() => {
@@ -168,7 +168,12 @@
 /** Creates the failure for a truncated body. */
 export function createTruncatedError(): AttemptFailed {
   const reason = "The response body is truncated";
-  return new AttemptFailed({ kind: "broken", reason });
+  return new AttemptFailed({ kind: "cut-off", reason });
+}
+
+/** Node's parser prefixes the codes of its errors. */
+function getSentFailure(code: string): "broken" | "cut-off" {
+  return code.startsWith("HPE_") ? "broken" : "cut-off";
 }
 
 function hasBodyLength(res: IncomingMessage): boolean {
