Count the crashes of a content over the whole fleet

Callers saw: one read took down every upstream of a service three times in a minute, and all other callers of the service with them, since each host that the read came to ran it.

Cause: each host counted the crashes that it saw itself, told nobody of the first one, and merged a later count of another host by taking the larger one. Three crashes at three hosts were one each, and none blocked the content. With H hosts a content could crash H + 2 upstreams. A success cleared the count of one host only, and the next fact brought it back.

The reproduction: three hosts with one crash each let the content through to a fourth upstream. Ruled out by it: lost facts (loopback) and an expired count (a minute).

Change: a crash is an event with an identity, the content and the upstream process that ended. Merging is a union, so that any order and number of reports count alike. Each event goes to the two owners of its content (rendezvous hashing), three times since datagrams get lost; an owner that knows of two processes gossips them, and broadcasts from the third on. A content that ran to a good end, at any host, after a crash or in the ten seconds before it, refutes it for all: a popular content that runs beside crashes is served on. An answer with a failure status no longer counts as a good end, nor one that came whole as broken off.

Why owners: gossiping every event would send, for a rack of 20 upstreams and 195 hosts, 960 facts to everyone.

--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -36,6 +36,14 @@
   return created;
 }
 
+/** Removes the first entry of a map or set if it has more than `limit`. */
+export function dropOldest<K>(
+  entries: Map<K, unknown> | Set<K>,
+  limit: number,
+): void {
+  if (entries.size > limit) entries.delete(entries.keys().next().value!);
+}
+
 /** The SHA-256 of the content in hexadecimal. */
 export function getDigest(content: string | Uint8Array): string {
   return createHash("sha256").update(content).digest("hex");
--- /dev/null
+++ b/src/crashes/crash_reports.ts
@@ -0,0 +1,181 @@
+/**
+ * Distributes crash events over the fleet. Each event goes to the owners of its
+ * content, chosen by rendezvous hashing; they add up the events of all hosts
+ * and tell everyone once a second upstream process has ended under a content.
+ *
+ * Load: a rack of upstreams is lost, and at each of 195 hosts the responses of
+ * several contents break off.
+ *
+ * Failures prevented: hosts that each count alone let one content crash an
+ * upstream per host. If every event were gossiped to all hosts instead, those
+ * of a lost rack would displace the other facts for minutes; most of them
+ * concern contents that will never be seen again.
+ *
+ * @module
+ */
+
+import { type Clock, dropOldest, getOrCreate } from "../core/mod.ts";
+import { type Fact, rankByRendezvous } from "../membership/mod.ts";
+import type { CrashEvents } from "./crash_events.ts";
+import { createCrashFact } from "./crash_facts.ts";
+import { CRASH_LIMIT, type CrashEvent } from "./types.ts";
+
+/** Dependencies of the reports, supplied by the process. */
+export interface CrashReportsHost {
+  readonly clock: Clock;
+  /** Peer address of this host. */
+  readonly self: string;
+  /** Peer addresses of the hosts that are alive, including this one. */
+  getHosts(): readonly string[];
+  /** Sends the facts to one host, which does not gossip them. */
+  sendFacts(facts: readonly Fact[], peerAddress: string): void;
+  /** Sends the fact to all hosts, which get it within one network delay. */
+  broadcastFact(fact: Fact): void;
+  /** Sends the fact to all hosts, in a few seconds. */
+  gossipFact(fact: Fact): void;
+}
+
+/** The reports of one host. */
+export interface CrashReports {
+  /** Reports an event that this host has added or refuted itself. */
+  report(event: CrashEvent): void;
+  /** Handles an event that was reported to this host and is new to it. */
+  receiveReport(event: CrashEvent): void;
+  /** Handles an event that an owner has published. */
+  receivePublished(event: CrashEvent): void;
+  /** Sends what is due; must be called several times per second. */
+  tick(): void;
+}
+
+/** Number of hosts that add up the events of one content. */
+const OWNERS = 2;
+
+/**
+ * Number of times that a report is sent, since datagrams get lost and owners
+ * restart.
+ */
+const SENDS = 3;
+
+/** Time between two sends of a report, in ms. */
+const RESEND_MS = 600;
+
+/** An owner publishes the events of a content from this number on. */
+const PUBLISH_COUNT = 2;
+
+/** Limit on the reports that wait to be sent; the oldest is dropped. */
+const MAX_PENDING = 200;
+
+/** Limit on the facts that this host broadcasts per second; others are gossiped. */
+const MAX_BROADCASTS_PER_S = 6;
+
+/** Limit on the remembered published facts; the oldest is forgotten. */
+const MAX_PUBLISHED = 2_000;
+
+interface PendingReport {
+  readonly event: CrashEvent;
+  sent: number;
+  /** Monotonic milliseconds. */
+  dueMs: number;
+}
+
+/** Creates the reports of a host that knows the events given. */
+export function createCrashReports(
+  host: CrashReportsHost,
+  events: CrashEvents,
+): CrashReports {
+  const { clock } = host;
+  const pending = new Map<string, PendingReport>();
+  /** Version of each published fact, by key. */
+  const published = new Map<string, number>();
+  const publicContents = new Set<string>();
+  const broadcastsMs: number[] = [];
+
+  function getOwners(fingerprint: string): readonly string[] {
+    return rankByRendezvous(fingerprint, host.getHosts()).slice(0, OWNERS);
+  }
+
+  /** Marks the event as known to all hosts; returns false if it was. */
+  function setPublished(event: CrashEvent): boolean {
+    const { key, version } = createCrashFact(event);
+    publicContents.add(event.fingerprint);
+    dropOldest(publicContents, MAX_PUBLISHED);
+    if ((published.get(key) ?? 0) >= version) return false;
+    published.set(key, version);
+    dropOldest(published, MAX_PUBLISHED);
+    const report = pending.get(key);
+    if (report?.event.state === event.state) pending.delete(key);
+    return true;
+  }
+
+  function mayBroadcast(): boolean {
+    const nowMs = clock.monotonicMs();
+    while (nowMs - (broadcastsMs[0] ?? nowMs) > 1_000) broadcastsMs.shift();
+    if (broadcastsMs.length >= MAX_BROADCASTS_PER_S) return false;
+    broadcastsMs.push(nowMs);
+    return true;
+  }
+
+  function publishIfDue(fingerprint: string): void {
+    const isDue = publicContents.has(fingerprint) ||
+      events.count(fingerprint) >= PUBLISH_COUNT;
+    if (!isDue) return;
+    for (const event of getNews(fingerprint)) publish(event);
+  }
+
+  /** Events that change what other hosts decide about the content. */
+  function getNews(fingerprint: string): readonly CrashEvent[] {
+    const known = events.get(fingerprint);
+    const counted = known.filter((each) => each.state === "counted");
+    const refuted = known.filter((each) =>
+      each.state === "refuted" && published.has(createCrashFact(each).key)
+    );
+    return [...refuted, ...counted.slice(0, CRASH_LIMIT)];
+  }
+
+  function publish(event: CrashEvent): void {
+    if (!setPublished(event)) return;
+    const fact = createCrashFact(event);
+    const isUrgent = event.state === "refuted" ||
+      events.count(event.fingerprint) >= CRASH_LIMIT;
+    if (isUrgent && mayBroadcast()) host.broadcastFact(fact);
+    else host.gossipFact(fact);
+  }
+
+  function publishIfOwner(fingerprint: string): void {
+    if (getOwners(fingerprint).includes(host.self)) publishIfDue(fingerprint);
+  }
+
+  function sendDue(): void {
+    if (pending.size === 0) return;
+    const nowMs = clock.monotonicMs();
+    const factsByOwner = new Map<string, Fact[]>();
+    for (const [key, report] of pending) {
+      if (report.dueMs > nowMs) continue;
+      report.dueMs = nowMs + RESEND_MS;
+      report.sent++;
+      if (report.sent === SENDS) pending.delete(key);
+      for (const owner of getOwners(report.event.fingerprint)) {
+        if (owner === host.self) continue;
+        getOrCreate(factsByOwner, owner, (): Fact[] => [])
+          .push(createCrashFact(report.event));
+      }
+    }
+    for (const [owner, facts] of factsByOwner) host.sendFacts(facts, owner);
+  }
+
+  return {
+    report(event) {
+      const { key } = createCrashFact(event);
+      pending.delete(key);
+      pending.set(key, { event, sent: 0, dueMs: clock.monotonicMs() });
+      dropOldest(pending, MAX_PENDING);
+      publishIfOwner(event.fingerprint);
+    },
+    receiveReport: ({ fingerprint }) => publishIfDue(fingerprint),
+    receivePublished(event) {
+      setPublished(event);
+      publishIfOwner(event.fingerprint);
+    },
+    tick: sendDue,
+  };
+}
--- /dev/null
+++ b/src/crashes/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Finds the contents that crash upstreams, over the whole fleet, and blocks
+ * them.
+ *
+ * @module
+ */
+
+export * from "./crash_facts.ts";
+export * from "./crash_watch.ts";
+export * from "./types.ts";
--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -223,10 +223,28 @@
     readonly reason: string;
   }
   | {
+    /** Content was running at an upstream process that ended. */
     readonly event: "content-suspected";
     readonly fingerprint: string;
+    /** Crashes of the content that this host knows of. */
+    readonly crashes: number;
+    /** Incarnation and id of the upstream. */
+    readonly process: string;
+    /** How this host learned of it. */
+    readonly from: string;
+  }
+  | {
+    /** The content merely ran beside the cause of crashes. */
+    readonly event: "content-cleared";
+    readonly fingerprint: string;
+    readonly crashes: number;
+    readonly from: string;
+  }
+  | {
+    /** Content has reached the limit of crashes, and is refused. */
+    readonly event: "content-blocked";
+    readonly fingerprint: string;
     readonly crashes: number;
-    readonly request: string | undefined;
   }
   | {
     readonly event: "started";
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -12,12 +12,11 @@
 import { createStallTolerantClock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
-  CRASH_KEY_PREFIX,
-  createCrashWatch,
   createUpstreamAgent,
   type ForwardHost,
   serve,
 } from "../forwarding/mod.ts";
+import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
@@ -103,7 +102,7 @@
   }
 
   function onFact(fact: Fact): void {
-    if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receive(fact);
+    if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receiveFact(fact);
     else if (fact.key.startsWith(FULL_KEY_PREFIX)) fullHosts.receive(fact);
     else platformView.receive(fact);
   }
@@ -180,14 +179,12 @@
   });
   const crashes = createCrashWatch({
     clock,
+    self: peerAddress,
+    getHosts: () => getAlive().map((each) => each.peerAddress),
+    sendFacts: (facts, to) => peers.membership.sendFacts(facts, to),
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
-    onSuspected: (fingerprint, count) =>
-      log({
-        event: "content-suspected",
-        fingerprint,
-        crashes: count,
-        request: undefined,
-      }),
+    gossipFact: (fact) => peers.membership.gossipFact(fact),
+    log,
   });
   const platformView = createPlatformView({
     clock,
@@ -238,6 +235,9 @@
         incarnation: member.incarnation,
       }),
     onFact,
+    onDirectFact(fact) {
+      if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receiveReport(fact);
+    },
     tryGetTable: (name) => platformView.tryGetTable(name),
     onTickFailed: (reason) =>
       log({ event: "task-failed", task: "membership", reason }),
@@ -338,6 +338,7 @@
    */
   function decide(): void {
     queue.tick();
+    crashes.tick();
     const limits = platformView.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
   }
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -32,6 +32,7 @@
   random(): number;
   onMemberChanged(member: Member): void;
   onFact(fact: Fact): void;
+  onDirectFact(fact: Fact): void;
   /** The encoded snapshot of the table with this name. */
   tryGetTable(name: string): Uint8Array | undefined;
   onTickFailed(reason: string): void;
@@ -93,6 +94,7 @@
     send: (address, message) => void datagrams.send(address, message),
     onChange: host.onMemberChanged,
     onFact: host.onFact,
+    onDirectFact: host.onDirectFact,
     // Versions are part of the readers' reports, one for each table.
     onConfigVersion: () => {},
     getConfigVersion: () => ({ version: 0, digest: "" }),
--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -40,6 +40,7 @@
     },
     onMemberChanged: ({ state }) => void (state === "suspect" && onSuspect()),
     onFact: () => {},
+    onDirectFact: () => {},
     tryGetTable: () => undefined,
     onTickFailed: (reason) => {
       throw new Error(reason);
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -9,6 +9,7 @@
 import type { Agent, IncomingMessage, ServerResponse } from "node:http";
 import type { RetryBudget } from "../admission/mod.ts";
 import type { Clock } from "../core/mod.ts";
+import type { CrashWatch } from "../crashes/mod.ts";
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
 import type {
   UpstreamDirectory,
@@ -21,7 +22,6 @@
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { BackoffWatch, HealthWatch } from "../upstreams/mod.ts";
-import type { CrashWatch } from "./crash_watch.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
 /** Dependencies of forwarding, supplied by the process. */
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -124,7 +124,9 @@
     Effect.tap(() =>
       Effect.sync(() => {
         health.recordSuccess(upstream.id);
-        host.crashes.recordSuccess(call.fingerprint);
+        if (isSuccess(call.progress.status)) {
+          host.crashes.recordSuccess(call.fingerprint);
+        }
       })
     ),
     Effect.tapError((err) => Effect.sync(() => recordFailure(host, call, err))),
@@ -142,15 +144,15 @@
   err: AttemptFailed | CallerLost,
 ): void {
   if (err._tag === "CallerLost" || err.kind === "unwanted") return;
-  const { id } = call.progress.upstream!;
+  const upstream = call.progress.upstream!;
   if (err.kind === "not-sent") {
-    host.health.recordFailure(id, "unreachable");
-    host.crashes.recordUnreachable(id);
+    host.health.recordFailure(upstream.id, "unreachable");
+    host.crashes.recordUnreachable(upstream);
     return;
   }
-  host.health.recordFailure(id, "failed");
-  if (err.kind === "broken" || err.kind === "cut-off") {
-    host.crashes.recordBroken(id, call.fingerprint);
+  host.health.recordFailure(upstream.id, "failed");
+  if (err.kind === "cut-off") {
+    host.crashes.recordCutOff(upstream, call.fingerprint);
   }
 }
 
@@ -161,12 +163,16 @@
   response: UpstreamResponse,
 ): Effect.Effect<void, AttemptFailed | CallerLost> {
   const status = response.res.statusCode ?? 0;
-  if (call.route.kind === "stream" && status >= 200 && status < 300) {
+  if (call.route.kind === "stream" && isSuccess(status)) {
     return relayStream(host, call, picked, response);
   }
   return relayBuffered(host, call, response);
 }
 
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 function relayBuffered(
   host: ForwardHost,
   call: Call,
--- a/src/forwarding/mod.ts
+++ b/src/forwarding/mod.ts
@@ -5,7 +5,6 @@
  */
 
 export * from "./call.ts";
-export * from "./crash_watch.ts";
 export * from "./serve.ts";
 export * from "./types.ts";
 export * from "./upstream_agent.ts";
--- a/src/measure/membership_fixture.ts
+++ b/src/measure/membership_fixture.ts
@@ -233,6 +233,7 @@
         configDigest: "",
         updates: all,
         facts: [],
+        directFacts: [],
       }, "");
     }
     // Lets the updates that this causes finish before a measurement starts.
--- a/src/measure/scale.ts
+++ b/src/measure/scale.ts
@@ -144,6 +144,7 @@
     configDigest: "ab".repeat(32),
     updates: [],
     facts: [],
+    directFacts: [],
   };
   const rounds = 20;
   let bytes = 0;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -31,6 +31,8 @@
   onChange(member: Member): void;
   /** Called with each fact that is new to this host. */
   onFact(fact: Fact): void;
+  /** Called with each fact that another host sent to this host alone. */
+  onDirectFact?(fact: Fact): void;
   /** Called with the configuration version that host `from` has in force. */
   onConfigVersion(version: number, digest: string, from: string): void;
   getConfigVersion(): { readonly version: number; readonly digest: string };
@@ -94,6 +96,11 @@
    * delay.
    */
   broadcastFact(fact: Fact): void;
+  /**
+   * Sends facts to one peer only, in as few datagrams as they fit into. They
+   * are neither kept nor gossiped.
+   */
+  sendFacts(facts: readonly Fact[], peerAddress: string): void;
   /** Announces that this host takes no new work. */
   leave(): void;
 }
@@ -173,6 +180,7 @@
       configDigest: config.digest,
       updates: entries,
       facts: [],
+      directFacts: [],
     };
     return { ...message, ...parts };
   }
@@ -379,6 +387,7 @@
       factQueue.enqueue(fact.key);
       host.onFact(fact);
     }
+    for (const fact of message.directFacts) host.onDirectFact?.(fact);
     const { configVersion, configDigest, from, sequence } = message;
     host.onConfigVersion(configVersion, configDigest, from);
     if (message.wantsSync) {
@@ -464,6 +473,11 @@
         host.send(member.peerAddress, message);
       }
     },
+    sendFacts(direct, peerAddress) {
+      for (const directFacts of splitBySize(direct, options.maxPayloadBytes)) {
+        host.send(peerAddress, createMessage({ isAck: true, directFacts }));
+      }
+    },
     leave() {
       const own = table.getSelf();
       const revision = own.revision + 1;
@@ -478,6 +492,25 @@
     peerAddress.length + publicAddress.length;
 }
 
+/** Splits the facts into groups of at most `maxBytes`, or of one fact. */
+function splitBySize(
+  all: readonly Fact[],
+  maxBytes: number,
+): readonly (readonly Fact[])[] {
+  const groups: Fact[][] = [];
+  let leftBytes = 0;
+  for (const fact of all) {
+    const bytes = estimateFactSize(fact);
+    if (groups.length === 0 || bytes > leftBytes) {
+      groups.push([]);
+      leftBytes = maxBytes;
+    }
+    groups.at(-1)!.push(fact);
+    leftBytes -= bytes;
+  }
+  return groups;
+}
+
 function estimateFactSize(fact: Fact): number {
   return ENTRY_OVERHEAD_BYTES + fact.key.length + fact.value.length;
 }
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -29,6 +29,7 @@
   configDigest: "",
   updates: [],
   facts: [],
+  directFacts: [],
 };
 
 function createMember(host: string): Member {
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -62,4 +62,6 @@
   readonly configDigest: string;
   readonly updates: readonly Member[];
   readonly facts: readonly Fact[];
+  /** Facts for the receiver alone, which does not gossip them. */
+  readonly directFacts: readonly Fact[];
 }
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -166,6 +166,7 @@
       state: toWire[member.state],
     })),
     facts: [...message.facts],
+    directFacts: [...message.directFacts],
   });
 }
 
@@ -181,6 +182,7 @@
     configDigest: Buffer.from(datagram.configDigest).toString("hex"),
     updates: datagram.updates.flatMap(toMembers),
     facts: datagram.facts,
+    directFacts: datagram.directFacts,
   };
 }
 
--- a/src/peers/datagrams_test.ts
+++ b/src/peers/datagrams_test.ts
@@ -29,6 +29,7 @@
     publicAddress: "10.0.0.3:21001",
   }],
   facts: [],
+  directFacts: [],
 };
 
 test("a datagram with another fleet's MAC, or a modified one, is ignored", () => {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -10,13 +10,13 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
+import { type CrashWatch, createCrashWatch } from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import { createUpstreamDirectory } from "../discovery/mod.ts";
 import { listen } from "../entry/servers.ts";
 import { startTicker } from "../entry/ticker.ts";
 import {
   type CallCodec,
-  createCrashWatch,
   createUpstreamAgent,
   type ForwardHost,
   serve,
@@ -67,6 +67,7 @@
   readonly log: readonly Decision[];
   readonly controls: Controls;
   readonly recordedPacing: RecordedPacing;
+  readonly crashes: CrashWatch;
 }
 
 /** What was recorded in the service's pacing. */
@@ -188,13 +189,16 @@
     onDecision: () => {},
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
+  function writeLog(decision: Decision): void {
+    log.push(decision);
+    controls.onDecision(decision);
+  }
+  const crashes = createLoneCrashWatch(writeLog);
   const host = createHost(directory, {
     controls,
     recordedPacing,
-    log(decision) {
-      log.push(decision);
-      controls.onDecision(decision);
-    },
+    crashes,
+    log: writeLog,
     tryGetRoutes: () => routes,
   });
   const callers = await listen(
@@ -208,6 +212,7 @@
     log,
     controls,
     recordedPacing,
+    crashes,
     call: (options = {}) => send(port, options),
     sendHead: () => sendHead(port),
     sendAndClose: () => sendAndClose(port),
@@ -226,7 +231,7 @@
 
 function createHost(
   directory: ForwardHost["directory"],
-  parts: Pick<ForwardHost, "log" | "tryGetRoutes"> & {
+  parts: Pick<ForwardHost, "log" | "tryGetRoutes" | "crashes"> & {
     readonly controls: Controls;
     readonly recordedPacing: RecordedPacing;
   },
@@ -277,11 +282,7 @@
     }),
     health: createHealthWatch(clock),
     backoffs: createBackoffWatch(clock),
-    crashes: createCrashWatch({
-      clock,
-      broadcastFact: () => {},
-      onSuspected: () => {},
-    }),
+    crashes: parts.crashes,
     retryBudget: createRetryBudget(clock),
     getDistance: () => "same-data-centre",
     isOverloaded: () => parts.controls.isOverloaded,
@@ -298,6 +299,19 @@
   };
 }
 
+/** Creates the crash watch of a fleet of one host. */
+function createLoneCrashWatch(log: (decision: Decision) => void): CrashWatch {
+  return createCrashWatch({
+    clock: systemClock,
+    self: "lone",
+    getHosts: () => ["lone"],
+    sendFacts: () => {},
+    broadcastFact: () => {},
+    gossipFact: () => {},
+    log,
+  });
+}
+
 async function listenRaw(
   name: string,
   behaviour: Behaviour,
