Ask an upstream whose answer broke off whether it still runs

Callers saw: content crashed the upstreams of a service again and again, although one host saw all of it.

Cause: a crash counted only if another request of the same host was refused a connection there within 2.5 s. A host with little traffic sends none in that time, and when all upstreams of a service are down, requests are refused before they are sent: the evidence was awaited from traffic that the fault stops.

Change: when a connection ends before its answer, the host tries once, at once, to connect. Refused or without an answer in 500 ms, the process has ended. Accepted, nothing counts, unless another process shows up in its place within 8 s (the same id started later, or another id at its address): an upstream that is back before the host can ask. Refusals of other requests count as before. At most five attempts per host in half a second, one for each upstream, counted by azurestile_upstreams_asked_total.

--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -1,7 +1,13 @@
 /**
- * Detects that an upstream process has ended under the requests that it ran: a
- * response broke off, and another request is refused a connection there. A lost
- * response alone is not a crash.
+ * Detects that an upstream process has ended under the requests that it ran.
+ *
+ * Load: an upstream crashes, its responses break off, and afterwards no request
+ * is sent there, since the service is idle or all its upstreams are down.
+ *
+ * Failure prevented: a crash that is noticed only if another request happens to
+ * be refused a connection goes uncounted. The host therefore asks once, as soon
+ * as a response breaks off, whether the upstream still accepts connections. A
+ * lost response alone is not a crash.
  *
  * @module
  */
@@ -9,18 +15,28 @@
 import { type Clock, getOrCreate } from "../core/mod.ts";
 import { getProcessKey, type UpstreamProcess } from "./types.ts";
 
+/**
+ * Result of a connection attempt that sends nothing. One that failed says
+ * nothing about the upstream.
+ */
+export type ConnectResult = "accepted" | "refused" | "no-answer" | "failed";
+
 /** How a host learned that an upstream process has ended. */
-export type CrashEvidence = "request-refused";
+export type CrashEvidence = "asked" | "request-refused" | "replaced";
 
 /** Dependencies of the detector, supplied by the process. */
 export interface CrashDetectorHost {
   readonly clock: Clock;
+  /** Tries to connect to an upstream. */
+  tryConnect(address: string): Promise<ConnectResult>;
   /** Called with the contents whose responses broke off. */
   onEnded(
     upstream: UpstreamProcess,
     fingerprints: readonly string[],
     evidence: CrashEvidence,
   ): void;
+  /** Called with the result of each connection attempt. */
+  onAsked(result: ConnectResult): void;
 }
 
 /** Detects crashes at one host. */
@@ -29,6 +45,8 @@
   recordCutOff(upstream: UpstreamProcess, fingerprint: string): void;
   /** Records that the upstream accepts no connection. */
   recordUnreachable(upstream: UpstreamProcess): void;
+  /** Records that an upstream process is running at the address. */
+  recordRunning(upstream: UpstreamProcess): void;
 }
 
 /**
@@ -37,6 +55,18 @@
  */
 const UNREACHABLE_WINDOW_MS = 2_500;
 
+/**
+ * Another process in the place of the upstream within this time shows a crash,
+ * in ms: a restart takes seconds, and so does its entry in the platform's table.
+ */
+const REPLACED_WINDOW_MS = 8_000;
+
+/** An upstream is asked at most once in this time, in ms. */
+const ASK_INTERVAL_MS = 500;
+
+/** Limit on the questions of this host in `ASK_INTERVAL_MS`. */
+const MAX_ASKS = 5;
+
 interface CutOffResponse {
   readonly fingerprint: string;
   /** Monotonic milliseconds. */
@@ -48,6 +78,8 @@
   responses: CutOffResponse[];
   /** Monotonic milliseconds. */
   lastCutOffMs: number;
+  lastAskedMs: number;
+  hasEnded: boolean;
 }
 
 /** Creates a detector that watches no process. */
@@ -57,7 +89,7 @@
 
   function forgetOld(): void {
     for (const [key, { lastCutOffMs }] of watched) {
-      if (clock.monotonicMs() - lastCutOffMs > UNREACHABLE_WINDOW_MS) {
+      if (clock.monotonicMs() - lastCutOffMs > REPLACED_WINDOW_MS) {
         watched.delete(key);
       }
     }
@@ -68,6 +100,8 @@
       upstream,
       responses: [],
       lastCutOffMs: clock.monotonicMs(),
+      lastAskedMs: -Infinity,
+      hasEnded: false,
     }));
   }
 
@@ -80,11 +114,27 @@
     const sinceMs = clock.monotonicMs() - windowMs;
     const recent = known.responses.filter((each) => each.atMs > sinceMs);
     if (recent.length === 0) return;
+    known.hasEnded = true;
     known.responses = [];
     const fingerprints = new Set(recent.map((each) => each.fingerprint));
     host.onEnded(known.upstream, [...fingerprints], evidence);
   }
 
+  function mayAsk(known: WatchedProcess): boolean {
+    const wasAskedRecently = (each: WatchedProcess) =>
+      clock.monotonicMs() - each.lastAskedMs < ASK_INTERVAL_MS;
+    if (wasAskedRecently(known)) return false;
+    return [...watched.values()].filter(wasAskedRecently).length < MAX_ASKS;
+  }
+
+  async function ask(known: WatchedProcess): Promise<void> {
+    known.lastAskedMs = clock.monotonicMs();
+    const result = await host.tryConnect(known.upstream.address);
+    host.onAsked(result);
+    if (result === "accepted" || result === "failed") return;
+    reportEnded(known, "asked", UNREACHABLE_WINDOW_MS);
+  }
+
   return {
     recordCutOff(upstream, fingerprint) {
       forgetOld();
@@ -92,11 +142,25 @@
       const known = watch(upstream);
       known.responses.push({ fingerprint, atMs });
       known.lastCutOffMs = atMs;
+      if (known.hasEnded) reportEnded(known, "asked", UNREACHABLE_WINDOW_MS);
+      else if (mayAsk(known)) void ask(known);
     },
     recordUnreachable(upstream) {
       const known = watched.get(getProcessKey(upstream));
       if (known === undefined) return;
       reportEnded(known, "request-refused", UNREACHABLE_WINDOW_MS);
     },
+    recordRunning(upstream) {
+      for (const known of watched.values()) {
+        if (!isReplacedBy(known.upstream, upstream)) continue;
+        reportEnded(known, "replaced", REPLACED_WINDOW_MS);
+      }
+    },
   };
 }
+
+/** Whether the second process can run only after the first one has ended. */
+function isReplacedBy(known: UpstreamProcess, other: UpstreamProcess): boolean {
+  if (known.id === other.id) return other.incarnation > known.incarnation;
+  return known.address === other.address;
+}
--- a/src/crashes/crash_fixture.ts
+++ b/src/crashes/crash_fixture.ts
@@ -7,6 +7,7 @@
 import { createManualClock, type ManualClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import type { Fact } from "../membership/mod.ts";
+import type { ConnectResult } from "./crash_detector.ts";
 import { type CrashWatch, createCrashWatch } from "./crash_watch.ts";
 import type { UpstreamProcess } from "./types.ts";
 
@@ -26,6 +27,8 @@
 /** Options of the fixture. */
 export interface CrashFixtureOptions {
   readonly hosts: number;
+  /** Result of a connection attempt; by default it says nothing. */
+  tryConnect?(address: string): Promise<ConnectResult>;
 }
 
 /** Time between two ticks, in ms. */
@@ -33,7 +36,7 @@
 
 /** Creates hosts that know each other. */
 export function createCrashFixture(
-  { hosts: count }: CrashFixtureOptions,
+  { hosts: count, tryConnect }: CrashFixtureOptions,
 ): CrashFixture {
   const clock = createManualClock(1_000_000);
   const log: Decision[] = [];
@@ -70,6 +73,8 @@
       sendFacts: (facts, to) => send(from, facts, to),
       broadcastFact: (fact) => broadcast(from, fact),
       gossipFact: (fact) => gossip(from, fact),
+      tryConnect: tryConnect ?? (() => Promise.resolve("failed")),
+      onAsked: () => {},
       log: (decision) => log.push(decision),
     })
   );
--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -19,6 +19,7 @@
 import type { Decision } from "../diagnostics/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 import {
+  type ConnectResult,
   type CrashDetector,
   type CrashEvidence,
   createCrashDetector,
@@ -37,6 +38,10 @@
 /** Dependencies of the watch, supplied by the process. */
 export interface CrashWatchHost extends CrashReportsHost {
   readonly clock: Clock;
+  /** Tries to connect to an upstream, without sending anything. */
+  tryConnect(address: string): Promise<ConnectResult>;
+  /** Called with the result of each connection attempt. */
+  onAsked(result: ConnectResult): void;
   log(decision: Decision): void;
 }
 
@@ -64,7 +69,9 @@
   const reports = createCrashReports(host, events);
   const detector = createCrashDetector({
     clock,
+    tryConnect: host.tryConnect,
     onEnded: countCrash,
+    onAsked: host.onAsked,
   });
 
   function countCrash(
--- a/src/crashes/mod.ts
+++ b/src/crashes/mod.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+export type { ConnectResult } from "./crash_detector.ts";
 export * from "./crash_facts.ts";
 export * from "./crash_watch.ts";
+export * from "./try_connect.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/src/crashes/try_connect.ts
@@ -0,0 +1,34 @@
+/**
+ * Asks whether an upstream accepts connections.
+ *
+ * @module
+ */
+
+import { connect } from "node:net";
+import type { ConnectResult } from "./crash_detector.ts";
+
+/**
+ * Time-out for the attempt, in ms: a dozen round trips between regions. A
+ * machine without power never answers.
+ */
+const CONNECT_TIMEOUT_MS = 500;
+
+/** Tries to connect to the address, and closes the connection at once. */
+export function tryConnect(address: string): Promise<ConnectResult> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    const timeout = setTimeout(() => end("no-answer"), CONNECT_TIMEOUT_MS);
+    function end(result: ConnectResult): void {
+      clearTimeout(timeout);
+      socket.destroy();
+      resolve(result);
+    }
+    socket.once("connect", () => end("accepted"));
+    socket.on(
+      "error",
+      (err: NodeJS.ErrnoException) =>
+        end(err.code === "ECONNREFUSED" ? "refused" : "failed"),
+    );
+  });
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -16,7 +16,11 @@
   type ForwardHost,
   serve,
 } from "../forwarding/mod.ts";
-import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
+import {
+  CRASH_KEY_PREFIX,
+  createCrashWatch,
+  tryConnect,
+} from "../crashes/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
@@ -184,6 +188,8 @@
     sendFacts: (facts, to) => peers.membership.sendFacts(facts, to),
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
     gossipFact: (fact) => peers.membership.gossipFact(fact),
+    tryConnect,
+    onAsked: (result) => metrics.observeAsked(result),
     log,
   });
   const platformView = createPlatformView({
@@ -193,6 +199,7 @@
     incarnation,
     random: host.random,
     log,
+    onUpstreamAdded: (upstream) => crashes.recordRunning(upstream),
     onPlatformRestored: () => registration.refresh(),
     onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
     getHosts: () => getAlive().map((each) => each.peerAddress),
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -5,6 +5,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { ConnectResult } from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
 import type { FetchOutcome } from "./platform_view.ts";
@@ -35,6 +36,8 @@
   observeDecision(decision: Decision): void;
   /** Counts a finished fetch of a table from another host. */
   observeFetch(table: string, outcome: FetchOutcome): void;
+  /** Counts an upstream that was asked whether it has crashed. */
+  observeAsked(result: ConnectResult): void;
   render(): Promise<string>;
 }
 
@@ -94,6 +97,12 @@
       "Requests whose caller's close was read right after they were sent on",
     registers,
   });
+  const asked = new Counter({
+    name: "azurestile_upstreams_asked_total",
+    help: "Connections to upstreams whose answers broke off, by result",
+    labelNames: ["result"],
+    registers,
+  });
   const logLinesDropped = new Counter({
     name: "azurestile_log_lines_dropped_total",
     help: "Log lines lost since the reader of the output fell behind",
@@ -194,6 +203,7 @@
       }
     },
     observeFetch: (table, outcome) => tableFetches.inc({ table, outcome }),
+    observeAsked: (result) => asked.inc({ result }),
     render: () => registry.metrics(),
   };
 }
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -52,6 +52,8 @@
   onFetched(table: string, outcome: FetchOutcome): void;
   /** Called when the platform was restored from an older backup. */
   onPlatformRestored(): void;
+  /** Called when an upstream process is known to be running. */
+  onUpstreamAdded(upstream: UpstreamEntry): void;
   /** Peer addresses of the hosts that are alive, including this one. */
   getHosts(): readonly string[];
   broadcastFact(fact: Fact): void;
@@ -121,6 +123,7 @@
     hadOutageWithin: (ms) =>
       distribution.hadOutageWithin(ms) || eras.hadRestoreWithin(ms),
     onChange(entry, change, from) {
+      if (change === "added") host.onUpstreamAdded(entry);
       host.log({
         event: "upstream-changed",
         upstream: entry.id,
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -10,7 +10,11 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
-import { type CrashWatch, createCrashWatch } from "../crashes/mod.ts";
+import {
+  type CrashWatch,
+  createCrashWatch,
+  tryConnect,
+} from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import { createUpstreamDirectory } from "../discovery/mod.ts";
 import { listen } from "../entry/servers.ts";
@@ -308,6 +312,8 @@
     sendFacts: () => {},
     broadcastFact: () => {},
     gossipFact: () => {},
+    tryConnect,
+    onAsked: () => {},
     log,
   });
 }
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -161,6 +161,7 @@
       log: (decision) => loggedDecisions.push({ host, decision }),
       onFetched: (_, outcome) => fetches.push(outcome),
       onPlatformRestored: () => {},
+      onUpstreamAdded: () => {},
       getHosts: () => getAlive(host),
       broadcastFact: send,
       gossipFact: send,
