Ask before each send whether a content is blocked

Callers saw: content was sent on that other hosts had already given up.

Cause: the block was looked up once, when a request is read. What waits in the queue, connects, is sent to another upstream or resumed was sent although the block had come meanwhile.

Change: one module knows what a block means for a request. It is asked when the request arrives, after an upstream was picked, right before the first byte is written, and in the decision on the next step, which takes nothing from the retry budget then.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -6,6 +6,7 @@
 
 import * as Effect from "effect/Effect";
 import type { UpstreamEntry } from "../discovery/mod.ts";
+import { isContentBlocked } from "./blocked_content.ts";
 import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { recordSignals } from "./upstream_signals.ts";
@@ -51,6 +52,7 @@
       body: call.body,
       headTimeoutMs,
       mayStillSend: () =>
+        !isContentBlocked(host, call) &&
         host.directory.isReady(upstream) &&
         host.backoffs.getRemainingMs(upstream) === 0,
       onSent() {
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -9,6 +9,11 @@
 import * as Effect from "effect/Effect";
 import type { CallerLost } from "../requests/caller.ts";
 import { attempt } from "./attempt.ts";
+import {
+  checkNotBlocked,
+  createBlockedRejection,
+  isContentBlocked,
+} from "./blocked_content.ts";
 import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { decideNextStep, type NextStep } from "./next_step.ts";
@@ -59,6 +64,7 @@
       () =>
         pickUpstream(host, call).pipe(
           Effect.mapError((err) => correctRejection(call, err)),
+          Effect.tap(() => checkNotBlocked(host, call)),
           Effect.flatMap((picked) => {
             connects++;
             return attemptAt(host, call, picked);
@@ -82,6 +88,7 @@
       hasSentEvents: call.res.headersSent,
       hasEventId: progress.lastEventId !== undefined,
       remainingMs: getRemainingMs(host, call),
+      isBlocked: isContentBlocked(host, call),
       hasCandidate: getCandidates(host, call).length > 0,
       tryTakeRetry: () => host.retryBudget.tryTake("", service),
     });
@@ -256,6 +263,7 @@
   call: Call,
   err: AttemptFailed,
 ): Rejected {
+  if (isContentBlocked(host, call)) return createBlockedRejection(call);
   if (call.progress.possibleRuns === 0) {
     const hasCandidate = getCandidates(host, call).length > 0;
     if (!hasCandidate) return createUnavailable(host, call);
--- a/src/forwarding/next_step.ts
+++ b/src/forwarding/next_step.ts
@@ -34,6 +34,8 @@
    */
   readonly hasEventId: boolean;
   readonly remainingMs: number;
+  /** Whether the content is blocked because it crashes upstreams. */
+  readonly isBlocked: boolean;
   /** Whether some upstream has not been tried yet and accepts requests now. */
   readonly hasCandidate: boolean;
   /**
@@ -79,6 +81,7 @@
 }
 
 function tryGetGiveUpReason(input: StepInput): string | undefined {
+  if (input.isBlocked) return "Upstreams crashed under this content";
   if (input.remainingMs < MIN_REMAINING_MS) return "Too little time remains";
   if (input.connects >= MAX_CONNECTS) return "Too many connections failed";
   if (input.attempts >= MAX_ATTEMPTS) return "The limit on attempts is reached";
--- a/src/forwarding/next_step_test.ts
+++ b/src/forwarding/next_step_test.ts
@@ -15,6 +15,7 @@
     hasSentEvents: false,
     hasEventId: false,
     remainingMs: 1_000,
+    isBlocked: false,
     hasCandidate: true,
     tryTakeRetry() {
       taken++;
@@ -94,3 +95,12 @@
   );
   strictEqual(decide({ possibleRuns: 0, attempts: 3 }).step, "give-up");
 });
+
+test("blocked content is neither sent to another upstream nor resumed", () => {
+  strictEqual(decide({ isBlocked: true }).step, "give-up");
+  const begun = { hasSentEvents: true, hasEventId: true };
+  deepStrictEqual(decide({ ...begun, isBlocked: true }), {
+    step: "give-up",
+    taken: 0,
+  });
+});
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -16,6 +16,7 @@
   onCallerDisconnected,
 } from "../requests/caller.ts";
 import { pickService, type Route, type RouteTable } from "../routing/mod.ts";
+import { checkNotBlocked } from "./blocked_content.ts";
 import {
   type Call,
   createProgress,
@@ -183,6 +184,7 @@
       progress: createProgress(headers.lastEventId),
     };
     state.call = call;
+    yield* checkNotBlocked(host, call);
     yield* checkServable(host, call);
     return call;
   });
@@ -246,10 +248,6 @@
   host: ForwardHost,
   call: Call,
 ): Effect.Effect<void, Rejected> {
-  if (host.crashes.isBlocked(call.fingerprint)) {
-    const reason = "Every upstream that ran this request content has crashed";
-    return Effect.fail(new Rejected({ status: 502, reason }));
-  }
   if (!host.mayStartRequest(getExpectedDurationMs(call))) {
     const reason = "This host is shutting down";
     return Effect.fail(createNotRunRejection(reason, LEAVING_RETRY_MS));
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -124,7 +124,8 @@
  *
  * - `not-sent`: no connection was made; no byte of the request left this host.
  * - `unwanted`: not sent either; while the connection was being made, the
- *   upstream stated that it is leaving or asked for a back-off.
+ *   upstream stated that it is leaving or asked for a back-off, or the content
+ *   was blocked.
  * - `not-run`: the upstream states that it has not run the request and never
  *   will.
  * - `broken`: the request was sent and may have run; the answer is unusable.
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -85,7 +85,7 @@
     );
     onConnected(req, () => {
       if (!call.mayStillSend()) {
-        return fail("unwanted", "The upstream no longer accepts requests");
+        return fail("unwanted", "The request may no longer be sent there");
       }
       isSent = true;
       call.onSent();
