Start hosts with an empty reserve of retries

Found by looking for the class of fault elsewhere: hosts that each count alone what only the fleet can count.

What callers would see: all hosts restart while a service fails, and the first second brings more repeats than the fleet may send in ten.

Cause: the reserve is the fleet's, divided by the hosts that a host knows, and a new process begins with it full, knowing only itself. Nine hosts began with 26 each.

Evidence: the new test, seen failing before with 279 retries in ten seconds where 58 are reserved.

Change: the fleet's reserve begins empty and fills over its window, by the hosts known meanwhile. The other program's reserve of five per host is its own and stays.

--- a/src/admission/retry_budget.ts
+++ b/src/admission/retry_budget.ts
@@ -58,12 +58,15 @@
   getReserve(): number;
   /** Time in which an empty reserve is refilled, in ms. */
   readonly reserveRefillMs: number;
+  /** Share of the reserve that is filled at the start. */
+  readonly initialShare: 0 | 1;
 }
 
 const defaultOptions: RetryBudgetOptions = {
   creditPerSuccess: CREDIT_PER_SUCCESS,
   getReserve: () => RESERVE,
   reserveRefillMs: RESERVE * RESERVE_REFILL_MS,
+  initialShare: 1,
 };
 
 /** Limit on the retries of one service over all hosts. */
@@ -77,8 +80,8 @@
 
 /**
  * Share of the fleet's limit that the hosts use. The rest is a margin: hosts
- * count separately, earned retries decay only in the window after the
- * successes, and a restarted host has a full reserve.
+ * count separately, and earned retries decay only in the window after the
+ * successes.
  */
 const FLEET_LIMIT_SHARE = 0.45;
 
@@ -91,16 +94,18 @@
     creditPerSuccess: limit.share * FLEET_LIMIT_SHARE,
     getReserve: () => limit.reserve * FLEET_LIMIT_SHARE / countHosts(),
     reserveRefillMs: limit.windowMs,
+    // A host that starts knows no other one yet, and others may start with it.
+    initialShare: 0,
   };
 }
 
-/** Creates budgets without earned retries and with a full reserve. */
+/** Creates budgets without earned retries. */
 export function createRetryBudget(
   clock: Clock,
   options: RetryBudgetOptions = defaultOptions,
 ): RetryBudget {
   const budgets = new Map<string, Budget>();
-  let reserve = options.getReserve();
+  let reserve = options.getReserve() * options.initialShare;
   let reserveAtMs = clock.monotonicMs();
 
   /** Returns the budget after applying the decay up to now. */
--- a/src/admission/retry_budget_test.ts
+++ b/src/admission/retry_budget_test.ts
@@ -63,6 +63,45 @@
   assert.equal(budget.tryTake("quiet", "drafting-model"), true);
 });
 
+/** A fleet whose hosts may know fewer of the others than there are. */
+interface FailingFleet {
+  readonly hosts: number;
+  readonly perSecond: number;
+  readonly reserve: number;
+  /** Number of hosts that a host counts at the time, in ms. */
+  countHosts(atMs: number): number;
+}
+
+/** Most retries of all hosts in ten of the thirty seconds of an outage. */
+function getMostRetries(fleet: FailingFleet): number {
+  const clock = createManualClock(0);
+  const limit = { share: 0.2, windowMs: 10_000, reserve: fleet.reserve };
+  const countHosts = () => fleet.countHosts(clock.monotonicMs());
+  const budgets = Array.from(
+    { length: fleet.hosts },
+    () => createRetryBudget(clock, getFleetRetryOptions(limit, countHosts)),
+  );
+  const retriedAtMs: number[] = [];
+  for (let request = 0; request < 30 * fleet.perSecond; request++) {
+    clock.advance(1_000 / fleet.perSecond);
+    if (budgets[request % fleet.hosts]!.tryTake("", "desk")) {
+      retriedAtMs.push(clock.monotonicMs());
+    }
+  }
+  const countFrom = (fromMs: number) =>
+    retriedAtMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + 10_000)
+      .length;
+  return Math.max(0, ...retriedAtMs.map(countFrom));
+}
+
+test("hosts that all restart during an outage keep the fleet's limit", () => {
+  // Guards against a full reserve for each host that knows no other one yet.
+  const fleet = { hosts: 9, perSecond: 300, reserve: 58 };
+  const countHosts = (atMs: number) => atMs < 1_000 ? 1 : 9;
+  const most = getMostRetries({ ...fleet, countHosts });
+  assert.ok(most > 0 && most <= fleet.reserve, `${most} retries`);
+});
+
 /**
  * Hosts, requests per second and reserves of small and of large deployments.
  */
