Count hosts that may only be cut off in the retry limit

Change: hosts taken for dead count until membership forgets them, only those that announced that they leave don't. A fleet that lost hosts for good has a smaller reserve for those ten minutes; retries earned by answers are not affected.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -30,6 +30,7 @@
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
+import { countServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createIntake } from "./intake.ts";
 import { createPlatformView } from "./platform_view.ts";
@@ -275,7 +276,10 @@
     crashes,
     retryBudget: createRetryBudget(
       clock,
-      getFleetRetryOptions(retries, () => getAlive().length),
+      getFleetRetryOptions(
+        retries,
+        () => countServingHosts(peers.membership.getMembers()),
+      ),
     ),
     tryGetRoutes: platformView.tryGetRoutes,
     getDistance,
