--- a/src/admission/retry_budget.ts
+++ b/src/admission/retry_budget.ts
@@ -58,15 +58,15 @@
   getReserve(): number;
   /** Time in which an empty reserve is refilled, in ms. */
   readonly reserveRefillMs: number;
-  /** Share of the reserve that is filled at the start. */
-  readonly initialShare: 0 | 1;
+  /** Retries in the reserve at the start. */
+  readonly initialReserve: number;
 }
 
 const defaultOptions: RetryBudgetOptions = {
   creditPerSuccess: CREDIT_PER_SUCCESS,
   getReserve: () => RESERVE,
   reserveRefillMs: RESERVE * RESERVE_REFILL_MS,
-  initialShare: 1,
+  initialReserve: RESERVE,
 };
 
 /** Limit on the retries of one service over all hosts. */
@@ -85,6 +85,13 @@
  */
 const FLEET_LIMIT_SHARE = 0.45;
 
+/**
+ * Retries that a host may send right after its start. It knows no other host
+ * yet, and others may start with it, so that this is not its part of the
+ * reserve.
+ */
+const INITIAL_FLEET_RESERVE = 1;
+
 /** Returns the options with which all hosts together keep the limit. */
 export function getFleetRetryOptions(
   limit: FleetRetryLimit,
@@ -94,8 +101,7 @@
     creditPerSuccess: limit.share * FLEET_LIMIT_SHARE,
     getReserve: () => limit.reserve * FLEET_LIMIT_SHARE / countHosts(),
     reserveRefillMs: limit.windowMs,
-    // A host that starts knows no other one yet, and others may start with it.
-    initialShare: 0,
+    initialReserve: INITIAL_FLEET_RESERVE,
   };
 }
 
@@ -105,7 +111,7 @@
   options: RetryBudgetOptions = defaultOptions,
 ): RetryBudget {
   const budgets = new Map<string, Budget>();
-  let reserve = options.getReserve() * options.initialShare;
+  let reserve = Math.min(options.initialReserve, options.getReserve());
   let reserveAtMs = clock.monotonicMs();
 
   /** Returns the budget after applying the decay up to now. */
