Write the eviction of old entries once

Six places dropped the oldest entry of a map in the same three lines, and the new folder would have been the seventh to ninth: dropOldest in core serves all. The connection attempt moves to forwarding, whose time-out it shares, and the fixture of crashes to src/testing. No behaviour changes.

--- a/src/config/watcher.ts
+++ b/src/config/watcher.ts
@@ -21,6 +21,7 @@
  */
 
 import * as Effect from "effect/Effect";
+import { dropOldest } from "../core/mod.ts";
 import type { PlatformError } from "../platform/mod.ts";
 import type { ConfigVersion, Deployment } from "../types.ts";
 import type { ConfigCopy } from "./copy.ts";
@@ -125,9 +126,7 @@
     if (known !== undefined) return known;
     const added = { ...announced, peers: new Set<string>() };
     candidates.set(key, added);
-    if (candidates.size > MAX_CANDIDATES) {
-      candidates.delete(candidates.keys().next().value!);
-    }
+    dropOldest(candidates, MAX_CANDIDATES);
     return added;
   }
 
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -36,12 +36,12 @@
   return created;
 }
 
-/** Removes the first entry of a map or set if it has more than `limit`. */
+/** Removes the entries that were added first, until at most `limit` remain. */
 export function dropOldest<K>(
   entries: Map<K, unknown> | Set<K>,
   limit: number,
 ): void {
-  if (entries.size > limit) entries.delete(entries.keys().next().value!);
+  while (entries.size > limit) entries.delete(entries.keys().next().value!);
 }
 
 /** The SHA-256 of the content in hexadecimal. */
--- a/src/crashes/crash_detector_test.ts
+++ b/src/crashes/crash_detector_test.ts
@@ -6,7 +6,7 @@
   type CrashEvidence,
   createCrashDetector,
 } from "./crash_detector.ts";
-import { createProcess } from "./crash_fixture.ts";
+import { createProcess } from "../testing/crash_fixture.ts";
 
 const upstream = createProcess("a");
 
--- a/src/crashes/crash_watch_test.ts
+++ b/src/crashes/crash_watch_test.ts
@@ -1,7 +1,11 @@
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { test } from "node:test";
 import fc from "fast-check";
-import { crash, createCrashFixture, createProcess } from "./crash_fixture.ts";
+import {
+  crash,
+  createCrashFixture,
+  createProcess,
+} from "../testing/crash_fixture.ts";
 
 const [a, b, c, d] = ["a", "b", "c", "d"].map((id) => createProcess(id));
 
--- a/src/crashes/mod.ts
+++ b/src/crashes/mod.ts
@@ -8,5 +8,4 @@
 export type { ConnectResult } from "./crash_detector.ts";
 export * from "./crash_facts.ts";
 export * from "./crash_watch.ts";
-export * from "./try_connect.ts";
 export * from "./types.ts";
--- a/src/discovery/leaving_instances.ts
+++ b/src/discovery/leaving_instances.ts
@@ -7,6 +7,8 @@
  * @module
  */
 
+import { dropOldest } from "../core/mod.ts";
+
 /** One run of an upstream process. */
 export interface UpstreamInstance {
   readonly id: string;
@@ -34,7 +36,7 @@
       const key = getKey(instance);
       if (known.has(key)) return false;
       known.add(key);
-      if (known.size > MAX_KNOWN) known.delete(known.keys().next().value!);
+      dropOldest(known, MAX_KNOWN);
       return true;
     },
   };
--- a/src/discovery/removed_rows.ts
+++ b/src/discovery/removed_rows.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { dropOldest } from "../core/mod.ts";
 import { isLaterEra, type TablePosition } from "./positions.ts";
 import type { TableRow, UpstreamEntry } from "./types.ts";
 
@@ -36,7 +37,7 @@
     add(row, at) {
       removed.delete(row.key);
       removed.set(row.key, { row, at });
-      if (removed.size > MAX_ROWS) removed.delete(removed.keys().next().value!);
+      dropOldest(removed, MAX_ROWS);
     },
     isStale(row, eraStart) {
       const known = removed.get(row.key);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,12 +15,9 @@
   createUpstreamAgent,
   type ForwardHost,
   serve,
-} from "../forwarding/mod.ts";
-import {
-  CRASH_KEY_PREFIX,
-  createCrashWatch,
   tryConnect,
-} from "../crashes/mod.ts";
+} from "../forwarding/mod.ts";
+import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
--- a/src/fairness/counters.ts
+++ b/src/fairness/counters.ts
@@ -17,7 +17,7 @@
  * @module
  */
 
-import { getOrCreate } from "../core/mod.ts";
+import { dropOldest, getOrCreate } from "../core/mod.ts";
 import {
   type ChildState,
   createChildState,
@@ -358,9 +358,7 @@
       lastReportMs = nowMs;
       sequence++;
       unackedSnapshots.set(sequence, takeSnapshot());
-      if (unackedSnapshots.size > MAX_UNACKED_SNAPSHOTS) {
-        unackedSnapshots.delete(unackedSnapshots.keys().next().value!);
-      }
+      dropOldest(unackedSnapshots, MAX_UNACKED_SNAPSHOTS);
       return { sequence, session, first: isSessionUnanswered, largest, teams };
     },
     receiveView(view) {
--- a/src/forwarding/mod.ts
+++ b/src/forwarding/mod.ts
@@ -6,5 +6,6 @@
 
 export * from "./call.ts";
 export * from "./serve.ts";
+export * from "./try_connect.ts";
 export * from "./types.ts";
 export * from "./upstream_agent.ts";
--- a/src/forwarding/try_connect.ts
+++ b/src/forwarding/try_connect.ts
@@ -5,13 +5,8 @@
  */
 
 import { connect } from "node:net";
-import type { ConnectResult } from "./crash_detector.ts";
-
-/**
- * Time-out for the attempt, in ms: a dozen round trips between regions. A
- * machine without power never answers.
- */
-const CONNECT_TIMEOUT_MS = 500;
+import type { ConnectResult } from "../crashes/mod.ts";
+import { CONNECT_TIMEOUT_MS } from "./upstream_call.ts";
 
 /** Tries to connect to the address, and closes the connection at once. */
 export function tryConnect(address: string): Promise<ConnectResult> {
--- a/src/membership/facts.ts
+++ b/src/membership/facts.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Clock } from "../core/mod.ts";
+import { type Clock, dropOldest } from "../core/mod.ts";
 import type { Fact } from "./types.ts";
 
 /** The facts that one host knows. */
@@ -43,7 +43,7 @@
       }
       facts.delete(fact.key);
       facts.set(fact.key, { fact, sinceMs: clock.monotonicMs() });
-      if (facts.size > MAX_FACTS) facts.delete(facts.keys().next().value!);
+      dropOldest(facts, MAX_FACTS);
       return true;
     },
     tryGet: (key) => facts.get(key)?.fact,
--- a/src/slots/adaptive_limit.ts
+++ b/src/slots/adaptive_limit.ts
@@ -14,7 +14,7 @@
  * @module
  */
 
-import { clamp } from "../core/mod.ts";
+import { clamp, dropOldest } from "../core/mod.ts";
 import { type BreakerState, createCircuitBreaker } from "./circuit_breaker.ts";
 import { createLatencyTracker } from "./latency_tracker.ts";
 
@@ -273,9 +273,7 @@
     observeStart(slot, nowMs) {
       startedMs.set(slot, nowMs);
       // A dead host never releases its slots; they must not accumulate here.
-      while (startedMs.size > 2 * maxSlots) {
-        startedMs.delete(startedMs.keys().next().value!);
-      }
+      dropOldest(startedMs, 2 * maxSlots);
     },
     observeEnd(use, nowMs) {
       // An unknown slot was granted by a previous owner, so its request started
--- a/src/testing/crash_fixture.ts
+++ b/src/testing/crash_fixture.ts
@@ -5,11 +5,14 @@
  */
 
 import { createManualClock, type ManualClock } from "../core/mod.ts";
+import {
+  type ConnectResult,
+  type CrashWatch,
+  createCrashWatch,
+  type UpstreamProcess,
+} from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import type { Fact } from "../membership/mod.ts";
-import type { ConnectResult } from "./crash_detector.ts";
-import { type CrashWatch, createCrashWatch } from "./crash_watch.ts";
-import type { UpstreamProcess } from "./types.ts";
 
 /** The hosts and the messages between them. */
 export interface CrashFixture {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -10,11 +10,7 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
-import {
-  type CrashWatch,
-  createCrashWatch,
-  tryConnect,
-} from "../crashes/mod.ts";
+import { type CrashWatch, createCrashWatch } from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import { createUpstreamDirectory } from "../discovery/mod.ts";
 import { listen } from "../entry/servers.ts";
@@ -24,6 +20,7 @@
   createUpstreamAgent,
   type ForwardHost,
   serve,
+  tryConnect,
 } from "../forwarding/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
