Ask an upstream again when another response breaks off

Cause, found by reading the detector: an upstream is asked at most twice a second, and a host asks five at most in that time. A response that breaks off in between was not asked about at all, so that a crash right behind a lost response stayed unseen, and so did most of a lost rack.

Change: what could not be asked at once is asked when its turn comes, within the time in which a refusal counts. Both new tests need that turn; one crash behind a lost response, one of fifteen upstreams lost at once.

--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -47,6 +47,8 @@
   recordUnreachable(upstream: UpstreamProcess): void;
   /** Records that an upstream process is running at the address. */
   recordRunning(upstream: UpstreamProcess): void;
+  /** Asks the upstreams whose turn has come. */
+  tick(): void;
 }
 
 /**
@@ -79,6 +81,8 @@
   /** Monotonic milliseconds. */
   lastCutOffMs: number;
   lastAskedMs: number;
+  /** Whether a response has broken off since the upstream was last asked. */
+  isUnasked: boolean;
   hasEnded: boolean;
 }
 
@@ -101,6 +105,7 @@
       responses: [],
       lastCutOffMs: clock.monotonicMs(),
       lastAskedMs: -Infinity,
+      isUnasked: true,
       hasEnded: false,
     }));
   }
@@ -120,15 +125,22 @@
     host.onEnded(known.upstream, [...fingerprints], evidence);
   }
 
-  function mayAsk(known: WatchedProcess): boolean {
-    const wasAskedRecently = (each: WatchedProcess) =>
-      clock.monotonicMs() - each.lastAskedMs < ASK_INTERVAL_MS;
-    if (wasAskedRecently(known)) return false;
-    return [...watched.values()].filter(wasAskedRecently).length < MAX_ASKS;
+  function wasAskedRecently({ lastAskedMs }: WatchedProcess): boolean {
+    return clock.monotonicMs() - lastAskedMs < ASK_INTERVAL_MS;
+  }
+
+  /** Asks about responses that broke off after the upstream was last asked. */
+  function askIfDue(known: WatchedProcess): void {
+    const { hasEnded, isUnasked, lastCutOffMs } = known;
+    const isOld = clock.monotonicMs() - lastCutOffMs > UNREACHABLE_WINDOW_MS;
+    if (hasEnded || !isUnasked || isOld || wasAskedRecently(known)) return;
+    const asked = [...watched.values()].filter(wasAskedRecently);
+    if (asked.length < MAX_ASKS) void ask(known);
   }
 
   async function ask(known: WatchedProcess): Promise<void> {
     known.lastAskedMs = clock.monotonicMs();
+    known.isUnasked = false;
     const result = await host.tryConnect(known.upstream.address);
     host.onAsked(result);
     if (result === "accepted" || result === "failed") return;
@@ -142,8 +154,9 @@
       const known = watch(upstream);
       known.responses.push({ fingerprint, atMs });
       known.lastCutOffMs = atMs;
+      known.isUnasked = true;
       if (known.hasEnded) reportEnded(known, "asked", UNREACHABLE_WINDOW_MS);
-      else if (mayAsk(known)) void ask(known);
+      else askIfDue(known);
     },
     recordUnreachable(upstream) {
       const known = watched.get(getProcessKey(upstream));
@@ -156,6 +169,7 @@
         reportEnded(known, "replaced", REPLACED_WINDOW_MS);
       }
     },
+    tick: () => watched.forEach(askIfDue),
   };
 }
 
--- a/src/crashes/crash_detector_test.ts
+++ b/src/crashes/crash_detector_test.ts
@@ -85,6 +85,34 @@
   }
 });
 
+test("an upstream that crashes right after it was asked is asked again", async () => {
+  // Guards against a crash that hides behind a response that was lost just
+  // before it.
+  const { detector, asked, clock } = createFixture("accepted");
+  detector.recordCutOff(upstream, "read");
+  await settle();
+  clock.advance(100);
+  detector.recordCutOff(upstream, "poison");
+  detector.tick();
+  strictEqual(asked.length, 1);
+  clock.advance(500);
+  detector.tick();
+  detector.tick();
+  strictEqual(asked.length, 2);
+});
+
+test("all upstreams of a lost rack are asked in the end", () => {
+  const { detector, asked, clock } = createFixture("accepted");
+  for (let each = 0; each < 15; each++) {
+    detector.recordCutOff(createProcess(`u-${each}`), "read");
+  }
+  for (let turn = 0; turn < 4; turn++) {
+    clock.advance(500);
+    detector.tick();
+  }
+  strictEqual(new Set(asked).size, 15);
+});
+
 test("lost responses cost few connections", async () => {
   // Guards against a connection for each of the responses that an upstream
   // loses, and against one to each upstream of a lost rack at once.
--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -57,7 +57,7 @@
   receiveFact(fact: Fact): void;
   /** Handles a fact that another host reports to this one. */
   receiveReport(fact: Fact): void;
-  /** Must be called several times per second. */
+  /** Sends and asks what is due; must be called several times per second. */
   tick(): void;
 }
 
@@ -145,6 +145,9 @@
       refuteIfServed(event.fingerprint);
       reports.receiveReport(event);
     },
-    tick: reports.tick,
+    tick() {
+      detector.tick();
+      reports.tick();
+    },
   };
 }
--- a/src/crashes/types.ts
+++ b/src/crashes/types.ts
@@ -22,7 +22,7 @@
   readonly fingerprint: string;
   /** Key of the upstream process, see `getProcessKey`. */
   readonly process: string;
-  /** Wall-clock time at which the response broke off, in ms. */
+  /** Wall-clock time at which a host detected the crash, in ms. */
   readonly atMs: number;
   /**
    * A refuted event does not count: the content has run to a good end, so that
