--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -22,7 +22,6 @@
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
-import type { Distance } from "../placement/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
@@ -31,6 +30,7 @@
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createIntake } from "./intake.ts";
 import { createPlatformView } from "./platform_view.ts";
+import { getDistance } from "./distance.ts";
 import { createDrain } from "./drain.ts";
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
 import { createEntryMetrics } from "./metrics.ts";
@@ -249,14 +249,6 @@
   });
   peers.setSeeds(settings.seeds);
 
-  function getDistance(dataCentre: string): Distance {
-    if (dataCentre === settings.dataCentre) return "same-data-centre";
-    const { regions } = settings;
-    const isSameRegion =
-      regions.get(dataCentre) === regions.get(settings.dataCentre);
-    return isSameRegion ? "same-region" : "other-region";
-  }
-
   const agent = createUpstreamAgent();
   const forwardHost: ForwardHost = {
     clock,
@@ -279,7 +271,7 @@
       ),
     ),
     tryGetRoutes: platformView.tryGetRoutes,
-    getDistance,
+    getDistance: (dataCentre) => getDistance(settings, dataCentre),
     isOverloaded: loopMonitor.isOverloaded,
     getTurnOverrunMs: loopMonitor.getTurnOverrunMs,
     getUnreadMs: loopMonitor.getUnreadMs,
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -1,10 +1,10 @@
 import { deepStrictEqual, ok, rejects, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { INTERNAL_ERROR_ID } from "../testing/call_codec.ts";
 import {
   type Behaviour,
   createForwardFixture,
-  INTERNAL_ERROR_ID,
 } from "../testing/forward_fixture.ts";
 
 const plain = { kind: "idempotent", isResumable: false } as const;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -13,6 +13,12 @@
  */
 
 import type { Clock } from "../core/mod.ts";
+import {
+  checkFactSize,
+  estimateFactSize,
+  estimateMemberSize,
+  splitBySize,
+} from "./entry_sizes.ts";
 import { createGossipQueue } from "./gossip_queue.ts";
 import { createFactStore } from "./facts.ts";
 import { createMemberTable, isUsableMember } from "./member_table.ts";
@@ -121,14 +127,9 @@
  */
 const PAUSE_THRESHOLD_PERIODS = 4;
 
-/** Encoded bytes of a member entry or a fact besides its strings. */
-const ENTRY_OVERHEAD_BYTES = 32;
-
 /** Sequence number of an acknowledgement that answers no probe. */
 const UNSOLICITED_SEQUENCE = 0;
 
-const MAX_FACT_BYTES = 512;
-
 /** Creates the membership protocol of the host `self`. */
 export function createMembership(
   self: Member,
@@ -431,11 +432,7 @@
   }
 
   function addFact(fact: Fact): void {
-    if (estimateFactSize(fact) > MAX_FACT_BYTES) {
-      throw new RangeError(
-        `The fact "${fact.key}" is too large for a datagram`,
-      );
-    }
+    checkFactSize(fact);
     if (facts.add(fact)) factQueue.enqueue(fact.key);
   }
 
@@ -485,32 +482,3 @@
     },
   };
 }
-
-function estimateMemberSize(member: Member): number {
-  const { host, dataCentre, peerAddress, publicAddress } = member;
-  return ENTRY_OVERHEAD_BYTES + host.length + dataCentre.length +
-    peerAddress.length + publicAddress.length;
-}
-
-/** Splits the facts into groups of at most `maxBytes`, or of one fact. */
-function splitBySize(
-  all: readonly Fact[],
-  maxBytes: number,
-): readonly (readonly Fact[])[] {
-  const groups: Fact[][] = [];
-  let leftBytes = 0;
-  for (const fact of all) {
-    const bytes = estimateFactSize(fact);
-    if (groups.length === 0 || bytes > leftBytes) {
-      groups.push([]);
-      leftBytes = maxBytes;
-    }
-    groups.at(-1)!.push(fact);
-    leftBytes -= bytes;
-  }
-  return groups;
-}
-
-function estimateFactSize(fact: Fact): number {
-  return ENTRY_OVERHEAD_BYTES + fact.key.length + fact.value.length;
-}
--- /dev/null
+++ b/src/testing/call_codec.ts
@@ -0,0 +1,53 @@
+/**
+ * A codec of requests and responses with short header names, for tests.
+ *
+ * @module
+ */
+
+import type { CallCodec } from "../forwarding/mod.ts";
+
+/** Parsing a request with this id throws, as on a fault of the program. */
+export const INTERNAL_ERROR_ID = "faulty";
+
+/** A codec with short header names for tests. */
+export function createTestCodec(): CallCodec {
+  return {
+    tryReadCall(req) {
+      const id = req.headers["x-id"];
+      if (typeof id !== "string") return undefined;
+      if (id === INTERNAL_ERROR_ID) throw new TypeError("Thrown by the test");
+      return {
+        requestId: id,
+        callerTimeoutMs: 4_000,
+        key: req.headers["x-key"] as string | undefined,
+        prompt: {
+          model: "m",
+          promptTokens: 4_000,
+          maxOutputTokens: 100,
+          parts: [{ id: "shared", tokens: 3_000 }, {
+            id: "own",
+            tokens: 1_000,
+          }],
+        },
+        lastEventId: undefined,
+      };
+    },
+    createUpstreamHeaders(rawHeaders, { lastEventId }) {
+      if (lastEventId === undefined) return [...rawHeaders];
+      return [...rawHeaders, "x-last-event", lastEventId];
+    },
+    readResponseHeaders: (status, headers) => ({
+      requestId: headers["x-id"] as string | undefined,
+      isSealed: headers["x-seal"] !== undefined,
+      isNotRun: status === 421 || headers["x-not-run"] !== undefined,
+      isLeaving: headers["x-leaving"] !== undefined,
+      backoff: headers["x-rest-ms"] === undefined
+        ? undefined
+        : { kind: "for", ms: Number(headers["x-rest-ms"]) },
+    }),
+    createRejectionHeaders({ retryAfterMs }): Record<string, string> {
+      if (retryAfterMs === undefined) return {};
+      return { "retry-after": String(retryAfterMs) };
+    },
+  };
+}
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -16,7 +16,6 @@
 import { listen } from "../entry/servers.ts";
 import { startTicker } from "../entry/ticker.ts";
 import {
-  type CallCodec,
   createUpstreamAgent,
   type ForwardHost,
   serve,
@@ -28,6 +27,7 @@
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
+import { createTestCodec } from "./call_codec.ts";
 import {
   createRoute,
   createRoutingConfig,
@@ -106,52 +106,6 @@
 /** Interval between two scheduling passes, in ms. */
 const SCHEDULING_PERIOD_MS = 10;
 
-/** Parsing a request with this id throws, as on a fault of the program. */
-export const INTERNAL_ERROR_ID = "faulty";
-
-/** A codec with short header names for tests. */
-export function createTestCodec(): CallCodec {
-  return {
-    tryReadCall(req) {
-      const id = req.headers["x-id"];
-      if (typeof id !== "string") return undefined;
-      if (id === INTERNAL_ERROR_ID) throw new TypeError("Thrown by the test");
-      return {
-        requestId: id,
-        callerTimeoutMs: 4_000,
-        key: req.headers["x-key"] as string | undefined,
-        prompt: {
-          model: "m",
-          promptTokens: 4_000,
-          maxOutputTokens: 100,
-          parts: [{ id: "shared", tokens: 3_000 }, {
-            id: "own",
-            tokens: 1_000,
-          }],
-        },
-        lastEventId: undefined,
-      };
-    },
-    createUpstreamHeaders(rawHeaders, { lastEventId }) {
-      if (lastEventId === undefined) return [...rawHeaders];
-      return [...rawHeaders, "x-last-event", lastEventId];
-    },
-    readResponseHeaders: (status, headers) => ({
-      requestId: headers["x-id"] as string | undefined,
-      isSealed: headers["x-seal"] !== undefined,
-      isNotRun: status === 421 || headers["x-not-run"] !== undefined,
-      isLeaving: headers["x-leaving"] !== undefined,
-      backoff: headers["x-rest-ms"] === undefined
-        ? undefined
-        : { kind: "for", ms: Number(headers["x-rest-ms"]) },
-    }),
-    createRejectionHeaders({ retryAfterMs }): Record<string, string> {
-      if (retryAfterMs === undefined) return {};
-      return { "retry-after": String(retryAfterMs) };
-    },
-  };
-}
-
 /** Starts an entry host with upstreams that behave as given. */
 export async function createForwardFixture(
   behaviours: readonly Behaviour[],
