Repeat reports of crashes to owners that a host learns of later

Found by reading: a report goes to the owners of its content among the hosts known then, within two seconds. Hosts that start together, or were cut off, know only some of the others for seconds (docs/CAPACITY.md: of 195 hosts the median 98 after two seconds), so that the crashes of one content could stay with different owners for good.

Change: six sends instead of three, the last after 67 s, each to the owners of that moment; a report that is published needs no more. The new test (hosts that know nobody until all three crashes have happened) fails with the former times.

--- a/src/crashes/crash_reports.ts
+++ b/src/crashes/crash_reports.ts
@@ -51,13 +51,11 @@
 const OWNERS = 2;
 
 /**
- * Number of times that a report is sent, since datagrams get lost and owners
- * restart.
+ * Times between the sends of a report, in ms. The first ones replace lost
+ * datagrams. The last ones reach the owners that a host learns of later: hosts
+ * that start together, or were cut off, know only some of the others at first.
  */
-const SENDS = 3;
-
-/** Time between two sends of a report, in ms. */
-const RESEND_MS = 600;
+const RESEND_DELAYS_MS = [600, 1_200, 5_000, 15_000, 45_000];
 
 /** An owner publishes the events of a content from this number on. */
 const PUBLISH_COUNT = 2;
@@ -151,9 +149,10 @@
     const factsByOwner = new Map<string, Fact[]>();
     for (const [key, report] of pending) {
       if (report.dueMs > nowMs) continue;
-      report.dueMs = nowMs + RESEND_MS;
+      const delayMs = RESEND_DELAYS_MS[report.sent];
+      if (delayMs === undefined) pending.delete(key);
+      else report.dueMs = nowMs + delayMs;
       report.sent++;
-      if (report.sent === SENDS) pending.delete(key);
       for (const owner of getOwners(report.event.fingerprint)) {
         if (owner === host.self) continue;
         getOrCreate(factsByOwner, owner, (): Fact[] => [])
--- a/src/crashes/crash_watch_test.ts
+++ b/src/crashes/crash_watch_test.ts
@@ -90,6 +90,20 @@
   }
 });
 
+test("hosts that know none of the others count together once they do", () => {
+  // Guards against crashes that stay with the owners of an early view.
+  const { hosts, advance, setKnown } = createCrashFixture({ hosts: 9 });
+  setKnown(() => false);
+  for (const [at, upstream] of [a!, b!, c!].entries()) {
+    crash(hosts[at]!, upstream, "poison");
+    advance(2_000);
+  }
+  ok(hosts.every((each) => !each.isBlocked("poison")));
+  setKnown(() => true);
+  advance(20_000);
+  ok(hosts.every((each) => each.isBlocked("poison")));
+});
+
 test("content that runs well at any host is cleared at all", () => {
   // Guards against refusing a popular content that ran beside crashes of
   // another one's making.
--- a/src/testing/crash_fixture.ts
+++ b/src/testing/crash_fixture.ts
@@ -25,6 +25,8 @@
   advance(ms: number): void;
   /** Loses the datagrams to the host from now on. */
   cutOff(host: number): void;
+  /** Sets which hosts each host knows besides itself. */
+  setKnown(isKnown: (by: number, other: number) => boolean): void;
 }
 
 /** Options of the fixture. */
@@ -46,6 +48,7 @@
   const names = Array.from({ length: count }, (_, host) => `host-${host}`);
   const isCutOff = new Set<string>();
   const sent = names.map(() => 0);
+  let isKnown = (_by: number, _other: number) => true;
 
   function deliver(to: string, run: (host: CrashWatch) => void): void {
     if (!isCutOff.has(to)) run(hosts[names.indexOf(to)]!);
@@ -72,7 +75,8 @@
     createCrashWatch({
       clock,
       self,
-      getHosts: () => names,
+      getHosts: () =>
+        names.filter((_, other) => other === from || isKnown(from, other)),
       sendFacts: (facts, to) => send(from, facts, to),
       broadcastFact: (fact) => broadcast(from, fact),
       gossipFact: (fact) => gossip(from, fact),
@@ -94,6 +98,7 @@
       }
     },
     cutOff: (host) => void isCutOff.add(names[host]!),
+    setKnown: (next) => isKnown = next,
   };
 }
 
