--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -6,7 +6,7 @@
 const CUT_BYTES = 4_096;
 
 test("a scrape that is cut still has the decisions of a host with many routes", async () => {
-  // Guards against an incident whose counters are cut off behind those of the
+  // Guards against counters of decisions that are cut off behind those of the
   // routes.
   const metrics = createEntryMetrics({
     getConfigVersion: () => 1,
