Distribute the operators' evacuations with the configuration

Operators evacuate a data centre by a row of the table that holds the configuration. The decoder refused such rows ("Unknown key"), the regions that routes and teams allow were dropped, and so neither could have any effect on where requests go.

A row of the operators' table is now either the configuration or an evacuation, whatever an evacuation's row holds. Both go the same way: read by three hosts, passed on to the others, kept while the platform is away, and had by a host that restarts meanwhile from any other host. Regions that no data centre belongs to, and evacuations of a data centre that no settings declare, are logged and change nothing else.

Ruled out: a table or facts of their own. They would need a second path through absences of the platform, restarts and eras.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -143,6 +143,22 @@
     readonly platformVersion: number;
     readonly from: string;
   }
+  | {
+    /** Operators evacuate a data centre, or have taken it back. */
+    readonly event: "evacuation-began" | "evacuation-ended";
+    readonly dataCentre: string;
+    /** Whether this host's settings name the data centre. */
+    readonly isDeclared: boolean;
+    readonly platformEra?: number | undefined;
+    readonly platformVersion: number;
+  }
+  | {
+    /** A route or a team allows a region to which no data centre belongs. */
+    readonly event: "region-undeclared";
+    readonly region: string;
+    /** Version of the configuration. */
+    readonly version: number;
+  }
   | {
     /** The platform was restored from an older backup. */
     readonly event: "platform-era-changed";
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -138,6 +138,14 @@
         `event-loop iteration took ${decision.meanTurnMs} ms on average`;
     case "config-in-force":
       return `Configuration ${decision.version} in force, from ${decision.from}`;
+    case "evacuation-began":
+    case "evacuation-ended":
+      return `${decision.event} in ${decision.dataCentre}${
+        decision.isDeclared ? "" : ", which is not declared"
+      } (platform's version ${decision.platformVersion})`;
+    case "region-undeclared":
+      return `Configuration ${decision.version} allows the region ` +
+        `"${decision.region}", to which no data centre belongs`;
     case "platform-era-changed":
       return `The platform was restored from a backup: ${decision.table} at ` +
         `version ${decision.platformVersion} of era ${decision.era}, after ` +
--- a/src/discovery/mod.ts
+++ b/src/discovery/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./evacuations.ts";
 export * from "./leaving_instances.ts";
 export * from "./table_distribution.ts";
 export * from "./positions.ts";
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -25,6 +25,14 @@
   readonly incarnation: number;
 }
 
+/**
+ * What a row of the operators' table says: the whole configuration, or that a
+ * data centre is evacuated while the row exists.
+ */
+export type OperatorRow =
+  | { readonly kind: "configuration"; readonly config: RoutingConfig }
+  | { readonly kind: "evacuation"; readonly dataCentre: string };
+
 /** A row of a platform table. */
 export interface TableRow<T> {
   readonly key: string;
@@ -83,7 +91,8 @@
  * write.
  */
 export interface EntryPlatform {
-  readonly config: TableSource<RoutingConfig>;
+  /** The configuration and the evacuated data centres. */
+  readonly config: TableSource<OperatorRow>;
   readonly upstreams: TableSource<UpstreamEntry>;
   readonly hosts: HostDirectory;
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -196,6 +196,7 @@
     peerAddress,
     incarnation,
     random: host.random,
+    regions: settings.regions,
     log,
     onUpstreamAdded: (upstream) => crashes.recordRunning(upstream),
     onPlatformRestored: () => registration.refresh(),
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -11,12 +11,14 @@
 import type { Clock } from "../core/mod.ts";
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
 import {
+  createEvacuations,
   createTableDistribution,
   createTableReplica,
   createUpstreamDirectory,
   decideToRead,
   type EntryPlatform,
   followTable,
+  type OperatorRow,
   type ReadingDecision,
   REPORT_KEY_PREFIX,
   TABLE_NAMES,
@@ -48,6 +50,8 @@
   readonly peerAddress: string;
   readonly incarnation: number;
   random(): number;
+  /** The region of each declared data centre. */
+  readonly regions: ReadonlyMap<string, string>;
   log(decision: Decision): void;
   onFetched(table: string, outcome: FetchOutcome): void;
   /** Called when the platform was restored from an older backup. */
@@ -69,6 +73,8 @@
   readonly directory: UpstreamDirectory;
   /** Returns `undefined` until a configuration is known. */
   tryGetRoutes(): RouteTable | undefined;
+  /** The evacuated data centres; another set after each change. */
+  getEvacuated(): ReadonlySet<string>;
   getInputs(): Inputs;
   /**
    * Processes a fact from another host: a reader's report or a leaving
@@ -91,7 +97,7 @@
 
 /** Creates the view of a host that has not read any table. */
 export function createPlatformView(host: PlatformViewHost): PlatformView {
-  const config = createTableReplica<RoutingConfig>();
+  const config = createTableReplica<OperatorRow>();
   const upstreams = createTableReplica<UpstreamEntry>();
   const tables: Record<TableName, TableReplica<unknown>> = {
     config: config as TableReplica<unknown>,
@@ -137,27 +143,54 @@
     },
   });
 
-  /**
-   * Puts the newest version of the configuration into force, never an older
-   * one.
-   */
-  function updateRoutes(from: string): void {
-    for (const { value } of config.getRows().values()) {
-      if (value.version <= (routes?.config.version ?? -1)) continue;
-      routes = createRouteTable(value);
+  const evacuations = createEvacuations({
+    clock: host.clock,
+    onChange: (dataCentre, change) =>
       host.log({
-        event: "config-in-force",
-        version: value.version,
+        event: `evacuation-${change}`,
+        dataCentre,
+        isDeclared: host.regions.has(dataCentre),
         platformEra: config.getPosition().era,
         platformVersion: config.getPosition().version,
-        from,
-      });
+      }),
+  });
+
+  function updateFromOperators(from: string): void {
+    const evacuated = new Set<string>();
+    for (const { value } of config.getRows().values()) {
+      if (value.kind === "evacuation") evacuated.add(value.dataCentre);
+      else updateRoutes(value.config, from);
+    }
+    evacuations.update(evacuated, config.getPosition());
+  }
+
+  /** Puts a newer version of the configuration into force, never an older one. */
+  function updateRoutes(next: RoutingConfig, from: string): void {
+    if (next.version <= (routes?.config.version ?? -1)) return;
+    routes = createRouteTable(next);
+    logUndeclaredRegions(next);
+    host.log({
+      event: "config-in-force",
+      version: next.version,
+      platformEra: config.getPosition().era,
+      platformVersion: config.getPosition().version,
+      from,
+    });
+  }
+
+  /** Nothing can run in a region that no data centre belongs to. */
+  function logUndeclaredRegions({ version, routes, teams }: RoutingConfig) {
+    const declared = new Set(host.regions.values());
+    const named = [...routes, ...teams].flatMap((each) => each.allowedRegions);
+    const undeclared = new Set(named.filter((each) => !declared.has(each)));
+    for (const region of undeclared) {
+      host.log({ event: "region-undeclared", region, version });
     }
   }
 
   function onChanged(table: TableName, from: string): void {
     eras.recordPosition(table, tables[table].getPosition(), from);
-    if (table === "config") updateRoutes(from);
+    if (table === "config") updateFromOperators(from);
     else directory.update(upstreams.getRows(), upstreams.getPosition());
   }
 
@@ -249,6 +282,7 @@
   return {
     directory,
     tryGetRoutes: () => routes,
+    getEvacuated: evacuations.getAll,
     getInputs: () => ({
       configVersion: routes?.config.version ?? 0,
       platformEra: upstreams.getPosition().era,
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -4,5 +4,6 @@
  * @module
  */
 
+export * from "./allowed_regions.ts";
 export * from "./route_table.ts";
 export * from "./types.ts";
--- a/src/routing/route_table.ts
+++ b/src/routing/route_table.ts
@@ -7,6 +7,7 @@
  */
 
 import { getOrCreate } from "../core/mod.ts";
+import { type AllowedRegions, intersectRegions } from "./allowed_regions.ts";
 import type { Route, RoutingConfig, WeightedService } from "./types.ts";
 
 /** Indexes of one configuration. */
@@ -23,6 +24,10 @@
    * in ms; `undefined` when no prompt route uses the service.
    */
   tryGetPromptTargetMs(service: string): number | undefined;
+  /** Returns the regions that both the route and the team allow. */
+  getAllowedRegions(route: Route, team: string | undefined): AllowedRegions;
+  /** Returns the regions that all routes of the host name allow. */
+  getAllowedRegionsOfHostName(hostName: string): AllowedRegions;
 }
 
 /** Creates the route table of a configuration. */
@@ -37,6 +42,10 @@
     for (const key of team.keys) teamByKey.set(key, team.name);
   }
 
+  const regionsByTeam = new Map(
+    config.teams.map((team) => [team.name, team.allowedRegions]),
+  );
+
   const promptTargetMsByService = new Map<string, number>();
   for (const route of config.routes.filter((each) => each.hasPrompts)) {
     for (const { service } of route.services) {
@@ -54,6 +63,12 @@
       return tryGetLongestPrefix(routes, getPath(target));
     },
     tryGetTeam: (key) => teamByKey.get(key),
+    getAllowedRegions: (route, team = "") =>
+      intersectRegions([route.allowedRegions, regionsByTeam.get(team) ?? []]),
+    getAllowedRegionsOfHostName(hostName) {
+      const routes = routesByHost.get(getHostName(hostName))?.values() ?? [];
+      return intersectRegions([...routes].map((each) => each.allowedRegions));
+    },
   };
 }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -50,6 +50,11 @@
    * memory.
    */
   readonly hasPrompts: boolean;
+  /**
+   * Regions in which its requests may be handled; empty if in all. Those of the
+   * team bind as well.
+   */
+  readonly allowedRegions: readonly string[];
 }
 
 /** A service as operators configure it. */
@@ -68,6 +73,8 @@
 export interface KeyedTeam {
   readonly name: string;
   readonly keys: readonly string[];
+  /** Regions in which its requests may be handled; empty if in all. */
+  readonly allowedRegions: readonly string[];
 }
 
 /** Limits on what callers send and how long they take. */
--- a/src/testing/fake_tables.ts
+++ b/src/testing/fake_tables.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../core/mod.ts";
 import {
   type EntryPlatform,
+  type OperatorRow,
   TABLE_NAMES,
   type TableChange,
   type TableName,
@@ -19,7 +20,6 @@
   type UpstreamEntry,
 } from "../discovery/mod.ts";
 import { TableError } from "../discovery/types.ts";
-import type { RoutingConfig } from "../routing/mod.ts";
 import { createRoutingConfig, createUpstreamEntry } from "./routing_fixture.ts";
 
 /** How the platform handles a host's calls. */
@@ -57,7 +57,7 @@
 interface Snapshot {
   readonly atMs: number;
   readonly version: number;
-  readonly config: FakeTable<RoutingConfig>;
+  readonly config: FakeTable<OperatorRow>;
   readonly upstreams: FakeTable<UpstreamEntry>;
 }
 
@@ -76,7 +76,7 @@
     config: new Map(),
     upstreams: new Map(),
   };
-  const config: FakeTable<RoutingConfig> = {
+  const config: FakeTable<OperatorRow> = {
     changedVersion: 0,
     rows: [],
     keys: new Set(),
@@ -195,7 +195,11 @@
     putConfig(next) {
       const value = createRoutingConfig({ version: next });
       version++;
-      setRows(config, [{ key: "config", version, value }]);
+      setRows(config, [{
+        key: "config",
+        version,
+        value: { kind: "configuration", config: value },
+      }]);
     },
     putUpstreams(ids) {
       version++;
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -153,6 +153,7 @@
     const send = (fact: Fact) => broadcast(host, fact);
     lastIncarnation++;
     return createPlatformView({
+      regions: new Map([["lagos-ikeja", "lagos"]]),
       clock,
       platform: tables.createPlatform(host),
       peerAddress: host,
--- a/src/testing/routing_fixture.ts
+++ b/src/testing/routing_fixture.ts
@@ -23,6 +23,7 @@
     isPublic: false,
     isResumable: true,
     hasPrompts: true,
+    allowedRegions: [],
     ...changes,
   };
 }
@@ -39,7 +40,11 @@
       maxConnections: 100,
       promptMemoryTokens: 400_000,
     }],
-    teams: [{ name: "fitters", keys: ["key-of-fitters"] }],
+    teams: [{
+      name: "fitters",
+      keys: ["key-of-fitters"],
+      allowedRegions: [],
+    }],
     callerLimits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 100_000,
