Decide in one place which upstreams a request may use

Callers were told hosts of other regions for host names whose routes allow one only.

Cause: nothing of it existed, and four places picked from the ready upstreams by conditions of their own: the ranking of prompts, the least loaded upstream, the start of a queued prompt, the question before a send.

placement/eligibility.ts is the one decision: from what is known of an upstream it says whether a request may use it, and if not, why. Arrival, retry, resume, the waiting queue and the moment before the first byte all ask it, by the configuration and evacuations in force then; the cached ranking of a waiting prompt follows a change of either at once. Regions of the route and of the team both bind. Without any upstream left, a request is refused at once as not run; the reason counts the upstreams by why they were left out, and the retry time is spread, so that those refused together don't return together.

Ruled out: filters where upstreams are listed. A list can't know the request's team, nor say why it is short.

--- a/src/entry/caller_addresses.ts
+++ b/src/entry/caller_addresses.ts
@@ -10,12 +10,15 @@
  */
 
 import type { Member } from "../membership/mod.ts";
+import type { AllowedRegions } from "../routing/mod.ts";
 import type { ResolveQuery } from "./types.ts";
 
 /** The inputs of the selection. */
 export interface AddressInput {
   readonly query: ResolveQuery;
   readonly members: readonly Member[];
+  /** Regions to which the caller's requests may be sent. */
+  readonly allowedRegions: AllowedRegions;
   getRegion(dataCentre: string): string | undefined;
   /** Whether the host takes no new callers at present. */
   isFull(member: Member): boolean;
@@ -32,7 +35,8 @@
 
 /**
  * Selects the addresses, nearest hosts first. All hosts in the caller's own
- * data centre are included, up to the maximum.
+ * data centre are included, up to the maximum. Hosts outside the caller's own
+ * and the allowed regions are returned only if there are no others.
  */
 export function chooseAddresses(input: AddressInput): readonly string[] {
   const { members } = input;
@@ -41,10 +45,8 @@
   const usable = alive.length > 0
     ? alive
     : members.filter((each) => each.state === "suspect");
-  const notFull = usable.filter((each) => !input.isFull(each));
-  // If all hosts are full, they are returned rather than none.
-  const candidates = notFull.length > 0 ? notFull : usable;
-  const ranked = candidates
+  const permitted = preferWhere(usable, (each) => isPermitted(each, input));
+  const ranked = preferWhere(permitted, (each) => !input.isFull(each))
     .map((member) => ({ member, distance: getDistance(member, input) }))
     .sort((a, b) => a.distance - b.distance);
   const ownCount = ranked.filter((each) => each.distance === 0).length;
@@ -52,6 +54,26 @@
   return ranked.slice(0, count).map((each) => each.member.publicAddress);
 }
 
+/** Returns the members that fulfil the condition, or all if none does. */
+function preferWhere(
+  members: readonly Member[],
+  condition: (member: Member) => boolean,
+): readonly Member[] {
+  const preferred = members.filter(condition);
+  return preferred.length > 0 ? preferred : members;
+}
+
+function isPermitted(
+  { dataCentre }: Member,
+  { query, getRegion, allowedRegions }: AddressInput,
+): boolean {
+  if (allowedRegions === undefined || dataCentre === query.dataCentre) {
+    return true;
+  }
+  const region = getRegion(dataCentre) ?? "";
+  return region === query.region || allowedRegions.has(region);
+}
+
 function getDistance(member: Member, input: AddressInput): 0 | 1 | 2 {
   const { query, getRegion } = input;
   if (member.dataCentre === query.dataCentre) return 0;
--- a/src/entry/caller_addresses_test.ts
+++ b/src/entry/caller_addresses_test.ts
@@ -24,10 +24,12 @@
 function choose(
   members: readonly Member[],
   fullHosts: readonly string[] = [],
+  allowedRegions?: readonly string[],
 ): readonly string[] {
   return chooseAddresses({
     members,
-    query: { dataCentre: "a", region: "one" },
+    query: { hostName: "model.example", dataCentre: "a", region: "one" },
+    allowedRegions: allowedRegions && new Set(allowedRegions),
     getRegion: (each) => regions.get(each),
     isFull: (member) => fullHosts.includes(member.host),
   });
@@ -71,3 +73,13 @@
   deepStrictEqual(choose(members, ["a1"]), ["b1"]);
   deepStrictEqual(choose(members, ["a1", "b1"]), ["a1", "b1"]);
 });
+
+test("hosts outside the own and the allowed regions are returned only if there are no others", () => {
+  // Guards against bodies of a confined route that are sent to a host abroad.
+  const near = createMember("b1", "b");
+  const abroad = createMember("c1", "c");
+  deepStrictEqual(choose([near, abroad], [], ["one"]), ["b1"]);
+  deepStrictEqual(choose([near, abroad], [], ["two"]), ["b1", "c1"]);
+  deepStrictEqual(choose([abroad], [], ["one"]), ["c1"]);
+  deepStrictEqual(choose([near, abroad], ["b1"], ["one"]), ["b1"]);
+});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -272,6 +272,8 @@
       ),
     ),
     tryGetRoutes: platformView.tryGetRoutes,
+    getRegion: (dataCentre) => settings.regions.get(dataCentre),
+    getEvacuated: platformView.getEvacuated,
     getDistance: (dataCentre) => getDistance(settings, dataCentre),
     isOverloaded: loopMonitor.isOverloaded,
     getTurnOverrunMs: loopMonitor.getTurnOverrunMs,
@@ -305,6 +307,8 @@
           members: peers.membership.getMembers(),
           isFull,
           getRegion: (dataCentre) => settings.regions.get(dataCentre),
+          allowedRegions: platformView.tryGetRoutes()
+            ?.getAllowedRegionsOfHostName(query.hostName),
         }),
     }),
   );
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -46,6 +46,8 @@
 
 /** A caller's query for the hosts to use. */
 export interface ResolveQuery {
+  /** Host name of the requests that the caller is going to send. */
+  readonly hostName: string;
   readonly dataCentre: string;
   readonly region: string;
 }
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -8,6 +8,7 @@
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import { isContentBlocked } from "./blocked_content.ts";
 import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
+import { mayStillUse } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { recordSignals } from "./upstream_signals.ts";
 import { AttemptFailed } from "./types.ts";
@@ -52,9 +53,7 @@
       body: call.body,
       headTimeoutMs,
       mayStillSend: () =>
-        !isContentBlocked(host, call) &&
-        host.directory.isReady(upstream) &&
-        host.backoffs.getRemainingMs(upstream) === 0,
+        !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
       onSent() {
         progress.attempts++;
         progress.possibleRuns++;
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -46,6 +46,13 @@
   readonly crashes: CrashWatch;
   readonly retryBudget: RetryBudget;
   tryGetRoutes(): RouteTable | undefined;
+  /** Returns the region of a data centre; `undefined` if it is not declared. */
+  getRegion(dataCentre: string): string | undefined;
+  /**
+   * The evacuated data centres, which get no new requests. Another set after
+   * each change.
+   */
+  getEvacuated(): ReadonlySet<string>;
   /** Returns how far a data centre is from this host. */
   getDistance(dataCentre: string): Distance;
   /**
--- /dev/null
+++ b/src/forwarding/eligible_upstreams.ts
@@ -0,0 +1,142 @@
+/**
+ * Applies the decision on eligible upstreams to one request at this host, by
+ * the configuration in force at that moment.
+ *
+ * @module
+ */
+
+import type { UpstreamEntry } from "../discovery/mod.ts";
+import {
+  type EligibleUpstreams,
+  type Exclusion,
+  EXCLUSIONS,
+  selectEligible,
+  tryGetExclusion,
+  type UpstreamFacts,
+} from "../placement/mod.ts";
+import type { AllowedRegions } from "../routing/mod.ts";
+import type { Call, ForwardHost } from "./call.ts";
+import { createNotRunRejection, type Rejected } from "./rejections.ts";
+import { getBackoffRetryMs, getNoUpstreamRetryMs } from "./retry_after.ts";
+
+/**
+ * Returns the upstreams that the request may use. Unhealthy ones are left out
+ * unless there are no others.
+ */
+export function getEligible(
+  host: ForwardHost,
+  call: Call,
+): readonly UpstreamEntry[] {
+  const { eligible } = divideUpstreams(host, call);
+  const open = host.backoffs.limitAfterBackoff(
+    eligible,
+    host.health.getInFlight,
+  );
+  return host.health.filterHealthy(open);
+}
+
+/**
+ * Whether the request may still be sent to the upstream that was picked for it.
+ * Asked right before the first byte.
+ */
+export function mayStillUse(
+  host: ForwardHost,
+  call: Call,
+  upstream: UpstreamEntry,
+): boolean {
+  const facts = { ...getFacts(host, call, upstream), wasTried: false };
+  return tryGetExclusion(facts, getAllowedRegions(host, call)) === undefined;
+}
+
+function divideUpstreams(
+  host: ForwardHost,
+  call: Call,
+): EligibleUpstreams<UpstreamEntry> {
+  return selectEligible(
+    host.directory.getReady(call.service),
+    (upstream) => getFacts(host, call, upstream),
+    getAllowedRegions(host, call),
+  );
+}
+
+function getFacts(
+  host: ForwardHost,
+  call: Call,
+  upstream: UpstreamEntry,
+): UpstreamFacts {
+  return {
+    isReady: host.directory.isReady(upstream),
+    region: host.getRegion(upstream.dataCentre),
+    isEvacuated: host.getEvacuated().has(upstream.dataCentre),
+    wasTried: call.progress.triedUpstreams.has(upstream.id),
+    backoffMs: host.backoffs.getRemainingMs(upstream),
+  };
+}
+
+/**
+ * Returns the regions that the request's route and team allow now. A route that
+ * was removed meanwhile keeps those that it had.
+ */
+function getAllowedRegions(host: ForwardHost, call: Call): AllowedRegions {
+  const { req } = call;
+  const routes = host.tryGetRoutes()!;
+  const route = routes.tryGetRoute(req.headers.host ?? "", req.url ?? "/");
+  return routes.getAllowedRegions(route ?? call.route, call.team);
+}
+
+/**
+ * Creates the rejection of a request that no upstream may get now and that has
+ * not run.
+ */
+export function createUnavailable(host: ForwardHost, call: Call): Rejected {
+  const { excluded } = divideUpstreams(host, call);
+  const backoffMs = getLeastBackoffMs(host, call);
+  // An upstream that was only tried may accept the caller's next attempt.
+  if (backoffMs !== undefined && !excluded.has("tried")) {
+    const reason =
+      `All upstreams of "${call.service}" have asked clients to back off`;
+    return createNotRunRejection(
+      reason,
+      getBackoffRetryMs(backoffMs, host.random()),
+    );
+  }
+  const reason = describeUnavailable(call.service, excluded);
+  return createNotRunRejection(reason, getNoUpstreamRetryMs(host.random()));
+}
+
+/** The shortest back-off among upstreams that only a back-off excludes. */
+function getLeastBackoffMs(
+  host: ForwardHost,
+  call: Call,
+): number | undefined {
+  const allowedRegions = getAllowedRegions(host, call);
+  let leastMs: number | undefined;
+  for (const upstream of host.directory.getReady(call.service)) {
+    const facts = getFacts(host, call, upstream);
+    if (tryGetExclusion(facts, allowedRegions) !== "back-off") continue;
+    leastMs = Math.min(leastMs ?? Infinity, facts.backoffMs);
+  }
+  return leastMs;
+}
+
+/** Texts that describe excluded upstreams, after their number. */
+const exclusionTexts: Readonly<Record<Exclusion, string>> = {
+  gone: "leaving",
+  region: "outside the allowed regions",
+  evacuated: "in evacuated data centres",
+  "back-off": "in back-off",
+  tried: "tried before",
+};
+
+function describeUnavailable(
+  service: string,
+  excluded: ReadonlyMap<Exclusion, number>,
+): string {
+  if (excluded.size === 0) return `No upstream of "${service}" is ready`;
+  if (excluded.size === 1 && excluded.has("tried")) {
+    return `All ready upstreams of "${service}" have failed this request`;
+  }
+  const texts = EXCLUSIONS.filter((each) => excluded.has(each))
+    .map((each) => `${excluded.get(each)} ${exclusionTexts[each]}`);
+  return `No upstream of "${service}" may be used: ${texts.join(", ")}`;
+}
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -18,12 +18,8 @@
 import { getEndToEndHeaders } from "./headers.ts";
 import { decideNextStep, type NextStep } from "./next_step.ts";
 import { relayStream } from "./relay_stream.ts";
-import {
-  createUnavailable,
-  getCandidates,
-  type PickedUpstream,
-  pickUpstream,
-} from "./pick_upstream.ts";
+import { createUnavailable, getEligible } from "./eligible_upstreams.ts";
+import { type PickedUpstream, pickUpstream } from "./pick_upstream.ts";
 import { createNotRunRejection, Rejected } from "./rejections.ts";
 import { FAILED_RETRY_MS } from "./retry_after.ts";
 import { AttemptFailed } from "./types.ts";
@@ -89,7 +85,7 @@
       hasEventId: progress.lastEventId !== undefined,
       remainingMs: getRemainingMs(host, call),
       isBlocked: isContentBlocked(host, call),
-      hasCandidate: getCandidates(host, call).length > 0,
+      hasCandidate: getEligible(host, call).length > 0,
       tryTakeRetry: () => host.retryBudget.tryTake("", service),
     });
     logFailure(host, call, err, step);
@@ -217,7 +213,7 @@
 function canTryAnother(host: ForwardHost, call: Call): boolean {
   const { route, progress } = call;
   const isRepeatable = route.kind === "idempotent" || route.isResumable;
-  const hasOther = getCandidates(host, call).length > 0;
+  const hasOther = getEligible(host, call).length > 0;
   return isRepeatable && hasOther && progress.possibleRuns < route.maxAttempts;
 }
 
@@ -265,7 +261,7 @@
 ): Rejected {
   if (isContentBlocked(host, call)) return createBlockedRejection(call);
   if (call.progress.possibleRuns === 0) {
-    const hasCandidate = getCandidates(host, call).length > 0;
+    const hasCandidate = getEligible(host, call).length > 0;
     if (!hasCandidate) return createUnavailable(host, call);
     return createNotRunRejection(err.reason, FAILED_RETRY_MS);
   }
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -22,8 +22,8 @@
 } from "../queue/mod.ts";
 import { hasDisconnected } from "../requests/caller.ts";
 import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
-import { createNotRunRejection, Rejected } from "./rejections.ts";
-import { getBackoffRetryMs } from "./retry_after.ts";
+import { createUnavailable, getEligible } from "./eligible_upstreams.ts";
+import { Rejected } from "./rejections.ts";
 import type { Prompt } from "./types.ts";
 
 /** The upstream picked for a request. */
@@ -41,13 +41,6 @@
   readonly queuedTokens: number | undefined;
 }
 
-/**
- * Retry delay while no upstream is ready, in ms: a starting upstream needs a
- * second or two, and a change of the platform's upstream table takes a second
- * to arrive.
- */
-const NO_UPSTREAM_RETRY_MS = 1_000;
-
 /**
  * A ranking of upstreams is recomputed after this time, in ms. With 60
  * upstreams this takes a tenth of a millisecond for each waiting prompt, which
@@ -71,28 +64,11 @@
   return waitInQueue(host, call, prompt);
 }
 
-/**
- * Returns the upstreams that may get the request: those not tried yet that have
- * not asked for a back-off. Unhealthy ones are left out unless there are no
- * others.
- */
-export function getCandidates(
-  host: ForwardHost,
-  call: Call,
-): readonly UpstreamEntry[] {
-  const ready = host.directory.getReady(call.service);
-  const untried = ready.filter((each) =>
-    !call.progress.triedUpstreams.has(each.id)
-  );
-  const open = host.backoffs.filterAvailable(untried, host.health.getInFlight);
-  return host.health.filterHealthy(open);
-}
-
 function pickLeastLoaded(
   host: ForwardHost,
   call: Call,
 ): Effect.Effect<PickedUpstream, Rejected> {
-  const candidates = getCandidates(host, call);
+  const candidates = getEligible(host, call);
   const [first] = rankByLoad(candidates.map((each) => ({
     id: each.id,
     slots: each.slots,
@@ -164,8 +140,8 @@
 }
 
 /**
- * Returns a function that caches the ranking until it expires or the set of
- * ready upstreams changes.
+ * Returns a function that caches the ranking until it expires or until the
+ * ready upstreams, the configuration or the evacuations change.
  */
 function createRankingCache(
   host: ForwardHost,
@@ -173,14 +149,19 @@
   prompt: Prompt,
 ): () => readonly RankedUpstream[] {
   let ranking: readonly RankedUpstream[] = [];
-  let ready: readonly UpstreamEntry[] | undefined;
+  let basis: readonly unknown[] = [];
   let rankedAtMs = -Infinity;
   return () => {
     const nowMs = host.clock.monotonicMs();
-    const nowReady = host.directory.getReady(call.service);
-    if (nowReady !== ready || nowMs - rankedAtMs > RANKING_TTL_MS) {
+    const nowBasis = [
+      host.directory.getReady(call.service),
+      host.tryGetRoutes(),
+      host.getEvacuated(),
+    ];
+    const isChanged = nowBasis.some((each, at) => each !== basis[at]);
+    if (isChanged || nowMs - rankedAtMs > RANKING_TTL_MS) {
       ranking = rankUpstreams(host, call, prompt);
-      ready = nowReady;
+      basis = nowBasis;
       rankedAtMs = nowMs;
     }
     return ranking;
@@ -197,7 +178,7 @@
   prompt: Prompt,
 ): readonly RankedUpstream[] {
   const key = getAffinityKey(prompt.model, prompt.parts);
-  const candidates = getCandidates(host, call);
+  const candidates = getEligible(host, call);
   const ranked = rankByAffinity(key, candidates);
   // All hosts send prompts with the same shared prefix to the same upstream,
   // which therefore has it cached for all but the first of them.
@@ -280,28 +261,3 @@
     queue: refusal.inputs,
   });
 }
-
-/**
- * Creates the rejection for a request that no upstream accepts now and that has
- * not run.
- */
-export function createUnavailable(
-  host: ForwardHost,
-  call: Call,
-): Rejected {
-  const ready = host.directory.getReady(call.service);
-  const backoffMs = Math.min(...ready.map(host.backoffs.getRemainingMs));
-  if (backoffMs > 0 && backoffMs < Infinity) {
-    const reason =
-      `All upstreams of "${call.service}" have asked clients to back off`;
-    return createNotRunRejection(
-      reason,
-      getBackoffRetryMs(backoffMs, host.random()),
-    );
-  }
-  const tried = call.progress.triedUpstreams.size;
-  const reason = tried === 0
-    ? `No upstream of "${call.service}" is ready`
-    : `All ready upstreams of "${call.service}" have failed this request`;
-  return createNotRunRejection(reason, NO_UPSTREAM_RETRY_MS);
-}
--- a/src/forwarding/retry_after.ts
+++ b/src/forwarding/retry_after.ts
@@ -65,6 +65,23 @@
   );
 }
 
+/**
+ * Mean retry delay while no upstream may be used, in ms: a starting upstream
+ * needs a second or two, and a change of the platform's tables takes a second
+ * to arrive.
+ */
+const NO_UPSTREAM_RETRY_MS = 1_000;
+
+/**
+ * Returns the retry delay while no upstream may be used, in ms; `random` is
+ * from 0 (inclusive) to 1 (exclusive). It is spread, so that the callers that
+ * were refused together do not return in one burst.
+ */
+export function getNoUpstreamRetryMs(random: number): number {
+  const jitter = MIN_JITTER + (MAX_JITTER - MIN_JITTER) * random;
+  return NO_UPSTREAM_RETRY_MS * jitter;
+}
+
 /**
  * Retries after a back-off are spread over this share of the back-off, and over
  * at least this time in ms.
--- /dev/null
+++ b/src/placement/eligibility.ts
@@ -0,0 +1,87 @@
+/**
+ * Decides which upstreams a request may use. All places that pick an upstream,
+ * or send to one that was picked earlier, ask here.
+ *
+ * Load: while requests wait, connect or resume, operators change the allowed
+ * regions and evacuate data centres, and upstreams leave, ask for a back-off or
+ * start again.
+ *
+ * Failure prevented: each place decides by the conditions that it knows of, so
+ * that a request reaches an upstream that another place would have left out.
+ *
+ * @module
+ */
+
+import type { AllowedRegions } from "../routing/mod.ts";
+
+/**
+ * Why an upstream may not get a request; of several reasons, the first in this
+ * order is named.
+ */
+export const EXCLUSIONS = [
+  "gone",
+  "region",
+  "evacuated",
+  "back-off",
+  "tried",
+] as const;
+
+/** Why an upstream may not get a request. */
+export type Exclusion = typeof EXCLUSIONS[number];
+
+/** What is known of one upstream when a request may be sent to it. */
+export interface UpstreamFacts {
+  /** Whether its registration is known and it is not leaving. */
+  readonly isReady: boolean;
+  /** Its region; `undefined` if nobody declares its data centre. */
+  readonly region: string | undefined;
+  readonly isEvacuated: boolean;
+  /** Whether this request was sent there before. */
+  readonly wasTried: boolean;
+  /** Remaining back-off that it asked this host for, in ms. */
+  readonly backoffMs: number;
+}
+
+/** Returns why the upstream may not get a request; `undefined` if it may. */
+export function tryGetExclusion(
+  facts: UpstreamFacts,
+  allowedRegions: AllowedRegions,
+): Exclusion | undefined {
+  if (!facts.isReady) return "gone";
+  if (!isAllowed(facts.region, allowedRegions)) return "region";
+  if (facts.isEvacuated) return "evacuated";
+  if (facts.backoffMs > 0) return "back-off";
+  if (facts.wasTried) return "tried";
+  return undefined;
+}
+
+function isAllowed(
+  region: string | undefined,
+  allowedRegions: AllowedRegions,
+): boolean {
+  if (allowedRegions === undefined) return true;
+  return region !== undefined && allowedRegions.has(region);
+}
+
+/** The upstreams of a service, divided by whether a request may use them. */
+export interface EligibleUpstreams<T> {
+  readonly eligible: readonly T[];
+  /** Number of the other upstreams by reason. */
+  readonly excluded: ReadonlyMap<Exclusion, number>;
+}
+
+/** Divides the upstreams of a service. */
+export function selectEligible<T>(
+  upstreams: readonly T[],
+  getFacts: (upstream: T) => UpstreamFacts,
+  allowedRegions: AllowedRegions,
+): EligibleUpstreams<T> {
+  const eligible: T[] = [];
+  const excluded = new Map<Exclusion, number>();
+  for (const upstream of upstreams) {
+    const exclusion = tryGetExclusion(getFacts(upstream), allowedRegions);
+    if (exclusion === undefined) eligible.push(upstream);
+    else excluded.set(exclusion, (excluded.get(exclusion) ?? 0) + 1);
+  }
+  return { eligible, excluded };
+}
--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./eligibility.ts";
 export * from "./placement.ts";
 export * from "./least_loaded.ts";
 export * from "./prefix_affinity.ts";
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -87,6 +87,8 @@
   inFlight: number;
   /** Service that each team received, divided by its share. */
   shareUsed: number;
+  /** Data centres that are evacuated. */
+  evacuated: ReadonlySet<string>;
   /** Called with each decision when it is logged. */
   onDecision(decision: Decision): void;
 }
@@ -141,6 +143,7 @@
     unreadMs: 0,
     inFlight: 0,
     shareUsed: 0,
+    evacuated: new Set(),
     onDecision: () => {},
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
@@ -239,6 +242,8 @@
     backoffs: createBackoffWatch(clock),
     crashes: parts.crashes,
     retryBudget: createRetryBudget(clock),
+    getRegion: () => "lagos",
+    getEvacuated: () => parts.controls.evacuated,
     getDistance: () => "same-data-centre",
     isOverloaded: () => parts.controls.isOverloaded,
     getTurnOverrunMs: () => 0,
--- a/src/upstreams/backoff_watch.ts
+++ b/src/upstreams/backoff_watch.ts
@@ -28,11 +28,12 @@
    */
   recordSuccess(instance: UpstreamInstance): void;
   /**
-   * Returns the upstreams that may get a request now. After a back-off, an
-   * upstream gets few requests at a time until it has responded to some (slow
-   * start), unless there is no other upstream.
+   * Leaves out upstreams that have enough requests for the time right after a
+   * back-off: they get few at a time until they have responded to some (slow
+   * start), unless there is no other upstream. Expects upstreams that are not
+   * in back-off.
    */
-  filterAvailable<T extends UpstreamInstance>(
+  limitAfterBackoff<T extends UpstreamInstance>(
     upstreams: readonly T[],
     getInFlight: (id: string) => number,
   ): readonly T[];
@@ -99,13 +100,12 @@
       backoff.maxInFlight *= GROWTH_FACTOR;
       if (backoff.maxInFlight > MAX_IN_FLIGHT) backoffs.delete(instance.id);
     },
-    filterAvailable(upstreams, getInFlight) {
+    limitAfterBackoff(upstreams, getInFlight) {
       if (backoffs.size === 0) return upstreams;
-      const available = upstreams.filter((each) => getRemainingMs(each) === 0);
-      const belowLimit = available.filter((each) =>
+      const belowLimit = upstreams.filter((each) =>
         getInFlight(each.id) < (tryGet(each)?.maxInFlight ?? Infinity)
       );
-      return belowLimit.length > 0 ? belowLimit : available;
+      return belowLimit.length > 0 ? belowLimit : upstreams;
     },
   };
 }
--- a/src/upstreams/backoff_watch_test.ts
+++ b/src/upstreams/backoff_watch_test.ts
@@ -15,8 +15,10 @@
     backoffs,
     inFlight,
     getAvailable: (...lives: readonly (typeof one)[]) =>
-      backoffs.filterAvailable(lives, (id) => inFlight.get(id) ?? 0)
-        .map((each) => each.id),
+      backoffs.limitAfterBackoff(
+        lives.filter((each) => backoffs.getRemainingMs(each) === 0),
+        (id) => inFlight.get(id) ?? 0,
+      ).map((each) => each.id),
   };
 }
 
