Count requests to cold upstreams over the whole fleet

Nothing read what upstreams and operators say of a warm-up.

An upstream is cold when its registration or an answer says so, when it says nothing of it after a start, under whatever id, and after an evacuation of its data centre; counted from when this host learns of it. For each cold upstream and start a few hosts of its region are drawn by rendezvous, each with a part of the limit, as evenly spaced requests. The parts leave room for the one request by which such a host can exceed its part in a second, so that hosts with one view keep the limit itself, not the margin of the rule. Dead hosts count until they are forgotten, so that the parts of all sides of a partition add up to the limit; a host has none in its first 3 s. Right before the first byte the count is asked again.

Prefill limits and pauses are not learned from cold upstreams.

Tests: the parts of all hosts over all sides of a partition (property), a host's own limit in any second (property), cold by entry, answer, start and evacuation, an expired row, the fleet at 74, 195 and 390 hosts, and four hosts on loopback: on 68 requests in one second where 6 are tolerated, now within the limit and not left idle.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -51,6 +51,8 @@
       readonly readingTokens: number;
       /** Prompts of underserved teams that wait for it at other hosts. */
       readonly underservedElsewhere: number;
+      /** Whether it is cold and gets no request of this host at the moment. */
+      readonly isWarmUpSpent: boolean;
     }
     | undefined;
 }
@@ -152,6 +154,16 @@
     readonly platformEra?: number | undefined;
     readonly platformVersion: number;
   }
+  | {
+    /** An upstream is taken for cold; it gets few requests until it is warm. */
+    readonly event: "upstream-cold";
+    readonly upstream: string;
+    readonly service: string;
+    /** Wall milliseconds of the start of the upstream. */
+    readonly incarnation: number;
+    readonly because: "unknown" | "entry" | "answer" | "evacuation-ended";
+    readonly leftMs: number;
+  }
   | {
     /** A route or a team allows a region to which no data centre belongs. */
     readonly event: "region-undeclared";
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -68,6 +68,7 @@
     case "attempt-failed":
       return subject.upstreams.has(decision.upstream);
     case "upstream-changed":
+    case "upstream-cold":
     case "upstream-said":
       return isAtHost || subject.upstreams.has(decision.upstream);
     default:
@@ -143,6 +144,9 @@
       return `${decision.event} in ${decision.dataCentre}${
         decision.isDeclared ? "" : ", which is not declared"
       } (platform's version ${decision.platformVersion})`;
+    case "upstream-cold":
+      return `Upstream ${decision.upstream} of ${decision.service} is cold for ` +
+        `${decision.leftMs} ms, known from: ${decision.because}`;
     case "region-undeclared":
       return `Configuration ${decision.version} allows the region ` +
         `"${decision.region}", to which no data centre belongs`;
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -135,6 +135,7 @@
         inFlight: 27,
         readingTokens: 13_900,
         underservedElsewhere: 0,
+        isWarmUpSpent: false,
       },
     },
   });
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -23,6 +23,11 @@
   readonly state: "ready" | "leaving";
   /** Wall-clock start time in ms; distinguishes restarts under the same id. */
   readonly incarnation: number;
+  /**
+   * Remaining warm-up in ms when the entry was written; `undefined` if it says
+   * nothing of it.
+   */
+  readonly warmUpLeftMs: number | undefined;
 }
 
 /**
--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -32,10 +32,8 @@
   getReady(service: string): readonly UpstreamEntry[];
   /** Whether this instance of the upstream may still receive new requests. */
   isReady(entry: UpstreamEntry): boolean;
-  /**
-   * Number of requests that the upstream processes concurrently; 0 if unknown.
-   */
-  getSlots(upstream: string): number;
+  /** Returns the upstream's entry, also of one that is leaving. */
+  tryGet(id: string): UpstreamEntry | undefined;
   /** Records that the instance is leaving. Returns false if that was known. */
   markLeaving(instance: UpstreamInstance, from: LeavingSource): boolean;
   /** Replaces the table's rows by those as of the position. */
@@ -165,7 +163,7 @@
       return known !== undefined && acceptsWork(known) &&
         known.incarnation === entry.incarnation;
     },
-    getSlots: (upstream) => rows.get(upstream)?.value.slots ?? 0,
+    tryGet: (id) => rows.get(id)?.value,
     markLeaving(instance, from) {
       if (!leaving.add(instance)) return false;
       const known = rows.get(instance.id)?.value;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -24,9 +24,10 @@
 import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
+import { createColdUpstreams, createWarmUps } from "../warmup/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
-import { countServingHosts } from "./fleet_size.ts";
+import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createIntake } from "./intake.ts";
 import { createPlatformView } from "./platform_view.ts";
@@ -161,12 +162,17 @@
 
   const queue = createPromptQueue({
     nowMs: clock.monotonicMs,
-    getLoad: (upstream) => ({
-      slots: platformView.directory.getSlots(upstream),
-      inFlight: load.getInFlight(upstream),
-      readingTokens: load.getReadingTokens(upstream),
-      underservedElsewhere: load.getUnderservedElsewhere(upstream),
-    }),
+    getLoad(upstream) {
+      const entry = platformView.directory.tryGet(upstream);
+      const allowance = entry && warmUps.getAllowance(entry);
+      return {
+        slots: entry?.slots ?? 0,
+        inFlight: load.getInFlight(upstream),
+        readingTokens: load.getReadingTokens(upstream),
+        underservedElsewhere: load.getUnderservedElsewhere(upstream),
+        isWarmUpSpent: allowance === "later" || allowance === "none",
+      };
+    },
     getShareUsed: load.getShareUsed,
     isOverserved: load.isOverserved,
     isUnderserved: load.isUnderserved,
@@ -179,6 +185,36 @@
       load.recordBegun(prompt.team, prompt.serviceTokens);
     },
   });
+  const tryGetWarmUpLimit = (service: string) =>
+    platformView.tryGetRoutes()?.tryGetWarmUpLimit(service);
+  const cold = createColdUpstreams({
+    clock,
+    tryGetLimit: tryGetWarmUpLimit,
+    onCold({ id, service, incarnation }, because, leftMs) {
+      log({
+        event: "upstream-cold",
+        upstream: id,
+        service,
+        incarnation,
+        because,
+        leftMs: Math.round(leftMs),
+      });
+    },
+  });
+  const warmUps = createWarmUps({
+    clock,
+    cold,
+    self: peerAddress,
+    startedMs,
+    tryGetLimit: tryGetWarmUpLimit,
+    getRegion: (dataCentre) => settings.regions.get(dataCentre),
+    getHosts: () =>
+      getServingHosts(peers.membership.getMembers()).map((each) => ({
+        address: each.peerAddress,
+        region: settings.regions.get(each.dataCentre),
+        isAlive: each.state === "alive",
+      })),
+  });
   const crashes = createCrashWatch({
     clock,
     self: peerAddress,
@@ -199,6 +235,8 @@
     regions: settings.regions,
     log,
     onUpstreamAdded: (upstream) => crashes.recordRunning(upstream),
+    onUpstreamRows: cold.update,
+    onEvacuationEnded: cold.recordEvacuationEnded,
     onPlatformRestored: () => registration.refresh(),
     onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
     getHosts: () => getAlive().map((each) => each.peerAddress),
@@ -268,12 +306,14 @@
       clock,
       getFleetRetryOptions(
         retries,
-        () => countServingHosts(peers.membership.getMembers()),
+        () => getServingHosts(peers.membership.getMembers()).length,
       ),
     ),
     tryGetRoutes: platformView.tryGetRoutes,
     getRegion: (dataCentre) => settings.regions.get(dataCentre),
     getEvacuated: platformView.getEvacuated,
+    warmUps,
+    recordWarmUp: cold.recordStated,
     getDistance: (dataCentre) => getDistance(settings, dataCentre),
     isOverloaded: loopMonitor.isOverloaded,
     getTurnOverrunMs: loopMonitor.getTurnOverrunMs,
--- a/src/entry/fleet_size.ts
+++ b/src/entry/fleet_size.ts
@@ -7,9 +7,11 @@
 import type { Member } from "../membership/mod.ts";
 
 /**
- * Counts the hosts that may be serving callers. One that is taken for dead may
+ * Returns the hosts that may be serving callers. One that is taken for dead may
  * only be cut off from this host, so that it counts until it is forgotten.
  */
-export function countServingHosts(members: readonly Member[]): number {
-  return members.filter((each) => each.state !== "leaving").length;
+export function getServingHosts(
+  members: readonly Member[],
+): readonly Member[] {
+  return members.filter((each) => each.state !== "leaving");
 }
--- a/src/entry/fleet_size_test.ts
+++ b/src/entry/fleet_size_test.ts
@@ -1,7 +1,7 @@
 import { strictEqual } from "node:assert";
 import { test } from "node:test";
 import type { Member, MemberState } from "../membership/mod.ts";
-import { countServingHosts } from "./fleet_size.ts";
+import { getServingHosts } from "./fleet_size.ts";
 
 function createMember(host: string, state: MemberState): Member {
   return {
@@ -20,5 +20,6 @@
   // can't reach each other.
   const members = ["dead", "dead", "suspect", "leaving"] as const;
   const known = members.map((state, at) => createMember(`other-${at}`, state));
-  strictEqual(countServingHosts([createMember("self", "alive"), ...known]), 4);
+  const serving = getServingHosts([createMember("self", "alive"), ...known]);
+  strictEqual(serving.length, 4);
 });
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -25,6 +25,7 @@
   type TableDistribution,
   type TableName,
   type TableReplica,
+  type TableRow,
   type TableSnapshot,
   type UpstreamDirectory,
   type UpstreamEntry,
@@ -58,6 +59,10 @@
   onPlatformRestored(): void;
   /** Called when an upstream process is known to be running. */
   onUpstreamAdded(upstream: UpstreamEntry): void;
+  /** Called with all rows of upstreams before a change of them is in force. */
+  onUpstreamRows(rows: Iterable<TableRow<UpstreamEntry>>): void;
+  /** Called when a data centre was taken back after an evacuation. */
+  onEvacuationEnded(dataCentre: string): void;
   /** Peer addresses of the hosts that are alive, including this one. */
   getHosts(): readonly string[];
   broadcastFact(fact: Fact): void;
@@ -145,14 +150,16 @@
 
   const evacuations = createEvacuations({
     clock: host.clock,
-    onChange: (dataCentre, change) =>
+    onChange(dataCentre, change) {
+      if (change === "ended") host.onEvacuationEnded(dataCentre);
       host.log({
         event: `evacuation-${change}`,
         dataCentre,
         isDeclared: host.regions.has(dataCentre),
         platformEra: config.getPosition().era,
         platformVersion: config.getPosition().version,
-      }),
+      });
+    },
   });
 
   function updateFromOperators(from: string): void {
@@ -191,7 +198,10 @@
   function onChanged(table: TableName, from: string): void {
     eras.recordPosition(table, tables[table].getPosition(), from);
     if (table === "config") updateFromOperators(from);
-    else directory.update(upstreams.getRows(), upstreams.getPosition());
+    else {
+      host.onUpstreamRows(upstreams.getRows().values());
+      directory.update(upstreams.getRows(), upstreams.getPosition());
+    }
   }
 
   async function fetchTableFrom(table: TableName, peer: string): Promise<void> {
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -8,7 +8,7 @@
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import { isContentBlocked } from "./blocked_content.ts";
 import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
-import { mayStillUse } from "./eligible_upstreams.ts";
+import { countWarmUp, mayStillUse } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { recordSignals } from "./upstream_signals.ts";
 import { AttemptFailed } from "./types.ts";
@@ -55,6 +55,7 @@
       mayStillSend: () =>
         !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
       onSent() {
+        countWarmUp(host, call, upstream);
         progress.attempts++;
         progress.possibleRuns++;
       },
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -22,6 +22,7 @@
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { BackoffWatch, HealthWatch } from "../upstreams/mod.ts";
+import type { WarmUps } from "../warmup/mod.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
 /** Dependencies of forwarding, supplied by the process. */
@@ -53,6 +54,9 @@
    * each change.
    */
   getEvacuated(): ReadonlySet<string>;
+  readonly warmUps: WarmUps;
+  /** Called when a response states how long its upstream stays cold, in ms. */
+  recordWarmUp(upstream: UpstreamEntry, leftMs: number): void;
   /** Returns how far a data centre is from this host. */
   getDistance(dataCentre: string): Distance;
   /**
@@ -125,6 +129,13 @@
   /** Ids of the upstreams that must not be tried again. */
   readonly triedUpstreams: Set<string>;
   upstream: UpstreamEntry | undefined;
+  /**
+   * Id of the upstream for which the request was counted against a warm-up
+   * limit when it was picked.
+   */
+  countedWarmUpOf: string | undefined;
+  /** Whether the upstream was cold when the latest attempt started. */
+  isUpstreamCold: boolean;
   /**
    * Removes the request's tokens from the upstream's load once prefill has
    * ended. Kept here and not only with the picked upstream, because a caller
@@ -154,6 +165,8 @@
     possibleRuns: 0,
     triedUpstreams: new Set(),
     upstream: undefined,
+    countedWarmUpOf: undefined,
+    isUpstreamCold: false,
     endPrefill: () => {},
     lastEventId,
     firstEventMs: undefined,
@@ -164,6 +177,11 @@
   };
 }
 
+/** Whether the request waits in the queue of prompts for an upstream. */
+export function isQueued({ route, headers }: Call): boolean {
+  return route.hasPrompts && headers.prompt !== undefined;
+}
+
 /** Returns the time until the request's deadline, in ms. */
 export function getRemainingMs(host: ForwardHost, call: Call): number {
   return call.deadlineMs - host.clock.monotonicMs();
--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -7,6 +7,7 @@
 
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import {
+  type EligibilityRules,
   type EligibleUpstreams,
   type Exclusion,
   EXCLUSIONS,
@@ -15,7 +16,7 @@
   type UpstreamFacts,
 } from "../placement/mod.ts";
 import type { AllowedRegions } from "../routing/mod.ts";
-import type { Call, ForwardHost } from "./call.ts";
+import { type Call, type ForwardHost, isQueued } from "./call.ts";
 import { createNotRunRejection, type Rejected } from "./rejections.ts";
 import { getBackoffRetryMs, getNoUpstreamRetryMs } from "./retry_after.ts";
 
@@ -44,8 +45,28 @@
   call: Call,
   upstream: UpstreamEntry,
 ): boolean {
-  const facts = { ...getFacts(host, call, upstream), wasTried: false };
-  return tryGetExclusion(facts, getAllowedRegions(host, call)) === undefined;
+  const facts = getFacts(host, call, upstream);
+  const isCounted = call.progress.countedWarmUpOf === upstream.id;
+  const exclusion = tryGetExclusion({
+    ...facts,
+    wasTried: false,
+    warmUp: isCounted ? "now" : facts.warmUp,
+  }, { allowedRegions: getAllowedRegions(host, call), mayWait: false });
+  return exclusion === undefined;
+}
+
+/**
+ * Counts a request against the warm-up limit of the upstream, unless it was
+ * counted when the upstream was picked.
+ */
+export function countWarmUp(
+  host: ForwardHost,
+  call: Call,
+  upstream: UpstreamEntry,
+): void {
+  if (call.progress.countedWarmUpOf === upstream.id) return;
+  host.warmUps.take(upstream);
+  call.progress.countedWarmUpOf = upstream.id;
 }
 
 function divideUpstreams(
@@ -55,10 +76,17 @@
   return selectEligible(
     host.directory.getReady(call.service),
     (upstream) => getFacts(host, call, upstream),
-    getAllowedRegions(host, call),
+    getRules(host, call),
   );
 }
 
+function getRules(host: ForwardHost, call: Call): EligibilityRules {
+  return {
+    allowedRegions: getAllowedRegions(host, call),
+    mayWait: isQueued(call),
+  };
+}
+
 function getFacts(
   host: ForwardHost,
   call: Call,
@@ -70,6 +98,7 @@
     isEvacuated: host.getEvacuated().has(upstream.dataCentre),
     wasTried: call.progress.triedUpstreams.has(upstream.id),
     backoffMs: host.backoffs.getRemainingMs(upstream),
+    warmUp: host.warmUps.getAllowance(upstream),
   };
 }
 
@@ -109,11 +138,11 @@
   host: ForwardHost,
   call: Call,
 ): number | undefined {
-  const allowedRegions = getAllowedRegions(host, call);
+  const rules = getRules(host, call);
   let leastMs: number | undefined;
   for (const upstream of host.directory.getReady(call.service)) {
     const facts = getFacts(host, call, upstream);
-    if (tryGetExclusion(facts, allowedRegions) !== "back-off") continue;
+    if (tryGetExclusion(facts, rules) !== "back-off") continue;
     leastMs = Math.min(leastMs ?? Infinity, facts.backoffMs);
   }
   return leastMs;
@@ -126,6 +155,7 @@
   evacuated: "in evacuated data centres",
   "back-off": "in back-off",
   tried: "tried before",
+  "warming-up": "warming up, with no request due from this host",
 };
 
 function describeUnavailable(
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -112,6 +112,7 @@
   call.progress.upstream = upstream;
   call.progress.attemptStartedMs = host.clock.monotonicMs();
   call.progress.triedUpstreams.add(upstream.id);
+  call.progress.isUpstreamCold = host.warmUps.isCold(upstream);
   logAttempt(host, call, picked);
   health.beginRequest(upstream.id);
   host.load.beginRequest(upstream.id);
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -21,8 +21,17 @@
   WaitingPrompt,
 } from "../queue/mod.ts";
 import { hasDisconnected } from "../requests/caller.ts";
-import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
-import { createUnavailable, getEligible } from "./eligible_upstreams.ts";
+import {
+  type Call,
+  type ForwardHost,
+  getRemainingMs,
+  isQueued,
+} from "./call.ts";
+import {
+  countWarmUp,
+  createUnavailable,
+  getEligible,
+} from "./eligible_upstreams.ts";
 import { Rejected } from "./rejections.ts";
 import type { Prompt } from "./types.ts";
 
@@ -58,7 +67,7 @@
   call: Call,
 ): Effect.Effect<PickedUpstream, Rejected> {
   const { prompt } = call.headers;
-  if (!call.route.hasPrompts || prompt === undefined) {
+  if (prompt === undefined || !isQueued(call)) {
     return Effect.suspend(() => pickLeastLoaded(host, call));
   }
   return waitInQueue(host, call, prompt);
@@ -79,6 +88,7 @@
   if (upstream === undefined) {
     return Effect.fail(createUnavailable(host, call));
   }
+  countWarmUp(host, call, upstream);
   return Effect.succeed({
     upstream,
     readingTokens: undefined,
@@ -111,6 +121,7 @@
       start(id, { readingTokens, queuedTokens }) {
         const upstream = host.directory.getReady(call.service)
           .find((each) => each.id === id)!;
+        countWarmUp(host, call, upstream);
         let isPrefilling = true;
         call.progress.endPrefill = () => {
           if (isPrefilling) host.load.endPrefill(id, readingTokens);
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -60,7 +60,7 @@
     function onFirstEvent(nowMs: number): void {
       progress.endPrefill();
       progress.firstEventMs ??= nowMs - call.arrivedMs;
-      if (picked.queuedTokens === undefined) return;
+      if (picked.queuedTokens === undefined || progress.isUpstreamCold) return;
       const tookMs = nowMs - progress.attemptStartedMs - host.getUnreadMs();
       host.getPacing(call.service)
         .recordFirstEvent(picked.queuedTokens, Math.max(0, tookMs));
@@ -121,14 +121,15 @@
 
 /**
  * Creates a sampler that reports the pauses of one response to the pacing of
- * its service; `undefined` if the route has no pause target.
+ * its service; `undefined` if the route has no pause target, or if the upstream
+ * is cold: it is slower than the limit is learned for.
  */
 function createSampler(
   host: ForwardHost,
-  { route, service }: Call,
+  { route, service, progress }: Call,
 ): PauseSampler | undefined {
   const { pauseTargetMs } = route;
-  if (pauseTargetMs === undefined) return undefined;
+  if (pauseTargetMs === undefined || progress.isUpstreamCold) return undefined;
   return createPauseSampler({
     targetMs: pauseTargetMs,
     onSample: host.getPacing(service).recordPause,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -72,6 +72,11 @@
    * for none.
    */
   readonly backoff: RequestedBackoff | undefined;
+  /**
+   * How long the upstream states that it stays cold, in ms; `undefined` if it
+   * states nothing.
+   */
+  readonly warmUpLeftMs: number | undefined;
 }
 
 /**
--- a/src/forwarding/upstream_signals.ts
+++ b/src/forwarding/upstream_signals.ts
@@ -1,6 +1,6 @@
 /**
  * Handles the signals that upstreams send in response headers: that they are
- * leaving, or that clients should back off.
+ * leaving, that clients should back off, or that they are cold.
  *
  * @module
  */
@@ -13,7 +13,10 @@
 export interface ResponseHead {
   readonly upstream: UpstreamEntry;
   readonly status: number;
-  readonly headers: Pick<ResponseHeaders, "isLeaving" | "backoff">;
+  readonly headers: Pick<
+    ResponseHeaders,
+    "isLeaving" | "backoff" | "warmUpLeftMs"
+  >;
 }
 
 /**
@@ -25,7 +28,10 @@
   call: Call,
   head: ResponseHead,
 ): void {
-  const { isLeaving, backoff } = head.headers;
+  const { isLeaving, backoff, warmUpLeftMs } = head.headers;
+  if (warmUpLeftMs !== undefined && warmUpLeftMs > 0) {
+    host.recordWarmUp(head.upstream, warmUpLeftMs);
+  }
   if (isLeaving) {
     logSignal(host, call, head, { said: "leaving" });
     host.markLeaving(head.upstream);
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -18,6 +18,7 @@
 import { measureSlowUpstream } from "./slow_upstream.ts";
 import { measureTableSoak } from "./table_soak.ts";
 import { measureUtilisation } from "./utilisation.ts";
+import { measureWarmUp } from "./warm_up.ts";
 import { meetsBounds, printReport, type Report } from "./report.ts";
 
 /** Options that vary a scenario. */
@@ -40,6 +41,7 @@
   "slow-upstream": measureSlowUpstream,
   scale: measureScale,
   "table-soak": measureTableSoak,
+  "warm-up": measureWarmUp,
 };
 
 const command = defineCommand({
--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -170,6 +170,7 @@
         inFlight: view.getInFlight(engine),
         readingTokens: view.getReadingTokens(engine),
         underservedElsewhere: view.getUnderservedElsewhere(engine),
+        isWarmUpSpent: false,
       }),
       getShareUsed: view.getShareUsed,
       isOverserved: view.isOverserved,
--- a/src/placement/eligibility.ts
+++ b/src/placement/eligibility.ts
@@ -4,7 +4,7 @@
  *
  * Load: while requests wait, connect or resume, operators change the allowed
  * regions and evacuate data centres, and upstreams leave, ask for a back-off or
- * start again.
+ * start again and are cold.
  *
  * Failure prevented: each place decides by the conditions that it knows of, so
  * that a request reaches an upstream that another place would have left out.
@@ -13,6 +13,7 @@
  */
 
 import type { AllowedRegions } from "../routing/mod.ts";
+import type { WarmUpAllowance } from "../warmup/mod.ts";
 
 /**
  * Why an upstream may not get a request; of several reasons, the first in this
@@ -24,6 +25,7 @@
   "evacuated",
   "back-off",
   "tried",
+  "warming-up",
 ] as const;
 
 /** Why an upstream may not get a request. */
@@ -40,18 +42,30 @@
   readonly wasTried: boolean;
   /** Remaining back-off that it asked this host for, in ms. */
   readonly backoffMs: number;
+  /** What its warm-up allows this host now. */
+  readonly warmUp: WarmUpAllowance;
+}
+
+/** What a request allows. */
+export interface EligibilityRules {
+  readonly allowedRegions: AllowedRegions;
+  /** Whether the request can wait here until an upstream has room. */
+  readonly mayWait: boolean;
 }
 
 /** Returns why the upstream may not get a request; `undefined` if it may. */
 export function tryGetExclusion(
   facts: UpstreamFacts,
-  allowedRegions: AllowedRegions,
+  { allowedRegions, mayWait }: EligibilityRules,
 ): Exclusion | undefined {
   if (!facts.isReady) return "gone";
   if (!isAllowed(facts.region, allowedRegions)) return "region";
   if (facts.isEvacuated) return "evacuated";
   if (facts.backoffMs > 0) return "back-off";
   if (facts.wasTried) return "tried";
+  const { warmUp } = facts;
+  if (warmUp === "none") return "warming-up";
+  if (warmUp === "later" && !mayWait) return "warming-up";
   return undefined;
 }
 
@@ -74,12 +88,12 @@
 export function selectEligible<T>(
   upstreams: readonly T[],
   getFacts: (upstream: T) => UpstreamFacts,
-  allowedRegions: AllowedRegions,
+  rules: EligibilityRules,
 ): EligibleUpstreams<T> {
   const eligible: T[] = [];
   const excluded = new Map<Exclusion, number>();
   for (const upstream of upstreams) {
-    const exclusion = tryGetExclusion(getFacts(upstream), allowedRegions);
+    const exclusion = tryGetExclusion(getFacts(upstream), rules);
     if (exclusion === undefined) eligible.push(upstream);
     else excluded.set(exclusion, (excluded.get(exclusion) ?? 0) + 1);
   }
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -26,6 +26,8 @@
  * - After a long event-loop iteration many waiting prompts are late. Late
  *   prompts are therefore refused before any prompt starts, and no prompt
  *   starts for a caller that has disconnected.
+ * - An upstream that has just started gets few requests until it is warm. Those
+ *   for which none is due from this host yet wait, or go to the next one.
  * - Prefilling a shared prefix at a second upstream takes prefill time from all
  *   other prompts there. A prompt therefore leaves the upstreams chosen by its
  *   prefix only for an idle one.
@@ -189,8 +191,8 @@
    * again delays no other request.
    */
   function isIdle({ upstream }: RankedUpstream): boolean {
-    const { inFlight, readingTokens } = getLoad(upstream);
-    return readingTokens <= 0 && inFlight <= 0;
+    const { inFlight, readingTokens, isWarmUpSpent } = getLoad(upstream);
+    return readingTokens <= 0 && inFlight <= 0 && !isWarmUpSpent;
   }
 
   /** Removes a prompt; false when it was no longer in the queue. */
@@ -389,6 +391,7 @@
 
 /** Whether an upstream has room for a prompt. */
 export function hasRoom(load: UpstreamLoad, request: RoomRequest): boolean {
+  if (load.isWarmUpSpent) return false;
   if (load.inFlight >= load.slots * request.slotShare) return false;
   const readingTokens = load.readingTokens + request.readingTokens;
   const isWithinLimit = readingTokens <= request.limitTokens;
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -38,6 +38,8 @@
   const underserved = new Map<string, number>();
   const underservedReports: Readonly<Record<string, number>>[] = [];
   const log: string[] = [];
+  /** Cold upstreams that get no prompt of this host at the moment. */
+  const spentWarmUps = new Set<string>();
   /** Requests whose callers have disconnected. */
   const disconnected = new Set<string>();
   const randoms: number[] = [];
@@ -50,7 +52,12 @@
     getLoad(upstream) {
       loadReads++;
       const underservedElsewhere = underserved.get(upstream) ?? 0;
-      return { slots: 48, ...getUse(upstream), underservedElsewhere };
+      return {
+        slots: 48,
+        ...getUse(upstream),
+        underservedElsewhere,
+        isWarmUpSpent: spentWarmUps.has(upstream),
+      };
     },
     isOverserved: (team) => overserved.has(team),
     isUnderserved: (team) => underservedTeams.has(team),
@@ -295,6 +302,7 @@
       inFlight: 30,
       readingTokens: 14_000,
       underservedElsewhere: 0,
+      isWarmUpSpent: false,
     },
   };
   deepStrictEqual(fixture.refusals, [
@@ -375,6 +383,7 @@
     inFlight: 10,
     readingTokens: 0,
     underservedElsewhere: 0,
+    isWarmUpSpent: false,
   };
   const need = {
     readingTokens: 100_000,
--- a/src/queue/shared_capacity_test.ts
+++ b/src/queue/shared_capacity_test.ts
@@ -95,6 +95,7 @@
         inFlight: view.getInFlight(upstream),
         readingTokens: view.getReadingTokens(upstream),
         underservedElsewhere: view.getUnderservedElsewhere(upstream),
+        isWarmUpSpent: false,
       }),
       getShareUsed: view.getShareUsed,
       isOverserved: view.isOverserved,
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -117,6 +117,11 @@
   readonly readingTokens: number;
   /** Prompts of underserved teams that wait for it at other hosts. */
   readonly underservedElsewhere: number;
+  /**
+   * Whether the upstream is cold and gets no request of this host at the
+   * moment.
+   */
+  readonly isWarmUpSpent: boolean;
 }
 
 /** Scheduling policy of the queue. */
--- a/src/routing/route_table.ts
+++ b/src/routing/route_table.ts
@@ -7,6 +7,7 @@
  */
 
 import { getOrCreate } from "../core/mod.ts";
+import type { WarmUpLimit } from "../warmup/types.ts";
 import { type AllowedRegions, intersectRegions } from "./allowed_regions.ts";
 import type { Route, RoutingConfig, WeightedService } from "./types.ts";
 
@@ -24,6 +25,8 @@
    * in ms; `undefined` when no prompt route uses the service.
    */
   tryGetPromptTargetMs(service: string): number | undefined;
+  /** Returns the limit on requests to the service's cold upstreams. */
+  tryGetWarmUpLimit(service: string): WarmUpLimit | undefined;
   /** Returns the regions that both the route and the team allow. */
   getAllowedRegions(route: Route, team: string | undefined): AllowedRegions;
   /** Returns the regions that all routes of the host name allow. */
@@ -42,6 +45,9 @@
     for (const key of team.keys) teamByKey.set(key, team.name);
   }
 
+  const warmUpByService = new Map(
+    config.services.map((service) => [service.name, service.warmUp]),
+  );
   const regionsByTeam = new Map(
     config.teams.map((team) => [team.name, team.allowedRegions]),
   );
@@ -63,6 +69,7 @@
       return tryGetLongestPrefix(routes, getPath(target));
     },
     tryGetTeam: (key) => teamByKey.get(key),
+    tryGetWarmUpLimit: (service) => warmUpByService.get(service),
     getAllowedRegions: (route, team = "") =>
       intersectRegions([route.allowedRegions, regionsByTeam.get(team) ?? []]),
     getAllowedRegionsOfHostName(hostName) {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { WarmUpLimit } from "../warmup/types.ts";
+
 /**
  * Whether a request may be repeated. `idempotent`: it may run any number of
  * times. `at-most-once`: at most one upstream may run it. `stream`: the
@@ -67,6 +69,11 @@
    * plain service.
    */
   readonly promptMemoryTokens: number | undefined;
+  /**
+   * Limit on requests to upstreams that have just started; `undefined` if they
+   * need no warm-up.
+   */
+  readonly warmUp: WarmUpLimit | undefined;
 }
 
 /** A team and the keys of its callers. */
--- a/src/testing/call_codec.ts
+++ b/src/testing/call_codec.ts
@@ -44,6 +44,7 @@
       backoff: headers["x-rest-ms"] === undefined
         ? undefined
         : { kind: "for", ms: Number(headers["x-rest-ms"]) },
+      warmUpLeftMs: undefined,
     }),
     createRejectionHeaders({ retryAfterMs }): Record<string, string> {
       if (retryAfterMs === undefined) return {};
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -87,6 +87,8 @@
   inFlight: number;
   /** Service that each team received, divided by its share. */
   shareUsed: number;
+  /** Whether all upstreams are cold; what they get is not limited here. */
+  isUpstreamCold: boolean;
   /** Data centres that are evacuated. */
   evacuated: ReadonlySet<string>;
   /** Called with each decision when it is logged. */
@@ -144,6 +146,7 @@
     inFlight: 0,
     shareUsed: 0,
     evacuated: new Set(),
+    isUpstreamCold: false,
     onDecision: () => {},
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
@@ -227,6 +230,7 @@
         inFlight: parts.controls.inFlight,
         readingTokens: 0,
         underservedElsewhere: 0,
+        isWarmUpSpent: false,
       }),
       getShareUsed: () => parts.controls.shareUsed,
       isOverserved: () => false,
@@ -244,6 +248,13 @@
     retryBudget: createRetryBudget(clock),
     getRegion: () => "lagos",
     getEvacuated: () => parts.controls.evacuated,
+    warmUps: {
+      getAllowance: () => "unlimited",
+      take: () => {},
+      isCold: () => parts.controls.isUpstreamCold,
+      getLeftMs: () => 0,
+    },
+    recordWarmUp: () => {},
     getDistance: () => "same-data-centre",
     isOverloaded: () => parts.controls.isOverloaded,
     getTurnOverrunMs: () => 0,
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -154,6 +154,8 @@
     lastIncarnation++;
     return createPlatformView({
       regions: new Map([["lagos-ikeja", "lagos"]]),
+      onUpstreamRows: () => {},
+      onEvacuationEnded: () => {},
       clock,
       platform: tables.createPlatform(host),
       peerAddress: host,
--- a/src/testing/routing_fixture.ts
+++ b/src/testing/routing_fixture.ts
@@ -39,6 +39,7 @@
       name: "model",
       maxConnections: 100,
       promptMemoryTokens: 400_000,
+      warmUp: undefined,
     }],
     teams: [{
       name: "fitters",
@@ -68,6 +69,7 @@
     slots: 48,
     state: "ready",
     incarnation: 1,
+    warmUpLeftMs: 0,
     ...changes,
   };
 }
