--- a/src/warmup/cold_upstreams.ts
+++ b/src/warmup/cold_upstreams.ts
@@ -1,7 +1,7 @@
 /**
  * Which upstreams are cold, and for how long. An upstream is cold when it says
  * so, and also when it may have started without this host's knowledge: when its
- * registration says nothing of it, and when its data centre is taken back after
+ * registration says nothing of it within a minute of its start, and when its data centre is taken back after
  * an evacuation.
  *
  * All times count from when this host learns of them, which is later than the
@@ -61,6 +61,12 @@
 /** Upper bound on the known upstreams; the oldest entry is evicted first. */
 const MAX_RECORDS = 4_000;
 
+/**
+ * An upstream that started longer ago than this, in ms, is warm unless it says
+ * otherwise: more than any warm-up, and than clocks differ.
+ */
+const MAX_WARM_UP_AGE_MS = 65_000;
+
 interface ColdRecord {
   readonly entry: WarmUpEntry;
   readonly rowVersion: number;
@@ -107,6 +113,11 @@
     });
   }
 
+  /** Whether an upstream that says nothing may have started recently. */
+  function mayBeWarmingUp({ incarnation }: WarmUpEntry): boolean {
+    return clock.wallMs() - incarnation < MAX_WARM_UP_AGE_MS;
+  }
+
   function updateRow({ value, version }: WarmUpRow): ColdRecord {
     const known = records.get(value.id);
     const isSameStart = known?.entry.incarnation === value.incarnation;
@@ -119,7 +130,7 @@
     };
     if (value.warmUpLeftMs !== undefined) {
       extend(record, "entry", value.warmUpLeftMs);
-    } else if (!isSameStart) {
+    } else if (!isSameStart && mayBeWarmingUp(value)) {
       const nowMs = clock.monotonicMs();
       change(record, "unknown", () => record.unknownSinceMs = nowMs);
     }
--- a/src/warmup/cold_upstreams_test.ts
+++ b/src/warmup/cold_upstreams_test.ts
@@ -69,6 +69,14 @@
   deepStrictEqual(reasons, ["one unknown", "one unknown"]);
 });
 
+test("an upstream that started long ago and says nothing is warm", () => {
+  // Guards against hosts that refuse all requests for seconds after a restart.
+  const { clock, cold, update } = createFixture();
+  clock.advance(60_000);
+  update({ ...one, warmUpLeftMs: undefined });
+  strictEqual(cold.getLeftMs(one), 0);
+});
+
 test("a start under an old id that is not in the table yet counts as cold", () => {
   const { cold, update } = createFixture();
   update(one);
