--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -259,6 +259,8 @@
     getQueued: queue.getCount,
     countInFlight: drain.countInFlight,
     countAliveHosts: () => getAlive().length,
+    countEvacuated: () => platformView.getEvacuated().size,
+    countColdUpstreams: cold.count,
     getUnreadMs: loopMonitor.getUnreadMs,
     getReadingLimits: () =>
       [...pacings.keys()].map((service) => ({
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -16,6 +16,9 @@
   getQueued(): number;
   countInFlight(): number;
   countAliveHosts(): number;
+  /** Data centres that are evacuated, as far as this host knows. */
+  countEvacuated(): number;
+  countColdUpstreams(): number;
   getUnreadMs(): number;
   getReadingLimits(): readonly ReadingLimit[];
   isReady(): boolean;
@@ -128,6 +131,16 @@
     "Hosts alive, this one included",
     () => host.countAliveHosts(),
   );
+  addGauge(
+    "azurestile_data_centres_evacuated",
+    "Data centres whose upstreams get no new requests",
+    () => host.countEvacuated(),
+  );
+  addGauge(
+    "azurestile_upstreams_cold",
+    "Upstreams that get few requests until they are warm",
+    () => host.countColdUpstreams(),
+  );
   addGauge(
     "azurestile_unread_seconds",
     "How long a request that is read now may have waited unread",
