--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -24,11 +24,11 @@
 import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
-import { createColdUpstreams, createWarmUps } from "../warmup/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
+import { createHostWarmUps } from "./host_warm_ups.ts";
 import { createIntake } from "./intake.ts";
 import { createPlatformView } from "./platform_view.ts";
 import { getDistance } from "./distance.ts";
@@ -104,6 +104,10 @@
       .filter((each) => each.state === "alive");
   }
 
+  function getAliveAddresses(): readonly string[] {
+    return getAlive().map((each) => each.peerAddress);
+  }
+
   function onFact(fact: Fact): void {
     if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receiveFact(fact);
     else if (fact.key.startsWith(FULL_KEY_PREFIX)) fullHosts.receive(fact);
@@ -185,40 +189,18 @@
       load.recordBegun(prompt.team, prompt.serviceTokens);
     },
   });
-  const tryGetWarmUpLimit = (service: string) =>
-    platformView.tryGetRoutes()?.tryGetWarmUpLimit(service);
-  const cold = createColdUpstreams({
-    clock,
-    tryGetLimit: tryGetWarmUpLimit,
-    onCold({ id, service, incarnation }, because, leftMs) {
-      log({
-        event: "upstream-cold",
-        upstream: id,
-        service,
-        incarnation,
-        because,
-        leftMs: Math.round(leftMs),
-      });
-    },
-  });
-  const warmUps = createWarmUps({
+  const { cold, warmUps } = createHostWarmUps({
     clock,
-    cold,
-    self: peerAddress,
+    settings,
     startedMs,
-    tryGetLimit: tryGetWarmUpLimit,
-    getRegion: (dataCentre) => settings.regions.get(dataCentre),
-    getHosts: () =>
-      getServingHosts(peers.membership.getMembers()).map((each) => ({
-        address: each.peerAddress,
-        region: settings.regions.get(each.dataCentre),
-        isAlive: each.state === "alive",
-      })),
+    tryGetRoutes: () => platformView.tryGetRoutes(),
+    getMembers: () => peers.membership.getMembers(),
+    log,
   });
   const crashes = createCrashWatch({
     clock,
     self: peerAddress,
-    getHosts: () => getAlive().map((each) => each.peerAddress),
+    getHosts: getAliveAddresses,
     sendFacts: (facts, to) => peers.membership.sendFacts(facts, to),
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
     gossipFact: (fact) => peers.membership.gossipFact(fact),
@@ -239,7 +221,7 @@
     onEvacuationEnded: cold.recordEvacuationEnded,
     onPlatformRestored: () => registration.refresh(),
     onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
-    getHosts: () => getAlive().map((each) => each.peerAddress),
+    getHosts: getAliveAddresses,
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
     gossipFact: (fact) => peers.membership.gossipFact(fact),
     fetchTable: (name, peer) => peers.fetchTable(name, peer),
--- a/src/measure/warm_up_test.ts
+++ b/src/measure/warm_up_simulation_test.ts
@@ -1,6 +1,7 @@
 import { ok } from "node:assert";
 import { test } from "node:test";
-import { simulateWarmUp, type Visibility } from "./warm_up.ts";
+import type { Visibility } from "./warm_up_policies.ts";
+import { simulateWarmUp } from "./warm_up_simulation.ts";
 
 const limit = { durationMs: 3_000, requestsPerSecond: 9 };
 
