--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -1,6 +1,7 @@
 import { deepStrictEqual, ok, rejects, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
 import { INTERNAL_ERROR_ID } from "../testing/call_codec.ts";
 import {
   type Behaviour,
@@ -10,22 +11,6 @@
 const plain = { kind: "idempotent", isResumable: false } as const;
 const once = { kind: "at-most-once", isResumable: false } as const;
 
-/** A sealed response to the request, with a length. */
-function answer(id: string, body: string, status = "200 OK"): string {
-  return `HTTP/1.1 ${status}\r\nx-id: ${id}\r\nx-seal: s\r\n` +
-    `content-length: ${body.length}\r\n\r\n${body}`;
-}
-
-/** The head of a response with chunked transfer encoding. */
-function streamHead(id: string): string {
-  return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-seal: s\r\n` +
-    "transfer-encoding: chunked\r\n\r\n";
-}
-
-function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
 const answers: Behaviour = (socket, { id }) => socket.write(answer(id, "done"));
 
 test("a request and its response are forwarded unchanged", async () => {
