Send short prompts to cold upstreams first while a request is due there

Change: for a prompt whose shared prefix any upstream reads as cheaply, a cold upstream goes first as long as this host's next request is due there.

--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -10,10 +10,9 @@
 import {
   getAffinityKey,
   getPrefillTokens,
-  NEGLIGIBLE_PREFILL_TOKENS,
-  putSameRegionFirst,
   rankByAffinity,
   rankByLoad,
+  rankForPrompt,
 } from "../placement/mod.ts";
 import type {
   PromptRefusal,
@@ -179,46 +178,25 @@
   };
 }
 
-/**
- * Ranks upstreams by the prompt's affinity, each with the tokens that it would
- * have to prefill.
- */
+/** Ranks the upstreams that the prompt may use now. */
 function rankUpstreams(
   host: ForwardHost,
   call: Call,
   prompt: Prompt,
 ): readonly RankedUpstream[] {
-  const key = getAffinityKey(prompt.model, prompt.parts);
-  const candidates = getEligible(host, call);
-  const ranked = rankByAffinity(key, candidates);
-  // All hosts send prompts with the same shared prefix to the same upstream,
-  // which therefore has it cached for all but the first of them.
-  const unsharedTokens = getUnsharedPrefillTokens(prompt);
-  const totalTokens = getPrefillTokens(prompt.promptTokens, 0);
-  // If the shared prefix is small, each region can cache a copy of its own:
-  // most of the traffic between regions is responses, event by event.
-  const isSharedPrefixSmall =
-    totalTokens - unsharedTokens <= NEGLIGIBLE_PREFILL_TOKENS;
-  const ordered = isSharedPrefixSmall
-    ? putSameRegionFirst(ranked, createSameRegionTest(host, candidates))
-    : ranked;
-  return ordered.map((upstream, at) => ({
-    upstream,
-    readingTokens: at === 0 ? unsharedTokens : totalTokens,
-  }));
-}
-
-/** Returns a predicate for the candidates that are in this host's region. */
-function createSameRegionTest(
-  host: ForwardHost,
-  candidates: readonly UpstreamEntry[],
-): (id: string) => boolean {
-  const sameRegion = new Set(
-    candidates
-      .filter((each) => host.getDistance(each.dataCentre) !== "other-region")
-      .map((each) => each.id),
+  const candidates = new Map(
+    getEligible(host, call).map((each) => [each.id, each]),
   );
-  return (id) => sameRegion.has(id);
+  const key = getAffinityKey(prompt.model, prompt.parts);
+  return rankForPrompt({
+    ranked: rankByAffinity(key, [...candidates.values()]),
+    unsharedTokens: getUnsharedPrefillTokens(prompt),
+    totalTokens: getPrefillTokens(prompt.promptTokens, 0),
+    isNear: (id) =>
+      host.getDistance(candidates.get(id)!.dataCentre) !== "other-region",
+    isColdAndDue: (id) =>
+      host.warmUps.getAllowance(candidates.get(id)!) === "now",
+  });
 }
 
 /**
--- a/src/placement/placement_choices_test.ts
+++ b/src/placement/placement_choices_test.ts
@@ -1,11 +1,7 @@
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { rankByLoad } from "./least_loaded.ts";
-import {
-  getAffinityKey,
-  putSameRegionFirst,
-  rankByAffinity,
-} from "./prefix_affinity.ts";
+import { getAffinityKey, putFirst, rankByAffinity } from "./prefix_affinity.ts";
 
 const upstreams = Array.from({ length: 8 }, (_, at) => ({ id: `up-${at}` }));
 
@@ -62,7 +58,7 @@
   // as well.
   const isSameRegion = (id: string) => id === "up-1" || id === "up-3";
   deepStrictEqual(
-    putSameRegionFirst(["up-0", "up-1", "up-2", "up-3"], isSameRegion),
+    putFirst(["up-0", "up-1", "up-2", "up-3"], isSameRegion),
     ["up-1", "up-3", "up-0", "up-2"],
   );
 });
--- a/src/placement/prefix_affinity.ts
+++ b/src/placement/prefix_affinity.ts
@@ -53,13 +53,13 @@
   return rankByRendezvous(key, upstreams.map((each) => each.id));
 }
 
-/** Moves the ids of the same region to the front; keeps the order otherwise. */
-export function putSameRegionFirst(
+/** Moves the preferred ids to the front; keeps the order otherwise. */
+export function putFirst(
   ids: readonly string[],
-  isSameRegion: (id: string) => boolean,
+  isPreferred: (id: string) => boolean,
 ): readonly string[] {
   return [
-    ...ids.filter(isSameRegion),
-    ...ids.filter((id) => !isSameRegion(id)),
+    ...ids.filter(isPreferred),
+    ...ids.filter((id) => !isPreferred(id)),
   ];
 }
