Count a request whose upstream turned cold after it was picked

A request that was picked for a warm upstream was marked as counted, so that it was sent, uncounted, if the upstream was found to be cold while the connection was made (an evacuation taken back, an entry that says so). It is marked only if the upstream is cold.

--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -57,14 +57,16 @@
 
 /**
  * Counts a request against the warm-up limit of the upstream, unless it was
- * counted when the upstream was picked.
+ * counted when the upstream was picked. One that was warm then and is cold now
+ * is counted now.
  */
 export function countWarmUp(
   host: ForwardHost,
   call: Call,
   upstream: UpstreamEntry,
 ): void {
-  if (call.progress.countedWarmUpOf === upstream.id) return;
+  const isCounted = call.progress.countedWarmUpOf === upstream.id;
+  if (isCounted || !host.warmUps.isCold(upstream)) return;
   host.warmUps.take(upstream);
   call.progress.countedWarmUpOf = upstream.id;
 }
--- a/src/forwarding/eligible_upstreams_test.ts
+++ b/src/forwarding/eligible_upstreams_test.ts
@@ -68,6 +68,16 @@
   deepStrictEqual(fixture.arrivals, ["up-0"]);
 });
 
+test("a request is not sent to an upstream that turned cold after it was picked", async () => {
+  // Guards against requests that nobody counts against the warm-up limit.
+  await using fixture = await createForwardFixture([answers], plain);
+  fixture.controls.onDecision = ({ event }) => {
+    if (event === "attempt-started") fixture.controls.warmUp = "none";
+  };
+  strictEqual((await fixture.call()).status, 503);
+  deepStrictEqual(fixture.arrivals, []);
+});
+
 test("nothing is learned for pacing from a cold upstream", async () => {
   // Guards against a prefill limit that falls for all upstreams since a few that
   // have just started are slow.
@@ -76,7 +86,7 @@
       streamHead(id) + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n",
     );
   }], { hasPrompts: true });
-  fixture.controls.isUpstreamCold = true;
+  fixture.controls.warmUp = "now";
   strictEqual((await fixture.call()).status, 200);
   deepStrictEqual(fixture.recordedPacing, { firstEvents: [], pauses: [] });
 });
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -27,6 +27,7 @@
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
+import type { WarmUpAllowance } from "../warmup/mod.ts";
 import { createTestCodec } from "./call_codec.ts";
 import {
   createRoute,
@@ -87,8 +88,8 @@
   inFlight: number;
   /** Service that each team received, divided by its share. */
   shareUsed: number;
-  /** Whether all upstreams are cold; what they get is not limited here. */
-  isUpstreamCold: boolean;
+  /** What the warm-up of each upstream allows the host. */
+  warmUp: WarmUpAllowance;
   /** Data centres that are evacuated. */
   evacuated: ReadonlySet<string>;
   /** Called with each decision when it is logged. */
@@ -146,7 +147,7 @@
     inFlight: 0,
     shareUsed: 0,
     evacuated: new Set(),
-    isUpstreamCold: false,
+    warmUp: "unlimited",
     onDecision: () => {},
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
@@ -249,9 +250,9 @@
     getRegion: () => "lagos",
     getEvacuated: () => parts.controls.evacuated,
     warmUps: {
-      getAllowance: () => "unlimited",
+      getAllowance: () => parts.controls.warmUp,
       take: () => {},
-      isCold: () => parts.controls.isUpstreamCold,
+      isCold: () => parts.controls.warmUp !== "unlimited",
       getLeftMs: () => 0,
     },
     recordWarmUp: () => {},
