--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -164,6 +164,13 @@
     readonly because: "unknown" | "entry" | "answer" | "evacuation-ended";
     readonly leftMs: number;
   }
+  | {
+    /** A part of the configuration makes no sense; the rest is in force. */
+    readonly event: "config-doubtful";
+    readonly version: number;
+    /** The part, and what holds instead. */
+    readonly problem: string;
+  }
   | {
     /** A route or a team allows a region to which no data centre belongs. */
     readonly event: "region-undeclared";
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -147,6 +147,8 @@
     case "upstream-cold":
       return `Upstream ${decision.upstream} of ${decision.service} is cold for ` +
         `${decision.leftMs} ms, known from: ${decision.because}`;
+    case "config-doubtful":
+      return `Configuration ${decision.version}: ${decision.problem}`;
     case "region-undeclared":
       return `Configuration ${decision.version} allows the region ` +
         `"${decision.region}", to which no data centre belongs`;
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -176,6 +176,9 @@
     if (next.version <= (routes?.config.version ?? -1)) return;
     routes = createRouteTable(next);
     logUndeclaredRegions(next);
+    for (const problem of next.problems) {
+      host.log({ event: "config-doubtful", version: next.version, problem });
+    }
     host.log({
       event: "config-in-force",
       version: next.version,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -108,4 +108,9 @@
    * Prompt and output tokens that all upstreams together process in a second.
    */
   readonly tokensPerSecond: number | undefined;
+  /**
+   * What operators wrote that makes no sense, each with what holds instead; the
+   * rest of the configuration is in force.
+   */
+  readonly problems: readonly string[];
 }
--- a/src/testing/routing_fixture.ts
+++ b/src/testing/routing_fixture.ts
@@ -53,6 +53,7 @@
       idleTimeoutMs: 15_000,
     },
     tokensPerSecond: 100_000,
+    problems: [],
     ...changes,
   };
 }
