Ask for a cold upstream without changing what is known of it

isCold forgot this host's part of an upstream that had turned warm, so that a question changed state. Parts are bounded by number instead, the oldest first. A part of an earlier warm-up of the same start may allow one request at once, as the bound in any second does.

--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -253,7 +253,6 @@
       getAllowance: () => parts.controls.warmUp,
       take: () => {},
       isCold: () => parts.controls.warmUp !== "unlimited",
-      getLeftMs: () => 0,
     },
     recordWarmUp: () => {},
     getDistance: () => "same-data-centre",
--- a/src/warmup/warm_ups.ts
+++ b/src/warmup/warm_ups.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Clock } from "../core/mod.ts";
+import { type Clock, dropOldest } from "../core/mod.ts";
 import type { ColdUpstreams } from "./cold_upstreams.ts";
 import type { WarmingUpstream, WarmUpAllowance, WarmUpLimit } from "./types.ts";
 import { getWarmUpPart, type PartHost } from "./warm_up_part.ts";
@@ -17,8 +17,6 @@
   /** Counts a request to the upstream; does nothing if it is warm. */
   take(upstream: WarmingUpstream): void;
   isCold(upstream: WarmingUpstream): boolean;
-  /** Returns how long the upstream stays cold, in ms; 0 if it is warm. */
-  getLeftMs(upstream: WarmingUpstream): number;
 }
 
 /** Dependencies of the limits. */
@@ -44,6 +42,9 @@
 /** A part is decided again after this time, in ms. */
 const PART_TTL_MS = 200;
 
+/** Upper bound on the known parts; the oldest entry is evicted first. */
+const MAX_PARTS = 1_000;
+
 interface Part {
   readonly incarnation: number;
   requestsPerSecond: number;
@@ -82,7 +83,10 @@
       due: 0,
       countedMs: nowMs,
     };
-    if (part !== known) parts.set(upstream.id, part);
+    if (part !== known) {
+      parts.set(upstream.id, part);
+      dropOldest(parts, MAX_PARTS);
+    }
     const passedMs = nowMs - part.countedMs;
     part.due = Math.min(
       1,
@@ -96,12 +100,7 @@
     return part;
   }
 
-  function isCold(upstream: WarmingUpstream): boolean {
-    if (host.tryGetLimit(upstream.service) === undefined) return false;
-    if (cold.getLeftMs(upstream) > 0) return true;
-    parts.delete(upstream.id);
-    return false;
-  }
+  const isCold = (upstream: WarmingUpstream) => cold.getLeftMs(upstream) > 0;
 
   return {
     getAllowance(upstream) {
@@ -114,6 +113,5 @@
       if (isCold(upstream)) getPart(upstream).due -= 1;
     },
     isCold,
-    getLeftMs: (upstream) => isCold(upstream) ? cold.getLeftMs(upstream) : 0,
   };
 }
