Log what became of each response's body

Callers got bodies cut short that looked whole. The log could not say why: a response that was read whole, one that had arrived whole and was thrown away unread, and a part behind which the upstream closed all ended as "answered", and a failure of the connection behind the head of a response was in no line.

`request-ended`, or `attempt-failed` for an attempt that failed, now has the body of the response: framing, bytes announced, received, read, never read and relayed, whether the end of the body arrived, how long reading paused for the caller, and how the upstream's connection ended, with the code of a failure. Each body is in one line; there are no more lines than before. `azurestile-trace` prints it in its sentence. No decision depends on it.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -57,6 +57,51 @@
     | undefined;
 }
 
+/**
+ * How the end of a response body is marked: by its length, by the closing chunk,
+ * by the end of the connection, or not at all, as there is no body.
+ */
+export type BodyFraming = "length" | "chunked" | "until-close" | "none";
+
+/**
+ * How the upstream's connection ended, as far as known when the line is written:
+ *
+ * - `kept`: it was kept for the next request.
+ * - `closed`: an orderly end, from either side; also a reset that arrived
+ *   together with the last bytes, which Node reports as such.
+ * - `failed`: an error, such as a reset.
+ * - `aborted`: this host closed it before the end of the response.
+ * - `open`: the response had not ended yet.
+ */
+export type BodyConnection =
+  | "kept"
+  | "closed"
+  | "failed"
+  | "aborted"
+  | "open";
+
+/** What became of the body of an upstream's response. Sizes without framing. */
+export interface LoggedBody {
+  readonly framing: BodyFraming;
+  /** `Content-Length` of the response; absent with any other framing. */
+  readonly announcedBytes: number | undefined;
+  /** Bytes that had arrived when the connection ended. */
+  readonly receivedBytes: number;
+  /** Bytes of them that were handed to the reader of this host. */
+  readonly readBytes: number;
+  /** Bytes of them that were never read. */
+  readonly unreadBytes: number;
+  /** Bytes that were given to the response to the caller. */
+  readonly relayedBytes: number;
+  /** Whether the end of the body had arrived, read or not. */
+  readonly isEndReceived: boolean;
+  /** Time for which reading was paused because the caller did not read. */
+  readonly pausedMs: number;
+  readonly connection: BodyConnection;
+  /** Code of the error of a failed connection, such as `ECONNRESET`. */
+  readonly code: string | undefined;
+}
+
 /** A decision with the data that it was based on. */
 export type Decision =
   | {
@@ -94,6 +139,8 @@
     readonly because: string | undefined;
     /** Digest of the content, if it may have crashed the upstream. */
     readonly fingerprint: string | undefined;
+    /** The body of the response of this attempt; absent if none had begun. */
+    readonly body: LoggedBody | undefined;
   }
   | {
     readonly event: "request-ended";
@@ -117,6 +164,11 @@
     readonly retryAfterMs: number | undefined;
     /** The data that a refusal by the queue was based on. */
     readonly queue: QueueInputs | undefined;
+    /**
+     * The body of the response of the latest attempt; absent if none had begun,
+     * or if it is in the line of that attempt's failure.
+     */
+    readonly body: LoggedBody | undefined;
     readonly inputs: Inputs;
   }
   | {
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Decision, Inputs, QueueInputs } from "./decisions.ts";
+import type { Decision, Inputs, LoggedBody, QueueInputs } from "./decisions.ts";
 import type { LoggedDecision } from "./decision_lines.ts";
 
 /** The logged decisions that concern one request. */
@@ -122,13 +122,13 @@
       return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
         `"${decision.reason}"; next: ${decision.next}${
           decision.because === undefined ? "" : `, since "${decision.because}"`
-        }`;
+        }${formatBody(decision.body)}`;
     case "request-ended":
       return `Ended as ${decision.outcome} with status ${decision.status} ` +
         `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
         `"${decision.reason}"${formatRetry(decision.retryAfterMs)}${
           formatQueue(decision.queue)
-        }; ${formatInputs(decision.inputs)}`;
+        }${formatBody(decision.body)}; ${formatInputs(decision.inputs)}`;
     case "reading-limit-changed":
       return `An upstream of ${decision.service} may have ` +
         `${decision.limitTokens} tokens to prefill; ${decision.inTimeTokens} ` +
@@ -260,6 +260,20 @@
     `teams waited for it at other hosts`;
 }
 
+function formatBody(body: LoggedBody | undefined): string {
+  if (body === undefined) return "";
+  const { announcedBytes, code, isEndReceived } = body;
+  const announced = announcedBytes === undefined ? "" : ` of ${announcedBytes}`;
+  return `; the response body (${body.framing}): ${body.receivedBytes}` +
+    `${announced} bytes received ${
+      isEndReceived ? "to" : "without"
+    } its end, ` +
+    `${body.unreadBytes} of them not read, ${body.relayedBytes} relayed, ` +
+    `paused for ${body.pausedMs} ms, connection ${body.connection}${
+      code === undefined ? "" : ` (${code})`
+    }`;
+}
+
 function formatInputs(inputs: Inputs): string {
   return `configuration ${inputs.configVersion} and upstreams ` +
     `${inputs.upstreamsVersion}, last read ${inputs.confirmedMsAgo} ms before`;
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -115,6 +115,32 @@
   match(text, /Upstream i-1 of model: removed/);
 });
 
+test("a cut response is described with what was received, read and relayed", () => {
+  // Guards against a cut whose cause is in the log but not in its trace.
+  const end = createEnd("r-1", {
+    body: {
+      framing: "length",
+      announcedBytes: 4_800,
+      receivedBytes: 4_800,
+      readBytes: 4_000,
+      unreadBytes: 800,
+      relayedBytes: 3_900,
+      isEndReceived: true,
+      pausedMs: 31,
+      connection: "failed",
+      code: "ECONNRESET",
+    },
+  });
+  const { logged } = parseDecisionLines(createLine("h1", 0, end));
+  const [, line] = formatRequestTrace(tryTraceRequest(logged, "r-1")!);
+  match(
+    line!,
+    /body \(length\): 4800 of 4800 bytes received to its end, 800 of/,
+  );
+  match(line!, /not read, 3900 relayed, paused for 31 ms, connection failed/);
+  match(line!, /failed \(ECONNRESET\); configuration 4/);
+});
+
 test("a refusal is described with its wait, its reason and the time to retry", () => {
   const end = createEnd("r-1", {
     outcome: "not-run",
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -61,9 +61,10 @@
       },
     });
   }).pipe(
-    Effect.flatMap((response) =>
-      validateResponse(host, call, upstream, response)
-    ),
+    Effect.flatMap((response) => {
+      progress.bodyTrace = response.trace;
+      return validateResponse(host, call, upstream, response);
+    }),
   );
 }
 
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -10,7 +10,7 @@
 import type { RetryBudget } from "../admission/mod.ts";
 import type { Clock } from "../core/mod.ts";
 import type { CrashWatch } from "../crashes/mod.ts";
-import type { Decision, Inputs } from "../diagnostics/mod.ts";
+import type { Decision, Inputs, LoggedBody } from "../diagnostics/mod.ts";
 import type {
   UpstreamDirectory,
   UpstreamEntry,
@@ -23,6 +23,7 @@
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { BackoffWatch, HealthWatch } from "../upstreams/mod.ts";
 import type { WarmUps } from "../warmup/mod.ts";
+import type { BodyTrace } from "./body_trace.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
 /** Dependencies of forwarding, supplied by the process. */
@@ -154,6 +155,11 @@
    */
   chunks: number;
   longestPauseMs: number;
+  /**
+   * The body of the latest response; `undefined` without one, and once it has
+   * been logged.
+   */
+  bodyTrace: BodyTrace | undefined;
   status: number;
 }
 
@@ -173,6 +179,7 @@
     attemptStartedMs: 0,
     chunks: 0,
     longestPauseMs: 0,
+    bodyTrace: undefined,
     status: 0,
   };
 }
@@ -186,3 +193,16 @@
 export function getRemainingMs(host: ForwardHost, call: Call): number {
   return call.deadlineMs - host.clock.monotonicMs();
 }
+
+/**
+ * Returns the latest response's body for the log, once: each body is in exactly
+ * one line.
+ */
+export function takeLoggedBody(
+  host: ForwardHost,
+  { progress }: Call,
+): LoggedBody | undefined {
+  const body = progress.bodyTrace?.toLog(host.clock.monotonicMs());
+  progress.bodyTrace = undefined;
+  return body;
+}
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -14,7 +14,12 @@
   createBlockedRejection,
   isContentBlocked,
 } from "./blocked_content.ts";
-import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
+import {
+  type Call,
+  type ForwardHost,
+  getRemainingMs,
+  takeLoggedBody,
+} from "./call.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { decideNextStep, type NextStep } from "./next_step.ts";
 import { relayStream } from "./relay_stream.ts";
@@ -231,6 +236,7 @@
   }
   headers.push("Content-Length", String(length));
   res.writeHead(statusCode, headers);
+  response.trace.onRelayed(length);
   for (const chunk of chunks) res.write(chunk);
   res.end();
 }
@@ -311,5 +317,6 @@
     next: step.kind,
     because: step.kind === "give-up" ? step.because : undefined,
     fingerprint: err.kind === "cut-off" ? call.fingerprint : undefined,
+    body: takeLoggedBody(host, call),
   });
 }
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -43,7 +43,7 @@
 ): Effect.Effect<void, AttemptFailed | CallerLost> {
   return Effect.callback<void, AttemptFailed | CallerLost>((resume) => {
     const { res: caller, progress, route } = call;
-    const { res: upstreamRes } = response;
+    const { res: upstreamRes, trace } = response;
     const splitter = createEventSplitter();
     const canFailOver = route.isResumable &&
       progress.possibleRuns < route.maxAttempts;
@@ -79,15 +79,21 @@
       pauseSampler?.addPause(pauseMs - host.getUnreadMs(), nowMs);
       if (!caller.headersSent) startStream(call, response);
       progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
+      trace.onRelayed(chunk.bytes.length);
       if (caller.write(chunk.bytes)) return;
       upstreamRes.pause();
-      caller.once("drain", () => upstreamRes.resume());
+      trace.onPaused(nowMs);
+      caller.once("drain", () => {
+        trace.onResumed(host.clock.monotonicMs());
+        upstreamRes.resume();
+      });
     }
 
     const pauseSampler = createSampler(host, call);
     upstreamRes.on("data", (bytes: Buffer) => {
       host.health.recordActivity(picked.upstream.id);
       idleTimeout?.restart();
+      trace.onRead(bytes.length);
       const chunk = splitter.push(bytes);
       if (chunk !== undefined) relayChunk(chunk);
     });
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -9,7 +9,7 @@
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import type { CallerLost } from "../requests/caller.ts";
 import type { Route } from "../routing/mod.ts";
-import type { Call, ForwardHost } from "./call.ts";
+import { type Call, type ForwardHost, takeLoggedBody } from "./call.ts";
 import { getOutcome, type Rejected, sendRejection } from "./rejections.ts";
 import type { CallHeaders } from "./types.ts";
 
@@ -114,6 +114,7 @@
     longestPauseMs: roundMs(call?.progress.longestPauseMs),
     retryAfterMs: end.retryAfterMs,
     queue: end.queue,
+    body: call === undefined ? undefined : takeLoggedBody(host, call),
     inputs: host.getInputs(),
   });
   host.onRequestEnded({
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -14,6 +14,7 @@
 } from "node:http";
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
+import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { AttemptFailed } from "./types.ts";
 
 /** A request to an upstream. */
@@ -41,6 +42,8 @@
 /** A response whose head has been received but whose body has not been read. */
 export interface UpstreamResponse {
   readonly res: IncomingMessage;
+  /** What becomes of the body, for the log. */
+  readonly trace: BodyTrace;
   /** Closes the connection, regardless of how much has been read. */
   abort(): void;
   /**
@@ -63,6 +66,7 @@
     const [host, port] = call.address.split(":");
     let isSent = false;
     let hasHead = false;
+    let trace: BodyTrace | undefined;
     const req = sendRequest({
       agent: call.agent,
       host,
@@ -100,13 +104,21 @@
       hasHead = true;
       // Without a listener, an error event of the body would end the process.
       res.on("error", () => {});
+      const bodyTrace = createBodyTrace(res, call.method);
+      trace = bodyTrace;
+      res.on("close", bodyTrace.onClosed);
       const isComplete = hasBodyLength(res)
         ? Effect.sync(() => res.complete)
         : watchForReset(res);
-      resume(Effect.succeed({ res, abort: () => req.destroy(), isComplete }));
+      function abort(): void {
+        bodyTrace.onConnectionEnd("aborted");
+        req.destroy();
+      }
+      resume(Effect.succeed({ res, trace: bodyTrace, abort, isComplete }));
     });
     req.on("error", (err) => {
       const reason = `${(err as NodeJS.ErrnoException).code ?? err.message}`;
+      trace?.onConnectionEnd("failed", reason);
       fail(isSent ? getSentFailure(reason) : "not-sent", reason);
     });
     req.end(call.body);
@@ -124,7 +136,7 @@
   response: UpstreamResponse,
   limits: { readonly maxBytes: number; readonly timeoutMs: number },
 ): Effect.Effect<readonly Buffer[], AttemptFailed> {
-  const { res, abort } = response;
+  const { res, trace, abort } = response;
   return Effect.callback<readonly Buffer[], AttemptFailed>((resume) => {
     const chunks: Buffer[] = [];
     let size = 0;
@@ -143,6 +155,7 @@
     );
     res.on("data", (chunk: Buffer) => {
       size += chunk.length;
+      trace.onRead(chunk.length);
       if (size > limits.maxBytes) fail("broken", "The response is too large");
       else chunks.push(chunk);
     });
