Count response bodies by framing and end of connection

Callers got bodies cut short that looked whole, and no metric showed it: the requests counted as answered. A scrape now has the bodies of upstreams' responses by framing and by how the upstream's connection ended, and those that had arrived whole but were not read whole. Both count what the log lines say. They stand before the families that grow with the number of routes; the test of a cut scrape now asks for them too.

--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -6,7 +6,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ConnectResult } from "../crashes/mod.ts";
-import type { Decision } from "../diagnostics/mod.ts";
+import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
 import type { FetchOutcome } from "./platform_view.ts";
 
@@ -106,6 +106,12 @@
     labelNames: ["result"],
     registers,
   });
+  const bodiesUnread = new Counter({
+    name: "azurestile_response_bodies_unread_total",
+    help: "Bodies that arrived whole and were not read whole",
+    labelNames: ["connection"],
+    registers,
+  });
   const logLinesDropped = new Counter({
     name: "azurestile_log_lines_dropped_total",
     help: "Log lines lost since the reader of the output fell behind",
@@ -163,6 +169,13 @@
     () => Number(host.isReady()),
   );
 
+  // Up to twenty series.
+  const bodies = new Counter({
+    name: "azurestile_response_bodies_total",
+    help: "Bodies of upstreams' responses, by framing and end of connection",
+    labelNames: ["framing", "connection"],
+    registers,
+  });
   // The families that grow with the number of routes come last, since a scrape
   // may be cut at some length.
   const ended = new Counter({
@@ -196,6 +209,12 @@
     });
   }
 
+  function observeBody(body: LoggedBody): void {
+    const { framing, connection, isEndReceived, unreadBytes } = body;
+    bodies.inc({ framing, connection });
+    if (isEndReceived && unreadBytes > 0) bodiesUnread.inc({ connection });
+  }
+
   return {
     observeEnd(end) {
       const route = end.route ?? "none";
@@ -207,6 +226,7 @@
     },
     observeDecision(decision) {
       decisions.inc({ event: decision.event });
+      if ("body" in decision && decision.body) observeBody(decision.body);
       if (decision.event === "attempt-failed") {
         attemptsFailed.inc({ kind: decision.kind, next: decision.next });
       } else if (isSentAfterDisconnect(decision)) {
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -1,14 +1,13 @@
 import { ok } from "node:assert";
 import { test } from "node:test";
-import { createEntryMetrics } from "./metrics.ts";
+import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
+import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
 
 /** Length at which a collector may cut a scrape, in bytes. */
 const CUT_BYTES = 4_096;
 
-test("a scrape that is cut still has the decisions of a host with many routes", async () => {
-  // Guards against counters of decisions that are cut off behind those of the
-  // routes.
-  const metrics = createEntryMetrics({
+function createMetrics(): EntryMetrics {
+  return createEntryMetrics({
     getConfigVersion: () => 1,
     getQueued: () => 0,
     countInFlight: () => 0,
@@ -19,6 +18,77 @@
     getReadingLimits: () => [],
     isReady: () => true,
   });
+}
+
+/** The end of a request whose upstream's response had this body. */
+function createEnd(body: LoggedBody): Decision {
+  return {
+    event: "request-ended",
+    request: "r-1",
+    team: "calm",
+    route: "route-1",
+    outcome: "answered",
+    status: 200,
+    reason: "The upstream's response was relayed",
+    upstream: "i-1",
+    attempts: 1,
+    sinceAttemptMs: 5,
+    totalMs: 10,
+    firstEventMs: 5,
+    chunks: 3,
+    longestPauseMs: 2,
+    retryAfterMs: undefined,
+    queue: undefined,
+    body,
+    inputs: { configVersion: 1, upstreamsVersion: 1, confirmedMsAgo: 0 },
+  };
+}
+
+const wholeBody: LoggedBody = {
+  framing: "chunked",
+  announcedBytes: undefined,
+  receivedBytes: 900,
+  readBytes: 900,
+  unreadBytes: 0,
+  relayedBytes: 900,
+  isEndReceived: true,
+  pausedMs: 0,
+  connection: "kept",
+  code: undefined,
+};
+
+test("response bodies are counted by framing and connection, and what was lost unread", async () => {
+  // Guards against losses that only the log of a single request shows.
+  const metrics = createMetrics();
+  const lost: LoggedBody = {
+    ...wholeBody,
+    readBytes: 800,
+    unreadBytes: 100,
+    connection: "failed",
+    code: "ECONNRESET",
+  };
+  const cutShort: LoggedBody = { ...lost, isEndReceived: false };
+  for (const body of [wholeBody, lost, lost, cutShort]) {
+    metrics.observeDecision(createEnd(body));
+  }
+  const scrape = await metrics.render();
+  const labels = (connection: string) =>
+    `{framing="chunked",connection="${connection}"}`;
+  for (
+    const line of [
+      `azurestile_response_bodies_total${labels("kept")} 1`,
+      `azurestile_response_bodies_total${labels("failed")} 3`,
+      'azurestile_response_bodies_unread_total{connection="failed"} 2',
+    ]
+  ) {
+    ok(scrape.includes(`${line}\n`), line);
+  }
+});
+
+test("a scrape that is cut still has the decisions of a host with many routes", async () => {
+  // Guards against counters of decisions that are cut off behind those of the
+  // routes.
+  const metrics = createMetrics();
   for (let route = 0; route < 40; route++) {
     metrics.observeEnd({
       route: `route-${route}`,
@@ -29,6 +99,8 @@
     });
   }
   metrics.observeDecision({ event: "log-lines-dropped", lines: 1 });
-  const scrape = await metrics.render();
-  ok(scrape.slice(0, CUT_BYTES).includes('event="log-lines-dropped"'));
+  metrics.observeDecision(createEnd(wholeBody));
+  const cut = (await metrics.render()).slice(0, CUT_BYTES);
+  ok(cut.includes('event="log-lines-dropped"'));
+  ok(cut.includes('framing="chunked",connection="kept"'));
 });
