Log warnings and uncaught errors of Node as lines

Node's warnings came to standard error as bare text between the lines of the log: no host, no time, no count, cut off by whoever collects the output. So the log of a host could not say how often a caller's connection had got more than ten listeners, which is how pipelining callers show, nor which code added them. An uncaught error ended the process with nothing in the log.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -6,6 +6,8 @@
  */
 
 import type { Outcome } from "../types.ts";
+import type { UncaughtError } from "./runtime_watch.ts";
+import type { RuntimeWarning } from "./runtime_warnings.ts";
 
 /** The versions and the age of the data that a decision was based on. */
 export interface Inputs {
@@ -355,4 +357,8 @@
     readonly task: string;
     readonly reason: string;
   }
+  /** Warnings of Node.js, such as of a growing number of listeners. */
+  | { readonly event: "runtime-warning" } & RuntimeWarning
+  /** An error that nothing caught ends the process. */
+  | { readonly event: "uncaught-error" } & UncaughtError
   | { readonly event: "log-lines-dropped"; readonly lines: number };
--- a/src/diagnostics/mod.ts
+++ b/src/diagnostics/mod.ts
@@ -10,3 +10,4 @@
 export * from "./decisions.ts";
 export * from "./decision_lines.ts";
 export * from "./request_trace.ts";
+export * from "./runtime_watch.ts";
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -203,6 +203,12 @@
       return `${decision.event}: "${decision.reason}"`;
     case "task-failed":
       return `Task ${decision.task} failed: "${decision.reason}"`;
+    case "runtime-warning":
+      return `Node.js warned ${decision.count} times: ${decision.kind}, ` +
+        `"${decision.message}"`;
+    case "uncaught-error":
+      return `The process ended on an uncaught error: ${decision.kind}, ` +
+        `"${decision.message}"`;
     case "log-lines-dropped":
       return `${decision.lines} log lines were dropped: their reader was too slow`;
   }
