--- a/src/commands/router.ts
+++ b/src/commands/router.ts
@@ -7,7 +7,7 @@
 
 import process from "node:process";
 import { readSettings, type RouterSettings } from "../config/mod.ts";
-import { createLogger, type Logger } from "../diagnostics/mod.ts";
+import { createLogger, type Logger, watchRuntime } from "../diagnostics/mod.ts";
 import { createHttpPlatform } from "../platform/mod.ts";
 import { type Router, startRouterOnMachine } from "../router/router.ts";
 import { CommandError } from "./errors.ts";
@@ -35,6 +35,7 @@
   async run(options) {
     const settings = readSettings(options.settings);
     const logger = createLogger(settings.host, settings.logLevel);
+    watchRuntimeWith(logger);
     const router = await start(settings, logger);
     await waitForStopSignal(() => stopImmediately(router, logger));
     const { cut } = await router.drain();
@@ -44,6 +45,17 @@
   },
 };
 
+function watchRuntimeWith(logger: Logger): void {
+  watchRuntime({
+    writeWarning: ({ count, kind, message }) =>
+      logger.write("warn", "runtimeWarning", { args: [count, kind, message] }),
+    writeUncaught: ({ kind, message, stack }) =>
+      logger.write("error", "uncaughtError", { args: [kind, message, stack] }),
+    // Node writes standard output to pipes and files at once.
+    flush: () => Promise.resolve(),
+  });
+}
+
 /** Responses cut off by the drain limit or a second signal are a failure. */
 function getExitCode(cut: number): number {
   return exitCodes[cut > 0 ? "failed" : "ok"].code;
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -353,6 +353,12 @@
   ),
   upstreamLeaving: define(3033, "log", 'Upstream "{0}" is leaving: {1}'),
   orderGiven: define(3034, "log", 'Order to upstream "{0}": {1}: {2}'),
+  runtimeWarning: define(3035, "log", "Node.js warned {0} times: {1}: {2}"),
+  uncaughtError: define(
+    3036,
+    "log",
+    "An uncaught error ends the process: {0}: {1} {2}",
+  ),
 } as const satisfies Record<string, Message>;
 
 /** The name of an entry of the catalogue. */
