Show in tests that responses cut short look whole

Callers saw response bodies cut short that looked whole: a stream that ended with the closing chunk although pieces were missing, and a buffered body whose Content-Length fitted the part.

Streams: the upstream has sent the closing chunk, the host has received it, and the relay is paused, because the caller reads slowly or because an earlier response on its connection isn't finished. Then the upstream resets its connection. The tests wait until the host has read all bytes and has seen the reset, and demand the whole stream.

--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -6,7 +6,12 @@
  */
 
 import { Buffer } from "node:buffer";
-import { type IncomingHttpHeaders, request } from "node:http";
+import {
+  type Agent,
+  type IncomingHttpHeaders,
+  request,
+  type ServerResponse,
+} from "node:http";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
@@ -70,6 +75,12 @@
   readonly controls: Controls;
   readonly recordedPacing: RecordedPacing;
   readonly crashes: CrashWatch;
+  /** Port at which the host listens for callers. */
+  readonly port: number;
+  /** The host's responses to callers, in order of arrival. */
+  readonly responses: readonly ServerResponse[];
+  /** Holds the host's connections to the upstreams. */
+  readonly agent: Agent;
 }
 
 /** What was recorded in the service's pacing. */
@@ -163,10 +174,11 @@
     log: writeLog,
     tryGetRoutes: () => routes,
   });
-  const callers = await listen(
-    "127.0.0.1:0",
-    (req, res) => serve(host, req, res),
-  );
+  const responses: ServerResponse[] = [];
+  const callers = await listen("127.0.0.1:0", (req, res) => {
+    responses.push(res);
+    serve(host, req, res);
+  });
   const { port } = callers.server.address() as AddressInfo;
 
   return {
@@ -175,6 +187,9 @@
     controls,
     recordedPacing,
     crashes,
+    port,
+    responses,
+    agent: host.agent,
     call: (options = {}) => send(port, options),
     sendHead: () => sendHead(port),
     sendAndClose: () => sendAndClose(port),
--- /dev/null
+++ b/src/testing/held_upstream.ts
@@ -0,0 +1,117 @@
+/**
+ * An upstream whose connections are handed to the test, which sends the
+ * response step by step and waits until the host has done its part of each.
+ *
+ * @module
+ */
+
+import type { Agent } from "node:http";
+import type { Socket } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
+import type { Behaviour, ForwardFixture } from "./forward_fixture.ts";
+import { chunk } from "./raw_responses.ts";
+
+/** An upstream that leaves all responses to the test. */
+export interface HeldUpstream {
+  readonly behaviour: Behaviour;
+  /** Resolves to the connection on which the request with the id arrives. */
+  waitForRequest(id: string): Promise<Socket>;
+}
+
+/** Longest time, in ms, that a step of the host may take. */
+const STEP_TIMEOUT_MS = 3_000;
+
+/**
+ * Size of the pieces that fill the caller's connection, in bytes: small enough
+ * for the host to read each at once.
+ */
+const FILLING_PIECE_BYTES = 10_000;
+
+/** Creates an upstream that never responds by itself. */
+export function createHeldUpstream(): HeldUpstream {
+  const requests = new Map<string, Socket>();
+  return {
+    behaviour: (socket, { id }) => void requests.set(id, socket),
+    async waitForRequest(id) {
+      await waitUntil(() => requests.has(id), `request "${id}"`);
+      return requests.get(id)!;
+    },
+  };
+}
+
+/** One event of a stream, of about the given size. */
+export function createPiece(id: number, bytes: number): string {
+  return `id: ${id}\ndata: ${"x".repeat(bytes)}\n\n`;
+}
+
+/** Returns the number of complete events in a body. */
+export function countPieces(body: string): number {
+  return body.split("\n\n").length - 1;
+}
+
+/**
+ * Sends pieces until the host can pass on no more to the caller that has sent
+ * its only request. Returns their number.
+ */
+export async function sendUntilPaused(
+  fixture: ForwardFixture,
+  upstream: Socket,
+  encode: (piece: string) => string = chunk,
+): Promise<number> {
+  const res = fixture.responses[0]!;
+  let sent = 0;
+  while (!res.writableNeedDrain) {
+    sent++;
+    upstream.write(encode(createPiece(sent, FILLING_PIECE_BYTES)));
+    await waitUntilRead(fixture.agent, upstream);
+    const passedOn = sent * FILLING_PIECE_BYTES;
+    await waitUntil(
+      () => res.writableNeedDrain || res.socket!.bytesWritten > passedOn,
+      "piece at the caller's connection",
+    );
+  }
+  return sent;
+}
+
+/** Waits until the host has read all that the upstream has written. */
+export async function waitUntilRead(
+  agent: Agent,
+  upstream: Socket,
+): Promise<void> {
+  await waitUntil(
+    () => findHostSocket(agent, upstream)?.bytesRead === upstream.bytesWritten,
+    "read of all bytes",
+  );
+}
+
+/** Resets the upstream's connection, and waits until the host has seen it. */
+export async function resetAndWait(
+  agent: Agent,
+  upstream: Socket,
+): Promise<void> {
+  const hostSocket = findHostSocket(agent, upstream);
+  upstream.resetAndDestroy();
+  await waitUntil(() => hostSocket?.closed ?? true, "close after the reset");
+}
+
+/** Waits until the condition holds; rejects after a time-out. */
+export async function waitUntil(
+  condition: () => boolean,
+  what: string,
+): Promise<void> {
+  const untilMs = performance.now() + STEP_TIMEOUT_MS;
+  while (!condition()) {
+    if (performance.now() > untilMs) {
+      throw new Error(`No ${what} within ${STEP_TIMEOUT_MS} ms`);
+    }
+    await nextTurn();
+  }
+}
+
+/** Finds the host's end of an upstream's connection. */
+function findHostSocket(agent: Agent, upstream: Socket): Socket | undefined {
+  const sockets = [agent.sockets, agent.freeSockets]
+    .flatMap((each) => Object.values(each))
+    .flatMap((each) => each ?? []);
+  return sockets.find((each) => each.localPort === upstream.remotePort);
+}
