Divide the upstreams of a refused request once

The rejection of a request without an upstream went over all upstreams twice: once to count them by the reason that excludes them, once more for the shortest back-off among those that only a back-off excludes. The division now keeps the upstreams by reason, and the second pass reads one of its lists.

Behaviour as before. The test of the division now also checks that it loses and invents none; tests of placement and of eligible upstreams pass.

--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -121,7 +121,7 @@
  */
 export function createUnavailable(host: ForwardHost, call: Call): Rejected {
   const { excluded } = divideUpstreams(host, call);
-  const backoffMs = getLeastBackoffMs(host, call);
+  const backoffMs = getLeastBackoffMs(host, excluded.get("back-off") ?? []);
   // An upstream that was only tried may accept the caller's next attempt.
   if (backoffMs !== undefined && !excluded.has("tried")) {
     const reason =
@@ -135,19 +135,13 @@
   return createNotRunRejection(reason, getNoUpstreamRetryMs(host.random()));
 }
 
-/** The shortest back-off among upstreams that only a back-off excludes. */
+/** The shortest back-off of the upstreams; `undefined` without any. */
 function getLeastBackoffMs(
   host: ForwardHost,
-  call: Call,
+  upstreams: readonly UpstreamEntry[],
 ): number | undefined {
-  const rules = getRules(host, call);
-  let leastMs: number | undefined;
-  for (const upstream of host.directory.getReady(call.service)) {
-    const facts = getFacts(host, call, upstream);
-    if (tryGetExclusion(facts, rules) !== "back-off") continue;
-    leastMs = Math.min(leastMs ?? Infinity, facts.backoffMs);
-  }
-  return leastMs;
+  if (upstreams.length === 0) return undefined;
+  return Math.min(...upstreams.map(host.backoffs.getRemainingMs));
 }
 
 /** Texts that describe excluded upstreams, after their number. */
@@ -162,13 +156,13 @@
 
 function describeUnavailable(
   service: string,
-  excluded: ReadonlyMap<Exclusion, number>,
+  excluded: EligibleUpstreams<UpstreamEntry>["excluded"],
 ): string {
   if (excluded.size === 0) return `No upstream of "${service}" is ready`;
   if (excluded.size === 1 && excluded.has("tried")) {
     return `All ready upstreams of "${service}" have failed this request`;
   }
   const texts = EXCLUSIONS.filter((each) => excluded.has(each))
-    .map((each) => `${excluded.get(each)} ${exclusionTexts[each]}`);
+    .map((each) => `${excluded.get(each)!.length} ${exclusionTexts[each]}`);
   return `No upstream of "${service}" may be used: ${texts.join(", ")}`;
 }
--- a/src/placement/eligibility.ts
+++ b/src/placement/eligibility.ts
@@ -12,6 +12,7 @@
  * @module
  */
 
+import { getOrCreate } from "../core/mod.ts";
 import type { AllowedRegions } from "../routing/mod.ts";
 import type { WarmUpAllowance } from "../warmup/mod.ts";
 
@@ -80,8 +81,8 @@
 /** The upstreams of a service, divided by whether a request may use them. */
 export interface EligibleUpstreams<T> {
   readonly eligible: readonly T[];
-  /** Number of the other upstreams by reason. */
-  readonly excluded: ReadonlyMap<Exclusion, number>;
+  /** The other upstreams by reason. */
+  readonly excluded: ReadonlyMap<Exclusion, readonly T[]>;
 }
 
 /** Divides the upstreams of a service. */
@@ -91,11 +92,11 @@
   rules: EligibilityRules,
 ): EligibleUpstreams<T> {
   const eligible: T[] = [];
-  const excluded = new Map<Exclusion, number>();
+  const excluded = new Map<Exclusion, T[]>();
   for (const upstream of upstreams) {
     const exclusion = tryGetExclusion(getFacts(upstream), rules);
     if (exclusion === undefined) eligible.push(upstream);
-    else excluded.set(exclusion, (excluded.get(exclusion) ?? 0) + 1);
+    else getOrCreate(excluded, exclusion, () => []).push(upstream);
   }
   return { eligible, excluded };
 }
--- a/src/placement/eligibility_test.ts
+++ b/src/placement/eligibility_test.ts
@@ -62,8 +62,9 @@
       (each) => each,
       given,
     );
-    const counted = [...excluded.values()].reduce((sum, each) => sum + each, 0);
-    strictEqual(eligible.length + counted, upstreams.length);
+    const divided = [...eligible, ...[...excluded.values()].flat()];
+    strictEqual(divided.length, upstreams.length);
+    strictEqual(new Set(divided).size, new Set(upstreams).size);
   }));
 });
 
