Leave no listener behind on a caller's connection after a stream

Cause: relayStream watched for the caller's disconnect itself, and disposed of that watch only when it was interrupted. A stream that ended left its listener on the caller's connection, one for each stream that the connection had carried, for as long as the connection lived.

Change: the watch goes. The request as a whole is raced against the caller's disconnect already (serve.ts, failWhenOver), which interrupts the relay, and the interruption aborts the upstream's response as before.

Ruled out: that both watches are needed.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -11,11 +11,6 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
-import {
-  type CallerLost,
-  createDisconnected,
-  onCallerDisconnected,
-} from "../requests/caller.ts";
 import type { Call, ForwardHost } from "./call.ts";
 import { createEventSplitter, type EventChunk } from "./event_splitter.ts";
 import { getEndToEndHeaders } from "./headers.ts";
@@ -34,14 +29,17 @@
  */
 const STREAM_IDLE_TIMEOUT_MS = 1_600;
 
-/** Relays the stream to its end. Fails if the stream is truncated. */
+/**
+ * Relays the stream to its end. Fails if the stream is truncated. Interruption,
+ * as when the caller disconnects, aborts the upstream's response.
+ */
 export function relayStream(
   host: ForwardHost,
   call: Call,
   picked: PickedUpstream,
   response: UpstreamResponse,
-): Effect.Effect<void, AttemptFailed | CallerLost> {
-  return Effect.callback<void, AttemptFailed | CallerLost>((resume) => {
+): Effect.Effect<void, AttemptFailed> {
+  return Effect.callback<void, AttemptFailed>((resume) => {
     const { res: caller, progress, route } = call;
     const { res: upstreamRes, trace } = response;
     const splitter = createEventSplitter();
@@ -113,12 +111,7 @@
       idleTimeout?.[Symbol.dispose]();
       resume(response.isComplete.pipe(Effect.flatMap(finish)));
     });
-    const callerWatch = onCallerDisconnected(
-      caller,
-      () => resume(Effect.fail(createDisconnected())),
-    );
     return Effect.sync(() => {
-      callerWatch[Symbol.dispose]();
       idleTimeout?.[Symbol.dispose]();
       if (!upstreamRes.complete) response.abort();
     });
