Show in tests that bytes behind a response empty its body

Path: Node's parser has seen the end of the response, so that it counts as complete, while its bytes wait in the buffer until the turn ends. The bytes behind it make the parser fail in the same turn; the failure of the request destroys it, which drops the buffer.

--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -11,7 +11,7 @@
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
-import { answer } from "../testing/raw_responses.ts";
+import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
 import { openCall, type UpstreamResponse } from "./upstream_call.ts";
 
 const plain = { kind: "idempotent", isResumable: false } as const;
@@ -95,6 +95,50 @@
   ok(!isComplete || size === pieces.join("").length, `Read ${size} bytes`);
 });
 
+/** A whole response to the request with the id. */
+type WholeResponse = (id: string, body: string) => string;
+
+const wholeResponses: Readonly<Record<string, WholeResponse>> = {
+  "a length": answer,
+  "chunks": (id, body) => streamHead(id) + chunk(body) + "0\r\n\r\n",
+};
+
+/** What an upstream sends behind a whole response. */
+const furtherBytes: Readonly<Record<string, string>> = {
+  "bytes that are no response": "\0\0\0\0",
+  "text that is no response": "the same once more\r\n\r\n",
+  "another response": answer("another", "not yours"),
+};
+
+for (const [framing, respond] of Object.entries(wholeResponses)) {
+  for (const [what, further] of Object.entries(furtherBytes)) {
+    test(`a body with ${framing} that ${what} follow at once reaches the caller whole`, async () => {
+      // Guards against an empty body with a Content-Length of 0.
+      const body = "x".repeat(800);
+      await using fixture = await createForwardFixture(
+        [(socket, { id }) => socket.write(respond(id, body) + further)],
+        once,
+      );
+      const res = await fixture.call();
+      deepStrictEqual([res.status, res.body], [200, body]);
+    });
+  }
+}
+
+test("a stream that further bytes follow at once reaches the caller whole", async () => {
+  // Guards against a stream that ends as complete without any piece.
+  const piece = "id: 1\ndata: a\n\n";
+  await using fixture = await createForwardFixture([
+    (socket, { id }) =>
+      socket.write(streamHead(id) + chunk(piece) + "0\r\n\r\n" + "more"),
+  ], {
+    kind: "stream",
+    isResumable: false,
+  });
+  const res = await fixture.call();
+  deepStrictEqual([res.status, res.body, res.isTruncated], [200, piece, false]);
+});
+
 /** The head of a response whose body ends with its connection. */
 function unframedHead(id: string): string {
   return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-seal: s\r\n\r\n`;
