Read a response that was received whole to its end

Cause: "received whole" was taken for "read whole". Once Node's parser has seen the end of a response, res.complete is true, while its bytes may still wait in the response's buffer: because the relay has paused (the caller reads slowly, or an earlier response on its connection isn't finished), or because the first bytes of a body are read only in the next step of the turn. A failure of the connection in that time (a reset; bytes behind the response that are none of HTTP) destroyed the request, which drops the buffer without an error. The close that followed found res.complete true, and the host ended the caller's response as if it were whole.

Ruled out: a lost closing chunk or length (the parser had seen both); a caller that goes away; the end of a body without a length, which is another fault and stays listed.

Change: receiveBody, the one place that reads a response's body, ends with the "end" of the reading and not with the close of the response; a close before that is a truncation. A failure of the connection behind the end of a response no longer destroys the request. A response whose reader is interrupted is aborted unless it was read to its end; before, one that was received but unread kept its connection.

Why it holds: the end of a reading comes only after each byte has been handed to the reader, and nothing but this host's own abort, after which nobody reads, can drop the buffer.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -16,11 +16,9 @@
 import { getEndToEndHeaders } from "./headers.ts";
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
 import type { PickedUpstream } from "./pick_upstream.ts";
+import { receiveBody } from "./response_body.ts";
 import { AttemptFailed } from "./types.ts";
-import {
-  createTruncatedError,
-  type UpstreamResponse,
-} from "./upstream_call.ts";
+import type { UpstreamResponse } from "./upstream_call.ts";
 
 /**
  * A resumable stream that delivers no event within this time, in ms, is resumed
@@ -49,10 +47,18 @@
       ? startTimeout(STREAM_IDLE_TIMEOUT_MS, onIdle)
       : undefined;
 
+    let hasEnded = false;
+
+    function end(result: Effect.Effect<void, AttemptFailed>): void {
+      hasEnded = true;
+      idleTimeout?.[Symbol.dispose]();
+      resume(result);
+    }
+
     function onIdle(): void {
-      response.abort();
       const reason = `No event within ${STREAM_IDLE_TIMEOUT_MS} ms`;
-      resume(Effect.fail(new AttemptFailed({ kind: "silent", reason })));
+      end(Effect.fail(new AttemptFailed({ kind: "silent", reason })));
+      response.abort();
     }
 
     function onFirstEvent(nowMs: number): void {
@@ -87,16 +93,14 @@
       });
     }
 
-    const pauseSampler = createSampler(host, call);
-    upstreamRes.on("data", (bytes: Buffer) => {
+    function onChunk(bytes: Buffer): void {
       host.health.recordActivity(picked.upstream.id);
       idleTimeout?.restart();
-      trace.onRead(bytes.length);
       const chunk = splitter.push(bytes);
       if (chunk !== undefined) relayChunk(chunk);
-    });
-    function finish(isComplete: boolean): Effect.Effect<void, AttemptFailed> {
-      if (!isComplete) return Effect.fail(createTruncatedError());
+    }
+
+    function finish(): Effect.Effect<void, AttemptFailed> {
       if (splitter.getIncomplete().length > 0) {
         const reason = "The stream ended in the middle of an event";
         return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
@@ -107,13 +111,14 @@
       return Effect.void;
     }
 
-    upstreamRes.on("close", () => {
-      idleTimeout?.[Symbol.dispose]();
-      resume(response.isComplete.pipe(Effect.flatMap(finish)));
+    const pauseSampler = createSampler(host, call);
+    receiveBody(response, {
+      onChunk,
+      onEnd: (result) => end(result.pipe(Effect.flatMap(finish))),
     });
     return Effect.sync(() => {
       idleTimeout?.[Symbol.dispose]();
-      if (!upstreamRes.complete) response.abort();
+      if (!hasEnded) response.abort();
     });
   });
 }
--- /dev/null
+++ b/src/forwarding/response_body.ts
@@ -0,0 +1,60 @@
+/**
+ * Receives the body of an upstream's response, and fails unless it is complete:
+ * each of its bytes has been read here, and its end is proven.
+ *
+ * That a response has been received completely does not mean that it has been
+ * read: while its caller reads slowly, the rest of it waits in the response's
+ * buffer.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import * as Effect from "effect/Effect";
+import { AttemptFailed } from "./types.ts";
+import type { UpstreamResponse } from "./upstream_call.ts";
+
+/** What a body is received for. */
+export interface BodyReader {
+  /** Called with each piece of the body, in order. */
+  onChunk(chunk: Buffer): void;
+  /** Called once, with an effect that fails if the body is not complete. */
+  onEnd(result: Effect.Effect<void, AttemptFailed>): void;
+}
+
+/** Starts to read the body. */
+export function receiveBody(
+  response: UpstreamResponse,
+  reader: BodyReader,
+): void {
+  const { res, trace } = response;
+  let hasEnded = false;
+
+  function end(result: Effect.Effect<void, AttemptFailed>): void {
+    if (hasEnded) return;
+    hasEnded = true;
+    reader.onEnd(result);
+  }
+
+  res.on("data", (chunk: Buffer) => {
+    trace.onRead(chunk.length);
+    reader.onChunk(chunk);
+  });
+  res.on("end", () => end(checkComplete(response)));
+  res.on("close", () => end(Effect.fail(createTruncatedError())));
+}
+
+function checkComplete(
+  response: UpstreamResponse,
+): Effect.Effect<void, AttemptFailed> {
+  return response.isComplete.pipe(
+    Effect.flatMap((isComplete) =>
+      isComplete ? Effect.void : Effect.fail(createTruncatedError())
+    ),
+  );
+}
+
+function createTruncatedError(): AttemptFailed {
+  const reason = "The response body is truncated";
+  return new AttemptFailed({ kind: "cut-off", reason });
+}
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -15,6 +15,7 @@
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
+import { receiveBody } from "./response_body.ts";
 import { AttemptFailed } from "./types.ts";
 
 /** A request to an upstream. */
@@ -44,10 +45,11 @@
   readonly res: IncomingMessage;
   /** What becomes of the body, for the log. */
   readonly trace: BodyTrace;
-  /** Closes the connection, regardless of how much has been read. */
+  /** Closes the connection, and drops what was received but not read. */
   abort(): void;
   /**
-   * Whether the body arrived completely. Evaluated after the body has ended.
+   * Whether the body was received completely. Evaluated after it was read to its
+   * end.
    */
   readonly isComplete: Effect.Effect<boolean>;
 }
@@ -65,8 +67,7 @@
   return Effect.callback<UpstreamResponse, AttemptFailed>((resume) => {
     const [host, port] = call.address.split(":");
     let isSent = false;
-    let hasHead = false;
-    let trace: BodyTrace | undefined;
+    let received: UpstreamResponse | undefined;
     const req = sendRequest({
       agent: call.agent,
       host,
@@ -80,7 +81,9 @@
     function fail(kind: AttemptFailed["kind"], reason: string): void {
       timeout[Symbol.dispose]();
       req.destroy();
-      if (!hasHead) resume(Effect.fail(new AttemptFailed({ kind, reason })));
+      if (received === undefined) {
+        resume(Effect.fail(new AttemptFailed({ kind, reason })));
+      }
     }
 
     let timeout = startTimeout(
@@ -101,30 +104,32 @@
     });
     req.on("response", (res) => {
       timeout[Symbol.dispose]();
-      hasHead = true;
       // Without a listener, an error event of the body would end the process.
       res.on("error", () => {});
-      const bodyTrace = createBodyTrace(res, call.method);
-      trace = bodyTrace;
-      res.on("close", bodyTrace.onClosed);
+      const trace = createBodyTrace(res, call.method);
+      res.on("close", trace.onClosed);
       const isComplete = hasBodyLength(res)
         ? Effect.sync(() => res.complete)
         : watchForReset(res);
       function abort(): void {
-        bodyTrace.onConnectionEnd("aborted");
+        trace.onConnectionEnd("aborted");
         req.destroy();
       }
-      resume(Effect.succeed({ res, trace: bodyTrace, abort, isComplete }));
+      received = { res, trace, abort, isComplete };
+      resume(Effect.succeed(received));
     });
     req.on("error", (err) => {
       const reason = `${(err as NodeJS.ErrnoException).code ?? err.message}`;
-      trace?.onConnectionEnd("failed", reason);
+      received?.trace.onConnectionEnd("failed", reason);
+      // Destroying the request would drop what has not been read of a response
+      // that was received completely.
+      if (received?.res.complete) return;
       fail(isSent ? getSentFailure(reason) : "not-sent", reason);
     });
     req.end(call.body);
     return Effect.sync(() => {
       timeout[Symbol.dispose]();
-      if (!hasHead) req.destroy();
+      if (received === undefined) req.destroy();
     });
   });
 }
@@ -136,15 +141,28 @@
   response: UpstreamResponse,
   limits: { readonly maxBytes: number; readonly timeoutMs: number },
 ): Effect.Effect<readonly Buffer[], AttemptFailed> {
-  const { res, trace, abort } = response;
   return Effect.callback<readonly Buffer[], AttemptFailed>((resume) => {
     const chunks: Buffer[] = [];
     let size = 0;
-    const fail = (kind: "broken" | "silent", reason: string) => {
+    let hasEnded = false;
+
+    function end(result: Effect.Effect<void, AttemptFailed>): void {
+      hasEnded = true;
       timeout[Symbol.dispose]();
-      abort();
-      resume(Effect.fail(new AttemptFailed({ kind, reason })));
-    };
+      resume(result.pipe(Effect.map(() => chunks)));
+    }
+
+    function fail(kind: "broken" | "silent", reason: string): void {
+      end(Effect.fail(new AttemptFailed({ kind, reason })));
+      response.abort();
+    }
+
+    function onChunk(chunk: Buffer): void {
+      size += chunk.length;
+      if (size > limits.maxBytes) fail("broken", "The response is too large");
+      else chunks.push(chunk);
+    }
+
     const timeout = startTimeout(
       limits.timeoutMs,
       () =>
@@ -153,37 +171,14 @@
           `The response body did not arrive within ${limits.timeoutMs} ms`,
         ),
     );
-    res.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      trace.onRead(chunk.length);
-      if (size > limits.maxBytes) fail("broken", "The response is too large");
-      else chunks.push(chunk);
-    });
-    res.on("close", () => {
-      timeout[Symbol.dispose]();
-      resume(
-        response.isComplete.pipe(
-          Effect.flatMap((isComplete) =>
-            isComplete
-              ? Effect.succeed(chunks)
-              : Effect.fail(createTruncatedError())
-          ),
-        ),
-      );
-    });
+    receiveBody(response, { onChunk, onEnd: end });
     return Effect.sync(() => {
       timeout[Symbol.dispose]();
-      if (!res.complete) abort();
+      if (!hasEnded) response.abort();
     });
   });
 }
 
-/** Creates the failure for a truncated body. */
-export function createTruncatedError(): AttemptFailed {
-  const reason = "The response body is truncated";
-  return new AttemptFailed({ kind: "cut-off", reason });
-}
-
 /** Node's parser prefixes the codes of its errors. */
 function getSentFailure(code: string): "broken" | "cut-off" {
   return code.startsWith("HPE_") ? "broken" : "cut-off";
