Take a body without a length as whole only if no reset follows its end

What callers could see: half of a body with status 200 and a Content-Length that fits the half, or, for a request that may be sent again, the half where another upstream has the whole.

Cause: a body without a length ends with its connection, and one look at the connection was taken for its end: the host wrote an empty line in the turn in which it read the orderly end, and closed its side at once. A reset that came later met a connection of which nobody asked any more.

Ruled out: that Node reports the later reset (the socket is destroyed at the end, so the kernel has nobody to tell).

Not shown: that the reported cases were of this kind. A part behind which an upstream that lives on closes in order, or a relay that turns a reset into such a close, can't be told from a whole body on the connection.

--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -15,6 +15,7 @@
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
+import { watchConnectionEnd } from "./connection_end.ts";
 import { receiveBody } from "./response_body.ts";
 import { AttemptFailed } from "./types.ts";
 
@@ -110,7 +111,7 @@
       res.on("close", trace.onClosed);
       const isComplete = hasBodyLength(res)
         ? Effect.sync(() => res.complete)
-        : watchForReset(res);
+        : checkOrderlyEnd(res);
       function abort(): void {
         trace.onConnectionEnd("aborted");
         req.destroy();
@@ -189,32 +190,10 @@
     res.headers["transfer-encoding"] !== undefined;
 }
 
-/**
- * Determines whether a body without a length ended with an orderly close of its
- * connection or with a reset. Node reports a reset that arrives together with
- * the last data as an ordinary end, so that the caller would take a truncated
- * body for a complete one. A write tells them apart: it fails at once on a
- * connection that was reset, whereas an upstream that has closed its side
- * ignores the empty line.
- */
-function watchForReset(res: IncomingMessage): Effect.Effect<boolean> {
-  const { socket } = res;
-  let wasReset = false;
-  const ended = new Promise<void>((resolve) => {
-    socket.on("error", () => {
-      wasReset = true;
-      resolve();
-    });
-    socket.prependOnceListener("end", () => {
-      socket.write("\r\n", (err) => {
-        if (err) wasReset = true;
-        resolve();
-      });
-    });
-    socket.once("close", () => resolve());
-  });
+function checkOrderlyEnd(res: IncomingMessage): Effect.Effect<boolean> {
+  const ended = watchConnectionEnd(res.socket);
   return Effect.promise(() => ended).pipe(
-    Effect.map(() => res.complete && !wasReset),
+    Effect.map((end) => res.complete && end === "closed"),
   );
 }
 
