Watch a caller's connection once for all requests on it

Cause: each watch for a caller's disconnect added its own "end" listener to the caller's socket. A connection with nine pipelined requests reached 11, two of which are Node's own (net and the HTTP server).

Ruled out: a leak.

Change: the watches of a connection share one listener, in a WeakMap by socket; the last watch that is disposed of removes it. What a watch promises is as it was: it calls once, never before it returns, never after its disposal.

Why it holds: the number of listeners no longer depends on the number of requests.

The test failed before: 21 listeners where 2 were expected, with the warning. The other two tests hold what must not change; they passed before.

--- a/src/requests/caller.ts
+++ b/src/requests/caller.ts
@@ -6,6 +6,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import * as Data from "effect/Data";
 import * as Effect from "effect/Effect";
 
@@ -58,12 +59,11 @@
   res: ServerResponse,
   run: () => void,
 ): Disposable {
-  const { socket } = res.req;
   let isStopped = false;
   function stop(): void {
     isStopped = true;
     res.off("close", check);
-    socket.off("end", check);
+    inputEnd[Symbol.dispose]();
   }
   function check(): void {
     if (isStopped || !hasDisconnected(res)) return;
@@ -71,11 +71,48 @@
     run();
   }
   res.on("close", check);
-  socket.on("end", check);
+  const inputEnd = onInputEnd(res.req.socket, check);
   queueMicrotask(check);
   return { [Symbol.dispose]: stop };
 }
 
+/** Waits for the end of one connection's input. */
+interface InputEndWatch {
+  readonly callbacks: Set<() => void>;
+  /** The listener on the connection. */
+  readonly runAll: () => void;
+}
+
+const inputEndWatches = new WeakMap<Socket, InputEndWatch>();
+
+/**
+ * Calls `run` at the end of the connection's input. All requests on a
+ * connection share one listener: one for each pipelined request would exceed
+ * Node's limit.
+ */
+function onInputEnd(socket: Socket, run: () => void): Disposable {
+  const watch = inputEndWatches.get(socket) ?? createInputEndWatch(socket);
+  const { callbacks, runAll } = watch;
+  callbacks.add(run);
+  function stop(): void {
+    if (!callbacks.delete(run) || callbacks.size > 0) return;
+    socket.off("end", runAll);
+    inputEndWatches.delete(socket);
+  }
+  return { [Symbol.dispose]: stop };
+}
+
+function createInputEndWatch(socket: Socket): InputEndWatch {
+  const callbacks = new Set<() => void>();
+  function runAll(): void {
+    for (const run of [...callbacks]) run();
+  }
+  const watch: InputEndWatch = { callbacks, runAll };
+  inputEndWatches.set(socket, watch);
+  socket.on("end", runAll);
+  return watch;
+}
+
 /** Fails as soon as the caller's connection closes; never succeeds. */
 export function failOnDisconnect(
   res: ServerResponse,
--- /dev/null
+++ b/src/requests/caller_test.ts
@@ -0,0 +1,70 @@
+import { equal } from "node:assert";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import { test } from "node:test";
+import { runAfterPendingReads } from "../core/mod.ts";
+import { onCallerDisconnected } from "./caller.ts";
+
+const PIPELINED_REQUESTS = 20;
+
+/** Creates the responses to requests that came on one connection. */
+function createResponses(socket: Socket, count: number): ServerResponse[] {
+  return Array.from(
+    { length: count },
+    () => new ServerResponse(new IncomingMessage(socket)),
+  );
+}
+
+/** Ends the input of the connection, and waits until that has been read. */
+async function endInput(socket: Socket): Promise<void> {
+  socket.push(null);
+  socket.resume();
+  await new Promise<void>((resolve) => runAfterPendingReads(resolve));
+}
+
+test("pipelined requests on one connection don't each add a listener, and leave none", () => {
+  const socket = new Socket();
+  const listenersBefore = socket.listenerCount("end");
+  const watches = createResponses(socket, PIPELINED_REQUESTS).map((res) =>
+    onCallerDisconnected(res, () => {})
+  );
+  equal(socket.listenerCount("end"), listenersBefore + 1);
+  for (const watch of watches) watch[Symbol.dispose]();
+  equal(socket.listenerCount("end"), listenersBefore);
+  // Disposing twice must not take away the watch of a later request.
+  const [res] = createResponses(socket, 1);
+  const later = onCallerDisconnected(res!, () => {});
+  watches[0]![Symbol.dispose]();
+  equal(socket.listenerCount("end"), listenersBefore + 1);
+  later[Symbol.dispose]();
+  equal(socket.listenerCount("end"), listenersBefore);
+});
+
+test("each pipelined request learns once that its caller has disconnected", async () => {
+  const socket = new Socket();
+  const responses = createResponses(socket, PIPELINED_REQUESTS);
+  const calls = responses.map(() => 0);
+  const watches = responses.map((res, i) =>
+    onCallerDisconnected(res, () => {
+      calls[i]!++;
+      // The request after this one ends with it.
+      if (i === 2) watches[3]![Symbol.dispose]();
+    })
+  );
+  watches[1]![Symbol.dispose]();
+  await endInput(socket);
+  equal(socket.listenerCount("end"), new Socket().listenerCount("end"));
+  const expected = responses.map((_, i) => i === 1 || i === 3 ? 0 : 1);
+  equal(calls.join(), expected.join());
+});
+
+test("a watch that starts after the disconnect calls back, but not before it returns", async () => {
+  const socket = new Socket();
+  const [res] = createResponses(socket, 1);
+  await endInput(socket);
+  let calls = 0;
+  onCallerDisconnected(res!, () => calls++);
+  equal(calls, 0);
+  await Promise.resolve();
+  equal(calls, 1);
+});
