Fail a call whose time-out expires within its body

What a caller could see: at the router program, the first part of a plain service's body with status 200, as if it were the answer. For a request that may run at most once the part is also what the claim records for a resend (run_at_most_once.ts sets the end to what the call returns; read, not run).

Cause: the call's time-out destroyed the request. Once the head of the response has arrived, Node doesn't pass that error on to the response. A body without a length is then finished by the parser as if the connection had ended in order; one with a length or in chunks fails, but as "broken", which counts as a crash of the upstream by this content, where "silent" doesn't.

Change: after the head the time-out destroys the response instead, with the same error.

Why it holds: the error of a destroyed response ends the iteration over its body by a failure, whatever the framing and whatever the parser does then.

The test failed before: { status: 200, body: '{"booked":[' } where "silent" was expected.

--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -120,12 +120,15 @@
         "content-length": Buffer.byteLength(call.body ?? ""),
       },
     });
-    // A connection can stay silent forever without an error.
+    let response: IncomingMessage | undefined;
+    // A connection can stay silent forever without an error. Destroying the
+    // request would not fail its response: a body without a length would end.
     const timeout = startTimeout(
       call.timeoutMs,
-      () => req.destroy(createSilentError(call.timeoutMs)),
+      () => (response ?? req).destroy(createSilentError(call.timeoutMs)),
     );
     req.on("response", (res) => {
+      response = res;
       if (call.path.startsWith("/calls/")) {
         res.on("close", () => timeout[Symbol.dispose]());
       } else timeout[Symbol.dispose]();
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -1,13 +1,15 @@
-import { deepStrictEqual } from "node:assert";
-import type { AddressInfo } from "node:net";
+import { deepStrictEqual, strictEqual } from "node:assert";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import { listen, type ListeningServer } from "../entry/servers.ts";
 import { blockEventLoop } from "../testing/block_event_loop.ts";
+import { chunk } from "../testing/raw_responses.ts";
 import {
   createHttpUpstreams,
   STREAM_IDLE_TIMEOUT_MS,
 } from "./http_upstreams.ts";
+import type { PlainResponse, UpstreamError } from "./types.ts";
 
 const LOOPBACK = "127.0.0.1:0";
 
@@ -62,3 +64,65 @@
   deepStrictEqual(events.map((each) => each?.data), ["a", "b"]);
   stream.close();
 });
+
+/** A server whose responses a test writes byte by byte. */
+interface RawUpstream extends AsyncDisposable {
+  /** IP address and port. */
+  readonly address: string;
+}
+
+/** Listens; calls `respond` with each connection that has sent a request. */
+async function listenRaw(
+  respond: (socket: Socket) => void,
+): Promise<RawUpstream> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => respond(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    async [Symbol.asyncDispose]() {
+      for (const socket of sockets) socket.destroy();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
+
+/** Time-out of calls that are expected to fail, in ms. */
+const CALL_TIMEOUT_MS = 300;
+
+const JSON_HEAD = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
+
+/** Calls an upstream that answers as `respond` does; returns how that ended. */
+async function callRaw(
+  respond: (socket: Socket) => void,
+): Promise<PlainResponse | UpstreamError["failure"]> {
+  await using upstream = await listenRaw(respond);
+  const call = createHttpUpstreams().call({
+    address: upstream.address,
+    operation: "book",
+    request: "request-1",
+    idempotencyKey: "key-1",
+    body: "{}",
+    timeoutMs: CALL_TIMEOUT_MS,
+  }).pipe(
+    Effect.catchTag("UpstreamError", (err) => Effect.succeed(err.failure)),
+  );
+  return await Effect.runPromise(call);
+}
+
+test("a call whose time-out expires within its body is silent, and its part is no answer", async () => {
+  const part = '{"booked":[';
+  const responses = [
+    `${JSON_HEAD}\r\n${part}`,
+    `${JSON_HEAD}content-length: 20\r\n\r\n${part}`,
+    `${JSON_HEAD}transfer-encoding: chunked\r\n\r\n${chunk(part)}`,
+  ];
+  for (const response of responses) {
+    const result = await callRaw((socket) => socket.write(response));
+    strictEqual(result, "silent", response);
+  }
+});
