Take an answer without a length as whole by its content only

What a caller could see: at the router program, half of a plain service's body with status 200, after the service's process had been killed, its connection reset, or a relay had closed in order. A claim records the same part as the answer of a request that may run at most once (read, not run).

Cause: the end of the connection was taken for the end of the body. For a body with neither a length nor chunks that is all that the transport says, and it says the same after a part: the kernel closes a killed process's connections in order, and Node reports a reset behind unread bytes as an ordinary end.

Ruled out: bodies with a length or in chunks.

Change: a body that only its connection ends must be JSON that would not be so without its end; a number would, so it is refused. 204 and 304 have no body. A watch for resets as in the other program would leave the end in order open.

Why it holds: no proper prefix of a JSON object, array, string or literal is JSON, however the connection ended.

The test failed before: { status: 200, body: '' } where "broken" was expected. The second test holds what must still pass; it passed before.

--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -210,10 +210,40 @@
   return await chunks.next();
 }
 
+/** Reads the whole body; throws if it is cut. */
 async function readBody(res: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of res) chunks.push(chunk as Buffer);
-  return Buffer.concat(chunks).toString("utf8");
+  const body = Buffer.concat(chunks).toString("utf8");
+  if (endsWithConnection(res) && !isWholeJson(body)) throw createCutError();
+  return body;
+}
+
+/** Statuses of responses that have no body: No Content and Not Modified. */
+const BODILESS_STATUSES = [204, 304];
+
+/**
+ * Whether only the end of the connection ends the body. That end looks the same
+ * after a whole body and after a part: a process that is killed closes its
+ * connections in order, and Node may report a reset as such an end.
+ */
+function endsWithConnection(res: IncomingMessage): boolean {
+  const { headers, statusCode = 0 } = res;
+  return !BODILESS_STATUSES.includes(statusCode) &&
+    headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
+/**
+ * Whether the text is JSON that would not be so if its end were missing; a
+ * number would.
+ */
+function isWholeJson(text: string): boolean {
+  try {
+    return typeof JSON.parse(text) !== "number";
+  } catch {
+    return false;
+  }
 }
 
 function toCancelResult(status: number, body: string): CancelResult {
@@ -230,6 +260,11 @@
   });
 }
 
+function createCutError(): UpstreamError {
+  const reason = "The body has no length and is not whole JSON";
+  return new UpstreamError({ failure: "broken", reason });
+}
+
 function toUpstreamError(err: unknown): UpstreamError {
   if (err instanceof UpstreamError) return err;
   const reason = err instanceof Error ? err.message : String(err);
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -126,3 +126,33 @@
     strictEqual(result, "silent", response);
   }
 });
+
+test("a body without a length that is cut is no answer, whether by a reset or in order", async () => {
+  const ends: readonly ((socket: Socket) => void)[] = [
+    (socket) => socket.end(),
+    (socket) => socket.resetAndDestroy(),
+    (socket) => setTimeout(() => socket.resetAndDestroy(), 5),
+  ];
+  const whole = '{"booked":[1,2]}';
+  const parts = ["", whole.slice(0, -1), " ", "12"];
+  for (const end of ends) {
+    for (const part of parts) {
+      const result = await callRaw((socket) =>
+        socket.write(`${JSON_HEAD}\r\n${part}`, () => end(socket))
+      );
+      strictEqual(result, "broken", part);
+    }
+  }
+});
+
+test("a whole body without a length is the answer, and so is a status without a body", async () => {
+  const whole = '{"booked":[1,2]}\n';
+  const answered = await callRaw((socket) =>
+    socket.end(`${JSON_HEAD}\r\n${whole}`)
+  );
+  deepStrictEqual(answered, { status: 200, body: whole });
+  const empty = await callRaw((socket) =>
+    socket.end("HTTP/1.1 204 No Content\r\n\r\n")
+  );
+  deepStrictEqual(empty, { status: 204, body: "" });
+});
