Guard the whole delivery of engines' streams that are reset behind their end

Asked: does a caller get a shortened stream when its reader waits, the engine sends the rest, the closing chunk included, and resets the connection?

Why: the end of a stream is its "end" event, which states how many tokens came before it, and never the end of its connection. What a reset discards is asked for again from the next offset.

--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -1,8 +1,10 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import * as Effect from "effect/Effect";
 import { listen, type ListeningServer } from "../entry/servers.ts";
+import { followStream } from "../streams/follow_stream.ts";
 import { blockEventLoop } from "../testing/block_event_loop.ts";
 import { chunk } from "../testing/raw_responses.ts";
 import {
@@ -73,13 +75,13 @@
 
 /** Listens; calls `respond` with each connection that has sent a request. */
 async function listenRaw(
-  respond: (socket: Socket) => void,
+  respond: (socket: Socket, request: string) => void,
 ): Promise<RawUpstream> {
   const sockets = new Set<Socket>();
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.on("error", () => {});
-    socket.once("data", () => respond(socket));
+    socket.once("data", (bytes) => respond(socket, bytes.toString()));
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   return {
@@ -156,3 +158,51 @@
   );
   deepStrictEqual(empty, { status: 204, body: "" });
 });
+
+/** The response to a reader of the stream from the offset to its end. */
+function createStreamEnd(offset: number): string {
+  const events: string[] = [];
+  for (let id = offset; id < STREAM_TOKENS; id++) {
+    events.push(`id: ${id}\nevent: token\ndata: ${TOKEN}\n\n`);
+  }
+  events.push(`event: end\nid: ${STREAM_TOKENS}\ndata: {}\n\n`);
+  return events.map(chunk).join("") + chunk("");
+}
+
+/** More than the buffers hold of a stream that its reader doesn't read. */
+const STREAM_TOKENS = 200;
+const TOKEN = "x".repeat(2_000);
+
+test("a stream whose connection is reset behind its end reaches a slow reader whole", async () => {
+  const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+  let connections = 0;
+  await using upstream = await listenRaw((socket, request) => {
+    connections++;
+    const offset = Number(/offset=(\d+)/.exec(request)?.[1] ?? 0);
+    socket.write(head + createStreamEnd(offset), () => {
+      if (connections === 1) socket.resetAndDestroy();
+    });
+  });
+  const place = { address: upstream.address, stream: "stream-1" };
+  const client = createHttpUpstreams();
+  const delivered: number[] = [];
+  const followed = client.generate({
+    ...place,
+    body: "{}",
+    remainingMs: 10_000,
+  }).pipe(
+    Effect.flatMap((stream) =>
+      followStream(stream, { nextOffset: 0, cost: 0 }, {
+        resume: (offset) => client.resume(place, offset),
+        deliver: ({ offset }) => Effect.promise(() => read(offset)),
+        onResumed: () => {},
+      })
+    ),
+  );
+  async function read(offset: number): Promise<void> {
+    if (offset === 0) await sleep(20);
+    delivered.push(offset);
+  }
+  await Effect.runPromise(followed);
+  deepStrictEqual(delivered, [...Array(STREAM_TOKENS).keys()]);
+});
