Fail a call to the platform whose reply is not JSON

What operators and callers could see: a router whose periodic task had ended for good, and requests that may run at most once which never ended, after one reply of the platform without a length had been cut.

Cause: the end of the connection was taken for the end of the reply. The part then failed to parse, and JSON.parse threw inside Effect.map: a defect, no PlatformError. Nothing handles a defect there. runPeriodically ends with it (the list of machines is polled so), and a group of claims' writes isn't settled (group_commit.ts catches PlatformError only); these two effects are read, not run.

Change: replies are parsed by a function that fails with PlatformError, which says that the call may have run; the configuration's files are read by it too. The reason doesn't repeat the text, as the parser's message would.

Why it holds: the replies are JSON objects and lists, of which no part is JSON; the files are compared with their digest besides.

Both tests failed before, with SyntaxError in place of PlatformError.

The raw server of the upstreams' test moves to src/testing, as it was.

--- a/src/config/store.ts
+++ b/src/config/store.ts
@@ -9,11 +9,12 @@
  */
 
 import * as Effect from "effect/Effect";
-import type {
-  ConditionalWrite,
-  Platform,
-  PlatformError,
-  Row,
+import {
+  type ConditionalWrite,
+  parseJson,
+  type Platform,
+  type PlatformError,
+  type Row,
 } from "../platform/mod.ts";
 import type { Deployment } from "../types.ts";
 import {
@@ -116,8 +117,10 @@
 
   function tryGetFiles(digest: string) {
     return objects.tryGet(digest).pipe(
-      Effect.map((text) =>
-        text === undefined ? undefined : JSON.parse(text) as FileSet
+      Effect.flatMap((text) =>
+        text === undefined
+          ? Effect.succeed(undefined)
+          : parseJson<FileSet>(text)
       ),
     );
   }
--- a/src/config/store_test.ts
+++ b/src/config/store_test.ts
@@ -8,6 +8,7 @@
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import fc from "fast-check";
+import { PlatformError } from "../platform/mod.ts";
 import { createFakePlatform } from "../testing/fake_platform.ts";
 import { createFileSet } from "../testing/file_sets.ts";
 import type { FileSet } from "./load.ts";
@@ -112,6 +113,20 @@
   ]);
 });
 
+test("files that come cut from the object store are a failure of the platform", async () => {
+  const whole = JSON.stringify(createFileSet());
+  const { platform } = createFixture();
+  const store = createConfigStore({
+    ...platform,
+    objects: {
+      ...platform.objects,
+      tryGet: () => Effect.succeed(whole.slice(0, -1)),
+    },
+  });
+  const err = await Effect.runPromise(Effect.flip(store.tryGetFiles("digest")));
+  assert(err instanceof PlatformError);
+});
+
 test("every version stays readable with its parent, author and files", async () => {
   const { accept, store } = createFixture();
   for (let base = 0; base < 3; base++) {
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -8,6 +8,7 @@
  */
 
 import * as Effect from "effect/Effect";
+import { parseJson } from "./parse_json.ts";
 import {
   type ListedMachine,
   type Platform,
@@ -54,7 +55,7 @@
 
   function callJson<T>(path: string, body: unknown) {
     return call(path, { method: "POST", body: JSON.stringify(body) }).pipe(
-      Effect.map((reply) => JSON.parse(reply.text) as T),
+      Effect.flatMap((reply) => parseJson<T>(reply.text)),
     );
   }
 
@@ -69,13 +70,15 @@
     const read = Effect.suspend(() =>
       call("/machines", { method: "GET", knownEtag: cachedList?.etag ?? "" })
     );
-    return read.pipe(Effect.map((reply) => {
-      if (reply.status === NOT_MODIFIED && cachedList !== undefined) {
-        return cachedList.machines;
+    return read.pipe(Effect.flatMap(({ status, text, etag }) => {
+      if (status === NOT_MODIFIED && cachedList !== undefined) {
+        return Effect.succeed(cachedList.machines);
       }
-      const machines = JSON.parse(reply.text) as readonly ListedMachine[];
-      cachedList = { etag: reply.etag, machines };
-      return machines;
+      return parseJson<readonly ListedMachine[]>(text).pipe(
+        Effect.tap((machines) =>
+          Effect.sync(() => cachedList = { etag, machines })
+        ),
+      );
     }));
   }
 
--- a/src/platform/http_platform_test.ts
+++ b/src/platform/http_platform_test.ts
@@ -9,7 +9,13 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
+import {
+  connectionEnds,
+  cutResponses,
+  listenRaw,
+} from "../testing/raw_server.ts";
 import { createHttpPlatform } from "./http_platform.ts";
+import { PlatformError } from "./types.ts";
 
 test("an unchanged machine list is read without a body", async () => {
   // The router creates the effect once and runs it every few seconds. Guards
@@ -39,3 +45,22 @@
     server.closeAllConnections();
   }
 });
+
+test("a cut reply is a failure of the platform, never a defect or a shorter list", async () => {
+  const whole = JSON.stringify([{ id: "entry-1" }, { id: "entry-2" }]);
+  for (const response of cutResponses(whole, whole.slice(0, -10))) {
+    for (const end of connectionEnds) {
+      await using server = await listenRaw((socket) =>
+        socket.write(response, () => end(socket))
+      );
+      const { machines, tables } = createHttpPlatform(server.address);
+      for (const call of [machines.get(), tables.transact([])]) {
+        const err = await Effect.runPromise(
+          Effect.flip(call as Effect.Effect<unknown, PlatformError>),
+        );
+        assert(err instanceof PlatformError, response);
+        assert(err.mayHaveRun);
+      }
+    }
+  }
+});
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -6,4 +6,5 @@
  */
 
 export * from "./http_platform.ts";
+export * from "./parse_json.ts";
 export * from "./types.ts";
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -1,5 +1,5 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import * as Effect from "effect/Effect";
@@ -7,6 +7,12 @@
 import { followStream } from "../streams/follow_stream.ts";
 import { blockEventLoop } from "../testing/block_event_loop.ts";
 import { chunk } from "../testing/raw_responses.ts";
+import {
+  connectionEnds,
+  cutResponses,
+  JSON_HEAD,
+  listenRaw,
+} from "../testing/raw_server.ts";
 import {
   createHttpUpstreams,
   STREAM_IDLE_TIMEOUT_MS,
@@ -67,37 +73,9 @@
   stream.close();
 });
 
-/** A server whose responses a test writes byte by byte. */
-interface RawUpstream extends AsyncDisposable {
-  /** IP address and port. */
-  readonly address: string;
-}
-
-/** Listens; calls `respond` with each connection that has sent a request. */
-async function listenRaw(
-  respond: (socket: Socket, request: string) => void,
-): Promise<RawUpstream> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on("error", () => {});
-    socket.once("data", (bytes) => respond(socket, bytes.toString()));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    async [Symbol.asyncDispose]() {
-      for (const socket of sockets) socket.destroy();
-      await new Promise((resolve) => server.close(resolve));
-    },
-  };
-}
-
 /** Time-out of calls that are expected to fail, in ms. */
 const CALL_TIMEOUT_MS = 300;
 
-const JSON_HEAD = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
-
 /** Calls an upstream that answers as `respond` does; returns how that ended. */
 async function callRaw(
   respond: (socket: Socket) => void,
@@ -118,26 +96,16 @@
 
 test("a call whose time-out expires within its body is silent, and its part is no answer", async () => {
   const part = '{"booked":[';
-  const responses = [
-    `${JSON_HEAD}\r\n${part}`,
-    `${JSON_HEAD}content-length: 20\r\n\r\n${part}`,
-    `${JSON_HEAD}transfer-encoding: chunked\r\n\r\n${chunk(part)}`,
-  ];
-  for (const response of responses) {
+  for (const response of cutResponses(`${part}1]}`, part)) {
     const result = await callRaw((socket) => socket.write(response));
     strictEqual(result, "silent", response);
   }
 });
 
 test("a body without a length that is cut is no answer, whether by a reset or in order", async () => {
-  const ends: readonly ((socket: Socket) => void)[] = [
-    (socket) => socket.end(),
-    (socket) => socket.resetAndDestroy(),
-    (socket) => setTimeout(() => socket.resetAndDestroy(), 5),
-  ];
   const whole = '{"booked":[1,2]}';
   const parts = ["", whole.slice(0, -1), " ", "12"];
-  for (const end of ends) {
+  for (const end of connectionEnds) {
     for (const part of parts) {
       const result = await callRaw((socket) =>
         socket.write(`${JSON_HEAD}\r\n${part}`, () => end(socket))
