--- a/src/peers/fetch_test.ts
+++ b/src/peers/fetch_test.ts
@@ -1,4 +1,4 @@
-import { deepStrictEqual } from "node:assert";
+import { deepStrictEqual, strictEqual } from "node:assert";
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import {
@@ -27,22 +27,31 @@
   return address;
 }
 
-function servePeer(address: string): Promise<PeerServer> {
+function servePeer(address: string, contentBytes = 0): Promise<PeerServer> {
   return listenForPeers(address, {
     fleetToken: FLEET_TOKEN,
     onFrame: () => {},
-    tryGetConfiguration: (digest) => Buffer.from(`copy of ${digest}`),
+    tryGetConfiguration: (digest) =>
+      Buffer.from(`copy of ${digest}`.padEnd(contentBytes)),
     countHosts: () => 2,
   });
 }
 
+/** Where and how a proxy ends the connection of a fetch. */
+interface Cut {
+  readonly maxBytes: number;
+  end(socket: Socket): void;
+}
+
 /** A proxy in front of a peer that can drop its open connections silently. */
-async function openProxy(peerAddress: string) {
+async function openProxy(peerAddress: string, cut?: Cut) {
   const [host, port] = peerAddress.split(":");
   const sockets: Socket[] = [];
   const server = createServer((caller) => {
     const peer = connect(Number(port), host);
-    caller.pipe(peer).pipe(caller);
+    caller.pipe(peer);
+    if (cut === undefined) peer.pipe(caller);
+    else relayUntilCut(peer, caller, cut);
     sockets.push(caller, peer);
     for (const socket of [caller, peer]) socket.on("error", () => {});
   }).listen(0, "127.0.0.1");
@@ -64,6 +73,17 @@
   };
 }
 
+function relayUntilCut(peer: Socket, caller: Socket, cut: Cut): void {
+  let size = 0;
+  peer.on("data", (bytes) => {
+    if (size >= cut.maxBytes) return;
+    size += bytes.length;
+    const excess = Math.max(0, size - cut.maxBytes);
+    caller.write(bytes.subarray(0, bytes.length - excess));
+    if (size >= cut.maxBytes) cut.end(caller);
+  });
+}
+
 async function fetchText(address: string): Promise<string | undefined> {
   const options = { digest: "config", fleetToken: FLEET_TOKEN };
   const fetched = await tryFetchConfiguration(address, options);
@@ -94,3 +114,21 @@
   const after = await fetchText(address);
   deepStrictEqual([before, after], [undefined, "copy of config"]);
 });
+
+test("content whose connection ends within it is not taken for the whole", async () => {
+  const ends = [
+    (socket: Socket) => socket.end(),
+    (socket: Socket) => socket.resetAndDestroy(),
+  ];
+  const address = await findFreeAddress();
+  const contentBytes = 50_000;
+  await using _peer = await servePeer(address, contentBytes);
+  strictEqual((await fetchText(address))?.length, contentBytes);
+  for (const end of ends) {
+    await using proxy = await openProxy(address, {
+      maxBytes: contentBytes / 2,
+      end,
+    });
+    strictEqual(await fetchText(proxy.address), undefined);
+  }
+});
