Tell every pipelined request that its caller's connection was reset

What callers could see: nothing, for they had left.

Cause: the end of a connection was read from the response: its "close", and "destroyed". Node closes only the response that has the connection. One that waits behind it stays open for ever. The end of the caller's input, watched besides, comes with an end in order, not with a reset.

Change: the watch of a connection also takes its close, and a request whose connection is destroyed has lost its caller unless its response was sent.

Why it holds: the close of the connection is what all its requests share; no state of a response stands for it any more.

--- a/src/requests/caller.ts
+++ b/src/requests/caller.ts
@@ -44,11 +44,13 @@
 /**
  * Whether the caller closed its connection before it had received its response.
  * The end of the caller's input is read two iterations of the event loop before
- * Node destroys the response.
+ * Node destroys the response. A response that waits behind another one on its
+ * connection isn't destroyed with the connection.
  */
 export function hasDisconnected(res: ServerResponse): boolean {
   if (res.writableFinished) return false;
-  return res.destroyed || res.req.socket.readableEnded;
+  const { socket } = res.req;
+  return res.destroyed || socket.readableEnded || socket.destroyed;
 }
 
 /**
@@ -63,7 +65,7 @@
   function stop(): void {
     isStopped = true;
     res.off("close", check);
-    inputEnd[Symbol.dispose]();
+    connection[Symbol.dispose]();
   }
   function check(): void {
     if (isStopped || !hasDisconnected(res)) return;
@@ -71,45 +73,47 @@
     run();
   }
   res.on("close", check);
-  const inputEnd = onInputEnd(res.req.socket, check);
+  const connection = onConnectionEnd(res.req.socket, check);
   queueMicrotask(check);
   return { [Symbol.dispose]: stop };
 }
 
-/** Waits for the end of one connection's input. */
-interface InputEndWatch {
+/** Waits for the end of one connection's input, and for its close. */
+interface ConnectionWatch {
   readonly callbacks: Set<() => void>;
   /** The listener on the connection. */
   readonly runAll: () => void;
 }
 
-const inputEndWatches = new WeakMap<Socket, InputEndWatch>();
+const connectionWatches = new WeakMap<Socket, ConnectionWatch>();
 
 /**
- * Calls `run` at the end of the connection's input. All requests on a
- * connection share one listener: one for each pipelined request would exceed
- * Node's limit.
+ * Calls `run` when the connection's input has ended, and when it has closed.
+ * All requests on a connection share one listener: one for each pipelined
+ * request would exceed Node's limit.
  */
-function onInputEnd(socket: Socket, run: () => void): Disposable {
-  const watch = inputEndWatches.get(socket) ?? createInputEndWatch(socket);
+function onConnectionEnd(socket: Socket, run: () => void): Disposable {
+  const watch = connectionWatches.get(socket) ?? watchConnection(socket);
   const { callbacks, runAll } = watch;
   callbacks.add(run);
   function stop(): void {
     if (!callbacks.delete(run) || callbacks.size > 0) return;
     socket.off("end", runAll);
-    inputEndWatches.delete(socket);
+    socket.off("close", runAll);
+    connectionWatches.delete(socket);
   }
   return { [Symbol.dispose]: stop };
 }
 
-function createInputEndWatch(socket: Socket): InputEndWatch {
+function watchConnection(socket: Socket): ConnectionWatch {
   const callbacks = new Set<() => void>();
   function runAll(): void {
     for (const run of [...callbacks]) run();
   }
-  const watch: InputEndWatch = { callbacks, runAll };
-  inputEndWatches.set(socket, watch);
+  const watch: ConnectionWatch = { callbacks, runAll };
+  connectionWatches.set(socket, watch);
   socket.on("end", runAll);
+  socket.on("close", runAll);
   return watch;
 }
 
--- a/src/requests/caller_test.ts
+++ b/src/requests/caller_test.ts
@@ -22,22 +22,29 @@
   await new Promise<void>((resolve) => runAfterPendingReads(resolve));
 }
 
+/** How many listeners the connection has for its end and for its close. */
+function countListeners(socket: Socket): string {
+  return ["end", "close"].map((event) => socket.listenerCount(event)).join();
+}
+
 test("pipelined requests on one connection don't each add a listener, and leave none", () => {
   const socket = new Socket();
-  const listenersBefore = socket.listenerCount("end");
+  const ends = socket.listenerCount("end");
+  const closes = socket.listenerCount("close");
+  const [none, one] = [`${ends},${closes}`, `${ends + 1},${closes + 1}`];
   const watches = createResponses(socket, PIPELINED_REQUESTS).map((res) =>
     onCallerDisconnected(res, () => {})
   );
-  equal(socket.listenerCount("end"), listenersBefore + 1);
+  equal(countListeners(socket), one);
   for (const watch of watches) watch[Symbol.dispose]();
-  equal(socket.listenerCount("end"), listenersBefore);
+  equal(countListeners(socket), none);
   // Disposing twice must not take away the watch of a later request.
   const [res] = createResponses(socket, 1);
   const later = onCallerDisconnected(res!, () => {});
   watches[0]![Symbol.dispose]();
-  equal(socket.listenerCount("end"), listenersBefore + 1);
+  equal(countListeners(socket), one);
   later[Symbol.dispose]();
-  equal(socket.listenerCount("end"), listenersBefore);
+  equal(countListeners(socket), none);
 });
 
 test("each pipelined request learns once that its caller has disconnected", async () => {
@@ -58,6 +65,17 @@
   equal(calls.join(), expected.join());
 });
 
+test("each pipelined request learns that its caller's connection was reset", async () => {
+  const socket = new Socket();
+  const responses = createResponses(socket, 3);
+  responses[0]!.assignSocket(socket);
+  let calls = 0;
+  for (const res of responses) onCallerDisconnected(res, () => calls++);
+  socket.destroy();
+  await new Promise<void>((resolve) => runAfterPendingReads(resolve));
+  equal(calls, 3);
+});
+
 test("a watch that starts after the disconnect calls back, but not before it returns", async () => {
   const socket = new Socket();
   const [res] = createResponses(socket, 1);
