Count a pipelined response as ended when its connection has closed

What operators could see: requests in flight that never went down again at an entry host or router whose callers pipeline, the memory of their responses with them; a stop that took the whole grace period though nothing ran; and "cut" counts of responses whose callers had left long before.

Cause: a response in flight was one whose "close" had not come. Node closes only the response that has the connection; those that wait behind it never close when the connection does, in order or by a reset.

Evidence: ten connections on loopback with three pipelined requests each, closed by their callers, every other one by a reset. Before: 20 of 30 in flight for ever, and a drain with a grace of 3,000 ms took 2,618 ms and reported 20 cut. Now: none in flight, 1,914 ms (the least that a drain stays), none cut.

Change: both drains count a response as ended when it closes or its connection does, by the one watch of the connection.

Why it holds: Node emits a socket's "close" once, whatever waits on it.

Both tests failed before: 2 in flight where 0 were expected. The fake responses of the drains' tests now have a connection; what they check is as it was.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -14,6 +14,7 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { Clock } from "../core/mod.ts";
+import { onResponseClosed } from "../requests/caller.ts";
 
 /** The requests in flight and the state of the drain. */
 export interface Drain {
@@ -110,7 +111,7 @@
     track(res) {
       lastArrivalMs = clock.monotonicMs();
       openResponses.add(res);
-      res.once("close", () => openResponses.delete(res));
+      onResponseClosed(res, () => openResponses.delete(res));
       if (startedMs !== undefined) setConnectionClose(res);
     },
     countInFlight: () => openResponses.size,
--- a/src/entry/drain_test.ts
+++ b/src/entry/drain_test.ts
@@ -1,9 +1,11 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
+import { Socket } from "node:net";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
-import { createManualClock } from "../core/mod.ts";
+import { createManualClock, runAfterPendingReads } from "../core/mod.ts";
+import { createPipelinedResponses } from "../testing/pipelined_responses.ts";
 import { createDrain } from "./drain.ts";
 
 const GRACE_MS = 8_000;
@@ -24,6 +26,7 @@
   const headers = new Map<string, string>();
   const res = Object.assign(new EventEmitter(), {
     headersSent: false,
+    req: { socket: new Socket() },
     setHeader: (name: string, value: string) => headers.set(name, value),
   });
   return { res: res as unknown as ServerResponse, headers };
@@ -79,3 +82,15 @@
   clock.advance(GRACE_MS);
   strictEqual((await running).cut, 2);
 });
+
+test("pipelined responses are not in flight for ever once their connection is reset", async () => {
+  const { drain } = createFixture();
+  const socket = new Socket();
+  const responses = createPipelinedResponses(socket, 3);
+  responses[0]!.assignSocket(socket);
+  for (const res of responses) drain.track(res);
+  strictEqual(drain.countInFlight(), 3);
+  socket.destroy();
+  await new Promise<void>((resolve) => runAfterPendingReads(resolve));
+  strictEqual(drain.countInFlight(), 0);
+});
--- a/src/requests/caller.ts
+++ b/src/requests/caller.ts
@@ -78,6 +78,23 @@
   return { [Symbol.dispose]: stop };
 }
 
+/**
+ * Calls `run` once the response has been sent or its connection has closed. A
+ * response that waits behind another one doesn't close with its connection.
+ */
+export function onResponseClosed(res: ServerResponse, run: () => void): void {
+  const { socket } = res.req;
+  function close(): void {
+    res.off("close", close);
+    connection[Symbol.dispose]();
+    run();
+  }
+  res.on("close", close);
+  const connection = onConnectionEnd(socket, () => {
+    if (socket.destroyed) close();
+  });
+}
+
 /** Waits for the end of one connection's input, and for its close. */
 interface ConnectionWatch {
   readonly callbacks: Set<() => void>;
@@ -108,7 +125,9 @@
 function watchConnection(socket: Socket): ConnectionWatch {
   const callbacks = new Set<() => void>();
   function runAll(): void {
-    for (const run of [...callbacks]) run();
+    for (const run of [...callbacks]) {
+      if (callbacks.has(run)) run();
+    }
   }
   const watch: ConnectionWatch = { callbacks, runAll };
   connectionWatches.set(socket, watch);
--- a/src/requests/caller_test.ts
+++ b/src/requests/caller_test.ts
@@ -1,20 +1,12 @@
 import { equal } from "node:assert";
-import { IncomingMessage, ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { test } from "node:test";
 import { runAfterPendingReads } from "../core/mod.ts";
+import { createPipelinedResponses } from "../testing/pipelined_responses.ts";
 import { onCallerDisconnected } from "./caller.ts";
 
 const PIPELINED_REQUESTS = 20;
 
-/** Creates the responses to requests that came on one connection. */
-function createResponses(socket: Socket, count: number): ServerResponse[] {
-  return Array.from(
-    { length: count },
-    () => new ServerResponse(new IncomingMessage(socket)),
-  );
-}
-
 /** Ends the input of the connection, and waits until that has been read. */
 async function endInput(socket: Socket): Promise<void> {
   socket.push(null);
@@ -32,14 +24,14 @@
   const ends = socket.listenerCount("end");
   const closes = socket.listenerCount("close");
   const [none, one] = [`${ends},${closes}`, `${ends + 1},${closes + 1}`];
-  const watches = createResponses(socket, PIPELINED_REQUESTS).map((res) =>
-    onCallerDisconnected(res, () => {})
-  );
+  const watches = createPipelinedResponses(socket, PIPELINED_REQUESTS).map((
+    res,
+  ) => onCallerDisconnected(res, () => {}));
   equal(countListeners(socket), one);
   for (const watch of watches) watch[Symbol.dispose]();
   equal(countListeners(socket), none);
   // Disposing twice must not take away the watch of a later request.
-  const [res] = createResponses(socket, 1);
+  const [res] = createPipelinedResponses(socket, 1);
   const later = onCallerDisconnected(res!, () => {});
   watches[0]![Symbol.dispose]();
   equal(countListeners(socket), one);
@@ -49,7 +41,7 @@
 
 test("each pipelined request learns once that its caller has disconnected", async () => {
   const socket = new Socket();
-  const responses = createResponses(socket, PIPELINED_REQUESTS);
+  const responses = createPipelinedResponses(socket, PIPELINED_REQUESTS);
   const calls = responses.map(() => 0);
   const watches = responses.map((res, i) =>
     onCallerDisconnected(res, () => {
@@ -67,7 +59,7 @@
 
 test("each pipelined request learns that its caller's connection was reset", async () => {
   const socket = new Socket();
-  const responses = createResponses(socket, 3);
+  const responses = createPipelinedResponses(socket, 3);
   responses[0]!.assignSocket(socket);
   let calls = 0;
   for (const res of responses) onCallerDisconnected(res, () => calls++);
@@ -78,7 +70,7 @@
 
 test("a watch that starts after the disconnect calls back, but not before it returns", async () => {
   const socket = new Socket();
-  const [res] = createResponses(socket, 1);
+  const [res] = createPipelinedResponses(socket, 1);
   await endInput(socket);
   let calls = 0;
   onCallerDisconnected(res!, () => calls++);
--- a/src/router/drain.ts
+++ b/src/router/drain.ts
@@ -24,6 +24,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type { Clock } from "../core/mod.ts";
+import { onResponseClosed } from "../requests/caller.ts";
 import { createMayHaveRunReply, sendReply } from "../requests/reply.ts";
 
 /** Phase of a host's drain; "serving" before it starts. */
@@ -134,7 +135,7 @@
   ): Effect.Effect<void> {
     return Effect.suspend(() => {
       openResponses.add(res);
-      res.once("close", () => openResponses.delete(res));
+      onResponseClosed(res, () => openResponses.delete(res));
       setDrainHeaders(res);
       const cut = waitUntilEnded.pipe(
         Effect.tap(() =>
--- a/src/router/drain_test.ts
+++ b/src/router/drain_test.ts
@@ -8,10 +8,12 @@
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
+import { Socket } from "node:net";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createManualClock } from "../core/mod.ts";
+import { createPipelinedResponses } from "../testing/pipelined_responses.ts";
 import {
   createDrain,
   type Drain,
@@ -27,6 +29,7 @@
 /** A response whose connection closes when the test calls `finish`. */
 class FakeResponse extends EventEmitter {
   readonly headers = new Map<string, string>();
+  readonly req = { socket: new Socket() };
   headersSent = false;
   writableEnded = false;
   destroyed = false;
@@ -200,3 +203,15 @@
   assert.equal(exit.cut, 1);
   assert.match(stream.res.body, /may-have-run/);
 });
+
+test("pipelined responses are not in flight for ever once their connection is reset", async () => {
+  const { drain, settle } = createFixture();
+  const socket = new Socket();
+  const responses = createPipelinedResponses(socket, 3);
+  responses[0]!.assignSocket(socket);
+  for (const res of responses) Effect.runFork(drain.track(res, Effect.never));
+  assert.equal(drain.countInFlight(), 3);
+  socket.destroy();
+  await settle();
+  assert.equal(drain.countInFlight(), 0);
+});
