Bound the whole reply to a cancellation by its time-out

What operators could see: a stream that its caller had left went on at its engine, and its tokens were never charged, after the engine's reply to the cancellation had stopped midway; a router's stop then waited its 5 s for it.

Cause: the head of the reply was taken for the reply. The time-out ended with the head unless the path was that of a call, and the read of the body had none.

Change: a call says whether its body is a stream, which has a time-out of its own; all others are bounded as a whole.

Why it holds: the time-out of such a call is disposed of only when its response closes.

The test failed before: no end within 13 s, where 3 s is the time-out.

--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -40,8 +40,12 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
-  /** Time-out for the head of the response, in ms. */
+  /**
+   * Time-out in ms: for the whole response, or for the head if the body is a
+   * stream.
+   */
   readonly timeoutMs: number;
+  readonly isStream: boolean;
 }
 
 /** Creates a client that uses Node's HTTP module. */
@@ -58,6 +62,7 @@
         },
         body,
         timeoutMs: STREAM_IDLE_TIMEOUT_MS,
+        isStream: true,
       }),
     resume: (location, offset) =>
       openStream({
@@ -65,6 +70,7 @@
         method: "GET",
         path: `${getStreamPath(location)}?offset=${offset}`,
         timeoutMs: STREAM_IDLE_TIMEOUT_MS,
+        isStream: true,
       }),
     cancelIfUnread: (location) =>
       Effect.tryPromise({
@@ -74,6 +80,7 @@
             method: "DELETE",
             path: `${getStreamPath(location)}?if=unread`,
             timeoutMs: STREAM_IDLE_TIMEOUT_MS,
+            isStream: false,
           });
           return toCancelResult(res.statusCode ?? 0, await readBody(res));
         },
@@ -93,6 +100,7 @@
             },
             body: call.body,
             timeoutMs: call.timeoutMs,
+            isStream: false,
           });
           return { status: res.statusCode ?? 0, body: await readBody(res) };
         },
@@ -129,9 +137,8 @@
     );
     req.on("response", (res) => {
       response = res;
-      if (call.path.startsWith("/calls/")) {
-        res.on("close", () => timeout[Symbol.dispose]());
-      } else timeout[Symbol.dispose]();
+      if (call.isStream) timeout[Symbol.dispose]();
+      else res.on("close", () => timeout[Symbol.dispose]());
       resolve(res);
     });
     req.on("error", (err) => {
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -17,7 +17,7 @@
   createHttpUpstreams,
   STREAM_IDLE_TIMEOUT_MS,
 } from "./http_upstreams.ts";
-import type { PlainResponse, UpstreamError } from "./types.ts";
+import { type PlainResponse, UpstreamError } from "./types.ts";
 
 const LOOPBACK = "127.0.0.1:0";
 
@@ -76,6 +76,9 @@
 /** Time-out of calls that are expected to fail, in ms. */
 const CALL_TIMEOUT_MS = 300;
 
+/** How late a time-out may be noticed on a busy machine, in ms. */
+const MAX_LATENESS_MS = 10_000;
+
 /** Calls an upstream that answers as `respond` does; returns how that ended. */
 async function callRaw(
   respond: (socket: Socket) => void,
@@ -102,6 +105,21 @@
   }
 });
 
+test("a cancellation whose reply stops midway is silent and doesn't wait for ever", async () => {
+  await using upstream = await listenRaw((socket) =>
+    socket.write(`${JSON_HEAD}content-length: 20\r\n\r\n{"tok`)
+  );
+  const cancelled = createHttpUpstreams().cancelIfUnread({
+    address: upstream.address,
+    stream: "stream-1",
+  }).pipe(
+    Effect.flip,
+    Effect.timeout(STREAM_IDLE_TIMEOUT_MS + MAX_LATENESS_MS),
+  );
+  const err = await Effect.runPromise(cancelled);
+  strictEqual(err instanceof UpstreamError && err.failure, "silent");
+});
+
 test("a body without a length that is cut is no answer, whether by a reset or in order", async () => {
   const whole = '{"booked":[1,2]}';
   const parts = ["", whole.slice(0, -1), " ", "12"];
