Decode an operator's request as a whole

What operators could see: a configuration with letters such as in "Ọ̀yọ́" accepted with other characters in their place, now and then, without an error.

Cause: each piece of a request's body was decoded by itself. A character whose bytes come in two pieces was lost: bytes received were taken for text that is whole.

Evidence: a request on loopback whose body comes byte by byte, by its length and in chunks: all letters outside ASCII were lost before, none is now.

Change: the pieces are joined, then decoded. The limit of 4 MiB so counts bytes, as it says. What a larger body is answered is as it was.

The test failed before: each such letter was replaced by U+FFFD.

--- a/src/router/public_server.ts
+++ b/src/router/public_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import {
   createServer,
   type IncomingMessage,
@@ -138,14 +139,17 @@
 }
 
 async function readOperatorBody(req: IncomingMessage): Promise<string> {
-  let text = "";
-  for await (const chunk of req) {
-    text += chunk;
-    if (text.length > MAX_OPERATOR_BODY_BYTES) {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_OPERATOR_BODY_BYTES) {
       throw new RangeError("The request body exceeds 4 MiB");
     }
+    chunks.push(chunk);
   }
-  return text;
+  // Decoded as a whole: a character may be split between two chunks.
+  return Buffer.concat(chunks).toString("utf8");
 }
 
 /** Sends a value as a complete JSON response. */
