--- a/src/requests/caller.ts
+++ b/src/requests/caller.ts
@@ -6,6 +6,7 @@
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import * as Data from "effect/Data";
 import * as Effect from "effect/Effect";
 
@@ -43,11 +44,13 @@
 /**
  * Whether the caller closed its connection before it had received its response.
  * The end of the caller's input is read two iterations of the event loop before
- * Node destroys the response.
+ * Node destroys the response. A response that waits behind another one on its
+ * connection isn't destroyed with the connection.
  */
 export function hasDisconnected(res: ServerResponse): boolean {
   if (res.writableFinished) return false;
-  return res.destroyed || res.req.socket.readableEnded;
+  const { socket } = res.req;
+  return res.destroyed || socket.readableEnded || socket.destroyed;
 }
 
 /**
@@ -58,12 +61,11 @@
   res: ServerResponse,
   run: () => void,
 ): Disposable {
-  const { socket } = res.req;
   let isStopped = false;
   function stop(): void {
     isStopped = true;
     res.off("close", check);
-    socket.off("end", check);
+    connection[Symbol.dispose]();
   }
   function check(): void {
     if (isStopped || !hasDisconnected(res)) return;
@@ -71,11 +73,69 @@
     run();
   }
   res.on("close", check);
-  socket.on("end", check);
+  const connection = onConnectionEnd(res.req.socket, check);
   queueMicrotask(check);
   return { [Symbol.dispose]: stop };
 }
 
+/**
+ * Calls `run` once the response has been sent or its connection has closed. A
+ * response that waits behind another one doesn't close with its connection.
+ */
+export function onResponseClosed(res: ServerResponse, run: () => void): void {
+  const { socket } = res.req;
+  function close(): void {
+    res.off("close", close);
+    connection[Symbol.dispose]();
+    run();
+  }
+  res.on("close", close);
+  const connection = onConnectionEnd(socket, () => {
+    if (socket.destroyed) close();
+  });
+}
+
+/** Waits for the end of one connection's input, and for its close. */
+interface ConnectionWatch {
+  readonly callbacks: Set<() => void>;
+  /** The listener on the connection. */
+  readonly runAll: () => void;
+}
+
+const connectionWatches = new WeakMap<Socket, ConnectionWatch>();
+
+/**
+ * Calls `run` when the connection's input has ended, and when it has closed.
+ * All requests on a connection share one listener: one for each pipelined
+ * request would exceed Node's limit.
+ */
+function onConnectionEnd(socket: Socket, run: () => void): Disposable {
+  const watch = connectionWatches.get(socket) ?? watchConnection(socket);
+  const { callbacks, runAll } = watch;
+  callbacks.add(run);
+  function stop(): void {
+    if (!callbacks.delete(run) || callbacks.size > 0) return;
+    socket.off("end", runAll);
+    socket.off("close", runAll);
+    connectionWatches.delete(socket);
+  }
+  return { [Symbol.dispose]: stop };
+}
+
+function watchConnection(socket: Socket): ConnectionWatch {
+  const callbacks = new Set<() => void>();
+  function runAll(): void {
+    for (const run of [...callbacks]) {
+      if (callbacks.has(run)) run();
+    }
+  }
+  const watch: ConnectionWatch = { callbacks, runAll };
+  connectionWatches.set(socket, watch);
+  socket.on("end", runAll);
+  socket.on("close", runAll);
+  return watch;
+}
+
 /** Fails as soon as the caller's connection closes; never succeeds. */
 export function failOnDisconnect(
   res: ServerResponse,
--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -40,8 +40,12 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
-  /** Time-out for the head of the response, in ms. */
+  /**
+   * Time-out in ms: for the whole response, or for the head if the body is a
+   * stream.
+   */
   readonly timeoutMs: number;
+  readonly isStream: boolean;
 }
 
 /** Creates a client that uses Node's HTTP module. */
@@ -58,6 +62,7 @@
         },
         body,
         timeoutMs: STREAM_IDLE_TIMEOUT_MS,
+        isStream: true,
       }),
     resume: (location, offset) =>
       openStream({
@@ -65,6 +70,7 @@
         method: "GET",
         path: `${getStreamPath(location)}?offset=${offset}`,
         timeoutMs: STREAM_IDLE_TIMEOUT_MS,
+        isStream: true,
       }),
     cancelIfUnread: (location) =>
       Effect.tryPromise({
@@ -74,6 +80,7 @@
             method: "DELETE",
             path: `${getStreamPath(location)}?if=unread`,
             timeoutMs: STREAM_IDLE_TIMEOUT_MS,
+            isStream: false,
           });
           return toCancelResult(res.statusCode ?? 0, await readBody(res));
         },
@@ -93,6 +100,7 @@
             },
             body: call.body,
             timeoutMs: call.timeoutMs,
+            isStream: false,
           });
           return { status: res.statusCode ?? 0, body: await readBody(res) };
         },
@@ -120,15 +128,17 @@
         "content-length": Buffer.byteLength(call.body ?? ""),
       },
     });
-    // A connection can stay silent forever without an error.
+    let response: IncomingMessage | undefined;
+    // A connection can stay silent forever without an error. Destroying the
+    // request would not fail its response: a body without a length would end.
     const timeout = startTimeout(
       call.timeoutMs,
-      () => req.destroy(createSilentError(call.timeoutMs)),
+      () => (response ?? req).destroy(createSilentError(call.timeoutMs)),
     );
     req.on("response", (res) => {
-      if (call.path.startsWith("/calls/")) {
-        res.on("close", () => timeout[Symbol.dispose]());
-      } else timeout[Symbol.dispose]();
+      response = res;
+      if (call.isStream) timeout[Symbol.dispose]();
+      else res.on("close", () => timeout[Symbol.dispose]());
       resolve(res);
     });
     req.on("error", (err) => {
@@ -207,10 +217,40 @@
   return await chunks.next();
 }
 
+/** Reads the whole body; throws if it is cut. */
 async function readBody(res: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of res) chunks.push(chunk as Buffer);
-  return Buffer.concat(chunks).toString("utf8");
+  const body = Buffer.concat(chunks).toString("utf8");
+  if (endsWithConnection(res) && !isWholeJson(body)) throw createCutError();
+  return body;
+}
+
+/** Statuses of responses that have no body: No Content and Not Modified. */
+const BODILESS_STATUSES = [204, 304];
+
+/**
+ * Whether only the end of the connection ends the body. That end looks the same
+ * after a whole body and after a part: a process that is killed closes its
+ * connections in order, and Node may report a reset as such an end.
+ */
+function endsWithConnection(res: IncomingMessage): boolean {
+  const { headers, statusCode = 0 } = res;
+  return !BODILESS_STATUSES.includes(statusCode) &&
+    headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+}
+
+/**
+ * Whether the text is JSON that would not be so if its end were missing; a
+ * number would.
+ */
+function isWholeJson(text: string): boolean {
+  try {
+    return typeof JSON.parse(text) !== "number";
+  } catch {
+    return false;
+  }
 }
 
 function toCancelResult(status: number, body: string): CancelResult {
@@ -227,6 +267,11 @@
   });
 }
 
+function createCutError(): UpstreamError {
+  const reason = "The body has no length and is not whole JSON";
+  return new UpstreamError({ failure: "broken", reason });
+}
+
 function toUpstreamError(err: unknown): UpstreamError {
   if (err instanceof UpstreamError) return err;
   const reason = err instanceof Error ? err.message : String(err);
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -1,13 +1,23 @@
-import { deepStrictEqual } from "node:assert";
-import type { AddressInfo } from "node:net";
+import { deepStrictEqual, strictEqual } from "node:assert";
+import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import * as Effect from "effect/Effect";
 import { listen, type ListeningServer } from "../entry/servers.ts";
+import { followStream } from "../streams/follow_stream.ts";
 import { blockEventLoop } from "../testing/block_event_loop.ts";
+import { chunk } from "../testing/raw_responses.ts";
+import {
+  connectionEnds,
+  cutResponses,
+  JSON_HEAD,
+  listenRaw,
+} from "../testing/raw_server.ts";
 import {
   createHttpUpstreams,
   STREAM_IDLE_TIMEOUT_MS,
 } from "./http_upstreams.ts";
+import { type PlainResponse, UpstreamError } from "./types.ts";
 
 const LOOPBACK = "127.0.0.1:0";
 
@@ -62,3 +72,123 @@
   deepStrictEqual(events.map((each) => each?.data), ["a", "b"]);
   stream.close();
 });
+
+/** Time-out of calls that are expected to fail, in ms. */
+const CALL_TIMEOUT_MS = 300;
+
+/** How late a time-out may be noticed on a busy machine, in ms. */
+const MAX_LATENESS_MS = 10_000;
+
+/** Calls an upstream that answers as `respond` does; returns how that ended. */
+async function callRaw(
+  respond: (socket: Socket) => void,
+): Promise<PlainResponse | UpstreamError["failure"]> {
+  await using upstream = await listenRaw(respond);
+  const call = createHttpUpstreams().call({
+    address: upstream.address,
+    operation: "book",
+    request: "request-1",
+    idempotencyKey: "key-1",
+    body: "{}",
+    timeoutMs: CALL_TIMEOUT_MS,
+  }).pipe(
+    Effect.catchTag("UpstreamError", (err) => Effect.succeed(err.failure)),
+  );
+  return await Effect.runPromise(call);
+}
+
+test("a call whose time-out expires within its body is silent, and its part is no answer", async () => {
+  const part = '{"booked":[';
+  for (const response of cutResponses(`${part}1]}`, part)) {
+    const result = await callRaw((socket) => socket.write(response));
+    strictEqual(result, "silent", response);
+  }
+});
+
+test("a cancellation whose reply stops midway is silent and doesn't wait for ever", async () => {
+  await using upstream = await listenRaw((socket) =>
+    socket.write(`${JSON_HEAD}content-length: 20\r\n\r\n{"tok`)
+  );
+  const cancelled = createHttpUpstreams().cancelIfUnread({
+    address: upstream.address,
+    stream: "stream-1",
+  }).pipe(
+    Effect.flip,
+    Effect.timeout(STREAM_IDLE_TIMEOUT_MS + MAX_LATENESS_MS),
+  );
+  const err = await Effect.runPromise(cancelled);
+  strictEqual(err instanceof UpstreamError && err.failure, "silent");
+});
+
+test("a body without a length that is cut is no answer, whether by a reset or in order", async () => {
+  const whole = '{"booked":[1,2]}';
+  const parts = ["", whole.slice(0, -1), " ", "12"];
+  for (const end of connectionEnds) {
+    for (const part of parts) {
+      const result = await callRaw((socket) =>
+        socket.write(`${JSON_HEAD}\r\n${part}`, () => end(socket))
+      );
+      strictEqual(result, "broken", part);
+    }
+  }
+});
+
+test("a whole body without a length is the answer, and so is a status without a body", async () => {
+  const whole = '{"booked":[1,2]}\n';
+  const answered = await callRaw((socket) =>
+    socket.end(`${JSON_HEAD}\r\n${whole}`)
+  );
+  deepStrictEqual(answered, { status: 200, body: whole });
+  const empty = await callRaw((socket) =>
+    socket.end("HTTP/1.1 204 No Content\r\n\r\n")
+  );
+  deepStrictEqual(empty, { status: 204, body: "" });
+});
+
+/** The response to a reader of the stream from the offset to its end. */
+function createStreamEnd(offset: number): string {
+  const events: string[] = [];
+  for (let id = offset; id < STREAM_TOKENS; id++) {
+    events.push(`id: ${id}\nevent: token\ndata: ${TOKEN}\n\n`);
+  }
+  events.push(`event: end\nid: ${STREAM_TOKENS}\ndata: {}\n\n`);
+  return events.map(chunk).join("") + chunk("");
+}
+
+/** More than the buffers hold of a stream that its reader doesn't read. */
+const STREAM_TOKENS = 200;
+const TOKEN = "x".repeat(2_000);
+
+test("a stream whose connection is reset behind its end reaches a slow reader whole", async () => {
+  const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+  let connections = 0;
+  await using upstream = await listenRaw((socket, request) => {
+    connections++;
+    const offset = Number(/offset=(\d+)/.exec(request)?.[1] ?? 0);
+    socket.write(head + createStreamEnd(offset), () => {
+      if (connections === 1) socket.resetAndDestroy();
+    });
+  });
+  const place = { address: upstream.address, stream: "stream-1" };
+  const client = createHttpUpstreams();
+  const delivered: number[] = [];
+  const followed = client.generate({
+    ...place,
+    body: "{}",
+    remainingMs: 10_000,
+  }).pipe(
+    Effect.flatMap((stream) =>
+      followStream(stream, { nextOffset: 0, cost: 0 }, {
+        resume: (offset) => client.resume(place, offset),
+        deliver: ({ offset }) => Effect.promise(() => read(offset)),
+        onResumed: () => {},
+      })
+    ),
+  );
+  async function read(offset: number): Promise<void> {
+    if (offset === 0) await sleep(20);
+    delivered.push(offset);
+  }
+  await Effect.runPromise(followed);
+  deepStrictEqual(delivered, [...Array(STREAM_TOKENS).keys()]);
+});
