Test pipelined responses and paused relays that go wrong

Callers saw streams that ended as complete without their last pieces.

Waiting for a piece at the caller's connection now counts from before that piece, since the framing of earlier ones added up to more than one piece.

--- a/src/testing/held_upstream.ts
+++ b/src/testing/held_upstream.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import type { Behaviour, ForwardFixture } from "./forward_fixture.ts";
+import type { PipelinedResponses } from "./raw_callers.ts";
 import { chunk } from "./raw_responses.ts";
 
 /** An upstream that leaves all responses to the test. */
@@ -18,6 +19,13 @@
   waitForRequest(id: string): Promise<Socket>;
 }
 
+/** The end of a chunked body. */
+export const CLOSING_CHUNK = "0\r\n\r\n";
+
+/** Number and size, in bytes, of the pieces sent while the relay is paused. */
+export const LAST_PIECES = 4;
+const LAST_PIECE_BYTES = 100;
+
 /** Longest time, in ms, that a step of the host may take. */
 const STEP_TIMEOUT_MS = 3_000;
 
@@ -44,11 +52,29 @@
   return `id: ${id}\ndata: ${"x".repeat(bytes)}\n\n`;
 }
 
+/** The first events of a stream, each of about the given size. */
+export function createPieces(count: number, bytes: number): readonly string[] {
+  return Array.from({ length: count }, (_, at) => createPiece(at + 1, bytes));
+}
+
 /** Returns the number of complete events in a body. */
 export function countPieces(body: string): number {
   return body.split("\n\n").length - 1;
 }
 
+/** For each response, whether it is complete and its number of events. */
+export function summarize(
+  { responses }: PipelinedResponses,
+): readonly (readonly [boolean, number])[] {
+  return responses.map((res) => [res.isComplete, countPieces(res.body)]);
+}
+
+/** Ends a chunked stream with a few small pieces. */
+export function sendLastPieces(upstream: Socket): void {
+  const pieces = createPieces(LAST_PIECES, LAST_PIECE_BYTES);
+  upstream.write(pieces.map(chunk).join("") + CLOSING_CHUNK);
+}
+
 /**
  * Sends pieces until the host can pass on no more to the caller that has sent
  * its only request. Returns their number.
@@ -56,17 +82,17 @@
 export async function sendUntilPaused(
   fixture: ForwardFixture,
   upstream: Socket,
-  encode: (piece: string) => string = chunk,
 ): Promise<number> {
   const res = fixture.responses[0]!;
+  const { socket } = res.req;
   let sent = 0;
   while (!res.writableNeedDrain) {
     sent++;
-    upstream.write(encode(createPiece(sent, FILLING_PIECE_BYTES)));
+    const passedOn = socket.bytesWritten + FILLING_PIECE_BYTES;
+    upstream.write(chunk(createPiece(sent, FILLING_PIECE_BYTES)));
     await waitUntilRead(fixture.agent, upstream);
-    const passedOn = sent * FILLING_PIECE_BYTES;
     await waitUntil(
-      () => res.writableNeedDrain || res.socket!.bytesWritten > passedOn,
+      () => res.writableNeedDrain || socket.bytesWritten > passedOn,
       "piece at the caller's connection",
     );
   }
--- a/src/testing/raw_callers.ts
+++ b/src/testing/raw_callers.ts
@@ -6,6 +6,7 @@
  */
 
 import { connect, type Socket } from "node:net";
+import { startTimeout } from "../core/mod.ts";
 
 /** A response as it was read from the connection. */
 export interface RawResponse {
@@ -17,7 +18,10 @@
 
 /** A caller that reads nothing until `read` is called. */
 export interface SlowCaller extends Disposable {
-  /** Reads the response to its end, or to the end of the connection. */
+  /**
+   * Reads the response to its end, or to the end of the connection. Rejects if
+   * neither comes in time.
+   */
   read(): Promise<RawResponse>;
 }
 
@@ -33,10 +37,16 @@
 export interface PipeliningCaller extends Disposable {
   /** Sends one request for each id. */
   send(ids: readonly string[]): void;
-  /** Reads this number of responses, or to the end of the connection. */
+  /**
+   * Reads this number of responses, or to the end of the connection. Rejects if
+   * neither comes in time.
+   */
   read(count: number): Promise<PipelinedResponses>;
 }
 
+/** Longest time, in ms, that a caller waits for what it reads. */
+const READ_TIMEOUT_MS = 2_000;
+
 /** Sends a request, and leaves its response unread. */
 export function openSlowCaller(port: number, id = "slow"): SlowCaller {
   const socket = openConnection(port);
@@ -75,13 +85,19 @@
   socket: Socket,
   count: number,
 ): Promise<PipelinedResponses> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
+    const reason = `No responses within ${READ_TIMEOUT_MS} ms`;
+    const timeout = startTimeout(
+      READ_TIMEOUT_MS,
+      () => reject(new Error(reason)),
+    );
     let text = "";
     function settle(isClosed: boolean): void {
       const responses = parseResponses(text);
       const hasAll = responses.length >= count &&
         responses.every((each) => each.isComplete);
       if (!hasAll && !isClosed) return;
+      timeout[Symbol.dispose]();
       socket.off("data", onData);
       resolve({ responses, isClosed });
     }
