Test responses that end with their connection or have no body

Callers saw buffered bodies whose Content-Length fitted the part. Where a body has no length, only the end of its connection tells that it is whole.

--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -8,18 +8,43 @@
 import { listen } from "../entry/servers.ts";
 import {
   type Behaviour,
+  type CallerResponse,
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
-import { answer } from "../testing/raw_responses.ts";
-import { openCall, type UpstreamResponse } from "./upstream_call.ts";
+import { answer, unframedHead } from "../testing/raw_responses.ts";
+import {
+  openCall,
+  readResponseBody,
+  type UpstreamResponse,
+} from "./upstream_call.ts";
 
 const plain = { kind: "idempotent", isResumable: false } as const;
 const once = { kind: "at-most-once", isResumable: false } as const;
+const stream = { kind: "stream", isResumable: false } as const;
+
+/** Half of a body, which can be taken for a complete event. */
+const HALF = "id: 1\ndata: half\n\n";
 
 /** Time from the last byte to the reset of its connection, in ms. */
 const RESET_AFTER_MS = 5;
 
+/** Length of the body of a late reader, in bytes. */
+const LATE_BODY_BYTES = 800;
+
+/** Time-out of a late reader, and the time that it may take, in ms. */
+const BODY_TIMEOUT_MS = 5_000;
+const SETTLE_WITHIN_MS = 1_000;
+
+/** Time for which an upstream leaves its side open after its end, in ms. */
+const HALF_OPEN_MS = 200;
+
+/** Longest time that a complete body without a length may take, in ms. */
+const ENDED_WITHIN_MS = 150;
+
+/** Longest time that a response without a body may take, in ms. */
+const BODILESS_WITHIN_MS = 500;
+
 /** Time after which the host has surely read the end of a body, in ms. */
 const LATE_RESET_MS = 20;
 
@@ -95,10 +120,29 @@
   ok(!isComplete || size === pieces.join("").length, `Read ${size} bytes`);
 });
 
-/** The head of a response whose body ends with its connection. */
-function unframedHead(id: string): string {
-  return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-seal: s\r\n\r\n`;
-}
+test("a reader that attaches after a reset gets the body or a failure at once", async () => {
+  // Guards against a caller that waits for a response that is over.
+  let reset = () => {};
+  await using call = await openCallTo((req, res) => {
+    res.setHeader("content-length", LATE_BODY_BYTES);
+    res.end("x".repeat(LATE_BODY_BYTES));
+    reset = () => void req.socket.resetAndDestroy();
+  });
+  const { socket } = call.response.res;
+  reset();
+  await waitUntil(() => socket.destroyed, "close of the connection");
+  await sleep(RESET_AFTER_MS);
+  const limits = { maxBytes: LATE_BODY_BYTES, timeoutMs: BODY_TIMEOUT_MS };
+  const startMs = performance.now();
+  const size = await Effect.runPromise(
+    readResponseBody(call.response, limits).pipe(
+      Effect.map((chunks) => Buffer.concat([...chunks]).length),
+      Effect.catchTag("AttemptFailed", () => Effect.succeed(LATE_BODY_BYTES)),
+    ),
+  );
+  ok(performance.now() - startMs < SETTLE_WITHIN_MS, "Not settled in time");
+  strictEqual(size, LATE_BODY_BYTES);
+});
 
 /**
  * Sends part of a body and an orderly end, and resets the connection later. The
@@ -107,7 +151,7 @@
 function endAndReset(resetAfterMs: number): Behaviour {
   return (socket, { id }) => {
     socket.pause();
-    socket.end(`${unframedHead(id)}half of`);
+    socket.end(unframedHead(id) + HALF);
     setTimeout(() => socket.resetAndDestroy(), resetAfterMs);
   };
 }
@@ -132,3 +176,86 @@
   const res = await fixture.call();
   deepStrictEqual([res.status, res.body], [200, "done"]);
 });
+
+/** Asserts that the caller can tell that it received no whole response. */
+function assertSeenAsCut({ status, isTruncated }: CallerResponse): void {
+  ok(status === 502 || isTruncated, `Complete, with status ${status}`);
+}
+
+for (const resetAfterMs of [5, 20]) {
+  test(`a stream without a length whose orderly end is followed by a reset ${resetAfterMs} ms later does not end as complete`, async () => {
+    // Guards against half a stream that ends with the closing chunk.
+    await using fixture = await createForwardFixture(
+      [endAndReset(resetAfterMs)],
+      stream,
+    );
+    assertSeenAsCut(await fixture.call());
+  });
+}
+
+/**
+ * Sends part of a body and dies: its kernel ends the connection in order, and
+ * refuses further ones.
+ */
+const dies: Behaviour = (socket, { id, stopListening }) => {
+  socket.write(unframedHead(id) + HALF);
+  stopListening();
+  socket.destroy();
+};
+
+test("a body without a length whose upstream is dead is not passed on as complete", async () => {
+  // Guards against half a response of a process that was killed.
+  await using fixture = await createForwardFixture([dies], once);
+  strictEqual((await fixture.call()).status, 502);
+});
+
+test("a stream without a length whose upstream is dead does not end as complete", async () => {
+  // Guards against half a stream of a process that was killed.
+  await using fixture = await createForwardFixture([dies], stream);
+  assertSeenAsCut(await fixture.call());
+});
+
+test("a body without a length whose upstream closes its connection at once is complete", async () => {
+  // Guards against an orderly close that is taken for a truncated body.
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    socket.write(`${unframedHead(id)}all of it`);
+    socket.destroy();
+  }], once);
+  const res = await fixture.call();
+  deepStrictEqual([res.status, res.body], [200, "all of it"]);
+});
+
+test("a body without a length whose upstream leaves its side open is passed on soon", async () => {
+  // Guards against a response that waits for its upstream's last close.
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    socket.pause();
+    socket.end(`${unframedHead(id)}all of it`);
+    setTimeout(() => socket.destroy(), HALF_OPEN_MS);
+  }], once);
+  const startMs = performance.now();
+  const res = await fixture.call();
+  deepStrictEqual([res.status, res.body], [200, "all of it"]);
+  ok(performance.now() - startMs < ENDED_WITHIN_MS, "Passed on late");
+});
+
+const bodiless = [
+  { method: "HEAD", status: "200 OK" },
+  { method: "POST", status: "204 No Content" },
+  { method: "POST", status: "304 Not Modified" },
+] as const;
+
+for (const { method, status } of bodiless) {
+  test(`a response to ${method} with status ${status} and no length is passed on at once`, async () => {
+    // Guards against waiting for the close of a connection that is kept alive.
+    await using fixture = await createForwardFixture([(socket, { id }) => {
+      socket.write(
+        `HTTP/1.1 ${status}\r\nx-id: ${id}\r\nx-seal: s\r\n\r\n`,
+      );
+    }], once);
+    const startMs = performance.now();
+    const res = await fixture.call({ method, body: "" });
+    const tookMs = performance.now() - startMs;
+    deepStrictEqual([res.status, res.isTruncated], [parseInt(status), false]);
+    ok(tookMs < BODILESS_WITHIN_MS, "Passed on late");
+  });
+}
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -41,10 +41,15 @@
 } from "./routing_fixture.ts";
 
 /** What a fake upstream does with a request. */
-export type Behaviour = (
-  socket: Socket,
-  request: { readonly text: string; readonly id: string },
-) => void;
+export type Behaviour = (socket: Socket, request: UpstreamRequest) => void;
+
+/** A request as it arrived at a fake upstream. */
+export interface UpstreamRequest {
+  readonly text: string;
+  readonly id: string;
+  /** Lets the upstream accept no further connection. */
+  stopListening(): void;
+}
 
 /** A response as the caller received it. */
 export interface CallerResponse {
@@ -109,6 +114,7 @@
 
 /** Options of a caller's request. */
 export interface CallOptions {
+  readonly method?: string;
   readonly id?: string;
   readonly body?: string;
   readonly key?: string;
@@ -314,7 +320,7 @@
       const id = /x-id: (\S+)/i.exec(text)?.[1];
       if (id === undefined) return;
       arrivals.push(name);
-      behaviour(socket, { text, id });
+      behaviour(socket, { text, id, stopListening: () => server.close() });
     });
   });
   await new Promise<void>((resolve) =>
@@ -363,7 +369,7 @@
     const req = request({
       host: "127.0.0.1",
       port,
-      method: "POST",
+      method: options.method ?? "POST",
       path: "/drafts/1",
       headers: { host: "model.example", "x-id": id, "x-key": key },
     });
