Tell what ends a response from its status, method and encoding

What callers saw: (1) part of a body with status 200 where its upstream named a transfer encoding other than chunks and reset the connection; (2) 504 after their whole time-out for a response with status 204 or 304 without a length on a kept connection, though it had come at once.

Cause: one question, "is there a length or a transfer encoding?", stood for "what ends this body?". Only chunks mark an end, any other encoding ends with the connection; and a response that has no body ends with its head, so that waiting for the end of its connection waits for nothing.

Why it holds: these are the cases that HTTP/1.1 names, in its order.

--- a/src/forwarding/body_trace.ts
+++ b/src/forwarding/body_trace.ts
@@ -12,6 +12,7 @@
   BodyFraming,
   LoggedBody,
 } from "../diagnostics/mod.ts";
+import { getBodyFraming } from "./body_framing.ts";
 
 /** The record of one response body, written by those who handle it. */
 export interface BodyTrace {
@@ -54,9 +55,6 @@
   readonly receivedBytes: number;
 }
 
-/** Statuses whose responses have no body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Starts the record of the response to a request with this method. */
 export function createBodyTrace(
   res: TracedResponse,
@@ -64,7 +62,7 @@
 ): BodyTrace {
   // Taken at the start: an ended response has no socket.
   const { socket } = res;
-  const framing = getFraming(res, method);
+  const framing = getBodyFraming(res, method);
   let end: ConnectionEnd | undefined;
   let readBytes = 0;
   let relayedBytes = 0;
@@ -116,16 +114,6 @@
   };
 }
 
-function getFraming(res: TracedResponse, method: string): BodyFraming {
-  const { headers, statusCode = 0 } = res;
-  if (method === "HEAD" || BODILESS_STATUSES.has(statusCode)) return "none";
-  const encoding = headers["transfer-encoding"];
-  if (encoding !== undefined) {
-    return /chunked/i.test(encoding) ? "chunked" : "until-close";
-  }
-  return headers["content-length"] === undefined ? "until-close" : "length";
-}
-
 function getAnnouncedBytes(
   res: TracedResponse,
   framing: BodyFraming,
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -167,6 +167,16 @@
   });
 }
 
+test("a body with a transfer encoding other than chunks that a reset cuts is not passed on", async () => {
+  // Guards against an encoding that is taken for a length.
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    const head = `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-seal: s\r\n` +
+      "transfer-encoding: identity\r\n\r\n";
+    socket.write(head + HALF, () => socket.resetAndDestroy());
+  }], once);
+  strictEqual((await fixture.call()).status, 502);
+});
+
 test("a read whose body without a length is followed by a reset is sent again", async () => {
   // Guards against half a response where another upstream has the whole.
   await using fixture = await createForwardFixture([
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -14,6 +14,7 @@
 } from "node:http";
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
+import { getBodyFraming } from "./body_framing.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
 import { receiveBody } from "./response_body.ts";
@@ -109,9 +110,9 @@
       res.on("error", () => {});
       const trace = createBodyTrace(res, call.method);
       res.on("close", trace.onClosed);
-      const isComplete = hasBodyLength(res)
-        ? Effect.sync(() => res.complete)
-        : checkOrderlyEnd(res);
+      const isComplete = getBodyFraming(res, call.method) === "until-close"
+        ? checkOrderlyEnd(res)
+        : Effect.sync(() => res.complete);
       function abort(): void {
         trace.onConnectionEnd("aborted");
         req.destroy();
@@ -185,11 +186,6 @@
   return code.startsWith("HPE_") ? "broken" : "cut-off";
 }
 
-function hasBodyLength(res: IncomingMessage): boolean {
-  return res.headers["content-length"] !== undefined ||
-    res.headers["transfer-encoding"] !== undefined;
-}
-
 function checkOrderlyEnd(res: IncomingMessage): Effect.Effect<boolean> {
   const ended = watchConnectionEnd(res.socket);
   return Effect.promise(() => ended).pipe(
