Take a body without a length as whole only if its upstream still lives

What callers saw: half of a body with status 200 and a Content-Length that fits the half, or half of a stream with the closing chunk, when the upstream's process was killed in the middle of a response without a length.

Cause: the kernel closes the connections of a process that ends, in order unless input of it is unread. That end was taken for the end of the body.

Change: at the end of such a body the host tries to connect to the upstream, while it waits for a reset; if the attempt is refused or not answered, the body is truncated. tryGetTruncation decides it, without input or output, and names the reason for the log.

Why it holds: the listening socket of a process is closed with its connections.

What it costs: an attempt to connect for each body without a length; an upstream that stops listening before it has sent such a body is refused its response (502, or another upstream), which is the safe side. Not covered: an upstream that lives on behind a part that ends in order, and a relay that accepts connections for an upstream that has ended.

--- /dev/null
+++ b/src/forwarding/body_end_test.ts
@@ -0,0 +1,34 @@
+import { deepStrictEqual, strictEqual } from "node:assert";
+import { test } from "node:test";
+import type { ConnectResult } from "../crashes/mod.ts";
+import { type BodyEnd, tryGetTruncation } from "./body_end.ts";
+import type { ConnectionEnd } from "./connection_end.ts";
+
+function isComplete(end: BodyEnd): boolean {
+  return tryGetTruncation(end) === undefined;
+}
+
+test("a body with a length or chunks is complete if its end was received", () => {
+  // Guards against a part that counts because its connection ended in order.
+  strictEqual(isComplete({ kind: "framed", isReceived: true }), true);
+  strictEqual(isComplete({ kind: "framed", isReceived: false }), false);
+});
+
+test("a body without a length is complete only after an orderly end of an upstream that lives", () => {
+  // Guards against a part behind which the upstream was killed or reset.
+  const connections: readonly ConnectionEnd[] = ["closed", "failed"];
+  const contacts: readonly ConnectResult[] = [
+    "accepted",
+    "failed",
+    "refused",
+    "no-answer",
+  ];
+  const complete = connections.flatMap((connection) =>
+    contacts
+      .filter((contact) =>
+        isComplete({ kind: "until-close", connection, contact })
+      )
+      .map((contact) => [connection, contact])
+  );
+  deepStrictEqual(complete, [["closed", "accepted"], ["closed", "failed"]]);
+});
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -13,6 +13,7 @@
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
 import { answer, unframedHead } from "../testing/raw_responses.ts";
+import { tryGetTruncation } from "./body_end.ts";
 import {
   openCall,
   readResponseBody,
@@ -116,8 +117,13 @@
     call.response,
     () => void setTimeout(reset, RESET_AFTER_MS),
   );
-  const isComplete = await Effect.runPromise(call.response.isComplete);
-  ok(!isComplete || size === pieces.join("").length, `Read ${size} bytes`);
+  const truncation = tryGetTruncation(
+    await Effect.runPromise(call.response.bodyEnd),
+  );
+  ok(
+    truncation !== undefined || size === pieces.join("").length,
+    `Read ${size} bytes`,
+  );
 });
 
 test("a reader that attaches after a reset gets the body or a failure at once", async () => {
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -11,6 +11,7 @@
 
 import type { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
+import { TRUNCATED, tryGetTruncation } from "./body_end.ts";
 import { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
@@ -41,20 +42,22 @@
     reader.onChunk(chunk);
   });
   res.on("end", () => end(checkComplete(response)));
-  res.on("close", () => end(Effect.fail(createTruncatedError())));
+  res.on("close", () => end(Effect.fail(createTruncatedError(TRUNCATED))));
 }
 
 function checkComplete(
   response: UpstreamResponse,
 ): Effect.Effect<void, AttemptFailed> {
-  return response.isComplete.pipe(
-    Effect.flatMap((isComplete) =>
-      isComplete ? Effect.void : Effect.fail(createTruncatedError())
-    ),
+  return response.bodyEnd.pipe(
+    Effect.flatMap((end) => {
+      const truncation = tryGetTruncation(end);
+      return truncation === undefined
+        ? Effect.void
+        : Effect.fail(createTruncatedError(truncation));
+    }),
   );
 }
 
-function createTruncatedError(): AttemptFailed {
-  const reason = "The response body is truncated";
+function createTruncatedError(reason: string): AttemptFailed {
   return new AttemptFailed({ kind: "cut-off", reason });
 }
--- a/src/forwarding/try_connect.ts
+++ b/src/forwarding/try_connect.ts
@@ -6,7 +6,12 @@
 
 import { connect } from "node:net";
 import type { ConnectResult } from "../crashes/mod.ts";
-import { CONNECT_TIMEOUT_MS } from "./upstream_call.ts";
+
+/**
+ * Time-out for connecting, in ms: a dozen round trips between regions. A
+ * machine without power never answers a connection attempt.
+ */
+export const CONNECT_TIMEOUT_MS = 500;
 
 /** Tries to connect to the address, and closes the connection at once. */
 export function tryConnect(address: string): Promise<ConnectResult> {
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -14,10 +14,13 @@
 } from "node:http";
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
+import type { ConnectResult } from "../crashes/mod.ts";
+import type { BodyEnd } from "./body_end.ts";
 import { getBodyFraming } from "./body_framing.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
 import { receiveBody } from "./response_body.ts";
+import { CONNECT_TIMEOUT_MS, tryConnect } from "./try_connect.ts";
 import { AttemptFailed } from "./types.ts";
 
 /** A request to an upstream. */
@@ -49,19 +52,10 @@
   readonly trace: BodyTrace;
   /** Closes the connection, and drops what was received but not read. */
   abort(): void;
-  /**
-   * Whether the body was received completely. Evaluated after it was read to its
-   * end.
-   */
-  readonly isComplete: Effect.Effect<boolean>;
+  /** What is known of the end of the body, once it was read to its end. */
+  readonly bodyEnd: Effect.Effect<BodyEnd>;
 }
 
-/**
- * Time-out for connecting, in ms: a dozen round trips between regions. A
- * machine without power never answers a connection attempt.
- */
-export const CONNECT_TIMEOUT_MS = 500;
-
 /** Sends the request; succeeds with the head of the response. */
 export function openCall(
   call: UpstreamCall,
@@ -110,14 +104,12 @@
       res.on("error", () => {});
       const trace = createBodyTrace(res, call.method);
       res.on("close", trace.onClosed);
-      const isComplete = getBodyFraming(res, call.method) === "until-close"
-        ? checkOrderlyEnd(res)
-        : Effect.sync(() => res.complete);
+      const bodyEnd = watchBodyEnd(call, res);
       function abort(): void {
         trace.onConnectionEnd("aborted");
         req.destroy();
       }
-      received = { res, trace, abort, isComplete };
+      received = { res, trace, abort, bodyEnd };
       resume(Effect.succeed(received));
     });
     req.on("error", (err) => {
@@ -186,11 +178,25 @@
   return code.startsWith("HPE_") ? "broken" : "cut-off";
 }
 
-function checkOrderlyEnd(res: IncomingMessage): Effect.Effect<boolean> {
-  const ended = watchConnectionEnd(res.socket);
-  return Effect.promise(() => ended).pipe(
-    Effect.map((end) => res.complete && end === "closed"),
-  );
+/** Watches for the end of the body. To be called with the head. */
+function watchBodyEnd(
+  { method, address }: UpstreamCall,
+  res: IncomingMessage,
+): Effect.Effect<BodyEnd> {
+  if (getBodyFraming(res, method) !== "until-close") {
+    return Effect.sync(() => ({ kind: "framed", isReceived: res.complete }));
+  }
+  const { socket } = res;
+  const connection = watchConnectionEnd(socket);
+  const contact = new Promise<ConnectResult>((resolve) => {
+    socket.once("end", () => resolve(tryConnect(address)));
+    socket.once("close", () => resolve("failed"));
+  });
+  return Effect.promise(async () => ({
+    kind: "until-close",
+    connection: await connection,
+    contact: await contact,
+  }));
 }
 
 /** Adds a `Content-Length` header with the length of the body actually sent. */
