Count no time as idle in which the relay reads nothing

What callers saw: nothing wrong in their streams; but a resumable stream whose caller read nothing for 1.6 s was taken from its upstream and asked of a second one, which ran it once more.

Cause: the class of the cut responses again: a state of this host is taken for one of the upstream. The time-out for a silent upstream ran on while the relay was paused, although nothing was read then.

Change: the time-out ends with the pause and starts anew when the caller reads on. An interrupted relay starts none.

Why it holds: while the relay is paused the upstream can't show that it is alive. A caller that never reads on is bounded by the deadline of its request.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -10,7 +10,7 @@
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { startTimeout } from "../core/mod.ts";
+import { type ReadAwareTimeout, startTimeout } from "../core/mod.ts";
 import type { Call, ForwardHost } from "./call.ts";
 import { createEventSplitter, type EventChunk } from "./event_splitter.ts";
 import { getEndToEndHeaders } from "./headers.ts";
@@ -43,10 +43,7 @@
     const splitter = createEventSplitter();
     const canFailOver = route.isResumable &&
       progress.possibleRuns < route.maxAttempts;
-    const idleTimeout = canFailOver
-      ? startTimeout(STREAM_IDLE_TIMEOUT_MS, onIdle)
-      : undefined;
-
+    let idleTimeout: ReadAwareTimeout | undefined;
     let hasEnded = false;
 
     function end(result: Effect.Effect<void, AttemptFailed>): void {
@@ -61,6 +58,23 @@
       response.abort();
     }
 
+    function awaitEvent(): void {
+      if (!canFailOver || hasEnded) return;
+      idleTimeout = startTimeout(STREAM_IDLE_TIMEOUT_MS, onIdle);
+    }
+
+    /** Nothing is read meanwhile, so that the upstream is not idle. */
+    function awaitCaller(nowMs: number): void {
+      idleTimeout?.[Symbol.dispose]();
+      upstreamRes.pause();
+      trace.onPaused(nowMs);
+      caller.once("drain", () => {
+        trace.onResumed(host.clock.monotonicMs());
+        upstreamRes.resume();
+        awaitEvent();
+      });
+    }
+
     function onFirstEvent(nowMs: number): void {
       progress.endPrefill();
       progress.firstEventMs ??= nowMs - call.arrivedMs;
@@ -84,13 +98,7 @@
       if (!caller.headersSent) startStream(call, response);
       progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
       trace.onRelayed(chunk.bytes.length);
-      if (caller.write(chunk.bytes)) return;
-      upstreamRes.pause();
-      trace.onPaused(nowMs);
-      caller.once("drain", () => {
-        trace.onResumed(host.clock.monotonicMs());
-        upstreamRes.resume();
-      });
+      if (!caller.write(chunk.bytes)) awaitCaller(nowMs);
     }
 
     function onChunk(bytes: Buffer): void {
@@ -112,13 +120,16 @@
     }
 
     const pauseSampler = createSampler(host, call);
+    awaitEvent();
     receiveBody(response, {
       onChunk,
       onEnd: (result) => end(result.pipe(Effect.flatMap(finish))),
     });
     return Effect.sync(() => {
+      if (hasEnded) return;
+      hasEnded = true;
       idleTimeout?.[Symbol.dispose]();
-      if (!hasEnded) response.abort();
+      response.abort();
     });
   });
 }
