Sample no pause of a slow caller as a pause of its upstream

What callers saw: nothing at once; but each late sample lowers the prefill limit that all hosts learn for a service, so that prompts wait while upstreams idle.

While a caller reads slowly, or its response waits behind an earlier one on the connection, the relay reads nothing; the first event that it read afterwards counted as one that came after a pause of that length.

Change: the pause that is sampled begins, at the earliest, when the host reads on. The log's longestPauseMs stays what the caller saw.

Why it holds: before that moment the host asked the upstream for nothing.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -69,7 +69,8 @@
       upstreamRes.pause();
       trace.onPaused(nowMs);
       caller.once("drain", () => {
-        trace.onResumed(host.clock.monotonicMs());
+        resumedMs = host.clock.monotonicMs();
+        trace.onResumed(resumedMs);
         upstreamRes.resume();
         awaitEvent();
       });
@@ -85,6 +86,7 @@
     }
 
     let lastChunkMs: number | undefined;
+    let resumedMs = -Infinity;
     function relayChunk(chunk: EventChunk): void {
       const nowMs = host.clock.monotonicMs();
       if (lastChunkMs === undefined) onFirstEvent(nowMs);
@@ -92,9 +94,10 @@
       progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
       progress.chunks++;
       lastChunkMs = nowMs;
-      // The time for which events waited unread during a long event-loop
-      // iteration is a pause of this host and not of the upstream.
-      pauseSampler?.addPause(pauseMs - host.getUnreadMs(), nowMs);
+      // The time for which events waited unread, during a long event-loop
+      // iteration or for a slow caller, is no pause of the upstream.
+      const readMs = nowMs - Math.max(nowMs - pauseMs, resumedMs);
+      pauseSampler?.addPause(readMs - host.getUnreadMs(), nowMs);
       if (!caller.headersSent) startStream(call, response);
       progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
       trace.onRelayed(chunk.bytes.length);
