Reset the connection of a cut response that its framing can't tell

What a caller of HTTP/1.0 saw: the first events of a stream that broke off at its upstream, then the orderly end of the connection, just as after a whole stream.

Cause: the orderly end of the connection is the end of such a body. Node sends neither chunks nor a length to HTTP/1.0, and destroying the response closes its connection in order.

Ruled out: callers of HTTP/1.1, whose missing closing chunk or byte tells them.

Change: where neither chunks nor a length frame the response, its connection is reset.

Not covered: such a response that is cut by the end of this process.

--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -41,9 +41,7 @@
     codec: host.codec,
     id: state.headers?.requestId,
   });
-  // Part of a response has been sent: only closing the connection tells the
-  // caller that it is incomplete.
-  if (isPartlySent) res.destroy();
+  if (isPartlySent) breakOff(res);
   logEnd(host, state, {
     outcome: isPartlySent ? "may-have-run" : getOutcome(status),
     status: isPartlySent ? 0 : status,
@@ -53,6 +51,17 @@
   });
 }
 
+/**
+ * Closes the connection, which alone tells the caller that the response is
+ * incomplete. If the response has neither chunks nor a length, as for callers of
+ * HTTP/1.0, an orderly close would end it as complete.
+ */
+function breakOff(res: ServerResponse): void {
+  const isFramed = res.chunkedEncoding || res.hasHeader("content-length");
+  if (!isFramed) res.socket?.resetAndDestroy();
+  res.destroy();
+}
+
 /** Ends a request whose caller has disconnected. No response is sent. */
 export function endCallerLost(
   host: ForwardHost,
