Close a host's datagram socket if it can't listen for peers

What operators could see: a host whose port for connections is taken fails to start, and neither serves nor ends by itself as long as its datagram socket is open.

Cause: openPeers opens the datagram socket first and left it open when listening for connections failed. In the test, the port was asked to be free for datagrams only, and another test listened there for connections.

Change: the datagram socket is closed and the failure passed on; the test looks for a port that is free for both. What it checks is as it was.

The new test failed before (the port stayed taken) and passes now.

--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -109,6 +109,10 @@
     onFrame: () => {},
     tryGetConfiguration: host.tryGetTable,
     countHosts: () => membership.getMembers().length,
+  }).catch(async (err: unknown) => {
+    // An open socket would keep the process running.
+    await datagrams[Symbol.asyncDispose]();
+    throw err;
   });
 
   function tick(): void {
--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -1,5 +1,6 @@
-import { deepStrictEqual } from "node:assert";
-import { createSocket } from "node:dgram";
+import { deepStrictEqual, ok, rejects } from "node:assert";
+import { createSocket, type Socket } from "node:dgram";
+import { type AddressInfo, createServer, type Server } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -10,13 +11,31 @@
 import { openPeers, type Peers } from "./peers.ts";
 import type { EntrySettings } from "./types.ts";
 
-/** Returns a free UDP port. */
+/** Finds a port at which neither datagrams nor connections are received. */
 async function findPort(): Promise<number> {
-  const socket = createSocket("udp4");
-  await new Promise<void>((resolve) => socket.bind(0, "127.0.0.1", resolve));
-  const { port } = socket.address();
-  await new Promise<void>((resolve) => socket.close(() => resolve()));
-  return port;
+  while (true) {
+    const server = createServer();
+    const port = await listenTcp(server, 0);
+    const socket = createSocket("udp4");
+    const isFree = await tryBind(socket, port);
+    await new Promise<void>((resolve) => socket.close(resolve));
+    await new Promise((resolve) => server.close(resolve));
+    if (isFree) return port;
+  }
+}
+
+async function listenTcp(server: Server, port: number): Promise<number> {
+  await new Promise<void>((resolve) =>
+    server.listen(port, "127.0.0.1", resolve)
+  );
+  return (server.address() as AddressInfo).port;
+}
+
+function tryBind(socket: Socket, port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.once("error", () => resolve(false));
+    socket.bind(port, "127.0.0.1", () => resolve(true));
+  });
 }
 
 function openHost(
@@ -85,3 +104,19 @@
   deepStrictEqual(suspects, []);
   for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
 });
+
+test("a host whose port for connections is taken keeps no socket open", async () => {
+  // Guards against a process that neither starts nor ends.
+  const port = await findPort();
+  const taken = createServer();
+  await listenTcp(taken, port);
+  const open = openHost(`127.0.0.1:${port}`, {
+    onSuspect: () => {},
+    onProbe: () => {},
+  });
+  await rejects(open, /EADDRINUSE/);
+  const socket = createSocket("udp4");
+  ok(await tryBind(socket, port));
+  socket.close();
+  taken.close();
+});
