--- a/src/forwarding/paused_relay_test.ts
+++ b/src/forwarding/paused_relay_test.ts
@@ -7,7 +7,6 @@
   createPiece,
   sendUntilPaused,
   waitUntil,
-  waitUntilRead,
 } from "../testing/held_upstream.ts";
 import { openSlowCaller } from "../testing/raw_callers.ts";
 import { chunk, streamHead } from "../testing/raw_responses.ts";
@@ -41,23 +40,3 @@
   );
   deepStrictEqual(fixture.recordedPacing.pauses, [false]);
 });
-
-test("a caller that leaves a response received whole but unread frees its connection", async () => {
-  // Guards against a connection that neither closes nor serves another request.
-  const held = createHeldUpstream();
-  await using fixture = await createForwardFixture([held.behaviour], {
-    kind: "stream",
-    isResumable: false,
-  });
-  const caller = openSlowCaller(fixture.port, "slow");
-  const upstream = await held.waitForRequest("slow");
-  upstream.write(streamHead("slow"));
-  const sent = await sendUntilPaused(fixture, upstream);
-  upstream.write(chunk(createPiece(sent + 1, 10)) + CLOSING_CHUNK);
-  await waitUntilRead(fixture.agent, upstream);
-  caller[Symbol.dispose]();
-  await waitUntil(
-    () => upstream.destroyed || upstream.readableEnded,
-    "end of the upstream's connection",
-  );
-});
