Split giving events to the caller from reading the upstream's stream

relayStream had grown to a hundred lines with two jobs: flow control and the end of the upstream's response, and what each event does at the caller, to the request's progress and to pacing. The second is now an EventRelay.

Behaviour as before: all tests of forwarding pass, twice.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -27,6 +27,16 @@
  */
 const STREAM_IDLE_TIMEOUT_MS = 1_600;
 
+/** Gives the events of one response to the caller. */
+interface EventRelay {
+  /** Relays the events; returns `false` if the caller must read first. */
+  relay(chunk: EventChunk): boolean;
+  /** The caller has read, and the host reads the upstream again. */
+  onResumed(): void;
+  /** Ends the caller's response as complete. */
+  end(): void;
+}
+
 /**
  * Relays the stream to its end. Fails if the stream is truncated. Interruption,
  * as when the caller disconnects, aborts the upstream's response.
@@ -38,17 +48,21 @@
   response: UpstreamResponse,
 ): Effect.Effect<void, AttemptFailed> {
   return Effect.callback<void, AttemptFailed>((resume) => {
-    const { res: caller, progress, route } = call;
-    const { res: upstreamRes, trace } = response;
+    const { progress, route } = call;
     const splitter = createEventSplitter();
+    const events = createEventRelay(host, call, { picked, response });
     const canFailOver = route.isResumable &&
       progress.possibleRuns < route.maxAttempts;
     let idleTimeout: ReadAwareTimeout | undefined;
     let hasEnded = false;
 
-    function end(result: Effect.Effect<void, AttemptFailed>): void {
+    function stop(): void {
       hasEnded = true;
       idleTimeout?.[Symbol.dispose]();
+    }
+
+    function end(result: Effect.Effect<void, AttemptFailed>): void {
+      stop();
       resume(result);
     }
 
@@ -64,51 +78,21 @@
     }
 
     /** Nothing is read meanwhile, so that the upstream is not idle. */
-    function awaitCaller(nowMs: number): void {
+    function awaitCaller(): void {
       idleTimeout?.[Symbol.dispose]();
-      upstreamRes.pause();
-      trace.onPaused(nowMs);
-      caller.once("drain", () => {
-        resumedMs = host.clock.monotonicMs();
-        trace.onResumed(resumedMs);
-        upstreamRes.resume();
+      response.res.pause();
+      call.res.once("drain", () => {
+        events.onResumed();
+        response.res.resume();
         awaitEvent();
       });
     }
 
-    function onFirstEvent(nowMs: number): void {
-      progress.endPrefill();
-      progress.firstEventMs ??= nowMs - call.arrivedMs;
-      if (picked.queuedTokens === undefined || progress.isUpstreamCold) return;
-      const tookMs = nowMs - progress.attemptStartedMs - host.getUnreadMs();
-      host.getPacing(call.service)
-        .recordFirstEvent(picked.queuedTokens, Math.max(0, tookMs));
-    }
-
-    let lastChunkMs: number | undefined;
-    let resumedMs = -Infinity;
-    function relayChunk(chunk: EventChunk): void {
-      const nowMs = host.clock.monotonicMs();
-      if (lastChunkMs === undefined) onFirstEvent(nowMs);
-      const pauseMs = nowMs - (lastChunkMs ?? nowMs);
-      progress.longestPauseMs = Math.max(progress.longestPauseMs, pauseMs);
-      progress.chunks++;
-      lastChunkMs = nowMs;
-      // The time for which events waited unread, during a long event-loop
-      // iteration or for a slow caller, is no pause of the upstream.
-      const readMs = nowMs - Math.max(nowMs - pauseMs, resumedMs);
-      pauseSampler?.addPause(readMs - host.getUnreadMs(), nowMs);
-      if (!caller.headersSent) startStream(call, response);
-      progress.lastEventId = chunk.lastEventId ?? progress.lastEventId;
-      trace.onRelayed(chunk.bytes.length);
-      if (!caller.write(chunk.bytes)) awaitCaller(nowMs);
-    }
-
     function onChunk(bytes: Buffer): void {
       host.health.recordActivity(picked.upstream.id);
       idleTimeout?.restart();
       const chunk = splitter.push(bytes);
-      if (chunk !== undefined) relayChunk(chunk);
+      if (chunk !== undefined && !events.relay(chunk)) awaitCaller();
     }
 
     function finish(): Effect.Effect<void, AttemptFailed> {
@@ -116,13 +100,10 @@
         const reason = "The stream ended in the middle of an event";
         return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
       }
-      pauseSampler?.end();
-      if (!caller.headersSent) startStream(call, response);
-      caller.end();
+      events.end();
       return Effect.void;
     }
 
-    const pauseSampler = createSampler(host, call);
     awaitEvent();
     receiveBody(response, {
       onChunk,
@@ -130,13 +111,73 @@
     });
     return Effect.sync(() => {
       if (hasEnded) return;
-      hasEnded = true;
-      idleTimeout?.[Symbol.dispose]();
+      stop();
       response.abort();
     });
   });
 }
 
+function createEventRelay(
+  host: ForwardHost,
+  call: Call,
+  { picked, response }: {
+    readonly picked: PickedUpstream;
+    readonly response: UpstreamResponse;
+  },
+): EventRelay {
+  const { res: caller, progress } = call;
+  const { trace } = response;
+  const pauseSampler = createSampler(host, call);
+  let lastChunkMs: number | undefined;
+  let resumedMs = -Infinity;
+
+  function onFirstEvent(nowMs: number): void {
+    progress.endPrefill();
+    progress.firstEventMs ??= nowMs - call.arrivedMs;
+    if (picked.queuedTokens === undefined || progress.isUpstreamCold) return;
+    const tookMs = nowMs - progress.attemptStartedMs - host.getUnreadMs();
+    host.getPacing(call.service)
+      .recordFirstEvent(picked.queuedTokens, Math.max(0, tookMs));
+  }
+
+  function recordPause(nowMs: number): void {
+    if (lastChunkMs === undefined) onFirstEvent(nowMs);
+    const sinceMs = lastChunkMs ?? nowMs;
+    progress.longestPauseMs = Math.max(
+      progress.longestPauseMs,
+      nowMs - sinceMs,
+    );
+    lastChunkMs = nowMs;
+    // The time for which events waited unread, during a long event-loop
+    // iteration or for a slow caller, is no pause of the upstream.
+    const readMs = nowMs - Math.max(sinceMs, resumedMs);
+    pauseSampler?.addPause(readMs - host.getUnreadMs(), nowMs);
+  }
+
+  return {
+    relay({ bytes, lastEventId }) {
+      const nowMs = host.clock.monotonicMs();
+      recordPause(nowMs);
+      progress.chunks++;
+      if (!caller.headersSent) startStream(call, response);
+      progress.lastEventId = lastEventId ?? progress.lastEventId;
+      trace.onRelayed(bytes.length);
+      const mayContinue = caller.write(bytes);
+      if (!mayContinue) trace.onPaused(nowMs);
+      return mayContinue;
+    },
+    onResumed() {
+      resumedMs = host.clock.monotonicMs();
+      trace.onResumed(resumedMs);
+    },
+    end() {
+      pauseSampler?.end();
+      if (!caller.headersSent) startStream(call, response);
+      caller.end();
+    },
+  };
+}
+
 /**
  * Creates a sampler that reports the pauses of one response to the pacing of
  * its service; `undefined` if the route has no pause target, or if the upstream
