--- a/src/commands/router.ts
+++ b/src/commands/router.ts
@@ -8,6 +8,7 @@
 import process from "node:process";
 import { readSettings, type RouterSettings } from "../config/mod.ts";
 import { createLogger, type Logger, watchRuntime } from "../diagnostics/mod.ts";
+import { warnOfGrpcMessages } from "../peers/mod.ts";
 import { createHttpPlatform } from "../platform/mod.ts";
 import { type Router, startRouterOnMachine } from "../router/router.ts";
 import { CommandError } from "./errors.ts";
@@ -36,6 +37,7 @@
     const settings = readSettings(options.settings);
     const logger = createLogger(settings.host, settings.logLevel);
     watchRuntimeWith(logger);
+    warnOfGrpcMessages();
     const router = await start(settings, logger);
     await waitForStopSignal(() => stopImmediately(router, logger));
     const { cut } = await router.drain();
--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -7,6 +7,7 @@
 
 export * from "./datagrams.ts";
 export * from "./fetch.ts";
+export * from "./grpc_warnings.ts";
 export * from "./peer_service.ts";
 export * from "./peer_link.ts";
 export * from "./peer_server.ts";
