Move the pacings of services out of the assembly of an entry host

entry.ts joins the parts of a host; the map of pacings by service, their limits for the metrics, what they have learned and their log line were logic inside it.

Behaviour as before: tests of src/entry and two of whole hosts pass.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -9,7 +9,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
-import { createStallTolerantClock, getOrCreate } from "../core/mod.ts";
+import { createStallTolerantClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
   createUpstreamAgent,
@@ -21,7 +21,6 @@
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { createPacing, type Pacing, type PacingChange } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
@@ -45,6 +44,7 @@
   listen,
   setCallerLimits,
 } from "./servers.ts";
+import { createServicePacings } from "./service_pacings.ts";
 import { startTicker } from "./ticker.ts";
 import type { EntryHost, EntrySettings } from "./types.ts";
 
@@ -69,11 +69,6 @@
  */
 const QUEUE_TICK_MS = 10;
 
-/**
- * Prompt target for a service whose prompt route has just been removed, in ms.
- */
-const DEFAULT_TARGET_MS = 1_000;
-
 /** Starts an entry host; rejects if an address is already in use. */
 export async function startEntry(
   settings: EntrySettings,
@@ -89,16 +84,6 @@
     host.log.write(decision);
   }
 
-  function logLimit(service: string, change: PacingChange): void {
-    log({
-      event: "reading-limit-changed",
-      service,
-      limitTokens: Math.round(change.limitTokens),
-      inTimeTokens: Math.round(change.inTimeTokens),
-      lateShare: Number(change.lateShare.toFixed(3)),
-    });
-  }
-
   function getAlive(): readonly Member[] {
     return peers.membership.getMembers()
       .filter((each) => each.state === "alive");
@@ -142,28 +127,18 @@
     getStatedCapacity: () =>
       platformView.tryGetRoutes()?.config.tokensPerSecond ?? 0,
     getLearned: () =>
-      [...pacings].map(([service, pacing]) => ({
-        ...pacing.getStats(),
+      pacings.getStats().map(([service, stats]) => ({
+        ...stats,
         service: getNameDigest(service),
       })),
   });
-  const pacings = new Map<string, Pacing>();
-  const getPacing = (service: string) =>
-    getOrCreate(
-      pacings,
-      service,
-      () =>
-        createPacing({
-          nowMs: clock.monotonicMs,
-          getRemoteStats: () => load.getOthersLearned(service),
-          onChanged: (change) => logLimit(service, change),
-        }),
-    );
-  function getLimitTokens(service: string): number {
-    const targetMs = platformView.tryGetRoutes()?.tryGetPromptTargetMs(service);
-    return getPacing(service).getLimitTokens(targetMs ?? DEFAULT_TARGET_MS);
-  }
-
+  const pacings = createServicePacings({
+    clock,
+    getRemoteStats: load.getOthersLearned,
+    tryGetTargetMs: (service) =>
+      platformView.tryGetRoutes()?.tryGetPromptTargetMs(service),
+    log,
+  });
   const queue = createPromptQueue({
     nowMs: clock.monotonicMs,
     getLoad(upstream) {
@@ -182,7 +157,7 @@
     isUnderserved: load.isUnderserved,
     onUnderservedWaiting: load.setUnderserved,
     getMeanEfficiency: load.getMeanEfficiency,
-    getLimitTokens,
+    getLimitTokens: pacings.getLimitTokens,
     random: host.random,
     onStart(prompt, upstream, readingTokens) {
       load.beginPrefill(upstream, readingTokens);
@@ -244,11 +219,7 @@
     countEvacuated: () => platformView.getEvacuated().size,
     countColdUpstreams: cold.count,
     getUnreadMs: loopMonitor.getUnreadMs,
-    getReadingLimits: () =>
-      [...pacings.keys()].map((service) => ({
-        service,
-        tokens: getLimitTokens(service),
-      })),
+    getReadingLimits: pacings.getLimits,
     isReady,
   });
   const peers = await openPeers(settings, {
@@ -282,7 +253,7 @@
     markLeaving: platformView.markLeaving,
     queue,
     load,
-    getPacing,
+    getPacing: pacings.get,
     health,
     backoffs: createBackoffWatch(clock),
     crashes,
