Ask both programs' responses the same question about their framing

What a caller could see: half of a plain service's body with status 200, at the router program, where the service named a transfer encoding other than chunks; at an entry host where the encoding's name only ends in "chunked".

Cause: the question that was mended for entry hosts (what ends this body?) stood a second time in the other program, and the first took "x-chunked" for chunks.

Change: getBodyFraming moves to src/upstreams and serves both; the last of the encodings, between commas, has to be "chunked" to the letter.

The test of the router program failed before (a part with status 200), and so did the new cases of the framing's test by the reviewer's runs.

--- a/src/forwarding/body_trace.ts
+++ b/src/forwarding/body_trace.ts
@@ -12,7 +12,7 @@
   BodyFraming,
   LoggedBody,
 } from "../diagnostics/mod.ts";
-import { getBodyFraming } from "./body_framing.ts";
+import { getBodyFraming } from "../upstreams/mod.ts";
 
 /** The record of one response body, written by those who handle it. */
 export interface BodyTrace {
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -15,8 +15,8 @@
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
 import type { ConnectResult } from "../crashes/mod.ts";
+import { getBodyFraming } from "../upstreams/mod.ts";
 import type { BodyEnd } from "./body_end.ts";
-import { getBodyFraming } from "./body_framing.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
 import { receiveBody } from "./response_body.ts";
--- a/src/forwarding/body_framing.ts
+++ b/src/upstreams/body_framing.ts
@@ -18,7 +18,13 @@
   if (method === "HEAD" || BODILESS_STATUSES.has(statusCode)) return "none";
   const encoding = headers["transfer-encoding"];
   if (encoding !== undefined) {
-    return /\bchunked\s*$/i.test(encoding) ? "chunked" : "until-close";
+    return isChunkedLast(encoding) ? "chunked" : "until-close";
   }
   return headers["content-length"] === undefined ? "until-close" : "length";
 }
+
+/** Whether the last of the encodings, which are separated by commas, is chunks. */
+function isChunkedLast(encodings: string): boolean {
+  const last = encodings.split(",").at(-1)!;
+  return last.trim().toLowerCase() === "chunked";
+}
--- a/src/forwarding/body_framing_test.ts
+++ b/src/upstreams/body_framing_test.ts
@@ -17,7 +17,16 @@
 
 test("a body with a transfer encoding other than chunked ends with its connection", () => {
   // Guards against a part that counts as whole because it seems to have a length.
-  for (const encoding of ["identity", "gzip", "chunked, gzip"]) {
+  for (
+    const encoding of [
+      "identity",
+      "gzip",
+      "chunked, gzip",
+      "x-chunked",
+      "gzip;chunked",
+      "gzip chunked",
+    ]
+  ) {
     const headers = { "transfer-encoding": encoding };
     strictEqual(getBodyFraming({ headers }, "GET"), "until-close", encoding);
   }
--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -10,6 +10,7 @@
 import * as Effect from "effect/Effect";
 import { createParser } from "eventsource-parser";
 import { startTimeout } from "../core/mod.ts";
+import { getBodyFraming } from "./body_framing.ts";
 import {
   type CancelResult,
   type EventStream,
@@ -226,19 +227,13 @@
   return body;
 }
 
-/** Statuses of responses that have no body: No Content and Not Modified. */
-const BODILESS_STATUSES = [204, 304];
-
 /**
  * Whether only the end of the connection ends the body. That end looks the same
  * after a whole body and after a part: a process that is killed closes its
  * connections in order, and Node may report a reset as such an end.
  */
 function endsWithConnection(res: IncomingMessage): boolean {
-  const { headers, statusCode = 0 } = res;
-  return !BODILESS_STATUSES.includes(statusCode) &&
-    headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
+  return getBodyFraming(res, "POST") === "until-close";
 }
 
 /**
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -133,6 +133,19 @@
   }
 });
 
+test("a part with a transfer encoding other than chunks is no answer", async () => {
+  const part = '{"booked":[';
+  for (const encoding of ["identity", "gzip", "x-chunked"]) {
+    const head = `${JSON_HEAD}transfer-encoding: ${encoding}\r\n\r\n`;
+    for (const end of connectionEnds) {
+      const result = await callRaw((socket) =>
+        socket.write(head + part, () => end(socket))
+      );
+      strictEqual(result, "broken", encoding);
+    }
+  }
+});
+
 test("a whole body without a length is the answer, and so is a status without a body", async () => {
   const whole = '{"booked":[1,2]}\n';
   const answered = await callRaw((socket) =>
--- a/src/upstreams/mod.ts
+++ b/src/upstreams/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./body_framing.ts";
 export * from "./health.ts";
 export * from "./http_upstreams.ts";
 export * from "./state_poll.ts";
