Pass on a body without a length only on proof that its upstream lives

Cause: "nothing shows that it ended" was taken for "it lives"; and a body that isn't proven was taken for one that a crash cut off.

Change: only an accepted connection proves the body. Without that proof the attempt is "broken", which asks the same of the request (502, or another upstream) and suspects nobody; a connection that failed stays "cut-off". The question that was shared with the crash detector is two again, since they differ.

The table test of body_end failed before for "failed", and the new one for the kind; a crash that cuts a body by a reset, and all framed bodies, are as before.

--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -21,11 +21,6 @@
  */
 export type ConnectResult = "accepted" | "refused" | "no-answer" | "failed";
 
-/** Whether the process that accepted connections before has ended. */
-export function showsEndedProcess(result: ConnectResult): boolean {
-  return result === "refused" || result === "no-answer";
-}
-
 /** How a host learned that an upstream process has ended. */
 export type CrashEvidence = "asked" | "request-refused" | "replaced";
 
@@ -148,7 +143,7 @@
     known.isUnasked = false;
     const result = await host.tryConnect(known.upstream.address);
     host.onAsked(result);
-    if (!showsEndedProcess(result)) return;
+    if (result === "accepted" || result === "failed") return;
     reportEnded(known, "asked", UNREACHABLE_WINDOW_MS);
   }
 
--- a/src/crashes/mod.ts
+++ b/src/crashes/mod.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-export { type ConnectResult, showsEndedProcess } from "./crash_detector.ts";
+export type { ConnectResult } from "./crash_detector.ts";
 export * from "./crash_facts.ts";
 export * from "./crash_watch.ts";
 export * from "./types.ts";
--- a/src/forwarding/body_end.ts
+++ b/src/forwarding/body_end.ts
@@ -4,14 +4,15 @@
  * Where a length or the last chunk marks the end, the parser has seen it or has
  * not. A body without either ends with its connection, which proves less: the
  * connections of a process that is killed end in order as well. Such a body
- * counts only if no reset followed its end, and if its upstream still accepts
- * connections.
+ * counts only if no reset followed its end, and if its upstream has accepted a
+ * connection since.
  *
  * @module
  */
 
-import { type ConnectResult, showsEndedProcess } from "../crashes/mod.ts";
+import type { ConnectResult } from "../crashes/mod.ts";
 import type { ConnectionEnd } from "./connection_end.ts";
+import { AttemptFailed } from "./types.ts";
 
 /** What is known of the end of a body that was read to its end. */
 export type BodyEnd =
@@ -27,19 +28,30 @@
     readonly contact: ConnectResult;
   };
 
-/** Reason for a body that ended before its length or its last chunk. */
-export const TRUNCATED = "The response body is truncated";
-
-/** Returns why the body is truncated; `undefined` if it is complete. */
-export function tryGetTruncation(end: BodyEnd): string | undefined {
+/**
+ * Returns the failure of a body that is not proven to be complete; `undefined`
+ * if it is. An orderly end that lacks proof is no sign of a crash: an upstream
+ * that stops, or that has no room for a connection, looks the same.
+ */
+export function tryGetBodyFailure(end: BodyEnd): AttemptFailed | undefined {
   if (end.kind === "framed") {
-    return end.isReceived ? undefined : TRUNCATED;
+    return end.isReceived ? undefined : createTruncatedError();
   }
   if (end.connection === "failed") {
-    return "The connection failed behind a response body without a length";
+    const reason =
+      "The connection failed behind a response body without a length";
+    return new AttemptFailed({ kind: "cut-off", reason });
   }
-  if (showsEndedProcess(end.contact)) {
-    return "The upstream has ended behind a response body without a length";
+  if (end.contact !== "accepted") {
+    const reason =
+      `A connection to the upstream was "${end.contact}" behind a response body without a length`;
+    return new AttemptFailed({ kind: "broken", reason });
   }
   return undefined;
 }
+
+/** Creates the failure of a body that ended before its length or last chunk. */
+export function createTruncatedError(): AttemptFailed {
+  const reason = "The response body is truncated";
+  return new AttemptFailed({ kind: "cut-off", reason });
+}
--- a/src/forwarding/body_end_test.ts
+++ b/src/forwarding/body_end_test.ts
@@ -1,11 +1,11 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { test } from "node:test";
 import type { ConnectResult } from "../crashes/mod.ts";
-import { type BodyEnd, tryGetTruncation } from "./body_end.ts";
+import { type BodyEnd, tryGetBodyFailure } from "./body_end.ts";
 import type { ConnectionEnd } from "./connection_end.ts";
 
 function isComplete(end: BodyEnd): boolean {
-  return tryGetTruncation(end) === undefined;
+  return tryGetBodyFailure(end) === undefined;
 }
 
 test("a body with a length or chunks is complete if its end was received", () => {
@@ -30,5 +30,16 @@
       )
       .map((contact) => [connection, contact])
   );
-  deepStrictEqual(complete, [["closed", "accepted"], ["closed", "failed"]]);
+  deepStrictEqual(complete, [["closed", "accepted"]]);
+});
+
+test("an orderly end without proof is no sign that its content crashed the upstream", () => {
+  // Guards against innocent content that is blocked while upstreams restart.
+  const contact = "refused";
+  const getKind = (connection: ConnectionEnd) =>
+    tryGetBodyFailure({ kind: "until-close", connection, contact })?.kind;
+  deepStrictEqual([getKind("closed"), getKind("failed")], [
+    "broken",
+    "cut-off",
+  ]);
 });
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -13,7 +13,7 @@
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
 import { answer, unframedHead } from "../testing/raw_responses.ts";
-import { tryGetTruncation } from "./body_end.ts";
+import { tryGetBodyFailure } from "./body_end.ts";
 import {
   openCall,
   readResponseBody,
@@ -117,11 +117,11 @@
     call.response,
     () => void setTimeout(reset, RESET_AFTER_MS),
   );
-  const truncation = tryGetTruncation(
+  const failure = tryGetBodyFailure(
     await Effect.runPromise(call.response.bodyEnd),
   );
   ok(
-    truncation !== undefined || size === pieces.join("").length,
+    failure !== undefined || size === pieces.join("").length,
     `Read ${size} bytes`,
   );
 });
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -11,8 +11,8 @@
 
 import type { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
-import { TRUNCATED, tryGetTruncation } from "./body_end.ts";
-import { AttemptFailed } from "./types.ts";
+import { createTruncatedError, tryGetBodyFailure } from "./body_end.ts";
+import type { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
 /** What a body is received for. */
@@ -42,7 +42,7 @@
     reader.onChunk(chunk);
   });
   res.on("end", () => end(checkComplete(response)));
-  res.on("close", () => end(Effect.fail(createTruncatedError(TRUNCATED))));
+  res.on("close", () => end(Effect.fail(createTruncatedError())));
 }
 
 function checkComplete(
@@ -50,14 +50,8 @@
 ): Effect.Effect<void, AttemptFailed> {
   return response.bodyEnd.pipe(
     Effect.flatMap((end) => {
-      const truncation = tryGetTruncation(end);
-      return truncation === undefined
-        ? Effect.void
-        : Effect.fail(createTruncatedError(truncation));
+      const failure = tryGetBodyFailure(end);
+      return failure === undefined ? Effect.void : Effect.fail(failure);
     }),
   );
 }
-
-function createTruncatedError(reason: string): AttemptFailed {
-  return new AttemptFailed({ kind: "cut-off", reason });
-}
