State the length of a rejection in bytes

What a caller could see: a rejection whose JSON is cut and fits its length, and stray bytes behind it on a kept connection, if the reason isn't ASCII.

Cause: the length was that of the text in UTF-16 units.

The test failed before: it got the JSON without its end.

--- a/src/forwarding/rejections.ts
+++ b/src/forwarding/rejections.ts
@@ -7,6 +7,7 @@
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import * as Data from "effect/Data";
 import type { QueueInputs } from "../diagnostics/mod.ts";
@@ -66,7 +67,7 @@
       retryAfterMs,
     }),
     "content-type": "application/json",
-    "content-length": body.length,
+    "content-length": Buffer.byteLength(body),
   });
   res.end(body);
 }
--- a/src/forwarding/request_end_test.ts
+++ b/src/forwarding/request_end_test.ts
@@ -1,4 +1,5 @@
 import { ok, strictEqual } from "node:assert";
+import { Buffer } from "node:buffer";
 import type { RequestListener, ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { test } from "node:test";
@@ -34,7 +35,10 @@
 }
 
 /** Ends the response with a failure, as after a failure of its upstream. */
-function breakOff(res: ServerResponse): void {
+function breakOff(
+  res: ServerResponse,
+  reason = "The upstream broke off",
+): void {
   const host: Partial<ForwardHost> = {
     clock: systemClock,
     codec: createTestCodec(),
@@ -54,7 +58,6 @@
     arrivedMs: 0,
     isHostOverloaded: false,
   };
-  const reason = "The upstream broke off";
   const rejected = new Rejected({ status: 502, reason });
   endRejected(host as ForwardHost, state, res, rejected);
 }
@@ -84,3 +87,15 @@
   ok(text.endsWith("\r\n\r\na part"));
   strictEqual(end, "reset");
 });
+
+test("a rejection whose reason isn't ASCII arrives whole", async () => {
+  // Guards against a length in characters, which cuts the body.
+  const reason = "Grün: 日本";
+  const { text } = await receive(
+    (_req, res) => breakOff(res, reason),
+    "GET / HTTP/1.0\r\n\r\n",
+  );
+  const [head = "", body = ""] = text.split("\r\n\r\n");
+  strictEqual(body, JSON.stringify({ error: reason }));
+  ok(head.includes(`content-length: ${Buffer.byteLength(body)}`), head);
+});
