Start no request once the drain of an entry host has ended

What callers could see: a request on a kept connection that a stopping host sent on in the last moments before it closed its sockets, and whose connection then ended without an answer (rule LOST).

Cause, by reading: the drain ends when nothing is in flight; what follows (tasks are interrupted one by one, then servers are closed) takes several turns, in which requests were still accepted.

Change: after the end of the drain no request may start; it is refused as not run, which is true.

The test failed before.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -19,7 +19,10 @@
 /** The requests in flight and the state of the drain. */
 export interface Drain {
   isDraining(): boolean;
-  /** Whether a request with this expected duration, in ms, may start now. */
+  /**
+   * Whether a request with this expected duration, in ms, may start now. None
+   * may once the drain has ended: its connection is about to be closed.
+   */
   mayStartRequest(expectedMs: number): boolean;
   /**
    * Counts the response as in flight until its connection has closed or its
@@ -72,6 +75,7 @@
   const { clock, graceMs } = host;
   const openResponses = new Set<ServerResponse>();
   let startedMs: number | undefined;
+  let hasEnded = false;
   let lastArrivalMs = clock.monotonicMs();
 
   function getElapsedMs(): number {
@@ -96,6 +100,7 @@
     for (const res of openResponses) setConnectionClose(res);
     host.onPhase("leaving", openResponses.size);
     while (!isDone()) yield* Effect.sleep(CHECK_INTERVAL_MS);
+    hasEnded = true;
     host.onPhase("ending", openResponses.size);
     return { cut: openResponses.size, tookMs: Math.round(getElapsedMs()) };
   });
@@ -104,6 +109,7 @@
     isDraining: () => startedMs !== undefined,
     mayStartRequest(expectedMs) {
       if (startedMs === undefined) return true;
+      if (hasEnded) return false;
       const elapsedMs = getElapsedMs();
       if (elapsedMs <= graceMs * ADMIT_ALL_SHARE) return true;
       return expectedMs <= graceMs - EXIT_MARGIN_MS - elapsedMs;
--- a/src/entry/drain_test.ts
+++ b/src/entry/drain_test.ts
@@ -94,3 +94,12 @@
   await new Promise<void>((resolve) => runAfterPendingReads(resolve));
   strictEqual(drain.countInFlight(), 0);
 });
+
+test("no request starts once the drain has ended, while sockets are being closed", async () => {
+  // Guards against a request that is sent on and loses its connection.
+  const { clock, drain } = createFixture();
+  const running = Effect.runPromise(drain.run);
+  clock.advance(GRACE_MS * 3 / 4);
+  await running;
+  strictEqual(drain.mayStartRequest(0), false);
+});
