Fail at once for a reader that attaches after a cut response has closed

What a caller would see: nothing until its deadline, then 504.

Cause: the close of the response had been emitted before anybody listened.

Change: a response that is destroyed already ends as truncated.

The second case failed before: it settled after its time-out of 5 s.

--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -126,29 +126,33 @@
   );
 });
 
-test("a reader that attaches after a reset gets the body or a failure at once", async () => {
-  // Guards against a caller that waits for a response that is over.
-  let reset = () => {};
-  await using call = await openCallTo((req, res) => {
-    res.setHeader("content-length", LATE_BODY_BYTES);
-    res.end("x".repeat(LATE_BODY_BYTES));
-    reset = () => void req.socket.resetAndDestroy();
+for (
+  const [what, sentBytes] of [["all", LATE_BODY_BYTES], ["part", 100]] as const
+) {
+  test(`a reader that attaches after ${what} of a body and a reset gets the body or a failure at once`, async () => {
+    // Guards against a caller that waits for a response that is over.
+    let reset = () => {};
+    await using call = await openCallTo((req, res) => {
+      res.setHeader("content-length", LATE_BODY_BYTES);
+      res.write("x".repeat(sentBytes));
+      reset = () => void req.socket.resetAndDestroy();
+    });
+    const { socket } = call.response.res;
+    reset();
+    await waitUntil(() => socket.destroyed, "close of the connection");
+    await sleep(RESET_AFTER_MS);
+    const limits = { maxBytes: LATE_BODY_BYTES, timeoutMs: BODY_TIMEOUT_MS };
+    const startMs = performance.now();
+    const size = await Effect.runPromise(
+      readResponseBody(call.response, limits).pipe(
+        Effect.map((chunks) => Buffer.concat([...chunks]).length),
+        Effect.catchTag("AttemptFailed", () => Effect.succeed(LATE_BODY_BYTES)),
+      ),
+    );
+    ok(performance.now() - startMs < SETTLE_WITHIN_MS, "Not settled in time");
+    strictEqual(size, LATE_BODY_BYTES);
   });
-  const { socket } = call.response.res;
-  reset();
-  await waitUntil(() => socket.destroyed, "close of the connection");
-  await sleep(RESET_AFTER_MS);
-  const limits = { maxBytes: LATE_BODY_BYTES, timeoutMs: BODY_TIMEOUT_MS };
-  const startMs = performance.now();
-  const size = await Effect.runPromise(
-    readResponseBody(call.response, limits).pipe(
-      Effect.map((chunks) => Buffer.concat([...chunks]).length),
-      Effect.catchTag("AttemptFailed", () => Effect.succeed(LATE_BODY_BYTES)),
-    ),
-  );
-  ok(performance.now() - startMs < SETTLE_WITHIN_MS, "Not settled in time");
-  strictEqual(size, LATE_BODY_BYTES);
-});
+}
 
 /**
  * Sends part of a body and an orderly end, and resets the connection later. The
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -23,7 +23,10 @@
   onEnd(result: Effect.Effect<void, AttemptFailed>): void;
 }
 
-/** Starts to read the body. */
+/**
+ * Starts to read the body. A response whose connection has failed before its end
+ * was received ends at once.
+ */
 export function receiveBody(
   response: UpstreamResponse,
   reader: BodyReader,
@@ -37,12 +40,17 @@
     reader.onEnd(result);
   }
 
+  function endTruncated(): void {
+    end(Effect.fail(createTruncatedError()));
+  }
+
+  if (res.destroyed) return endTruncated();
   res.on("data", (chunk: Buffer) => {
     trace.onRead(chunk.length);
     reader.onChunk(chunk);
   });
   res.on("end", () => end(checkComplete(response)));
-  res.on("close", () => end(Effect.fail(createTruncatedError())));
+  res.on("close", endTruncated);
 }
 
 function checkComplete(
