--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -1,9 +1,7 @@
 import { deepStrictEqual, ok, rejects, strictEqual } from "node:assert";
-import { Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createHeldUpstream, waitUntil } from "../testing/held_upstream.ts";
-import { openPipeliningCaller } from "../testing/raw_callers.ts";
 import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
 import { INTERNAL_ERROR_ID } from "../testing/call_codec.ts";
 import {
@@ -14,9 +12,6 @@
 const plain = { kind: "idempotent", isResumable: false } as const;
 const once = { kind: "at-most-once", isResumable: false } as const;
 
-/** Listeners of a new socket, and the one of Node's HTTP server. */
-const NODE_LISTENERS = new Socket().listenerCount("end") + 1;
-
 /** Longest time from the close by a caller to that by the host, in ms. */
 const MAX_CLOSE_MS = 150;
 
@@ -212,26 +207,6 @@
   ok(tookMs < MAX_CLOSE_MS, `Closed after ${tookMs} ms`);
 });
 
-test("streams on one connection leave no listener behind", async () => {
-  // Guards against a connection that holds a listener for each past request.
-  await using fixture = await createForwardFixture([(socket, { id }) => {
-    socket.write(
-      streamHead(id) + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n",
-    );
-  }]);
-  using caller = openPipeliningCaller(fixture.port);
-  const listeners: number[] = [];
-  for (let at = 0; at < 3; at++) {
-    caller.send([`stream-${at}`]);
-    const { responses } = await caller.read(1);
-    deepStrictEqual(responses.map(({ status }) => status), [200]);
-    await sleep(0);
-    const { socket } = fixture.responses[at]!.req;
-    listeners.push(socket.listenerCount("end"));
-  }
-  deepStrictEqual(listeners, [NODE_LISTENERS, NODE_LISTENERS, NODE_LISTENERS]);
-});
-
 test("an unknown key is rejected with 401 and reaches no upstream", async () => {
   await using fixture = await createForwardFixture([answers]);
   strictEqual((await fixture.call({ key: "wrong" })).status, 401);
--- a/src/forwarding/paused_callers_test.ts
+++ b/src/forwarding/paused_callers_test.ts
@@ -1,5 +1,5 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -31,6 +31,9 @@
 /** Time, in ms, in which the host has surely ended answered requests. */
 const SETTLE_MS = 50;
 
+/** Listeners of a new socket, and the one of Node's HTTP server. */
+const NODE_LISTENERS = new Socket().listenerCount("end") + 1;
+
 const PIPELINED_IDS = Array.from({ length: 12 }, (_, at) => `piped-${at}`);
 
 const PIECE = chunk(createPiece(1, 10));
@@ -102,3 +105,23 @@
   process.off("warning", onWarning);
   deepStrictEqual([warnings, after], [[], before]);
 });
+
+test("streams on one connection leave no listener behind", async () => {
+  // Guards against a connection that holds a listener for each past request.
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    socket.write(
+      streamHead(id) + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n",
+    );
+  }]);
+  using caller = openPipeliningCaller(fixture.port);
+  const listeners: number[] = [];
+  for (let at = 0; at < 3; at++) {
+    caller.send([`stream-${at}`]);
+    const { responses } = await caller.read(1);
+    deepStrictEqual(responses.map(({ status }) => status), [200]);
+    await sleep(0);
+    const { socket } = fixture.responses[at]!.req;
+    listeners.push(socket.listenerCount("end"));
+  }
+  deepStrictEqual(listeners, [NODE_LISTENERS, NODE_LISTENERS, NODE_LISTENERS]);
+});
