--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -14,11 +14,8 @@
 import { waitUntil } from "../testing/held_upstream.ts";
 import { answer, unframedHead } from "../testing/raw_responses.ts";
 import { tryGetBodyFailure } from "./body_end.ts";
-import {
-  openCall,
-  readResponseBody,
-  type UpstreamResponse,
-} from "./upstream_call.ts";
+import { readResponseBody } from "./response_body.ts";
+import { openCall, type UpstreamResponse } from "./upstream_call.ts";
 
 const plain = { kind: "idempotent", isResumable: false } as const;
 const once = { kind: "at-most-once", isResumable: false } as const;
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -25,10 +25,11 @@
 import { relayStream } from "./relay_stream.ts";
 import { createUnavailable, getEligible } from "./eligible_upstreams.ts";
 import { type PickedUpstream, pickUpstream } from "./pick_upstream.ts";
+import { readResponseBody } from "./response_body.ts";
 import { createNotRunRejection, Rejected } from "./rejections.ts";
 import { FAILED_RETRY_MS } from "./retry_after.ts";
 import { AttemptFailed } from "./types.ts";
-import { readResponseBody, type UpstreamResponse } from "./upstream_call.ts";
+import type { UpstreamResponse } from "./upstream_call.ts";
 
 /**
  * Largest response that is buffered before it is sent on, in bytes. Streams are
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -11,8 +11,9 @@
 
 import type { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
+import { startTimeout } from "../core/mod.ts";
 import { createTruncatedError, tryGetBodyFailure } from "./body_end.ts";
-import type { AttemptFailed } from "./types.ts";
+import { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
 /** What a body is received for. */
@@ -53,6 +54,51 @@
   res.on("close", endTruncated);
 }
 
+/**
+ * Reads the complete body. Fails if it is truncated or exceeds the size limit.
+ */
+export function readResponseBody(
+  response: UpstreamResponse,
+  limits: { readonly maxBytes: number; readonly timeoutMs: number },
+): Effect.Effect<readonly Buffer[], AttemptFailed> {
+  return Effect.callback<readonly Buffer[], AttemptFailed>((resume) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    let hasEnded = false;
+
+    function end(result: Effect.Effect<void, AttemptFailed>): void {
+      hasEnded = true;
+      timeout[Symbol.dispose]();
+      resume(result.pipe(Effect.map(() => chunks)));
+    }
+
+    function fail(kind: "broken" | "silent", reason: string): void {
+      end(Effect.fail(new AttemptFailed({ kind, reason })));
+      response.abort();
+    }
+
+    function onChunk(chunk: Buffer): void {
+      size += chunk.length;
+      if (size > limits.maxBytes) fail("broken", "The response is too large");
+      else chunks.push(chunk);
+    }
+
+    const timeout = startTimeout(
+      limits.timeoutMs,
+      () =>
+        fail(
+          "silent",
+          `The response body did not arrive within ${limits.timeoutMs} ms`,
+        ),
+    );
+    receiveBody(response, { onChunk, onEnd: end });
+    return Effect.sync(() => {
+      timeout[Symbol.dispose]();
+      if (!hasEnded) response.abort();
+    });
+  });
+}
+
 function checkComplete(
   response: UpstreamResponse,
 ): Effect.Effect<void, AttemptFailed> {
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -19,7 +19,6 @@
 import type { BodyEnd } from "./body_end.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
-import { receiveBody } from "./response_body.ts";
 import { CONNECT_TIMEOUT_MS, tryConnect } from "./try_connect.ts";
 import { AttemptFailed } from "./types.ts";
 
@@ -128,51 +127,6 @@
   });
 }
 
-/**
- * Reads the complete body. Fails if it is truncated or exceeds the size limit.
- */
-export function readResponseBody(
-  response: UpstreamResponse,
-  limits: { readonly maxBytes: number; readonly timeoutMs: number },
-): Effect.Effect<readonly Buffer[], AttemptFailed> {
-  return Effect.callback<readonly Buffer[], AttemptFailed>((resume) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let hasEnded = false;
-
-    function end(result: Effect.Effect<void, AttemptFailed>): void {
-      hasEnded = true;
-      timeout[Symbol.dispose]();
-      resume(result.pipe(Effect.map(() => chunks)));
-    }
-
-    function fail(kind: "broken" | "silent", reason: string): void {
-      end(Effect.fail(new AttemptFailed({ kind, reason })));
-      response.abort();
-    }
-
-    function onChunk(chunk: Buffer): void {
-      size += chunk.length;
-      if (size > limits.maxBytes) fail("broken", "The response is too large");
-      else chunks.push(chunk);
-    }
-
-    const timeout = startTimeout(
-      limits.timeoutMs,
-      () =>
-        fail(
-          "silent",
-          `The response body did not arrive within ${limits.timeoutMs} ms`,
-        ),
-    );
-    receiveBody(response, { onChunk, onEnd: end });
-    return Effect.sync(() => {
-      timeout[Symbol.dispose]();
-      if (!hasEnded) response.abort();
-    });
-  });
-}
-
 /** Node's parser prefixes the codes of its errors. */
 function getSentFailure(code: string): "broken" | "cut-off" {
   return code.startsWith("HPE_") ? "broken" : "cut-off";
