Log how long an upstream was silent, and what the next step was chosen by

Callers saw requests that ended without an answer (LOST). The log said "silent" and the next step, so that an attempt given up too early, a connection that was not made in time, and a request without any other upstream looked alike.

attempt-failed now has `silence` where a time-out of the attempt passed: its phase (connect, head, events, body), `silentMs` since the latest sign of the upstream, `limitMs`, and `isAborted`, whether this host had closed the attempt when it chose the next step. `candidates`, `retry`, `remainingMs` and `isBegun` are what the step was chosen by. The record is one object for each attempt, and decides nothing.

What a run showed: for a stream without events the step is chosen before the connection is closed, but the close follows whatever the step is; before the head the connection is closed first.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -104,6 +104,29 @@
   readonly code: string | undefined;
 }
 
+/** What an attempt waited for when its time-out passed. */
+export type SilencePhase = "connect" | "head" | "events" | "body";
+
+/** An attempt whose time-out passed. */
+export interface LoggedSilence {
+  readonly phase: SilencePhase;
+  /**
+   * Time since this phase began, or since the latest part of the response was
+   * read, without the time for which the caller did not read.
+   */
+  readonly silentMs: number;
+  /** The time-out. */
+  readonly limitMs: number;
+  /** Whether this host had closed the attempt when it chose the next step. */
+  readonly isAborted: boolean;
+}
+
+/**
+ * Whether the choice of the next step took a retry from the budget. It asks for
+ * one only if all else allows another attempt.
+ */
+export type RetryUse = "taken" | "refused" | "not-asked";
+
 /** A decision with the data that it was based on. */
 export type Decision =
   | {
@@ -139,6 +162,14 @@
     readonly next: "another-upstream" | "resume" | "give-up";
     /** Reason why there is no further attempt. */
     readonly because: string | undefined;
+    /** Upstreams that the request could be sent to next. */
+    readonly candidates: number;
+    readonly retry: RetryUse;
+    readonly remainingMs: number;
+    /** Whether the response to the caller had begun. */
+    readonly isBegun: boolean;
+    /** Absent unless a time-out of the attempt passed. */
+    readonly silence: LoggedSilence | undefined;
     /** Digest of the content, if it may have crashed the upstream. */
     readonly fingerprint: string | undefined;
     /** The body of the response of this attempt; absent if none had begun. */
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -5,7 +5,13 @@
  * @module
  */
 
-import type { Decision, Inputs, LoggedBody, QueueInputs } from "./decisions.ts";
+import type {
+  Decision,
+  Inputs,
+  LoggedBody,
+  LoggedSilence,
+  QueueInputs,
+} from "./decisions.ts";
 import type { LoggedDecision } from "./decision_lines.ts";
 
 /** The logged decisions that concern one request. */
@@ -120,7 +126,9 @@
         }`;
     case "attempt-failed":
       return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
-        `"${decision.reason}"; next: ${decision.next}${
+        `"${decision.reason}"${
+          formatSilence(decision.silence)
+        }; next: ${decision.next}${
           decision.because === undefined ? "" : `, since "${decision.because}"`
         }${formatBody(decision.body)}`;
     case "request-ended":
@@ -228,6 +236,14 @@
   }
 }
 
+function formatSilence(silence: LoggedSilence | undefined): string {
+  if (silence === undefined) return "";
+  const { phase, silentMs, limitMs, isAborted } = silence;
+  return `, silent for ${silentMs} ms of ${limitMs} ms (${phase}), ${
+    isAborted ? "aborted before" : "still open when"
+  } the next step was chosen`;
+}
+
 function formatPrefill(readingTokens: number | undefined): string {
   if (readingTokens === undefined) return "";
   return `, with ${readingTokens} tokens to prefill`;
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -52,6 +52,7 @@
       headers,
       body: call.body,
       headTimeoutMs,
+      trace: progress.attemptTrace,
       mayStillSend: () =>
         !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
       onSent() {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -23,6 +23,7 @@
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { BackoffWatch, HealthWatch } from "../upstreams/mod.ts";
 import type { WarmUps } from "../warmup/mod.ts";
+import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyTrace } from "./body_trace.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
@@ -149,6 +150,8 @@
   firstEventMs: number | undefined;
   /** Monotonic milliseconds at which the latest attempt started. */
   attemptStartedMs: number;
+  /** The record of the latest attempt; `undefined` before the first. */
+  attemptTrace: AttemptTrace | undefined;
   /**
    * Number of event chunks relayed; the next property is the longest time
    * between two of them, in ms.
@@ -177,6 +180,7 @@
     lastEventId,
     firstEventMs: undefined,
     attemptStartedMs: 0,
+    attemptTrace: undefined,
     chunks: 0,
     longestPauseMs: 0,
     bodyTrace: undefined,
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -8,7 +8,9 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { CallerLost } from "../requests/caller.ts";
+import type { RetryUse } from "../diagnostics/mod.ts";
 import { attempt } from "./attempt.ts";
+import { createAttemptTrace } from "./attempt_trace.ts";
 import {
   checkNotBlocked,
   createBlockedRejection,
@@ -79,6 +81,9 @@
     err: AttemptFailed,
   ): Effect.Effect<void, Rejected | CallerLost> {
     const { route, progress, service } = call;
+    const candidates = getEligible(host, call).length;
+    const remainingMs = getRemainingMs(host, call);
+    let retry: RetryUse = "not-asked";
     const step = decideNextStep({
       failure: err.kind,
       kind: route.kind,
@@ -89,12 +94,16 @@
       connects,
       hasSentEvents: call.res.headersSent,
       hasEventId: progress.lastEventId !== undefined,
-      remainingMs: getRemainingMs(host, call),
+      remainingMs,
       isBlocked: isContentBlocked(host, call),
-      hasCandidate: getEligible(host, call).length > 0,
-      tryTakeRetry: () => host.retryBudget.tryTake("", service),
+      hasCandidate: candidates > 0,
+      tryTakeRetry() {
+        const isTaken = host.retryBudget.tryTake("", service);
+        retry = isTaken ? "taken" : "refused";
+        return isTaken;
+      },
     });
-    logFailure(host, call, err, step);
+    logFailure(host, call, err, { step, candidates, remainingMs, retry });
     if (step.kind !== "give-up") return tryUpstream;
     return Effect.fail(createFinalRejection(host, call, err));
   }
@@ -117,6 +126,7 @@
   const { health } = host;
   call.progress.upstream = upstream;
   call.progress.attemptStartedMs = host.clock.monotonicMs();
+  call.progress.attemptTrace = createAttemptTrace(host.clock);
   call.progress.triedUpstreams.add(upstream.id);
   call.progress.isUpstreamCold = host.warmUps.isCold(upstream);
   logAttempt(host, call, picked);
@@ -302,21 +312,35 @@
   });
 }
 
+/** The step after a failure, with what it was chosen by. */
+interface ChosenStep {
+  readonly step: NextStep;
+  readonly candidates: number;
+  readonly remainingMs: number;
+  readonly retry: RetryUse;
+}
+
 function logFailure(
   host: ForwardHost,
   call: Call,
   err: AttemptFailed,
-  step: NextStep,
+  { step, candidates, remainingMs, retry }: ChosenStep,
 ): void {
+  const { progress } = call;
   host.log({
     event: "attempt-failed",
     request: call.headers.requestId,
-    upstream: call.progress.upstream!.id,
-    attempt: call.progress.attempts,
+    upstream: progress.upstream!.id,
+    attempt: progress.attempts,
     kind: err.kind,
     reason: err.reason,
     next: step.kind,
     because: step.kind === "give-up" ? step.because : undefined,
+    candidates,
+    retry,
+    remainingMs: Math.round(remainingMs),
+    isBegun: call.res.headersSent,
+    silence: err.silence && progress.attemptTrace?.toLog(err.silence),
     fingerprint: err.kind === "cut-off" ? call.fingerprint : undefined,
     body: takeLoggedBody(host, call),
   });
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -17,7 +17,7 @@
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
 import type { PickedUpstream } from "./pick_upstream.ts";
 import { receiveBody } from "./response_body.ts";
-import { AttemptFailed } from "./types.ts";
+import { AttemptFailed, type Silence } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
 /**
@@ -67,8 +67,10 @@
     }
 
     function onIdle(): void {
-      const reason = `No event within ${STREAM_IDLE_TIMEOUT_MS} ms`;
-      end(Effect.fail(new AttemptFailed({ kind: "silent", reason })));
+      const limitMs = STREAM_IDLE_TIMEOUT_MS;
+      const reason = `No event within ${limitMs} ms`;
+      const silence: Silence = { phase: "events", limitMs };
+      end(Effect.fail(new AttemptFailed({ kind: "silent", reason, silence })));
       response.abort();
     }
 
@@ -83,6 +85,7 @@
       response.res.pause();
       call.res.once("drain", () => {
         events.onResumed();
+        response.onRead();
         response.res.resume();
         awaitEvent();
       });
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -13,7 +13,7 @@
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
 import { createTruncatedError, tryGetBodyFailure } from "./body_end.ts";
-import { AttemptFailed } from "./types.ts";
+import { AttemptFailed, type Silence } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
 /** What a body is received for. */
@@ -48,6 +48,7 @@
   if (res.destroyed) return endTruncated();
   res.on("data", (chunk: Buffer) => {
     trace.onRead(chunk.length);
+    response.onRead();
     reader.onChunk(chunk);
   });
   res.on("end", () => end(checkComplete(response)));
@@ -72,25 +73,30 @@
       resume(result.pipe(Effect.map(() => chunks)));
     }
 
-    function fail(kind: "broken" | "silent", reason: string): void {
-      end(Effect.fail(new AttemptFailed({ kind, reason })));
+    function fail(failure: AttemptFailed): void {
+      end(Effect.fail(failure));
       response.abort();
     }
 
+    function failTooLarge(): void {
+      const reason = "The response is too large";
+      fail(new AttemptFailed({ kind: "broken", reason }));
+    }
+
+    function failSilent(): void {
+      const silence: Silence = { phase: "body", limitMs: limits.timeoutMs };
+      const reason =
+        `The response body did not arrive within ${limits.timeoutMs} ms`;
+      fail(new AttemptFailed({ kind: "silent", reason, silence }));
+    }
+
     function onChunk(chunk: Buffer): void {
       size += chunk.length;
-      if (size > limits.maxBytes) fail("broken", "The response is too large");
+      if (size > limits.maxBytes) failTooLarge();
       else chunks.push(chunk);
     }
 
-    const timeout = startTimeout(
-      limits.timeoutMs,
-      () =>
-        fail(
-          "silent",
-          `The response body did not arrive within ${limits.timeoutMs} ms`,
-        ),
-    );
+    const timeout = startTimeout(limits.timeoutMs, failSilent);
     receiveBody(response, { onChunk, onEnd: end });
     return Effect.sync(() => {
       timeout[Symbol.dispose]();
--- /dev/null
+++ b/src/forwarding/silence_log_test.ts
@@ -0,0 +1,138 @@
+import { deepStrictEqual, ok } from "node:assert";
+import { Buffer } from "node:buffer";
+import { Agent } from "node:http";
+import { Socket } from "node:net";
+import { test } from "node:test";
+import * as Effect from "effect/Effect";
+import { systemClock } from "../core/mod.ts";
+import type { Decision } from "../diagnostics/mod.ts";
+import {
+  type Behaviour,
+  createForwardFixture,
+} from "../testing/forward_fixture.ts";
+import { chunk, headWithLength, streamHead } from "../testing/raw_responses.ts";
+import { createAttemptTrace } from "./attempt_trace.ts";
+import { readResponseBody } from "./response_body.ts";
+import { openCall } from "./upstream_call.ts";
+
+type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
+
+/** Time-outs of the routes and calls here, in ms. */
+const TIMEOUT_MS = 400;
+const BODY_TIMEOUT_MS = 50;
+
+/** Part of a time-out for which its timer has surely waited. */
+const SURE_SHARE = 0.9;
+
+const isSilent: Behaviour = () => {};
+const sendsOneEvent: Behaviour = (socket, { id }) =>
+  socket.write(streamHead(id) + chunk("id: 1\ndata: a\n\n"));
+
+function getFailedAttempts(log: readonly Decision[]): readonly FailedAttempt[] {
+  return log.filter((each) => each.event === "attempt-failed");
+}
+
+/** What a line tells of the choice of the next step. */
+function getChoice(line: FailedAttempt | undefined): readonly unknown[] {
+  return [line?.next, line?.candidates, line?.retry, line?.isBegun];
+}
+
+/** Whether the line tells a silence that lasted for all of its time-out. */
+function isWholeSilence({ silence, remainingMs }: FailedAttempt): boolean {
+  return silence !== undefined && Number.isInteger(remainingMs) &&
+    silence.silentMs >= silence.limitMs * SURE_SHARE;
+}
+
+/** An agent whose connections are never made. */
+class UnansweredAgent extends Agent {
+  createConnection(): Socket {
+    const socket = new Socket();
+    Object.defineProperty(socket, "connecting", { value: true });
+    return socket;
+  }
+}
+
+test("the line of a stream that fell silent tells for how long, and what its next step was chosen by", async () => {
+  // Guards against a cut stream whose log leaves open what cut it.
+  await using fixture = await createForwardFixture([sendsOneEvent], {
+    kind: "stream",
+    isResumable: true,
+  });
+  await fixture.call();
+  const [line] = getFailedAttempts(fixture.log);
+  deepStrictEqual(getChoice(line), ["give-up", 0, "not-asked", true]);
+  deepStrictEqual([line?.kind, line?.silence?.phase], ["silent", "events"]);
+  ok(line !== undefined && isWholeSilence(line), JSON.stringify(line));
+});
+
+test("the line of an upstream that was silent before the head tells whether a retry was taken", async () => {
+  // Guards against a request given up with nothing in the log about the others.
+  await using fixture = await createForwardFixture([isSilent, isSilent], {
+    kind: "idempotent",
+    isResumable: false,
+    timeoutMs: TIMEOUT_MS,
+  });
+  await fixture.call();
+  const [line] = getFailedAttempts(fixture.log);
+  deepStrictEqual(getChoice(line), ["another-upstream", 1, "taken", false]);
+  const { phase, isAborted } = line!.silence!;
+  deepStrictEqual([line?.kind, phase, isAborted], ["silent", "head", true]);
+  ok(isWholeSilence(line!), JSON.stringify(line));
+});
+
+test("the line of an upstream that broke off tells no silence", async () => {
+  // Guards against a crash that the log shows as a silence.
+  await using fixture = await createForwardFixture([
+    (socket) => socket.resetAndDestroy(),
+  ], { kind: "idempotent", isResumable: false });
+  await fixture.call();
+  const [line] = getFailedAttempts(fixture.log);
+  deepStrictEqual([line?.kind, line?.silence], ["cut-off", undefined]);
+});
+
+test("a connection that isn't made in time is a silence while connecting", async () => {
+  // Guards against a silent upstream that looks like one that isn't there.
+  const failure = await Effect.runPromise(Effect.flip(openCall({
+    agent: new UnansweredAgent(),
+    address: "127.0.0.1:9",
+    method: "GET",
+    target: "/",
+    headers: ["Host", "model.example"],
+    body: Buffer.alloc(0),
+    headTimeoutMs: TIMEOUT_MS,
+    mayStillSend: () => true,
+    onSent: () => {},
+  })));
+  const { kind, silence } = failure;
+  deepStrictEqual([kind, silence?.phase], ["not-sent", "connect"]);
+});
+
+test("a body that stops is a silence of the body, which its last byte begins", async () => {
+  // Guards against a slow body that the log shows as a silent upstream.
+  const partly: Behaviour = (socket, { id }) =>
+    socket.write(headWithLength(id, 8) + "half");
+  await using fixture = await createForwardFixture([partly]);
+  const [address] = fixture.upstreamAddresses;
+  const trace = createAttemptTrace(systemClock);
+  const response = await Effect.runPromise(openCall({
+    agent: fixture.agent,
+    address: address!,
+    method: "GET",
+    target: "/",
+    headers: ["Host", "model.example", "x-id", "part"],
+    body: Buffer.alloc(0),
+    headTimeoutMs: TIMEOUT_MS,
+    trace,
+    mayStillSend: () => true,
+    onSent: () => {},
+  }));
+  const limits = { maxBytes: 100, timeoutMs: BODY_TIMEOUT_MS };
+  const { kind, silence } = await Effect.runPromise(
+    Effect.flip(readResponseBody(response, limits)),
+  );
+  deepStrictEqual([kind, silence], [
+    "silent",
+    { phase: "body", limitMs: BODY_TIMEOUT_MS },
+  ]);
+  ok(trace.toLog(silence!).isAborted);
+});
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -8,6 +8,7 @@
 
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import * as Data from "effect/Data";
+import type { SilencePhase } from "../diagnostics/mod.ts";
 
 /** One part of a prompt. Requests that name the same part id share its text. */
 export interface PromptPart {
@@ -124,6 +125,12 @@
   | "cut-off"
   | "silent";
 
+/** A time-out that passed. */
+export interface Silence {
+  readonly phase: SilencePhase;
+  readonly limitMs: number;
+}
+
 /**
  * An attempt that produced no response that can be passed on to the caller.
  *
@@ -140,4 +147,6 @@
 export class AttemptFailed extends Data.TaggedError("AttemptFailed")<{
   readonly kind: AttemptFailure;
   readonly reason: string;
+  /** Set if the attempt failed because a time-out passed. */
+  readonly silence?: Silence | undefined;
 }> {}
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -16,11 +16,12 @@
 import { startTimeout } from "../core/mod.ts";
 import type { ConnectResult } from "../crashes/mod.ts";
 import { getBodyFraming } from "../upstreams/mod.ts";
+import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyEnd } from "./body_end.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
 import { CONNECT_TIMEOUT_MS, tryConnect } from "./try_connect.ts";
-import { AttemptFailed } from "./types.ts";
+import { AttemptFailed, type Silence } from "./types.ts";
 
 /** A request to an upstream. */
 export interface UpstreamCall {
@@ -35,6 +36,8 @@
   readonly body: Buffer;
   /** Time-out for the head of the response, in ms. */
   readonly headTimeoutMs: number;
+  /** Told of each sign of the upstream and of an abort, for the log. */
+  readonly trace?: AttemptTrace | undefined;
   /**
    * Called right before the first byte is written, since conditions may have
    * changed while the connection was being made.
@@ -51,6 +54,8 @@
   readonly trace: BodyTrace;
   /** Closes the connection, and drops what was received but not read. */
   abort(): void;
+  /** A part of the body was read, or reading goes on after a pause. */
+  onRead(): void;
   /** What is known of the end of the body, once it was read to its end. */
   readonly bodyEnd: Effect.Effect<BodyEnd>;
 }
@@ -73,32 +78,50 @@
       setHost: false,
     });
 
-    function fail(kind: AttemptFailed["kind"], reason: string): void {
-      timeout[Symbol.dispose]();
+    function abortRequest(): void {
+      call.trace?.onAborted();
       req.destroy();
+    }
+
+    function fail(
+      kind: AttemptFailed["kind"],
+      reason: string,
+      silence?: Silence,
+    ): void {
+      timeout[Symbol.dispose]();
+      abortRequest();
       if (received === undefined) {
-        resume(Effect.fail(new AttemptFailed({ kind, reason })));
+        resume(Effect.fail(new AttemptFailed({ kind, reason, silence })));
       }
     }
 
-    let timeout = startTimeout(
-      CONNECT_TIMEOUT_MS,
-      () => fail("not-sent", `No connection within ${CONNECT_TIMEOUT_MS} ms`),
-    );
+    function failConnect(): void {
+      const limitMs = CONNECT_TIMEOUT_MS;
+      const reason = `No connection within ${limitMs} ms`;
+      fail("not-sent", reason, { phase: "connect", limitMs });
+    }
+
+    function failHead(): void {
+      const limitMs = call.headTimeoutMs;
+      const reason = `No response within ${limitMs} ms`;
+      fail("silent", reason, { phase: "head", limitMs });
+    }
+
+    let timeout = startTimeout(CONNECT_TIMEOUT_MS, failConnect);
     onConnected(req, () => {
       if (!call.mayStillSend()) {
         return fail("unwanted", "The request may no longer be sent there");
       }
       isSent = true;
       call.onSent();
+      call.trace?.onWaiting();
       timeout[Symbol.dispose]();
-      timeout = startTimeout(
-        call.headTimeoutMs,
-        () => fail("silent", `No response within ${call.headTimeoutMs} ms`),
-      );
+      timeout = startTimeout(call.headTimeoutMs, failHead);
     });
+    req.on("information", () => call.trace?.onWaiting());
     req.on("response", (res) => {
       timeout[Symbol.dispose]();
+      call.trace?.onWaiting();
       // Without a listener, an error event of the body would end the process.
       res.on("error", () => {});
       const trace = createBodyTrace(res, call.method);
@@ -106,9 +129,10 @@
       const bodyEnd = watchBodyEnd(call, res);
       function abort(): void {
         trace.onConnectionEnd("aborted");
-        req.destroy();
+        abortRequest();
       }
-      received = { res, trace, abort, bodyEnd };
+      const onRead = () => call.trace?.onWaiting();
+      received = { res, trace, abort, onRead, bodyEnd };
       resume(Effect.succeed(received));
     });
     req.on("error", (err) => {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -80,6 +80,7 @@
   readonly controls: Controls;
   readonly recordedPacing: RecordedPacing;
   readonly crashes: CrashWatch;
+  readonly upstreamAddresses: readonly string[];
   /** Port at which the host listens for callers. */
   readonly port: number;
   /** The host's responses to callers, in order of arrival. */
@@ -193,6 +194,7 @@
     controls,
     recordedPacing,
     crashes,
+    upstreamAddresses: entries.map((each) => each.address),
     port,
     responses,
     agent: host.agent,
