Log whether a response was closed, and after which silence

Callers saw streams that ended in the middle. The log told that only by "status 0" with "may-have-run", and a deadline that passed during a silence left no line about an attempt at all.

request-ended now has `isCut`, a response that had begun was closed by this host; `silentPhase`, the phase of the request's latest silence; and `silentMs`, for how long the upstream of the latest attempt had been silent, for all ends but "answered". Existing values keep their names and meaning.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -182,9 +182,18 @@
     readonly route: string | undefined;
     readonly outcome: Outcome | "caller-left";
     readonly status: number;
+    /** A response that had begun was closed before its end by this host. */
+    readonly isCut: boolean;
     readonly reason: string;
     readonly upstream: string | undefined;
     readonly attempts: number;
+    /** Phase of the request's latest silence; absent without one. */
+    readonly silentPhase: SilencePhase | undefined;
+    /**
+     * For how long the upstream of the latest attempt had been silent; absent
+     * without an attempt, and for a response that was relayed.
+     */
+    readonly silentMs: number | undefined;
     /** Time since the start of the last attempt; absent without one. */
     readonly sinceAttemptMs: number | undefined;
     readonly totalMs: number;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -134,9 +134,11 @@
     case "request-ended":
       return `Ended as ${decision.outcome} with status ${decision.status} ` +
         `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
-        `"${decision.reason}"${formatRetry(decision.retryAfterMs)}${
-          formatQueue(decision.queue)
-        }${formatBody(decision.body)}; ${formatInputs(decision.inputs)}`;
+        `"${decision.reason}"${formatCut(decision)}${
+          formatRetry(decision.retryAfterMs)
+        }${formatQueue(decision.queue)}${formatBody(decision.body)}; ${
+          formatInputs(decision.inputs)
+        }`;
     case "reading-limit-changed":
       return `An upstream of ${decision.service} may have ` +
         `${decision.limitTokens} tokens to prefill; ${decision.inTimeTokens} ` +
@@ -244,6 +246,20 @@
   } the next step was chosen`;
 }
 
+function formatCut(
+  { isCut, silentPhase, silentMs }: Extract<
+    Decision,
+    { readonly event: "request-ended" }
+  >,
+): string {
+  const cut = isCut ? "; the response had begun and was closed" : "";
+  const silent = silentMs === undefined ? "" : `; silent for ${silentMs} ms`;
+  const phase = silentPhase === undefined
+    ? ""
+    : `; its latest time-out passed in the phase "${silentPhase}"`;
+  return `${cut}${silent}${phase}`;
+}
+
 function formatPrefill(readingTokens: number | undefined): string {
   if (readingTokens === undefined) return "";
   return `, with ${readingTokens} tokens to prefill`;
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -10,7 +10,12 @@
 import type { RetryBudget } from "../admission/mod.ts";
 import type { Clock } from "../core/mod.ts";
 import type { CrashWatch } from "../crashes/mod.ts";
-import type { Decision, Inputs, LoggedBody } from "../diagnostics/mod.ts";
+import type {
+  Decision,
+  Inputs,
+  LoggedBody,
+  SilencePhase,
+} from "../diagnostics/mod.ts";
 import type {
   UpstreamDirectory,
   UpstreamEntry,
@@ -152,6 +157,8 @@
   attemptStartedMs: number;
   /** The record of the latest attempt; `undefined` before the first. */
   attemptTrace: AttemptTrace | undefined;
+  /** Phase of the latest time-out of an attempt; `undefined` without one. */
+  silentPhase: SilencePhase | undefined;
   /**
    * Number of event chunks relayed; the next property is the longest time
    * between two of them, in ms.
@@ -181,6 +188,7 @@
     firstEventMs: undefined,
     attemptStartedMs: 0,
     attemptTrace: undefined,
+    silentPhase: undefined,
     chunks: 0,
     longestPauseMs: 0,
     bodyTrace: undefined,
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -327,6 +327,7 @@
   { step, candidates, remainingMs, retry }: ChosenStep,
 ): void {
   const { progress } = call;
+  progress.silentPhase = err.silence?.phase ?? progress.silentPhase;
   host.log({
     event: "attempt-failed",
     request: call.headers.requestId,
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -45,6 +45,7 @@
   logEnd(host, state, {
     outcome: isPartlySent ? "may-have-run" : getOutcome(status),
     status: isPartlySent ? 0 : status,
+    isCut: isPartlySent,
     reason,
     retryAfterMs,
     queue,
@@ -94,6 +95,8 @@
 interface EndDetails {
   readonly outcome: "answered" | "not-run" | "may-have-run" | "caller-left";
   readonly status: number;
+  /** Set if a response that had begun was closed. */
+  readonly isCut?: boolean;
   readonly reason: string;
   readonly retryAfterMs: number | undefined;
   readonly queue?: QueueInputs | undefined;
@@ -111,9 +114,14 @@
     route: route?.name,
     outcome: end.outcome,
     status: end.status,
+    isCut: end.isCut ?? false,
     reason: end.reason,
     upstream: call?.progress.upstream?.id,
     attempts,
+    silentPhase: call?.progress.silentPhase,
+    silentMs: end.outcome === "answered"
+      ? undefined
+      : call?.progress.attemptTrace?.getSilentMs(),
     sinceAttemptMs: attempts === 0
       ? undefined
       : Math.round(nowMs - call!.progress.attemptStartedMs),
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -10,12 +10,18 @@
   type Behaviour,
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
-import { chunk, headWithLength, streamHead } from "../testing/raw_responses.ts";
+import {
+  answer,
+  chunk,
+  headWithLength,
+  streamHead,
+} from "../testing/raw_responses.ts";
 import { createAttemptTrace } from "./attempt_trace.ts";
 import { readResponseBody } from "./response_body.ts";
 import { openCall } from "./upstream_call.ts";
 
 type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
+type EndedRequest = Extract<Decision, { readonly event: "request-ended" }>;
 
 /** Time-outs of the routes and calls here, in ms. */
 const TIMEOUT_MS = 400;
@@ -32,6 +38,16 @@
   return log.filter((each) => each.event === "attempt-failed");
 }
 
+/** What the line of the only request tells of its end. */
+function getEnd(log: readonly Decision[]): readonly unknown[] {
+  const end = log.find((each): each is EndedRequest =>
+    each.event === "request-ended"
+  );
+  const { outcome, status, isCut, silentPhase, silentMs } = end!;
+  const isTimed = silentMs !== undefined;
+  return [outcome, status, isCut, silentPhase, isTimed];
+}
+
 /** What a line tells of the choice of the next step. */
 function getChoice(line: FailedAttempt | undefined): readonly unknown[] {
   return [line?.next, line?.candidates, line?.retry, line?.isBegun];
@@ -136,3 +152,48 @@
   ]);
   ok(trace.toLog(silence!).isAborted);
 });
+
+test("the end of a stream tells that its response was closed, and after which silence", async () => {
+  // Guards against a cut response whose last line reads like any other failure.
+  await using fixture = await createForwardFixture([sendsOneEvent], {
+    kind: "stream",
+    isResumable: true,
+  });
+  ok((await fixture.call()).isTruncated);
+  const expected = ["may-have-run", 0, true, "events", true];
+  deepStrictEqual(getEnd(fixture.log), expected);
+});
+
+test("the end of a request without a response tells its silence, and that nothing was closed", async () => {
+  // Guards against a 504 that is counted among the cut responses.
+  await using fixture = await createForwardFixture([isSilent], {
+    kind: "idempotent",
+    isResumable: false,
+    timeoutMs: TIMEOUT_MS,
+  });
+  await fixture.call();
+  const expected = ["may-have-run", 504, false, "head", true];
+  deepStrictEqual(getEnd(fixture.log), expected);
+});
+
+test("the end of a stream that its deadline closes tells how long it had been silent", async () => {
+  // Guards against a response cut without any attempt that failed in the log.
+  await using fixture = await createForwardFixture([sendsOneEvent], {
+    kind: "stream",
+    isResumable: false,
+    timeoutMs: TIMEOUT_MS,
+  });
+  ok((await fixture.call()).isTruncated);
+  const expected = ["may-have-run", 0, true, undefined, true];
+  deepStrictEqual(getEnd(fixture.log), expected);
+});
+
+test("the end of an answered request tells no silence", async () => {
+  // Guards against whole responses among the cut ones.
+  await using fixture = await createForwardFixture([
+    (socket, { id }) => socket.write(answer(id, "done")),
+  ], { kind: "idempotent", isResumable: false });
+  await fixture.call();
+  const expected = ["answered", 200, false, undefined, false];
+  deepStrictEqual(getEnd(fixture.log), expected);
+});
