Log when an upstream starts and stops counting as unhealthy at a host

Callers saw requests that ended without an answer (LOST) beside upstreams that fell silent and went on. A host prefers others to an upstream that refused a connection, was silent or failed many requests, and no line said when, or why.

The lines upstream-unhealthy and upstream-healthy name the upstream, the reason (unreachable, silent, failures), its requests in flight, its silence, the share of failures, and how long the state lasted. A change is noticed when health is asked for or evidence comes; at most ten lines a second are written, and what is above is written later unless it has passed. The conditions themselves are the same, in the same order; nothing is decided by the reports.

The four tests of health_changes_test.ts failed on the watch before, and the test in entry_terms_test.ts with the entry host before; health_decision_test.ts is of a new function.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -315,6 +315,21 @@
     /** The text that can't be read. */
     readonly text: string | undefined;
   }
+  | {
+    /** This host starts or stops preferring other upstreams to this one. */
+    readonly event: "upstream-unhealthy" | "upstream-healthy";
+    readonly upstream: string;
+    /** The reason of the unhealthy state that starts or ends here. */
+    readonly because: "unreachable" | "silent" | "failures";
+    /** Requests of this host in flight there. */
+    readonly inFlight: number;
+    /** Time since bytes of a response arrived or the only request began. */
+    readonly silentMs: number;
+    /** Share of the latest requests that failed. */
+    readonly failureShare: number;
+    /** Time since the start was logged; absent at the start. */
+    readonly lastedMs: number | undefined;
+  }
   | {
     readonly event: "member-changed";
     readonly member: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -76,6 +76,8 @@
     case "upstream-changed":
     case "upstream-cold":
     case "upstream-said":
+    case "upstream-unhealthy":
+    case "upstream-healthy":
       return isAtHost || subject.upstreams.has(decision.upstream);
     default:
       return isAtHost;
@@ -176,6 +178,9 @@
         `${decision.platformVersion})`;
     case "upstream-said":
       return describeUpstreamSignal(decision);
+    case "upstream-unhealthy":
+    case "upstream-healthy":
+      return describeHealthChange(decision);
     case "member-changed":
       return `Host ${decision.member} is ${decision.state}`;
     case "table-reader-changed":
@@ -238,6 +243,21 @@
   }
 }
 
+function describeHealthChange(
+  change: Extract<
+    Decision,
+    { readonly event: "upstream-unhealthy" | "upstream-healthy" }
+  >,
+): string {
+  const { upstream, because, inFlight, silentMs, failureShare } = change;
+  const lasted = change.lastedMs === undefined
+    ? ""
+    : ` after ${change.lastedMs} ms`;
+  return `${change.event}: ${upstream}, ${because}${lasted}; ${inFlight} ` +
+    `requests in flight, silent for ${silentMs} ms, a share of ` +
+    `${failureShare} failed`;
+}
+
 function formatSilence(silence: LoggedSilence | undefined): string {
   if (silence === undefined) return "";
   const { phase, silentMs, limitMs, isAborted } = silence;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -27,6 +27,7 @@
 import { openLoadExchange } from "./load_exchange.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
+import { createHealthDecision } from "./health_decision.ts";
 import { createHostWarmUps } from "./host_warm_ups.ts";
 import { createIntake } from "./intake.ts";
 import { createPlatformView } from "./platform_view.ts";
@@ -100,7 +101,10 @@
   }
 
   const stallTolerantClock = createStallTolerantClock(clock);
-  const health = createHealthWatch(stallTolerantClock);
+  const health = createHealthWatch(
+    stallTolerantClock,
+    (change) => log(createHealthDecision(change)),
+  );
   const loopMonitor = createEventLoopMonitor(clock, QUEUE_TICK_MS);
   const fullHosts = createFullHosts({
     clock,
--- a/src/upstreams/health_watch.ts
+++ b/src/upstreams/health_watch.ts
@@ -13,6 +13,11 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
+import {
+  createHealthChanges,
+  type HealthChange,
+  type UnhealthyReason,
+} from "./health_changes.ts";
 
 /** Health of upstreams as observed by this host. */
 export interface HealthWatch {
@@ -75,8 +80,12 @@
 }
 
 /** Creates a watch without observations. */
-export function createHealthWatch(clock: Clock): HealthWatch {
+export function createHealthWatch(
+  clock: Clock,
+  onChange: (change: HealthChange) => void = () => {},
+): HealthWatch {
   const upstreams = new Map<string, UpstreamRecord>();
+  const changes = createHealthChanges(clock, onChange);
 
   function get(upstream: string): UpstreamRecord {
     return getOrCreate(upstreams, upstream, () => ({
@@ -100,14 +109,31 @@
     record.failureAtMs = clock.monotonicMs();
   }
 
-  function isUnhealthy(upstream: string): boolean {
-    const record = upstreams.get(upstream);
-    if (record === undefined) return false;
+  function tryGetUnhealthyReason(
+    record: UpstreamRecord,
+  ): UnhealthyReason | undefined {
     const nowMs = clock.monotonicMs();
-    if (nowMs < record.unreachableUntilMs) return true;
+    if (nowMs < record.unreachableUntilMs) return "unreachable";
     const isSilent = record.inFlight > 0 &&
       nowMs - record.lastActivityMs > SILENCE_TIMEOUT_MS;
-    return isSilent || getFailureShare(record) > MAX_FAILURE_SHARE;
+    if (isSilent) return "silent";
+    return getFailureShare(record) > MAX_FAILURE_SHARE ? "failures" : undefined;
+  }
+
+  /** Returns whether the upstream is unhealthy, and reports a change. */
+  function check(upstream: string, record: UpstreamRecord): boolean {
+    const because = tryGetUnhealthyReason(record);
+    changes.observe(upstream, because, () => ({
+      inFlight: record.inFlight,
+      silentMs: clock.monotonicMs() - record.lastActivityMs,
+      failureShare: getFailureShare(record),
+    }));
+    return because !== undefined;
+  }
+
+  function isUnhealthy(upstream: string): boolean {
+    const record = upstreams.get(upstream);
+    return record !== undefined && check(upstream, record);
   }
 
   return {
@@ -122,12 +148,18 @@
       record.lastActivityMs = clock.monotonicMs();
       record.unreachableMs = INITIAL_UNREACHABLE_MS;
       record.unreachableUntilMs = 0;
+      check(upstream, record);
+    },
+    recordSuccess(upstream) {
+      const record = get(upstream);
+      recordResult(record, 0);
+      check(upstream, record);
     },
-    recordSuccess: (upstream) => recordResult(get(upstream), 0),
     recordFailure(upstream, failure) {
       const record = get(upstream);
       if (failure === "failed") {
         recordResult(record, 1);
+        check(upstream, record);
         return;
       }
       record.unreachableUntilMs = clock.monotonicMs() + record.unreachableMs;
@@ -135,6 +167,7 @@
         MAX_UNREACHABLE_MS,
         record.unreachableMs * 2,
       );
+      check(upstream, record);
     },
     getInFlight: (upstream) => upstreams.get(upstream)?.inFlight ?? 0,
     isUnhealthy,
