Count silent attempts, cut responses and bodies without a proof

Callers saw requests that ended without an answer (LOST). Only the lines of single requests told whether a silence, or a connection that was to prove a body without a length, had been the reason; no figure did.

azurestile_attempts_silent_total counts time-outs of attempts by phase and next step, azurestile_responses_cut_total the responses that this host closed, by the phase of the latest silence, and azurestile_response_bodies_unproven_total the bodies without a length that weren't proven, by the result of the connection. That result is also the new field `contact` of attempt-failed.

The new tests in metrics_test.ts and silence_log_test.ts failed on the code before.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -168,6 +168,11 @@
     readonly remainingMs: number;
     /** Whether the response to the caller had begun. */
     readonly isBegun: boolean;
+    /**
+     * Result of the connection attempt that was to prove a body without a
+     * length; absent unless it did not.
+     */
+    readonly contact: string | undefined;
     /** Absent unless a time-out of the attempt passed. */
     readonly silence: LoggedSilence | undefined;
     /** Digest of the content, if it may have crashed the upstream. */
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -44,6 +44,8 @@
   render(): Promise<string>;
 }
 
+type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
+
 /** Bucket bounds in seconds, from a short call to a long stream. */
 const TIME_BUCKETS_S = [
   0.025,
@@ -82,6 +84,25 @@
     labelNames: ["kind", "next"],
     registers,
   });
+  const attemptsSilent = new Counter({
+    name: "azurestile_attempts_silent_total",
+    help: "Attempts whose time-out passed, by phase and next step",
+    labelNames: ["phase", "next"],
+    registers,
+  });
+  const responsesCut = new Counter({
+    name: "azurestile_responses_cut_total",
+    help:
+      "Responses closed by this host before their end, by phase of the latest silence",
+    labelNames: ["silent_phase"],
+    registers,
+  });
+  const bodiesUnproven = new Counter({
+    name: "azurestile_response_bodies_unproven_total",
+    help: "Bodies without a length that no connection proved, by its result",
+    labelNames: ["contact"],
+    registers,
+  });
   const decisions = new Counter({
     name: "azurestile_decisions_total",
     help: "Decisions logged, by event",
@@ -215,6 +236,15 @@
     if (isEndReceived && unreadBytes > 0) bodiesUnread.inc({ connection });
   }
 
+  function observeFailure(failure: FailedAttempt): void {
+    const { kind, next, silence, contact } = failure;
+    attemptsFailed.inc({ kind, next });
+    if (silence !== undefined) {
+      attemptsSilent.inc({ phase: silence.phase, next });
+    }
+    if (contact !== undefined) bodiesUnproven.inc({ contact });
+  }
+
   return {
     observeEnd(end) {
       const route = end.route ?? "none";
@@ -227,8 +257,11 @@
     observeDecision(decision) {
       decisions.inc({ event: decision.event });
       if ("body" in decision && decision.body) observeBody(decision.body);
+      if (decision.event === "request-ended" && decision.isCut) {
+        responsesCut.inc({ silent_phase: decision.silentPhase ?? "none" });
+      }
       if (decision.event === "attempt-failed") {
-        attemptsFailed.inc({ kind: decision.kind, next: decision.next });
+        observeFailure(decision);
       } else if (isSentAfterDisconnect(decision)) {
         sentAfterDisconnect.inc();
       } else if (decision.event === "log-lines-dropped") {
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -1,4 +1,4 @@
-import { ok } from "node:assert";
+import { deepStrictEqual, ok } from "node:assert";
 import { test } from "node:test";
 import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
 import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
@@ -20,8 +20,37 @@
   });
 }
 
+type EndedRequest = Extract<Decision, { readonly event: "request-ended" }>;
+type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
+
+/** An attempt that failed, and the request with it. */
+function createFailure(changes: Partial<FailedAttempt>): Decision {
+  return {
+    event: "attempt-failed",
+    request: "r-1",
+    upstream: "i-1",
+    attempt: 1,
+    kind: "silent",
+    reason: "No event within 1600 ms",
+    next: "give-up",
+    because: "No other upstream accepts requests",
+    candidates: 0,
+    retry: "not-asked",
+    remainingMs: 2_000,
+    isBegun: true,
+    contact: undefined,
+    silence: undefined,
+    fingerprint: undefined,
+    body: undefined,
+    ...changes,
+  };
+}
+
 /** The end of a request whose upstream's response had this body. */
-function createEnd(body: LoggedBody): Decision {
+function createEnd(
+  body: LoggedBody,
+  changes: Partial<EndedRequest> = {},
+): Decision {
   return {
     event: "request-ended",
     request: "r-1",
@@ -44,6 +73,7 @@
     queue: undefined,
     body,
     inputs: { configVersion: 1, upstreamsVersion: 1, confirmedMsAgo: 0 },
+    ...changes,
   };
 }
 
@@ -88,6 +118,39 @@
   }
 });
 
+test("silences and what they cut are counted by phase, and unproven bodies by the connection's result", async () => {
+  // Guards against answers lost to silences, which only single requests show.
+  const metrics = createMetrics();
+  const silence = { silentMs: 1_602, limitMs: 1_600, isAborted: false };
+  const cut = { isCut: true, status: 0, outcome: "may-have-run" } as const;
+  for (
+    const decision of [
+      createFailure({ silence: { ...silence, phase: "events" } }),
+      createFailure({
+        silence: { ...silence, phase: "connect" },
+        next: "another-upstream",
+      }),
+      createFailure({ kind: "broken", contact: "no-answer" }),
+      createEnd(wholeBody),
+      createEnd(wholeBody, { silentPhase: "head" }),
+      createEnd(wholeBody, { ...cut, silentPhase: "events" }),
+      createEnd(wholeBody, cut),
+    ]
+  ) metrics.observeDecision(decision);
+  const scrape = await metrics.render();
+  const lines = scrape.split("\n").filter((line) =>
+    /^azurestile_(attempts_silent|responses_cut|response_bodies_unproven)/
+      .test(line)
+  );
+  deepStrictEqual(lines.toSorted(), [
+    'azurestile_attempts_silent_total{phase="connect",next="another-upstream"} 1',
+    'azurestile_attempts_silent_total{phase="events",next="give-up"} 1',
+    'azurestile_response_bodies_unproven_total{contact="no-answer"} 1',
+    'azurestile_responses_cut_total{silent_phase="events"} 1',
+    'azurestile_responses_cut_total{silent_phase="none"} 1',
+  ]);
+});
+
 test("a scrape that is cut still has the decisions of a host with many routes", async () => {
   // Guards against counters of decisions that are cut off behind those of the
   // routes.
--- a/src/forwarding/body_end.ts
+++ b/src/forwarding/body_end.ts
@@ -45,7 +45,7 @@
   if (end.contact !== "accepted") {
     const reason =
       `A connection to the upstream was "${end.contact}" behind a response body without a length`;
-    return new AttemptFailed({ kind: "broken", reason });
+    return new AttemptFailed({ kind: "broken", reason, contact: end.contact });
   }
   return undefined;
 }
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -341,6 +341,7 @@
     retry,
     remainingMs: Math.round(remainingMs),
     isBegun: call.res.headersSent,
+    contact: err.contact,
     silence: err.silence && progress.attemptTrace?.toLog(err.silence),
     fingerprint: err.kind === "cut-off" ? call.fingerprint : undefined,
     body: takeLoggedBody(host, call),
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -15,6 +15,7 @@
   chunk,
   headWithLength,
   streamHead,
+  unframedHead,
 } from "../testing/raw_responses.ts";
 import { createAttemptTrace } from "./attempt_trace.ts";
 import { readResponseBody } from "./response_body.ts";
@@ -197,3 +198,16 @@
   const expected = ["answered", 200, false, undefined, false];
   deepStrictEqual(getEnd(fixture.log), expected);
 });
+
+test("the line of a body that no connection proved tells how the connection went", async () => {
+  // Guards against whole answers withheld for a proof that no figure counts.
+  await using fixture = await createForwardFixture([
+    (socket, { id, stopListening }) => {
+      stopListening();
+      socket.end(unframedHead(id) + "all of it");
+    },
+  ], { kind: "idempotent", isResumable: false });
+  await fixture.call();
+  const [line] = getFailedAttempts(fixture.log);
+  deepStrictEqual([line?.kind, line?.contact], ["broken", "refused"]);
+});
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -8,6 +8,7 @@
 
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import * as Data from "effect/Data";
+import type { ConnectResult } from "../crashes/mod.ts";
 import type { SilencePhase } from "../diagnostics/mod.ts";
 
 /** One part of a prompt. Requests that name the same part id share its text. */
@@ -149,4 +150,9 @@
   readonly reason: string;
   /** Set if the attempt failed because a time-out passed. */
   readonly silence?: Silence | undefined;
+  /**
+   * Set if a body without a length isn't proven to be whole: the result of the
+   * connection attempt that was to prove it.
+   */
+  readonly contact?: ConnectResult | undefined;
 }> {}
