Reproduce answers that end because an upstream was silent

The fixture gets configurations that change, an empty retry budget, upstreams that fall silent, and ones that accept no connection for a time (a thread that stands still while its listening socket's queue is full, which lets attempts wait on Linux).

--- /dev/null
+++ b/src/forwarding/dark_streams_test.ts
@@ -0,0 +1,103 @@
+import { deepStrictEqual, ok } from "node:assert";
+import { test } from "node:test";
+import {
+  type Behaviour,
+  type CallerResponse,
+  createForwardFixture,
+  type ForwardFixture,
+} from "../testing/forward_fixture.ts";
+import {
+  createSilentStream,
+  createSoundStream,
+  type Silence,
+  WHOLE_STREAM,
+} from "../testing/silent_upstreams.ts";
+
+/** A silence that shows that the upstream is dark. */
+const darkness: Silence = { before: "next-event", lasts: "ever" };
+
+/** Time without an event after which a caller abandons a stream, in ms. */
+const CALLER_PATIENCE_MS = 2_000;
+
+/** Longest time for which two upstreams may work on one stream, in ms. */
+const MAX_OVERLAP_MS = 400;
+
+/** Longest time for which a host may hold a stream past its deadline, in ms. */
+const MAX_HELD_PAST_DEADLINE_MS = 250;
+
+const stream = {
+  kind: "stream",
+  targetMs: 400,
+  pauseTargetMs: 200,
+  timeoutMs: 4_000,
+} as const;
+
+function createStreamFixture(
+  behaviours: readonly Behaviour[],
+): Promise<ForwardFixture> {
+  return createForwardFixture(behaviours, stream);
+}
+
+function assertWhole(res: CallerResponse): void {
+  deepStrictEqual([res.status, res.body, res.isTruncated], [
+    200,
+    WHOLE_STREAM,
+    false,
+  ]);
+}
+
+test("a caller does not abandon a stream whose upstream is dark", async () => {
+  const first = createSilentStream(darkness);
+  await using fixture = await createStreamFixture([
+    first.behaviour,
+    createSoundStream().behaviour,
+  ]);
+  const res = await fixture.call();
+  assertWhole(res);
+  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+});
+
+test("a caller does not abandon a stream whose upstream is dark before the head", async () => {
+  const first = createSilentStream({ ...darkness, before: "head" });
+  await using fixture = await createStreamFixture([
+    first.behaviour,
+    createSoundStream().behaviour,
+  ]);
+  const res = await fixture.call();
+  assertWhole(res);
+  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+});
+
+test("a silent upstream does not work on a stream that another one has taken over", async () => {
+  const first = createSilentStream(darkness);
+  const other = createSoundStream();
+  await using fixture = await createStreamFixture([
+    first.behaviour,
+    other.behaviour,
+  ]);
+  assertWhole(await fixture.call());
+  const { arrivedMs } = other.requests[0]!;
+  const closedMs = first.requests[0]!.closedMs ?? Infinity;
+  ok(closedMs - arrivedMs < MAX_OVERLAP_MS, `Closed at ${closedMs} ms`);
+});
+
+test("events of a silent upstream that goes on are not mixed with those of its successor", async () => {
+  const first = createSilentStream({ before: "next-event", lasts: 1_700 });
+  await using fixture = await createStreamFixture([
+    first.behaviour,
+    createSoundStream().behaviour,
+  ]);
+  assertWhole(await fixture.call());
+});
+
+test("a stream whose only upstream is dark is not held past its deadline", async () => {
+  const timeoutMs = 2_200;
+  const { behaviour } = createSilentStream(darkness);
+  const route = { ...stream, timeoutMs };
+  await using fixture = await createForwardFixture([behaviour], route);
+  const startMs = performance.now();
+  const { isTruncated } = await fixture.call();
+  ok(isTruncated);
+  const tookMs = performance.now() - startMs;
+  ok(tookMs < timeoutMs + MAX_HELD_PAST_DEADLINE_MS, `Took ${tookMs} ms`);
+});
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -58,6 +58,8 @@
   readonly body: string;
   /** Whether the connection closed before the end of the response. */
   readonly isTruncated: boolean;
+  /** Longest time without a byte, in ms, from when the request was sent. */
+  readonly longestWaitMs: number;
 }
 
 /** An entry host with its upstreams. */
@@ -78,6 +80,8 @@
   readonly arrivals: readonly string[];
   readonly log: readonly Decision[];
   readonly controls: Controls;
+  /** Puts the next configuration in force, whose route has the changes. */
+  applyConfiguration(routeChanges: Partial<Route>): void;
   readonly recordedPacing: RecordedPacing;
   readonly crashes: CrashWatch;
   readonly upstreamAddresses: readonly string[];
@@ -109,6 +113,8 @@
   warmUp: WarmUpAllowance;
   /** Data centres that are evacuated. */
   evacuated: ReadonlySet<string>;
+  /** Whether the retry budget has retries left. */
+  hasRetries: boolean;
   /** Called with each decision when it is logged. */
   onDecision(decision: Decision): void;
 }
@@ -129,10 +135,20 @@
 /** Interval between two scheduling passes, in ms. */
 const SCHEDULING_PERIOD_MS = 10;
 
+/** Further parts of a fixture. */
+export interface FixtureOptions {
+  /**
+   * Addresses of upstreams that the test provides. They are preferred to the
+   * others, in order.
+   */
+  readonly addresses?: readonly string[];
+}
+
 /** Starts an entry host with upstreams that behave as given. */
 export async function createForwardFixture(
   behaviours: readonly Behaviour[],
   routeChanges: Partial<Route> = {},
+  { addresses = [] }: FixtureOptions = {},
 ): Promise<ForwardFixture> {
   const arrivals: string[] = [];
   const log: Decision[] = [];
@@ -142,9 +158,14 @@
       listenRaw(`up-${at}`, behaviour, arrivals, sockets)
     ),
   );
-  const entries = servers.map(({ port }, at) =>
-    createUpstreamEntry({ id: `up-${at}`, address: `127.0.0.1:${port}` })
-  );
+  const entries = [
+    ...addresses.map((address, at) =>
+      createUpstreamEntry({ id: `provided-${at}`, address })
+    ),
+    ...servers.map(({ port }, at) =>
+      createUpstreamEntry({ id: `up-${at}`, address: `127.0.0.1:${port}` })
+    ),
+  ];
   const directory = createUpstreamDirectory({
     clock: systemClock,
     hadOutageWithin: () => false,
@@ -158,13 +179,14 @@
     { version: 1 },
   );
   const route = createRoute({ hasPrompts: false, ...routeChanges });
-  const routes = createRouteTable(createRoutingConfig({ routes: [route] }));
+  let routes = createRouteTable(createRoutingConfig({ routes: [route] }));
   const controls: Controls = {
     isOverloaded: false,
     unreadMs: 0,
     inFlight: 0,
     shareUsed: 0,
     evacuated: new Set(),
+    hasRetries: true,
     warmUp: "unlimited",
     onDecision: () => {},
   };
@@ -198,6 +220,13 @@
     port,
     responses,
     agent: host.agent,
+    applyConfiguration(changes) {
+      const { version } = routes.config;
+      routes = createRouteTable(createRoutingConfig({
+        version: version + 1,
+        routes: [{ ...route, ...changes }],
+      }));
+    },
     call: (options = {}) => send(port, options),
     sendHead: () => sendHead(port),
     sendAndClose: () => sendAndClose(port),
@@ -236,6 +265,7 @@
     getLimitTokens: () => PREFILL_LIMIT_TOKENS,
     getStats: () => EMPTY_PACING_STATS,
   };
+  const retryBudget = createRetryBudget(clock);
   return {
     log: parts.log,
     tryGetRoutes: parts.tryGetRoutes,
@@ -269,7 +299,11 @@
     health: createHealthWatch(clock),
     backoffs: createBackoffWatch(clock),
     crashes: parts.crashes,
-    retryBudget: createRetryBudget(clock),
+    retryBudget: {
+      recordSuccess: retryBudget.recordSuccess,
+      tryTake: (team, service) =>
+        parts.controls.hasRetries && retryBudget.tryTake(team, service),
+    },
     getRegion: () => "lagos",
     getEvacuated: () => parts.controls.evacuated,
     warmUps: {
@@ -368,6 +402,13 @@
 function send(port: number, options: CallOptions): Promise<CallerResponse> {
   const { id = "request-1", body = "{}", key = "key-of-fitters" } = options;
   return new Promise((resolve, reject) => {
+    let lastByteMs = performance.now();
+    let longestWaitMs = 0;
+    function recordWait(): void {
+      const nowMs = performance.now();
+      longestWaitMs = Math.max(longestWaitMs, nowMs - lastByteMs);
+      lastByteMs = nowMs;
+    }
     const req = request({
       host: "127.0.0.1",
       port,
@@ -377,15 +418,22 @@
     });
     req.on("response", (res) => {
       const chunks: Buffer[] = [];
-      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      recordWait();
+      res.on("data", (chunk: Buffer) => {
+        recordWait();
+        chunks.push(chunk);
+      });
       res.on("error", () => {});
-      res.on("close", () =>
+      res.on("close", () => {
+        recordWait();
         resolve({
           status: res.statusCode ?? 0,
           headers: res.headers,
           body: Buffer.concat(chunks).toString(),
           isTruncated: !res.complete,
-        }));
+          longestWaitMs,
+        });
+      });
     });
     req.on("error", reject);
     if (options.disconnectAfterMs !== undefined) {
