--- a/src/forwarding/dark_streams_test.ts
+++ b/src/forwarding/dark_streams_test.ts
@@ -1,17 +1,16 @@
-import { deepStrictEqual, ok } from "node:assert";
+import { ok } from "node:assert";
 import { test } from "node:test";
-import {
-  type Behaviour,
-  type CallerResponse,
-  createForwardFixture,
-  type ForwardFixture,
-} from "../testing/forward_fixture.ts";
+import { createForwardFixture } from "../testing/forward_fixture.ts";
 import {
   createSilentStream,
   createSoundStream,
   type Silence,
-  WHOLE_STREAM,
 } from "../testing/silent_upstreams.ts";
+import {
+  assertWholeStream,
+  createStreamFixture,
+  streamRoute,
+} from "../testing/stream_fixture.ts";
 
 /** A silence that shows that the upstream is dark. */
 const darkness: Silence = { before: "next-event", lasts: "ever" };
@@ -25,27 +24,6 @@
 /** Longest time for which a host may hold a stream past its deadline, in ms. */
 const MAX_HELD_PAST_DEADLINE_MS = 250;
 
-const stream = {
-  kind: "stream",
-  targetMs: 400,
-  pauseTargetMs: 200,
-  timeoutMs: 4_000,
-} as const;
-
-function createStreamFixture(
-  behaviours: readonly Behaviour[],
-): Promise<ForwardFixture> {
-  return createForwardFixture(behaviours, stream);
-}
-
-function assertWhole(res: CallerResponse): void {
-  deepStrictEqual([res.status, res.body, res.isTruncated], [
-    200,
-    WHOLE_STREAM,
-    false,
-  ]);
-}
-
 test("a caller does not abandon a stream whose upstream is dark", async () => {
   const first = createSilentStream(darkness);
   await using fixture = await createStreamFixture([
@@ -53,7 +31,7 @@
     createSoundStream().behaviour,
   ]);
   const res = await fixture.call();
-  assertWhole(res);
+  assertWholeStream(res);
   ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
 });
 
@@ -64,7 +42,7 @@
     createSoundStream().behaviour,
   ]);
   const res = await fixture.call();
-  assertWhole(res);
+  assertWholeStream(res);
   ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
 });
 
@@ -75,7 +53,7 @@
     first.behaviour,
     other.behaviour,
   ]);
-  assertWhole(await fixture.call());
+  assertWholeStream(await fixture.call());
   const { arrivedMs } = other.requests[0]!;
   const closedMs = first.requests[0]!.closedMs ?? Infinity;
   ok(closedMs - arrivedMs < MAX_OVERLAP_MS, `Closed at ${closedMs} ms`);
@@ -87,13 +65,13 @@
     first.behaviour,
     createSoundStream().behaviour,
   ]);
-  assertWhole(await fixture.call());
+  assertWholeStream(await fixture.call());
 });
 
 test("a stream whose only upstream is dark is not held past its deadline", async () => {
   const timeoutMs = 2_200;
   const { behaviour } = createSilentStream(darkness);
-  const route = { ...stream, timeoutMs };
+  const route = { ...streamRoute, timeoutMs };
   await using fixture = await createForwardFixture([behaviour], route);
   const startMs = performance.now();
   const { isTruncated } = await fixture.call();
--- a/src/forwarding/silent_heads_test.ts
+++ b/src/forwarding/silent_heads_test.ts
@@ -11,8 +11,11 @@
   createSoundStream,
   rejectNotRun,
   type Silence,
-  WHOLE_STREAM,
 } from "../testing/silent_upstreams.ts";
+import {
+  assertWholeStream,
+  createStreamFixture,
+} from "../testing/stream_fixture.ts";
 
 /** A silence before the head of a stream, after which the upstream goes on. */
 const shortSilence: Silence = { before: "head", lasts: 1_800 };
@@ -24,8 +27,6 @@
 /** The longest silence of an upstream that gets a call at half time, in ms. */
 const SECOND_SILENCE_MS = 800;
 
-const stream = { kind: "stream", timeoutMs: 4_000 } as const;
-
 const call = {
   kind: "idempotent",
   isResumable: false,
@@ -36,10 +37,9 @@
   behaviours: readonly Behaviour[],
   onFixture: (fixture: ForwardFixture) => void = () => {},
 ): Promise<void> {
-  await using fixture = await createForwardFixture(behaviours, stream);
+  await using fixture = await createStreamFixture(behaviours);
   onFixture(fixture);
-  const { status, body, isTruncated } = await fixture.call();
-  deepStrictEqual([status, body, isTruncated], [200, WHOLE_STREAM, false]);
+  assertWholeStream(await fixture.call());
 }
 
 async function assertCallIsAnswered(
--- a/src/forwarding/stalled_listeners_test.ts
+++ b/src/forwarding/stalled_listeners_test.ts
@@ -19,8 +19,10 @@
     when: "after-a-body",
     stallsMs: SHORT_STALL_MS,
   });
-  const { addresses } = stalled;
-  await using fixture = await createForwardFixture([], route, { addresses });
+  const preferredAddresses = stalled.addresses;
+  await using fixture = await createForwardFixture([], route, {
+    preferredAddresses,
+  });
   const { status, body, isTruncated } = await fixture.call();
   const whole = [200, "id: 1\ndata: whole\n\n", false];
   deepStrictEqual([status, body, isTruncated], whole);
@@ -39,12 +41,12 @@
     when: "at-start",
     stallsMs: LONG_STALL_MS,
   });
-  const { addresses } = stalled;
+  const preferredAddresses = stalled.addresses;
   const route = { kind: "idempotent", isResumable: false } as const;
   await using fixture = await createForwardFixture(
     [createLateAnswer(0)],
     route,
-    { addresses },
+    { preferredAddresses },
   );
   const { status, body } = await fixture.call();
   deepStrictEqual([status, body], [200, "whole"]);
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -17,7 +17,10 @@
 import { systemClock } from "../core/mod.ts";
 import { type CrashWatch, createCrashWatch } from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import { createUpstreamDirectory } from "../discovery/mod.ts";
+import {
+  createUpstreamDirectory,
+  type UpstreamEntry,
+} from "../discovery/mod.ts";
 import { listen } from "../entry/servers.ts";
 import { startTicker } from "../entry/ticker.ts";
 import {
@@ -137,18 +140,17 @@
 
 /** Further parts of a fixture. */
 export interface FixtureOptions {
-  /**
-   * Addresses of upstreams that the test provides. They are preferred to the
-   * others, in order.
-   */
-  readonly addresses?: readonly string[];
+  /** Addresses of upstreams that are preferred to all others, in order. */
+  readonly preferredAddresses?: readonly string[];
+  /** Addresses of upstreams to which all others are preferred. */
+  readonly lastAddresses?: readonly string[];
 }
 
 /** Starts an entry host with upstreams that behave as given. */
 export async function createForwardFixture(
   behaviours: readonly Behaviour[],
   routeChanges: Partial<Route> = {},
-  { addresses = [] }: FixtureOptions = {},
+  { preferredAddresses = [], lastAddresses = [] }: FixtureOptions = {},
 ): Promise<ForwardFixture> {
   const arrivals: string[] = [];
   const log: Decision[] = [];
@@ -159,12 +161,9 @@
     ),
   );
   const entries = [
-    ...addresses.map((address, at) =>
-      createUpstreamEntry({ id: `provided-${at}`, address })
-    ),
-    ...servers.map(({ port }, at) =>
-      createUpstreamEntry({ id: `up-${at}`, address: `127.0.0.1:${port}` })
-    ),
+    ...createEntries("preferred", preferredAddresses),
+    ...createEntries("up", servers.map(({ port }) => `127.0.0.1:${port}`)),
+    ...createEntries("z-last", lastAddresses),
   ];
   const directory = createUpstreamDirectory({
     clock: systemClock,
@@ -243,6 +242,16 @@
   };
 }
 
+/** Creates the entries of upstreams, whose ids order them. */
+function createEntries(
+  prefix: string,
+  addresses: readonly string[],
+): readonly UpstreamEntry[] {
+  return addresses.map((address, at) =>
+    createUpstreamEntry({ id: `${prefix}-${at}`, address })
+  );
+}
+
 function createHost(
   directory: ForwardHost["directory"],
   parts: Pick<ForwardHost, "log" | "tryGetRoutes" | "crashes"> & {
--- a/src/testing/silent_upstreams.ts
+++ b/src/testing/silent_upstreams.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { once } from "node:events";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Behaviour, UpstreamRequest } from "./forward_fixture.ts";
@@ -22,7 +23,10 @@
 export interface ServedRequest {
   /** Monotonic milliseconds. */
   readonly arrivedMs: number;
-  /** When the host closed the connection; `undefined` before. */
+  /**
+   * When the host closed the connection; `undefined` before, and if the stream
+   * has ended by then.
+   */
   closedMs: number | undefined;
 }
 
@@ -78,11 +82,11 @@
   const isSilent = new Promise<void>((resolve) => onSilent = resolve);
 
   /** Returns whether the upstream goes on. */
-  async function keepSilence({ lasts }: Silence): Promise<boolean> {
+  async function keepSilence(socket: Socket): Promise<boolean> {
+    const { lasts } = silence!;
     onSilent();
-    if (lasts === "ever") return false;
-    await sleep(lasts);
-    return true;
+    await (lasts === "ever" ? once(socket, "close") : sleep(lasts));
+    return lasts !== "ever";
   }
 
   async function sendStream(
@@ -92,12 +96,12 @@
     const resumedAfter = Number(/x-last-event: (\d+)/i.exec(text)?.[1] ?? 0);
     const isSilentBefore = (before: Silence["before"]) =>
       resumedAfter === 0 && silence?.before === before;
-    if (isSilentBefore("head") && !await keepSilence(silence!)) return;
+    if (isSilentBefore("head") && !await keepSilence(socket)) return;
     socket.write(streamHead(id));
     for (let event = resumedAfter + 1; event <= EVENTS; event++) {
       const mayPause = event === EVENTS_BEFORE_SILENCE + 1;
       if (mayPause && isSilentBefore("next-event")) {
-        if (!await keepSilence(silence!)) return;
+        if (!await keepSilence(socket)) return;
       }
       const piece = createPiece(event, EVENT_BYTES);
       socket.write(chunk(hasEventIds ? piece : removeId(piece)));
@@ -115,8 +119,9 @@
         closedMs: undefined,
       };
       requests.push(served);
-      socket.once("close", () => served.closedMs = performance.now());
-      void sendStream(socket, request);
+      const onClose = () => void (served.closedMs = performance.now());
+      socket.once("close", onClose);
+      void sendStream(socket, request).then(() => socket.off("close", onClose));
     },
   };
 }
