Leave a silent upstream only for one that has taken over

Cause: a silence ended the attempt. A stream without an event for 1.6 s, or without a head, and an idempotent call at half of its time, were given up and closed first; only then was it decided whether another upstream may follow, whether one has room, whether a retry is left. Where the answer was no, or the other one refused, a response that had begun was closed, and the rest ended with 504 or 502 although the upstream was sound and at work. The class: an irreversible step before the decision that is to justify it.

The log said that the step was chosen before the connection was closed, and that the close followed whatever the step was.

Ruled out: nothing that a change of the configuration does closes a stream by itself; it only leaves no other upstream to follow. The entry of the drain has another cause.

Change: a silence is a state of an attempt (`silence_watch.ts`), no failure of it. While it lasts, `take_over.ts` asks whether another upstream may follow, waits for its place in the queue, takes the retry, and sends the request there as well. The first of the two that has something for the caller ends the other one, at once and within the same turn, so that no event comes twice. A second upstream that rejects the request, can't be reached or fails is dropped, and the first goes on; its failure is not passed on. Of a stream the silent attempt ends 200 ms after the request was sent to the other, so that two don't work on it for long; a stream is left only for a healthy upstream. An idempotent call may be answered by either. If nobody can follow, the attempt goes on until the caller or the deadline ends it. The limit is half of the callers' patience (two seconds, four targets or eight pauses, whichever is longest), at least 1.6 s as before.

Why it holds: there is no path any more on which a silence alone closes an attempt; the only one that aborts a silent attempt has another in its place. `forward.ts` is split: one attempt, its log, its relay and the taking over each have a module.

New: a second upstream that rejects, speaks late or breaks off; a first one that speaks just before the take-over or breaks off just after; no second upstream's failure is passed on; a caller that leaves ends both. Two tests of the log asserted that a silence is a failed attempt; they now assert as many fields of the line of the silence, and that the attempt is not aborted. All of npm test passed.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -159,7 +159,7 @@
     readonly kind: string;
     readonly reason: string;
     /** The next step for the request. */
-    readonly next: "another-upstream" | "resume" | "give-up";
+    readonly next: "another-upstream" | "resume" | "keep-earlier" | "give-up";
     /** Reason why there is no further attempt. */
     readonly because: string | undefined;
     /** Upstreams that the request could be sent to next. */
@@ -180,6 +180,25 @@
     /** The body of the response of this attempt; absent if none had begun. */
     readonly body: LoggedBody | undefined;
   }
+  | {
+    /**
+     * The upstream of an attempt sends nothing, and the attempt goes on. Logged
+     * when this begins and when the decision changes.
+     */
+    readonly event: "attempt-silent";
+    readonly request: string;
+    readonly upstream: string;
+    readonly attempt: number;
+    readonly silence: LoggedSilence;
+    readonly next: "seek-another" | "wait";
+    /** Reason why the request was not sent to another upstream. */
+    readonly because: string | undefined;
+    /** Upstreams that the request could be sent to as well. */
+    readonly candidates: number;
+    readonly remainingMs: number;
+    /** Whether the response to the caller had begun. */
+    readonly isBegun: boolean;
+  }
   | {
     readonly event: "request-ended";
     readonly request: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -72,6 +72,7 @@
     case "request-ended":
       return false;
     case "attempt-failed":
+    case "attempt-silent":
       return subject.upstreams.has(decision.upstream);
     case "upstream-changed":
     case "upstream-cold":
@@ -130,9 +131,13 @@
       return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
         `"${decision.reason}"${
           formatSilence(decision.silence)
-        }; next: ${decision.next}${
-          decision.because === undefined ? "" : `, since "${decision.because}"`
-        }${formatBody(decision.body)}`;
+        }; next: ${decision.next}${formatReason(decision.because)}${
+          formatBody(decision.body)
+        }`;
+    case "attempt-silent":
+      return `Attempt at ${decision.upstream} goes on${
+        formatSilence(decision.silence)
+      }; next: ${decision.next}${formatReason(decision.because)}`;
     case "request-ended":
       return `Ended as ${decision.outcome} with status ${decision.status} ` +
         `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
@@ -229,6 +234,10 @@
   }
 }
 
+function formatReason(because: string | undefined): string {
+  return because === undefined ? "" : `, since "${because}"`;
+}
+
 function describeUpstreamSignal(
   signal: Extract<Decision, { readonly event: "upstream-said" }>,
 ): string {
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -86,7 +86,7 @@
   });
   const attemptsSilent = new Counter({
     name: "azurestile_attempts_silent_total",
-    help: "Attempts whose time-out passed, by phase and next step",
+    help: "Limits of attempts that passed, by phase and what was done",
     labelNames: ["phase", "next"],
     registers,
   });
@@ -262,6 +262,9 @@
       }
       if (decision.event === "attempt-failed") {
         observeFailure(decision);
+      } else if (decision.event === "attempt-silent") {
+        const { phase } = decision.silence;
+        attemptsSilent.inc({ phase, next: decision.next });
       } else if (isSentAfterDisconnect(decision)) {
         sentAfterDisconnect.inc();
       } else if (decision.event === "log-lines-dropped") {
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -122,9 +122,22 @@
   // Guards against answers lost to silences, which only single requests show.
   const metrics = createMetrics();
   const silence = { silentMs: 1_602, limitMs: 1_600, isAborted: false };
+  const goesOn: Decision = {
+    event: "attempt-silent",
+    request: "request-1",
+    upstream: "up-0",
+    attempt: 1,
+    silence: { ...silence, phase: "events" },
+    next: "wait",
+    because: "No other upstream accepts requests",
+    candidates: 0,
+    remainingMs: 2_389,
+    isBegun: true,
+  };
   const cut = { isCut: true, status: 0, outcome: "may-have-run" } as const;
   for (
     const decision of [
+      goesOn,
       createFailure({ silence: { ...silence, phase: "events" } }),
       createFailure({
         silence: { ...silence, phase: "connect" },
@@ -145,6 +158,7 @@
   deepStrictEqual(lines.toSorted(), [
     'azurestile_attempts_silent_total{phase="connect",next="another-upstream"} 1',
     'azurestile_attempts_silent_total{phase="events",next="give-up"} 1',
+    'azurestile_attempts_silent_total{phase="events",next="wait"} 1',
     'azurestile_response_bodies_unproven_total{contact="no-answer"} 1',
     'azurestile_responses_cut_total{silent_phase="events"} 1',
     'azurestile_responses_cut_total{silent_phase="none"} 1',
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -7,20 +7,19 @@
 import * as Effect from "effect/Effect";
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import { isContentBlocked } from "./blocked_content.ts";
-import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
+import {
+  type Attempt,
+  type Call,
+  type ForwardHost,
+  getRemainingMs,
+} from "./call.ts";
 import { countWarmUp, mayStillUse } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
+import { tryGetSilenceLimitMs } from "./silence_limits.ts";
 import { recordSignals } from "./upstream_signals.ts";
 import { AttemptFailed } from "./types.ts";
 import { openCall, type UpstreamResponse } from "./upstream_call.ts";
 
-/** Parameters of an attempt. */
-export interface AttemptOptions {
-  readonly upstream: UpstreamEntry;
-  /** Time-out for the head of the response, in ms. */
-  readonly headTimeoutMs: number;
-}
-
 /** Statuses that tell a caller that its request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -28,12 +27,13 @@
  * Sends the request. Succeeds only with a response that belongs to this request
  * and may be passed on to the caller.
  */
-export function attempt(
+export function sendAttempt(
   host: ForwardHost,
   call: Call,
-  { upstream, headTimeoutMs }: AttemptOptions,
+  attempt: Attempt,
 ): Effect.Effect<UpstreamResponse, AttemptFailed> {
   const { req, progress } = call;
+  const { upstream } = attempt;
   return Effect.suspend(() => {
     const headers = host.codec.createUpstreamHeaders(
       getEndToEndHeaders(req.rawHeaders),
@@ -51,24 +51,33 @@
       target: req.url ?? "/",
       headers,
       body: call.body,
-      headTimeoutMs,
-      trace: progress.attemptTrace,
+      trace: attempt.trace,
       mayStillSend: () =>
         !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
       onSent() {
         countWarmUp(host, call, upstream);
-        progress.attempts++;
-        progress.possibleRuns++;
+        recordSent(host, call, attempt);
       },
     });
   }).pipe(
     Effect.flatMap((response) => {
-      progress.bodyTrace = response.trace;
+      attempt.silence.stop();
+      attempt.bodyTrace = response.trace;
       return validateResponse(host, call, upstream, response);
     }),
   );
 }
 
+/** Counts a request whose first byte may have left this host. */
+function recordSent(host: ForwardHost, call: Call, attempt: Attempt): void {
+  const { progress, route } = call;
+  const limitMs = tryGetSilenceLimitMs(route, getRemainingMs(host, call));
+  progress.attempts++;
+  progress.possibleRuns++;
+  attempt.onSent();
+  if (limitMs !== undefined) attempt.silence.start("head", limitMs);
+}
+
 /**
  * Rejects responses that must not reach the caller:
  *
--- /dev/null
+++ b/src/forwarding/attempt_log.ts
@@ -0,0 +1,124 @@
+/**
+ * Writes the log lines of the attempts of a request.
+ *
+ * @module
+ */
+
+import type { RetryUse } from "../diagnostics/mod.ts";
+import {
+  type Attempt,
+  type Call,
+  type ForwardHost,
+  getRemainingMs,
+  takeLoggedBody,
+} from "./call.ts";
+import { getEligible } from "./eligible_upstreams.ts";
+import type { SilenceStep } from "./next_step.ts";
+import type { PickedUpstream } from "./pick_upstream.ts";
+import type { AttemptFailed, Silence } from "./types.ts";
+
+/** What follows a failed attempt, for the log. */
+export interface LoggedStep {
+  readonly kind: "another-upstream" | "resume" | "keep-earlier" | "give-up";
+  /** Reason why there is no further attempt. */
+  readonly because?: string;
+}
+
+/** The step after a failure, with what it was chosen by. */
+export interface ChosenStep extends Choice {
+  readonly step: LoggedStep;
+  readonly retry: RetryUse;
+}
+
+/** What a step is chosen by. */
+export interface Choice {
+  readonly candidates: number;
+  readonly remainingMs: number;
+}
+
+/** Returns what a step would be chosen by now. */
+export function getChoice(host: ForwardHost, call: Call): Choice {
+  return {
+    candidates: getEligible(host, call).length,
+    remainingMs: getRemainingMs(host, call),
+  };
+}
+
+/** Logs that an attempt is about to start. */
+export function logAttempt(
+  host: ForwardHost,
+  call: Call,
+  picked: PickedUpstream,
+): void {
+  const nowMs = host.clock.monotonicMs();
+  const { queuedAtMs } = call.progress;
+  host.log({
+    event: "attempt-started",
+    request: call.headers.requestId,
+    team: call.team,
+    upstream: picked.upstream.id,
+    attempt: call.progress.attempts + 1,
+    waitedMs: Math.round(nowMs - call.arrivedMs),
+    queuedMs: queuedAtMs === undefined
+      ? undefined
+      : Math.round(nowMs - queuedAtMs),
+    turnMs: Math.round(host.getTurnOverrunMs()),
+    unreadMs: Math.round(host.getUnreadMs()),
+    inFlight: host.health.getInFlight(picked.upstream.id),
+    readingTokens: picked.readingTokens,
+    inputs: host.getInputs(),
+  });
+}
+
+/** Logs that an attempt has failed or was given up. */
+export function logFailure(
+  host: ForwardHost,
+  call: Call,
+  attempt: Attempt,
+  { err, chosen }: { readonly err: AttemptFailed; readonly chosen: ChosenStep },
+): void {
+  const { progress } = call;
+  const { step, candidates, remainingMs, retry } = chosen;
+  progress.silentPhase = err.silence?.phase ?? progress.silentPhase;
+  host.log({
+    event: "attempt-failed",
+    request: call.headers.requestId,
+    upstream: attempt.upstream.id,
+    attempt: attempt.number,
+    kind: err.kind,
+    reason: err.reason,
+    next: step.kind,
+    because: step.because,
+    candidates,
+    retry,
+    remainingMs: Math.round(remainingMs),
+    isBegun: call.res.headersSent,
+    contact: err.contact,
+    silence: err.silence && attempt.trace.toLog(err.silence),
+    fingerprint: err.kind === "cut-off" ? call.fingerprint : undefined,
+    body: takeLoggedBody(host, attempt),
+  });
+}
+
+/** Logs what is done about the silence of an attempt's upstream. */
+export function logSilence(
+  host: ForwardHost,
+  call: Call,
+  attempt: Attempt,
+  { silence, step }: { readonly silence: Silence; readonly step: SilenceStep },
+): void {
+  const { candidates, remainingMs } = getChoice(host, call);
+  call.progress.silentPhase = silence.phase;
+  host.log({
+    event: "attempt-silent",
+    request: call.headers.requestId,
+    upstream: attempt.upstream.id,
+    attempt: attempt.number,
+    silence: attempt.trace.toLog(silence),
+    next: step.kind,
+    because: step.kind === "wait" ? step.because : undefined,
+    candidates,
+    remainingMs: Math.round(remainingMs),
+    isBegun: call.res.headersSent,
+  });
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -30,6 +30,7 @@
 import type { WarmUps } from "../warmup/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyTrace } from "./body_trace.ts";
+import type { SilenceWatch } from "./silence_watch.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
 /** Dependencies of forwarding, supplied by the process. */
@@ -135,28 +136,28 @@
   possibleRuns: number;
   /** Ids of the upstreams that must not be tried again. */
   readonly triedUpstreams: Set<string>;
-  upstream: UpstreamEntry | undefined;
+  /**
+   * The latest attempt, or the one that goes on where another was to replace it
+   * and did not; `undefined` before the first.
+   */
+  attempt: Attempt | undefined;
+  /** Whether only healthy upstreams may take the request over. */
+  needsHealthy: boolean;
   /**
    * Id of the upstream for which the request was counted against a warm-up
    * limit when it was picked.
    */
   countedWarmUpOf: string | undefined;
-  /** Whether the upstream was cold when the latest attempt started. */
-  isUpstreamCold: boolean;
   /**
-   * Removes the request's tokens from the upstream's load once prefill has
-   * ended. Kept here and not only with the picked upstream, because a caller
-   * may disconnect just as its prompt is picked: without this function its
-   * tokens would count as load forever.
+   * Functions that remove the request's tokens from the load of each upstream
+   * that was picked. Kept here and not only with the picked upstreams, because a
+   * caller may disconnect just as its prompt is picked: without them its tokens
+   * would count as load forever.
    */
-  endPrefill: () => void;
+  readonly prefillEnds: (() => void)[];
   /** Id of the last event that was sent to the caller. */
   lastEventId: string | undefined;
   firstEventMs: number | undefined;
-  /** Monotonic milliseconds at which the latest attempt started. */
-  attemptStartedMs: number;
-  /** The record of the latest attempt; `undefined` before the first. */
-  attemptTrace: AttemptTrace | undefined;
   /** Phase of the latest time-out of an attempt; `undefined` without one. */
   silentPhase: SilencePhase | undefined;
   /**
@@ -165,12 +166,35 @@
    */
   chunks: number;
   longestPauseMs: number;
+  status: number;
+}
+
+/** One attempt of a request at one upstream. */
+export interface Attempt {
+  readonly upstream: UpstreamEntry;
+  /** Monotonic milliseconds. */
+  readonly startedMs: number;
+  /** Whether the upstream was cold at the start. */
+  readonly isUpstreamCold: boolean;
   /**
-   * The body of the latest response; `undefined` without one, and once it has
-   * been logged.
+   * Tokens that the upstream has to prefill before the first event; `undefined`
+   * if the request was not queued.
+   */
+  readonly queuedTokens: number | undefined;
+  readonly silence: SilenceWatch;
+  readonly trace: AttemptTrace;
+  /** Removes the request's tokens from the upstream's load, once. */
+  endPrefill(): void;
+  /** To be called when the first byte of the request may have left this host. */
+  onSent(): void;
+  isSent: boolean;
+  /** Number of upstreams to which the request had been sent, this one included. */
+  number: number;
+  /**
+   * The body of the response; `undefined` without one, and once it has been
+   * logged.
    */
   bodyTrace: BodyTrace | undefined;
-  status: number;
 }
 
 /** Creates the progress of a request that has not been attempted. */
@@ -180,18 +204,15 @@
     attempts: 0,
     possibleRuns: 0,
     triedUpstreams: new Set(),
-    upstream: undefined,
+    attempt: undefined,
+    needsHealthy: false,
     countedWarmUpOf: undefined,
-    isUpstreamCold: false,
-    endPrefill: () => {},
+    prefillEnds: [],
     lastEventId,
     firstEventMs: undefined,
-    attemptStartedMs: 0,
-    attemptTrace: undefined,
     silentPhase: undefined,
     chunks: 0,
     longestPauseMs: 0,
-    bodyTrace: undefined,
     status: 0,
   };
 }
@@ -207,14 +228,14 @@
 }
 
 /**
- * Returns the latest response's body for the log, once: each body is in exactly
- * one line.
+ * Returns the body of an attempt's response for the log, once: each body is in
+ * exactly one line.
  */
 export function takeLoggedBody(
   host: ForwardHost,
-  { progress }: Call,
+  attempt: Attempt | undefined,
 ): LoggedBody | undefined {
-  const body = progress.bodyTrace?.toLog(host.clock.monotonicMs());
-  progress.bodyTrace = undefined;
+  const body = attempt?.bodyTrace?.toLog(host.clock.monotonicMs());
+  if (attempt !== undefined) attempt.bodyTrace = undefined;
   return body;
 }
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -65,7 +65,6 @@
     target: "/",
     headers: ["Host", "model.example"],
     body: Buffer.from("{}"),
-    headTimeoutMs: 1_000,
     mayStillSend: () => true,
     onSent: () => {},
   }));
--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -22,7 +22,7 @@
 
 /**
  * Returns the upstreams that the request may use. Unhealthy ones are left out
- * unless there are no others.
+ * unless there are no others, or always for a request that needs a healthy one.
  */
 export function getEligible(
   host: ForwardHost,
@@ -33,7 +33,9 @@
     eligible,
     host.health.getInFlight,
   );
-  return host.health.filterHealthy(open);
+  return call.progress.needsHealthy
+    ? open.filter((each) => !host.health.isUnhealthy(each.id))
+    : host.health.filterHealthy(open);
 }
 
 /**
--- a/src/forwarding/next_step.ts
+++ b/src/forwarding/next_step.ts
@@ -1,12 +1,14 @@
 /**
- * Decides what follows a failed attempt.
+ * Decides what follows a failed attempt, and what is done about one whose
+ * upstream is silent.
  *
- * Load: upstreams crash, shed load or lose responses while all hosts send to
- * them at once.
+ * Load: upstreams crash, shed load, lose responses or pause while all hosts send
+ * to them at once.
  *
  * Failures prevented: a request that must not be repeated runs twice; retries
  * multiply the load on the remaining upstreams; a caller is told "not run"
- * about a request that ran.
+ * about a request that ran; an attempt that would have gone on is given up for
+ * one that never starts.
  *
  * @module
  */
@@ -14,9 +16,8 @@
 import type { RouteKind } from "../routing/mod.ts";
 import type { AttemptFailed } from "./types.ts";
 
-/** Inputs of the decision. */
-export interface StepInput {
-  readonly failure: AttemptFailed["kind"];
+/** The state of a request, as far as the decisions need it. */
+export interface RequestProgress {
   readonly kind: RouteKind;
   readonly isResumable: boolean;
   readonly maxAttempts: number;
@@ -38,6 +39,11 @@
   readonly isBlocked: boolean;
   /** Whether some upstream has not been tried yet and accepts requests now. */
   readonly hasCandidate: boolean;
+}
+
+/** Inputs of the decision on a failed attempt. */
+export interface StepInput extends RequestProgress {
+  readonly failure: AttemptFailed["kind"];
   /**
    * Takes one retry from this host's part of the fleet's retry budget; returns
    * false if it is exhausted.
@@ -50,6 +56,11 @@
   | { readonly kind: "another-upstream" | "resume" }
   | { readonly kind: "give-up"; readonly because: string };
 
+/** The decision on a silent upstream, with the reason if nothing is done. */
+export type SilenceStep =
+  | { readonly kind: "seek-another" }
+  | { readonly kind: "wait"; readonly because: string };
+
 /**
  * Limit on connection attempts for one request; each may take half a second.
  */
@@ -80,7 +91,19 @@
   return { kind: input.hasSentEvents ? "resume" : "another-upstream" };
 }
 
-function tryGetGiveUpReason(input: StepInput): string | undefined {
+/**
+ * Decides whether another upstream is sought while one is silent. The attempt at
+ * the silent one goes on in either case, until another has taken over: a sound
+ * upstream that pauses goes on by itself.
+ */
+export function decideOnSilence(progress: RequestProgress): SilenceStep {
+  const because = tryGetGiveUpReason(progress);
+  return because === undefined
+    ? { kind: "seek-another" }
+    : { kind: "wait", because };
+}
+
+function tryGetGiveUpReason(input: RequestProgress): string | undefined {
   if (input.isBlocked) return "Upstreams crashed under this content";
   if (input.remainingMs < MIN_REMAINING_MS) return "Too little time remains";
   if (input.connects >= MAX_CONNECTS) return "Too many connections failed";
@@ -95,7 +118,7 @@
   return undefined;
 }
 
-function mayRepeat(input: StepInput): boolean {
+function mayRepeat(input: RequestProgress): boolean {
   switch (input.kind) {
     case "idempotent":
       return true;
--- a/src/forwarding/next_step_test.ts
+++ b/src/forwarding/next_step_test.ts
@@ -1,6 +1,11 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { test } from "node:test";
-import { decideNextStep, type StepInput } from "./next_step.ts";
+import {
+  decideNextStep,
+  decideOnSilence,
+  type RequestProgress,
+  type StepInput,
+} from "./next_step.ts";
 
 function decide(changes: Partial<StepInput>) {
   let taken = 0;
@@ -104,3 +109,32 @@
     taken: 0,
   });
 });
+
+test("a silent attempt goes on alone whenever a failed one would be the last", () => {
+  const progress: RequestProgress = {
+    kind: "stream",
+    isResumable: true,
+    maxAttempts: 2,
+    attempts: 1,
+    possibleRuns: 1,
+    connects: 1,
+    hasSentEvents: true,
+    hasEventId: true,
+    remainingMs: 1_000,
+    isBlocked: false,
+    hasCandidate: true,
+  };
+  strictEqual(decideOnSilence(progress).kind, "seek-another");
+  const changes: readonly Partial<RequestProgress>[] = [
+    { hasCandidate: false },
+    { possibleRuns: 2 },
+    { attempts: 3 },
+    { hasEventId: false },
+    { isResumable: false },
+    { isBlocked: true },
+    { remainingMs: 10 },
+  ];
+  for (const each of changes) {
+    strictEqual(decideOnSilence({ ...progress, ...each }).kind, "wait");
+  }
+});
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -47,6 +47,8 @@
    * this prompt.
    */
   readonly queuedTokens: number | undefined;
+  /** Removes the prompt's tokens from the upstream's load, once. */
+  endPrefill(): void;
 }
 
 /**
@@ -92,6 +94,7 @@
     upstream,
     readingTokens: undefined,
     queuedTokens: undefined,
+    endPrefill: () => {},
   });
 }
 
@@ -122,11 +125,17 @@
           .find((each) => each.id === id)!;
         countWarmUp(host, call, upstream);
         let isPrefilling = true;
-        call.progress.endPrefill = () => {
+        function endPrefill(): void {
           if (isPrefilling) host.load.endPrefill(id, readingTokens);
           isPrefilling = false;
-        };
-        resume(Effect.succeed({ upstream, readingTokens, queuedTokens }));
+        }
+        call.progress.prefillEnds.push(endPrefill);
+        resume(Effect.succeed({
+          upstream,
+          readingTokens,
+          queuedTokens,
+          endPrefill,
+        }));
       },
       refuse: (refusal) =>
         resume(Effect.fail(createQueueRejection(host, call, refusal))),
--- /dev/null
+++ b/src/forwarding/relay_buffered.ts
@@ -0,0 +1,85 @@
+/**
+ * Relays a response that is read whole before any of it is sent on: each one
+ * that is not a stream of events.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+import * as Effect from "effect/Effect";
+import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
+import { getEligible } from "./eligible_upstreams.ts";
+import { getEndToEndHeaders } from "./headers.ts";
+import { readResponseBody } from "./response_body.ts";
+import { AttemptFailed } from "./types.ts";
+import type { UpstreamResponse } from "./upstream_call.ts";
+
+/**
+ * Largest response that is buffered before it is sent on, in bytes. Streams are
+ * not buffered.
+ */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+/**
+ * Relays the response. Fails if it is incomplete, or if it is a failure that
+ * need not be the last word for the caller.
+ */
+export function relayBuffered(
+  host: ForwardHost,
+  call: Call,
+  response: UpstreamResponse,
+  { isAlone }: { isAlone(): boolean },
+): Effect.Effect<void, AttemptFailed> {
+  const limits = {
+    maxBytes: MAX_RESPONSE_BYTES,
+    timeoutMs: Math.max(1, getRemainingMs(host, call)),
+  };
+  return readResponseBody(response, limits).pipe(
+    Effect.flatMap((chunks) => {
+      const { res: upstreamRes } = response;
+      const status = upstreamRes.statusCode ?? 0;
+      const isFailure = status >= 500;
+      if (isFailure && (!isAlone() || canTryAnother(host, call))) {
+        const reason = `Status ${status}`;
+        return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
+      }
+      // The status line of a stream that has started has already been sent.
+      if (call.res.headersSent) {
+        const reason = `Status ${status} when resuming a stream`;
+        return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
+      }
+      call.progress.status = status;
+      sendBuffered(call.res, response, chunks);
+      return Effect.void;
+    }),
+  );
+}
+
+/**
+ * Whether a 5xx response leads to an attempt at another upstream. Otherwise the
+ * response is passed on to the caller.
+ */
+function canTryAnother(host: ForwardHost, call: Call): boolean {
+  const { route, progress } = call;
+  const isRepeatable = route.kind === "idempotent" || route.isResumable;
+  const hasOther = getEligible(host, call).length > 0;
+  return isRepeatable && hasOther && progress.possibleRuns < route.maxAttempts;
+}
+
+function sendBuffered(
+  res: ServerResponse,
+  response: UpstreamResponse,
+  chunks: readonly Uint8Array[],
+): void {
+  const { rawHeaders, statusCode = 502 } = response.res;
+  const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+  const headers = getEndToEndHeaders(rawHeaders);
+  if (res.getHeader("connection") !== undefined) {
+    headers.push("Connection", "close");
+  }
+  headers.push("Content-Length", String(length));
+  res.writeHead(statusCode, headers);
+  response.trace.onRelayed(length);
+  for (const chunk of chunks) res.write(chunk);
+  res.end();
+}
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -10,23 +10,15 @@
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { type ReadAwareTimeout, startTimeout } from "../core/mod.ts";
-import type { Call, ForwardHost } from "./call.ts";
+import type { Attempt, Call, ForwardHost } from "./call.ts";
 import { createEventSplitter, type EventChunk } from "./event_splitter.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
-import type { PickedUpstream } from "./pick_upstream.ts";
 import { receiveBody } from "./response_body.ts";
-import { AttemptFailed, type Silence } from "./types.ts";
+import { tryGetSilenceLimitMs } from "./silence_limits.ts";
+import { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
-/**
- * A resumable stream that delivers no event within this time, in ms, is resumed
- * at another upstream. This is four times the longest pause that counts as on
- * time, and less than the 2 s or more after which callers disconnect.
- */
-const STREAM_IDLE_TIMEOUT_MS = 1_600;
-
 /** Gives the events of one response to the caller. */
 interface EventRelay {
   /** Relays the events; returns `false` if the caller must read first. */
@@ -44,44 +36,30 @@
 export function relayStream(
   host: ForwardHost,
   call: Call,
-  picked: PickedUpstream,
+  attempt: Attempt,
   response: UpstreamResponse,
 ): Effect.Effect<void, AttemptFailed> {
   return Effect.callback<void, AttemptFailed>((resume) => {
-    const { progress, route } = call;
+    const { silence, upstream } = attempt;
     const splitter = createEventSplitter();
-    const events = createEventRelay(host, call, { picked, response });
-    const canFailOver = route.isResumable &&
-      progress.possibleRuns < route.maxAttempts;
-    let idleTimeout: ReadAwareTimeout | undefined;
+    const events = createEventRelay(host, call, { attempt, response });
+    const silenceLimitMs = tryGetSilenceLimitMs(call.route, Infinity);
     let hasEnded = false;
 
-    function stop(): void {
-      hasEnded = true;
-      idleTimeout?.[Symbol.dispose]();
-    }
-
     function end(result: Effect.Effect<void, AttemptFailed>): void {
-      stop();
+      hasEnded = true;
+      silence[Symbol.dispose]();
       resume(result);
     }
 
-    function onIdle(): void {
-      const limitMs = STREAM_IDLE_TIMEOUT_MS;
-      const reason = `No event within ${limitMs} ms`;
-      const silence: Silence = { phase: "events", limitMs };
-      end(Effect.fail(new AttemptFailed({ kind: "silent", reason, silence })));
-      response.abort();
-    }
-
     function awaitEvent(): void {
-      if (!canFailOver || hasEnded) return;
-      idleTimeout = startTimeout(STREAM_IDLE_TIMEOUT_MS, onIdle);
+      if (silenceLimitMs === undefined || hasEnded) return;
+      silence.start("events", silenceLimitMs);
     }
 
-    /** Nothing is read meanwhile, so that the upstream is not idle. */
+    /** Nothing is read meanwhile, so that the upstream is not silent. */
     function awaitCaller(): void {
-      idleTimeout?.[Symbol.dispose]();
+      silence.stop();
       response.res.pause();
       call.res.once("drain", () => {
         events.onResumed();
@@ -92,8 +70,8 @@
     }
 
     function onChunk(bytes: Buffer): void {
-      host.health.recordActivity(picked.upstream.id);
-      idleTimeout?.restart();
+      host.health.recordActivity(upstream.id);
+      silence.recordBytes();
       const chunk = splitter.push(bytes);
       if (chunk !== undefined && !events.relay(chunk)) awaitCaller();
     }
@@ -114,7 +92,7 @@
     });
     return Effect.sync(() => {
       if (hasEnded) return;
-      stop();
+      hasEnded = true;
       response.abort();
     });
   });
@@ -123,24 +101,25 @@
 function createEventRelay(
   host: ForwardHost,
   call: Call,
-  { picked, response }: {
-    readonly picked: PickedUpstream;
+  { attempt, response }: {
+    readonly attempt: Attempt;
     readonly response: UpstreamResponse;
   },
 ): EventRelay {
   const { res: caller, progress } = call;
   const { trace } = response;
-  const pauseSampler = createSampler(host, call);
+  const pauseSampler = createSampler(host, call, attempt);
   let lastChunkMs: number | undefined;
   let resumedMs = -Infinity;
 
   function onFirstEvent(nowMs: number): void {
-    progress.endPrefill();
+    attempt.endPrefill();
     progress.firstEventMs ??= nowMs - call.arrivedMs;
-    if (picked.queuedTokens === undefined || progress.isUpstreamCold) return;
-    const tookMs = nowMs - progress.attemptStartedMs - host.getUnreadMs();
+    const { queuedTokens, startedMs, isUpstreamCold } = attempt;
+    if (queuedTokens === undefined || isUpstreamCold) return;
+    const tookMs = nowMs - startedMs - host.getUnreadMs();
     host.getPacing(call.service)
-      .recordFirstEvent(picked.queuedTokens, Math.max(0, tookMs));
+      .recordFirstEvent(queuedTokens, Math.max(0, tookMs));
   }
 
   function recordPause(nowMs: number): void {
@@ -188,10 +167,11 @@
  */
 function createSampler(
   host: ForwardHost,
-  { route, service, progress }: Call,
+  { route, service }: Call,
+  { isUpstreamCold }: Attempt,
 ): PauseSampler | undefined {
   const { pauseTargetMs } = route;
-  if (pauseTargetMs === undefined || progress.isUpstreamCold) return undefined;
+  if (pauseTargetMs === undefined || isUpstreamCold) return undefined;
   return createPauseSampler({
     targetMs: pauseTargetMs,
     onSample: host.getPacing(service).recordPause,
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -107,6 +107,7 @@
   const nowMs = host.clock.monotonicMs();
   const totalMs = Math.round(nowMs - state.arrivedMs);
   const attempts = call?.progress.attempts ?? 0;
+  const attempt = call?.progress.attempt;
   host.log({
     event: "request-ended",
     request: headers?.requestId ?? "",
@@ -116,22 +117,22 @@
     status: end.status,
     isCut: end.isCut ?? false,
     reason: end.reason,
-    upstream: call?.progress.upstream?.id,
+    upstream: attempt?.upstream.id,
     attempts,
     silentPhase: call?.progress.silentPhase,
     silentMs: end.outcome === "answered"
       ? undefined
-      : call?.progress.attemptTrace?.getSilentMs(),
-    sinceAttemptMs: attempts === 0
+      : attempt?.trace.getSilentMs(),
+    sinceAttemptMs: attempts === 0 || attempt === undefined
       ? undefined
-      : Math.round(nowMs - call!.progress.attemptStartedMs),
+      : Math.round(nowMs - attempt.startedMs),
     totalMs,
     firstEventMs: roundMs(call?.progress.firstEventMs),
     chunks: call?.progress.chunks ?? 0,
     longestPauseMs: roundMs(call?.progress.longestPauseMs),
     retryAfterMs: end.retryAfterMs,
     queue: end.queue,
-    body: call === undefined ? undefined : takeLoggedBody(host, call),
+    body: takeLoggedBody(host, attempt),
     inputs: host.getInputs(),
   });
   host.onRequestEnded({
--- /dev/null
+++ b/src/forwarding/request_progress.ts
@@ -0,0 +1,32 @@
+/**
+ * Collects what the decisions on the next step need to know of a request.
+ *
+ * @module
+ */
+
+import { isContentBlocked } from "./blocked_content.ts";
+import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
+import { getEligible } from "./eligible_upstreams.ts";
+import type { RequestProgress } from "./next_step.ts";
+
+/** Returns the state of the request after so many connection attempts. */
+export function getRequestProgress(
+  host: ForwardHost,
+  call: Call,
+  connects: number,
+): RequestProgress {
+  const { route, progress } = call;
+  return {
+    kind: route.kind,
+    isResumable: route.isResumable,
+    maxAttempts: route.maxAttempts,
+    attempts: progress.attempts,
+    possibleRuns: progress.possibleRuns,
+    connects,
+    hasSentEvents: call.res.headersSent,
+    hasEventId: progress.lastEventId !== undefined,
+    remainingMs: getRemainingMs(host, call),
+    isBlocked: isContentBlocked(host, call),
+    hasCandidate: getEligible(host, call).length > 0,
+  };
+}
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -22,10 +22,12 @@
 import { openCall } from "./upstream_call.ts";
 
 type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
+type SilentAttempt = Extract<Decision, { readonly event: "attempt-silent" }>;
 type EndedRequest = Extract<Decision, { readonly event: "request-ended" }>;
 
 /** Time-outs of the routes and calls here, in ms. */
 const TIMEOUT_MS = 400;
+const STREAM_TIMEOUT_MS = 2_000;
 const BODY_TIMEOUT_MS = 50;
 
 /** Part of a time-out for which its timer has surely waited. */
@@ -49,14 +51,20 @@
   return [outcome, status, isCut, silentPhase, isTimed];
 }
 
+function getSilentAttempts(
+  log: readonly Decision[],
+): readonly SilentAttempt[] {
+  return log.filter((each) => each.event === "attempt-silent");
+}
+
 /** What a line tells of the choice of the next step. */
-function getChoice(line: FailedAttempt | undefined): readonly unknown[] {
-  return [line?.next, line?.candidates, line?.retry, line?.isBegun];
+function getSilenceChoice(line: SilentAttempt): readonly unknown[] {
+  return [line.next, line.because, line.candidates, line.isBegun];
 }
 
 /** Whether the line tells a silence that lasted for all of its time-out. */
-function isWholeSilence({ silence, remainingMs }: FailedAttempt): boolean {
-  return silence !== undefined && Number.isInteger(remainingMs) &&
+function isWholeSilence({ silence, remainingMs }: SilentAttempt): boolean {
+  return Number.isInteger(remainingMs) &&
     silence.silentMs >= silence.limitMs * SURE_SHARE;
 }
 
@@ -69,20 +77,30 @@
   }
 }
 
-test("the line of a stream that fell silent tells for how long, and what its next step was chosen by", async () => {
+test("the line of a stream that fell silent tells for how long, and why its attempt goes on", async () => {
   // Guards against a cut stream whose log leaves open what cut it.
   await using fixture = await createForwardFixture([sendsOneEvent], {
     kind: "stream",
     isResumable: true,
+    timeoutMs: STREAM_TIMEOUT_MS,
   });
-  await fixture.call();
-  const [line] = getFailedAttempts(fixture.log);
-  deepStrictEqual(getChoice(line), ["give-up", 0, "not-asked", true]);
-  deepStrictEqual([line?.kind, line?.silence?.phase], ["silent", "events"]);
-  ok(line !== undefined && isWholeSilence(line), JSON.stringify(line));
+  const { isTruncated } = await fixture.call();
+  const lines = getSilentAttempts(fixture.log);
+  deepStrictEqual(lines.map(getSilenceChoice), [
+    ["wait", "No other upstream accepts requests", 0, true],
+  ]);
+  const [{ silence }] = lines as [SilentAttempt];
+  deepStrictEqual([silence.phase, silence.isAborted], ["events", false]);
+  ok(isWholeSilence(lines[0]!), JSON.stringify(lines));
+  const end = fixture.log.find((each) => each.event === "request-ended");
+  deepStrictEqual([isTruncated, end?.isCut, end?.silentPhase], [
+    true,
+    true,
+    "events",
+  ]);
 });
 
-test("the line of an upstream that was silent before the head tells whether a retry was taken", async () => {
+test("the line of an upstream that was silent before the head tells that another was sought", async () => {
   // Guards against a request given up with nothing in the log about the others.
   await using fixture = await createForwardFixture([isSilent, isSilent], {
     kind: "idempotent",
@@ -90,10 +108,15 @@
     timeoutMs: TIMEOUT_MS,
   });
   await fixture.call();
-  const [line] = getFailedAttempts(fixture.log);
-  deepStrictEqual(getChoice(line), ["another-upstream", 1, "taken", false]);
-  const { phase, isAborted } = line!.silence!;
-  deepStrictEqual([line?.kind, phase, isAborted], ["silent", "head", true]);
+  const [line] = getSilentAttempts(fixture.log);
+  deepStrictEqual(getSilenceChoice(line!), [
+    "seek-another",
+    undefined,
+    1,
+    false,
+  ]);
+  const { phase, isAborted } = line!.silence;
+  deepStrictEqual([phase, isAborted], ["head", false]);
   ok(isWholeSilence(line!), JSON.stringify(line));
 });
 
@@ -116,7 +139,6 @@
     target: "/",
     headers: ["Host", "model.example"],
     body: Buffer.alloc(0),
-    headTimeoutMs: TIMEOUT_MS,
     mayStillSend: () => true,
     onSent: () => {},
   })));
@@ -138,7 +160,6 @@
     target: "/",
     headers: ["Host", "model.example", "x-id", "part"],
     body: Buffer.alloc(0),
-    headTimeoutMs: TIMEOUT_MS,
     trace,
     mayStillSend: () => true,
     onSent: () => {},
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -34,8 +34,6 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: Buffer;
-  /** Time-out for the head of the response, in ms. */
-  readonly headTimeoutMs: number;
   /** Told of each sign of the upstream and of an abort, for the log. */
   readonly trace?: AttemptTrace | undefined;
   /**
@@ -101,13 +99,7 @@
       fail("not-sent", reason, { phase: "connect", limitMs });
     }
 
-    function failHead(): void {
-      const limitMs = call.headTimeoutMs;
-      const reason = `No response within ${limitMs} ms`;
-      fail("silent", reason, { phase: "head", limitMs });
-    }
-
-    let timeout = startTimeout(CONNECT_TIMEOUT_MS, failConnect);
+    const timeout = startTimeout(CONNECT_TIMEOUT_MS, failConnect);
     onConnected(req, () => {
       if (!call.mayStillSend()) {
         return fail("unwanted", "The request may no longer be sent there");
@@ -116,11 +108,9 @@
       call.onSent();
       call.trace?.onWaiting();
       timeout[Symbol.dispose]();
-      timeout = startTimeout(call.headTimeoutMs, failHead);
     });
     req.on("information", () => call.trace?.onWaiting());
     req.on("response", (res) => {
-      timeout[Symbol.dispose]();
       call.trace?.onWaiting();
       // Without a listener, an error event of the body would end the process.
       res.on("error", () => {});
--- a/src/forwarding/upstream_call_test.ts
+++ b/src/forwarding/upstream_call_test.ts
@@ -27,7 +27,6 @@
       target: "/",
       headers: ["Host", "model.example"],
       body: Buffer.from("{}"),
-      headTimeoutMs: 1_000,
       mayStillSend: () => mayStillSend,
       onSent: () => sent++,
     });
