Ask an upstream that answers no connection until the deadline for a proof

What callers saw: a whole answer without a length from a sound upstream that was silent right after it ended with 502, or was closed where it had begun (LOST), since.

Cause: such a body counts only if its upstream accepts a connection after its end. An attempt that nobody answered within 500 ms was taken for the proof of the contrary. A silent upstream answers none for a second or two, so a silence was taken for a death once more; as the system repeats an unanswered attempt only after a second, a silence of 0.3 s was enough.

Ruled out: a reset and a refused connection, which tell as before that the upstream has ended.

Change: an attempt that is not answered is followed by another one until the request's deadline. So that a call doesn't wait for it where another upstream may answer, a call's body is watched for silence as its head is, and another upstream is sought after half of the remaining time.

Why it holds: nothing is passed on without the proof, as before; only no answer is no longer an answer. What it costs: a body without a length whose upstream has gone dark right after it, and that may not be repeated, ends with 504 at the deadline, not with 502 after half a second.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -51,6 +51,7 @@
       target: req.url ?? "/",
       headers,
       body: call.body,
+      getRemainingMs: () => getRemainingMs(host, call),
       trace: attempt.trace,
       mayStillSend: () =>
         !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
--- a/src/forwarding/body_end.ts
+++ b/src/forwarding/body_end.ts
@@ -5,7 +5,8 @@
  * not. A body without either ends with its connection, which proves less: the
  * connections of a process that is killed end in order as well. Such a body
  * counts only if no reset followed its end, and if its upstream has accepted a
- * connection since.
+ * connection since. One that answers no attempt to connect is not known to be
+ * dead, and is asked until the deadline of the request.
  *
  * @module
  */
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -65,6 +65,7 @@
     target: "/",
     headers: ["Host", "model.example"],
     body: Buffer.from("{}"),
+    getRemainingMs: () => 0,
     mayStillSend: () => true,
     onSent: () => {},
   }));
--- a/src/forwarding/relay_buffered.ts
+++ b/src/forwarding/relay_buffered.ts
@@ -7,10 +7,16 @@
 
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
+import {
+  type Attempt,
+  type Call,
+  type ForwardHost,
+  getRemainingMs,
+} from "./call.ts";
 import { getEligible } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { readResponseBody } from "./response_body.ts";
+import { tryGetSilenceLimitMs } from "./silence_limits.ts";
 import { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
@@ -20,6 +26,13 @@
  */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+/** What is relayed, and beside what. */
+export interface BufferedRelay {
+  readonly response: UpstreamResponse;
+  /** Whether no other attempt of the request runs. */
+  isAlone(): boolean;
+}
+
 /**
  * Relays the response. Fails if it is incomplete, or if it is a failure that
  * need not be the last word for the caller.
@@ -27,14 +40,28 @@
 export function relayBuffered(
   host: ForwardHost,
   call: Call,
-  response: UpstreamResponse,
-  { isAlone }: { isAlone(): boolean },
+  attempt: Attempt,
+  { response, isAlone }: BufferedRelay,
 ): Effect.Effect<void, AttemptFailed> {
+  const remainingMs = getRemainingMs(host, call);
   const limits = {
     maxBytes: MAX_RESPONSE_BYTES,
-    timeoutMs: Math.max(1, getRemainingMs(host, call)),
+    timeoutMs: Math.max(1, remainingMs),
+  };
+  const silenceLimitMs = call.route.kind === "idempotent"
+    ? tryGetSilenceLimitMs(call.route, remainingMs)
+    : undefined;
+  if (silenceLimitMs !== undefined) {
+    attempt.silence.start("body", silenceLimitMs);
+  }
+  const observed: UpstreamResponse = {
+    ...response,
+    onRead() {
+      response.onRead();
+      attempt.silence.recordBytes();
+    },
   };
-  return readResponseBody(response, limits).pipe(
+  return readResponseBody(observed, limits).pipe(
     Effect.flatMap((chunks) => {
       const { res: upstreamRes } = response;
       const status = upstreamRes.statusCode ?? 0;
--- a/src/forwarding/running_attempt.ts
+++ b/src/forwarding/running_attempt.ts
@@ -194,7 +194,8 @@
   if (call.route.kind === "stream" && isSuccess(status)) {
     return relayStream(host, call, attempt, response);
   }
-  return relayBuffered(host, call, response, rivals);
+  const { isAlone } = rivals;
+  return relayBuffered(host, call, attempt, { response, isAlone });
 }
 
 function isSuccess(status: number): boolean {
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -139,6 +139,7 @@
     target: "/",
     headers: ["Host", "model.example"],
     body: Buffer.alloc(0),
+    getRemainingMs: () => 0,
     mayStillSend: () => true,
     onSent: () => {},
   })));
@@ -160,6 +161,7 @@
     target: "/",
     headers: ["Host", "model.example", "x-id", "part"],
     body: Buffer.alloc(0),
+    getRemainingMs: () => 0,
     trace,
     mayStillSend: () => true,
     onSent: () => {},
--- a/src/forwarding/stalled_listeners_test.ts
+++ b/src/forwarding/stalled_listeners_test.ts
@@ -14,6 +14,11 @@
 /** Number of upstreams that accept nothing. */
 const STALLED_UPSTREAMS = 4;
 
+const call = { kind: "idempotent", isResumable: false } as const;
+
+/** Shorter than the longer stall, in ms. */
+const CALL_TIMEOUT_MS = 1_600;
+
 async function assertBodyIsWhole(route: Partial<Route>): Promise<void> {
   await using stalled = await startStalledListeners(1, {
     when: "after-a-body",
@@ -36,16 +41,31 @@
   await assertBodyIsWhole({ kind: "stream" });
 });
 
+test("a call does not wait for the proof of its body while another upstream answers", async () => {
+  await using stalled = await startStalledListeners(1, {
+    when: "after-a-body",
+    stallsMs: LONG_STALL_MS,
+  });
+  const preferredAddresses = stalled.addresses;
+  const route = { ...call, timeoutMs: CALL_TIMEOUT_MS };
+  await using fixture = await createForwardFixture(
+    [createLateAnswer(0)],
+    route,
+    { preferredAddresses },
+  );
+  const { status, body } = await fixture.call();
+  deepStrictEqual([status, body], [200, "whole"]);
+});
+
 test("a request is not refused by upstreams that accept nothing while another one does", async () => {
   await using stalled = await startStalledListeners(STALLED_UPSTREAMS, {
     when: "at-start",
     stallsMs: LONG_STALL_MS,
   });
   const preferredAddresses = stalled.addresses;
-  const route = { kind: "idempotent", isResumable: false } as const;
   await using fixture = await createForwardFixture(
     [createLateAnswer(0)],
-    route,
+    call,
     { preferredAddresses },
   );
   const { status, body } = await fixture.call();
--- a/src/forwarding/try_connect.ts
+++ b/src/forwarding/try_connect.ts
@@ -13,6 +13,21 @@
  */
 export const CONNECT_TIMEOUT_MS = 500;
 
+/**
+ * Tries to connect until there is an answer, whatever it is, or no time remains.
+ * Each time-out is followed by a new attempt: the system repeats one that was
+ * not answered only after seconds.
+ */
+export async function connectWithin(
+  address: string,
+  getRemainingMs: () => number,
+): Promise<ConnectResult> {
+  while (true) {
+    const result = await tryConnect(address);
+    if (result !== "no-answer" || getRemainingMs() <= 0) return result;
+  }
+}
+
 /** Tries to connect to the address, and closes the connection at once. */
 export function tryConnect(address: string): Promise<ConnectResult> {
   const [host, port] = address.split(":");
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -20,7 +20,7 @@
 import type { BodyEnd } from "./body_end.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
-import { CONNECT_TIMEOUT_MS, tryConnect } from "./try_connect.ts";
+import { CONNECT_TIMEOUT_MS, connectWithin } from "./try_connect.ts";
 import { AttemptFailed, type Silence } from "./types.ts";
 
 /** A request to an upstream. */
@@ -34,6 +34,8 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: Buffer;
+  /** Returns the time until the deadline of the request, in ms. */
+  getRemainingMs(): number;
   /** Told of each sign of the upstream and of an abort, for the log. */
   readonly trace?: AttemptTrace | undefined;
   /**
@@ -148,7 +150,7 @@
 
 /** Watches for the end of the body. To be called with the head. */
 function watchBodyEnd(
-  { method, address }: UpstreamCall,
+  { method, address, getRemainingMs }: UpstreamCall,
   res: IncomingMessage,
 ): Effect.Effect<BodyEnd> {
   if (getBodyFraming(res, method) !== "until-close") {
@@ -157,7 +159,7 @@
   const { socket } = res;
   const connection = watchConnectionEnd(socket);
   const contact = new Promise<ConnectResult>((resolve) => {
-    socket.once("end", () => resolve(tryConnect(address)));
+    socket.once("end", () => resolve(connectWithin(address, getRemainingMs)));
     socket.once("close", () => resolve("failed"));
   });
   return Effect.promise(async () => ({
--- a/src/forwarding/upstream_call_test.ts
+++ b/src/forwarding/upstream_call_test.ts
@@ -27,6 +27,7 @@
       target: "/",
       headers: ["Host", "model.example"],
       body: Buffer.from("{}"),
+      getRemainingMs: () => 0,
       mayStillSend: () => mayStillSend,
       onSent: () => sent++,
     });
