Go on connecting while there is time for one more attempt and an answer

What callers saw: a request ended with 503 with half of its time left, though an upstream that accepts connections was there: four others had answered no connection for half a second each.

Cause: the limit on connection attempts counted them, whatever they had taken. It is to bound the time that they take.

Change: four attempts are the limit only once less than 1.5 s remain: half a second for one more that is not answered, and a second for the answer.

The test of the limit passes unchanged. What bounds the attempts otherwise: each upstream is tried once, and one that is unreachable is avoided by all requests of the host.

--- a/src/forwarding/next_step.ts
+++ b/src/forwarding/next_step.ts
@@ -62,10 +62,16 @@
   | { readonly kind: "wait"; readonly because: string };
 
 /**
- * Limit on connection attempts for one request; each may take half a second.
+ * Limit on connection attempts for one request that has little time left.
  */
 const MAX_CONNECTS = 4;
 
+/**
+ * With more remaining time than this, in ms, further upstreams are connected
+ * to: it suffices for one more attempt that is not answered, and for an answer.
+ */
+const MANY_CONNECTS_REMAINING_MS = 1_500;
+
 /**
  * Limit on how often one request is sent. Without it, upstreams that reject
  * everything would cause a retry storm.
@@ -106,7 +112,7 @@
 function tryGetGiveUpReason(input: RequestProgress): string | undefined {
   if (input.isBlocked) return "Upstreams crashed under this content";
   if (input.remainingMs < MIN_REMAINING_MS) return "Too little time remains";
-  if (input.connects >= MAX_CONNECTS) return "Too many connections failed";
+  if (!mayConnect(input)) return "Too many connections failed";
   if (input.attempts >= MAX_ATTEMPTS) return "The limit on attempts is reached";
   if (!input.hasCandidate) return "No other upstream accepts requests";
   if (input.possibleRuns === 0) return undefined;
@@ -118,6 +124,10 @@
   return undefined;
 }
 
+function mayConnect({ connects, remainingMs }: RequestProgress): boolean {
+  return connects < MAX_CONNECTS || remainingMs >= MANY_CONNECTS_REMAINING_MS;
+}
+
 function mayRepeat(input: RequestProgress): boolean {
   switch (input.kind) {
     case "idempotent":
--- a/src/forwarding/next_step_test.ts
+++ b/src/forwarding/next_step_test.ts
@@ -101,6 +101,14 @@
   strictEqual(decide({ possibleRuns: 0, attempts: 3 }).step, "give-up");
 });
 
+test("connection attempts go on while there is time for one more and an answer", () => {
+  const input = { possibleRuns: 0, attempts: 0, connects: 4 } as const;
+  strictEqual(
+    decide({ ...input, remainingMs: 2_000 }).step,
+    "another-upstream",
+  );
+});
+
 test("blocked content is neither sent to another upstream nor resumed", () => {
   strictEqual(decide({ isBlocked: true }).step, "give-up");
   const begun = { hasSentEvents: true, hasEventId: true };
