Give up a stream whose event does not end

Callers saw 504 after 4.5 s of a deadline of 4 s, and the host that served them grew by the stream of one faulty upstream: an event without its empty line was held without a bound.

Cause: the splitter kept all bytes of an incomplete event, and joined, decoded and searched them anew with each part, so that work and garbage grew with the square of what had come.

Ruled out: the pause for slow callers. Nothing is passed on before an event is complete, so that nothing ever pauses.

Change: bytes are appended to a buffer whose capacity doubles, and only the new bytes, with the three before them, are searched for an event's end. An event of over 1 MiB fails its attempt as "broken", with a reason that says so, and the connection is closed at once. "Broken" counts against the upstream's health and raises no suspicion against the content; only "cut-off" does.

The test of split event ends passed before as well: it holds the behaviour.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -4,10 +4,16 @@
  * event, another upstream can then resume the stream and send that event
  * completely.
  *
+ * The bytes of an incomplete event are held until its end arrives. Each byte is
+ * searched and copied a constant number of times, and an event that does not
+ * end is to be given up: see `isOversized`.
+ *
  * @module
  */
 
 import { Buffer } from "node:buffer";
+import { createGrowingBuffer } from "./growing_buffer.ts";
+import { AttemptFailed } from "./types.ts";
 
 /** One or more complete events, unchanged. */
 export interface EventChunk {
@@ -22,39 +28,64 @@
   push(bytes: Buffer): EventChunk | undefined;
   /** Returns the bytes of the last, incomplete event. */
   getIncomplete(): Buffer;
+  /** Whether the incomplete event is larger than any event may be. */
+  isOversized(): boolean;
 }
 
+/**
+ * Most bytes of an event that are held while it is incomplete. Events carry a
+ * piece of text of some hundred bytes; one that holds a whole response may have
+ * some hundred thousand.
+ */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+
 /**
  * An event ends with an empty line, with any line ending that the standard
  * allows.
  */
 const EVENT_END = /\r\n\r\n|\n\n|\r\r/g;
 
+/** Number of bytes of an event end that may have arrived before the last. */
+const EVENT_END_OVERLAP = 3;
+
 /** Creates a splitter for a new stream. */
 export function createEventSplitter(): EventSplitter {
-  let pending: Buffer = Buffer.alloc(0);
+  const pending = createGrowingBuffer();
 
   return {
     push(bytes) {
-      const all = pending.length === 0
-        ? bytes
-        : Buffer.concat([pending, bytes]);
       // Latin-1 maps each byte to one character, so that offsets in text and
       // bytes agree.
-      const text = all.toString("latin1");
-      const end = getLastEventEnd(text);
-      pending = all.subarray(end);
-      if (end === 0) return undefined;
-      const complete = text.slice(0, end);
+      const before = pending.getBytes().subarray(-EVENT_END_OVERLAP)
+        .toString("latin1");
+      const text = before + bytes.toString("latin1");
+      const end = getLastEventEnd(text) - before.length;
+      if (end <= 0) {
+        pending.append(bytes);
+        return undefined;
+      }
+      const complete = join(pending.take(), bytes.subarray(0, end));
+      pending.append(bytes.subarray(end));
       return {
-        bytes: all.subarray(0, end),
-        lastEventId: getLastEventId(complete),
+        bytes: complete,
+        lastEventId: getLastEventId(complete.toString("latin1")),
       };
     },
-    getIncomplete: () => pending,
+    getIncomplete: pending.getBytes,
+    isOversized: () => pending.getBytes().length > MAX_EVENT_BYTES,
   };
 }
 
+/** Creates the failure of a stream with an event that does not end. */
+export function createOversizedError(): AttemptFailed {
+  const reason = `An event is larger than ${MAX_EVENT_BYTES} bytes`;
+  return new AttemptFailed({ kind: "broken", reason });
+}
+
+function join(first: Buffer, second: Buffer): Buffer {
+  return first.length === 0 ? second : Buffer.concat([first, second]);
+}
+
 function getLastEventEnd(text: string): number {
   let end = 0;
   for (const match of text.matchAll(EVENT_END)) {
--- a/src/forwarding/event_splitter_test.ts
+++ b/src/forwarding/event_splitter_test.ts
@@ -1,8 +1,8 @@
-import { strictEqual } from "node:assert";
+import { ok, strictEqual } from "node:assert";
 import { Buffer } from "node:buffer";
 import { test } from "node:test";
 import * as fc from "fast-check";
-import { createEventSplitter } from "./event_splitter.ts";
+import { createEventSplitter, MAX_EVENT_BYTES } from "./event_splitter.ts";
 
 test("an incomplete event is held back until it is complete", () => {
   const splitter = createEventSplitter();
@@ -41,3 +41,65 @@
     },
   ));
 });
+
+/** Text of events with every line ending, also broken ones. */
+const lines = fc.string({
+  unit: fc.constantFrom("\r", "\n", "\r\n", "id: 1", "id: 2", "x"),
+  maxLength: 40,
+});
+
+test("events come out the same however the bytes of an event's end are split", () => {
+  // Guards against an end that is missed because it arrived in two parts.
+  fc.assert(fc.property(
+    lines,
+    fc.array(fc.integer({ min: 1, max: 4 }), { minLength: 1, maxLength: 20 }),
+    (text, sizes) => {
+      const whole = createEventSplitter();
+      const expected = whole.push(Buffer.from(text));
+      const splitter = createEventSplitter();
+      let bytes = "";
+      let lastEventId: string | undefined;
+      let at = 0;
+      for (let part = 0; at < text.length; part++) {
+        const size = sizes[part % sizes.length]!;
+        const chunk = splitter.push(Buffer.from(text.slice(at, at + size)));
+        bytes += chunk?.bytes ?? "";
+        lastEventId = chunk?.lastEventId ?? lastEventId;
+        at += size;
+      }
+      strictEqual(bytes, String(expected?.bytes ?? ""));
+      strictEqual(lastEventId, expected?.lastEventId);
+      strictEqual(String(splitter.getIncomplete()), text.slice(bytes.length));
+    },
+  ));
+});
+
+test("an event in many small parts takes work in proportion to its size", (t) => {
+  // Guards against a splitter that handles all held bytes anew with each part.
+  const part = Buffer.from("x".repeat(64));
+  const parts = 8_000;
+  const { concat } = Buffer;
+  let handledBytes = 0;
+  t.mock.method(Buffer, "concat", (list: readonly Buffer[]) => {
+    const joined = concat(list);
+    handledBytes += joined.length;
+    return joined;
+  });
+  const splitter = createEventSplitter();
+  for (let at = 0; at < parts; at++) splitter.push(part);
+  const chunk = splitter.push(Buffer.from("\n\n"));
+  strictEqual(chunk?.bytes.length, part.length * parts + 2);
+  ok(handledBytes <= 2 * chunk.bytes.length, `Joined ${handledBytes} bytes`);
+});
+
+test("an event that does not end is oversized once it passes the limit", () => {
+  // Guards against a host that holds what an upstream sends without end.
+  const splitter = createEventSplitter();
+  const part = Buffer.alloc(1024, "x");
+  for (let sent = 0; sent < MAX_EVENT_BYTES; sent += part.length) {
+    splitter.push(part);
+  }
+  strictEqual(splitter.isOversized(), false);
+  splitter.push(Buffer.from("x"));
+  strictEqual(splitter.isOversized(), true);
+});
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -11,7 +11,11 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { Attempt, Call, ForwardHost } from "./call.ts";
-import { createEventSplitter, type EventChunk } from "./event_splitter.ts";
+import {
+  createEventSplitter,
+  createOversizedError,
+  type EventChunk,
+} from "./event_splitter.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
 import { receiveBody } from "./response_body.ts";
@@ -52,6 +56,11 @@
       resume(result);
     }
 
+    function fail(failure: AttemptFailed): void {
+      end(Effect.fail(failure));
+      response.abort();
+    }
+
     function awaitEvent(): void {
       if (silenceLimitMs === undefined || hasEnded) return;
       silence.start("events", silenceLimitMs);
@@ -74,6 +83,7 @@
       silence.recordBytes();
       const chunk = splitter.push(bytes);
       if (chunk !== undefined && !events.relay(chunk)) awaitCaller();
+      if (splitter.isOversized()) fail(createOversizedError());
     }
 
     function finish(): Effect.Effect<void, AttemptFailed> {
