Bound what is read of a refusal's body

A caller saw nothing of it, but the host went on to read and drop the body of a refusal ("not run") for as long as the upstream sent: with no bound in bytes or time.

Cause: the body was drained by `res.resume()`, so that the connection can be reused, with nobody who watches its end.

Change: at most 64 KiB and one second are spent on it; after that the connection is closed and `drained-body-closed` says why. A refusal counts as a failed attempt in the upstream's health, as before.

Tests, failing before: "an endless body of a refusal is closed at its limit, and another upstream serves" and "the connection of a refusal whose body does not end is closed in time" (both not closed within 3 s). "The connection of a refusal with a short body is used again" passed before and holds what draining is for.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -199,6 +199,14 @@
     /** Whether the response to the caller had begun. */
     readonly isBegun: boolean;
   }
+  | {
+    readonly event: "drained-body-closed";
+    readonly request: string;
+    readonly upstream: string;
+    readonly reason: string;
+    /** Bytes of the body that were read and dropped. */
+    readonly readBytes: number;
+  }
   | {
     readonly event: "request-ended";
     readonly request: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -138,6 +138,10 @@
       return `Attempt at ${decision.upstream} goes on${
         formatSilence(decision.silence)
       }; next: ${decision.next}${formatReason(decision.because)}`;
+    case "drained-body-closed":
+      return `Closed the connection to ${decision.upstream} after ` +
+        `${decision.readBytes} bytes of a body that nobody needs: ` +
+        `"${decision.reason}"`;
     case "request-ended":
       return `Ended as ${decision.outcome} with status ${decision.status} ` +
         `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -13,6 +13,7 @@
   type ForwardHost,
   getRemainingMs,
 } from "./call.ts";
+import { drainBody } from "./drain_body.ts";
 import { countWarmUp, mayStillUse } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
@@ -104,8 +105,14 @@
   if (isForeign) return abortAndFail(response, "broken", "Request id mismatch");
   if (isNotRun) {
     call.progress.possibleRuns--;
-    // Drain the body so that the connection can be reused.
-    res.resume();
+    drainBody(response, ({ reason, readBytes }) =>
+      host.log({
+        event: "drained-body-closed",
+        request: call.headers.requestId,
+        upstream: upstream.id,
+        reason,
+        readBytes,
+      }));
     return fail(
       "not-run",
       `Status ${status}: the upstream has not run the request`,
--- a/src/forwarding/endless_responses_test.ts
+++ b/src/forwarding/endless_responses_test.ts
@@ -1,11 +1,16 @@
-import { deepStrictEqual, match, ok } from "node:assert";
+import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
+import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { Decision } from "../diagnostics/mod.ts";
 import { createEndlessUpstream } from "../testing/endless_upstream.ts";
 import {
+  type Behaviour,
   createForwardFixture,
   type ForwardFixture,
 } from "../testing/forward_fixture.ts";
+import { waitUntil } from "../testing/held_upstream.ts";
+import { answer } from "../testing/raw_responses.ts";
+import { MAX_DRAINED_BYTES } from "./drain_body.ts";
 import { MAX_EVENT_BYTES } from "./event_splitter.ts";
 
 /** Largest number of bytes that the host reads at once. */
@@ -13,6 +18,11 @@
 
 const stream = { kind: "stream", isResumable: false } as const;
 
+const once = { kind: "at-most-once", isResumable: false } as const;
+
+const answers: Behaviour = (socket, { id }) =>
+  void socket.write(answer(id, "done"));
+
 type FailedAttempt = Extract<Decision, { event: "attempt-failed" }>;
 
 function getFailedAttempts({ log }: ForwardFixture): readonly FailedAttempt[] {
@@ -35,3 +45,47 @@
   ok(failed!.body!.readBytes <= MAX_EVENT_BYTES + READ_BYTES);
   ok(!fixture.log.some((each) => each.event === "content-suspected"));
 });
+
+test("an endless body of a refusal is closed at its limit, and another upstream serves", async () => {
+  // Guards against a host that reads for nobody until the upstream ends.
+  const endless = createEndlessUpstream("not-run-body");
+  await using fixture = await createForwardFixture(
+    [endless.behaviour, answers],
+    once,
+  );
+  const res = await fixture.call();
+  deepStrictEqual([res.status, res.body], [200, "done"]);
+  await endless.waitUntilClosed();
+  const closed = fixture.log.find((each) =>
+    each.event === "drained-body-closed"
+  );
+  match(closed!.reason, /larger than/);
+  ok(closed!.readBytes <= MAX_DRAINED_BYTES + READ_BYTES);
+});
+
+test("the connection of a refusal whose body does not end is closed in time", async () => {
+  // Guards against connections that are kept for bodies that never end.
+  const sockets: Socket[] = [];
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    sockets.push(socket);
+    socket.write(
+      `HTTP/1.1 421 Misdirected Request\r\nx-id: ${id}\r\n` +
+        "content-length: 9\r\n\r\nnot all",
+    );
+  }], once);
+  strictEqual((await fixture.call()).status, 503);
+  await waitUntil(() => sockets[0]!.destroyed, "close of the connection");
+});
+
+test("the connection of a refusal with a short body is used again", async () => {
+  // Guards against a new connection for each refusal.
+  const sockets = new Set<Socket>();
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    sockets.add(socket);
+    socket.write(answer(id, "not here", "421 Misdirected Request"));
+  }], once);
+  for (const id of ["first", "second"]) {
+    strictEqual((await fixture.call({ id })).status, 503);
+  }
+  strictEqual(sockets.size, 1);
+});
