Take bytes that are no response for a broken answer, not for a crash

A caller saw 502 either way, but an endless trailer or chunk extension, or any bytes within a body that can't be parsed, made a crash suspicion against the content of the request: its fingerprint stood in `attempt-failed`, and the upstream was asked for a connection as one that may have crashed.

Cause: the parser's error ("HPE_…") destroys the request, the response closes before its end, and each early close of a body was taken for a connection that had ended ("cut-off"). Before the head the same error was "broken" already.

Change: the response remembers why this side closed it; the body then fails with that. A connection that ends or is reset within a body is "cut-off" as before.

Tests, failing before: "an endless chunk-extension" and "an endless trailer fails a stream (and an at-most-once) request at once, without suspicion of its content" ("cut-off" with a fingerprint). The same for a status line and a head, and "endless bytes behind a whole body end the connection, and the body is passed on", passed before and are kept.

--- a/src/forwarding/endless_responses_test.ts
+++ b/src/forwarding/endless_responses_test.ts
@@ -89,3 +89,41 @@
   }
   strictEqual(sockets.size, 1);
 });
+
+/** Parts whose bytes are no response, as the parser sees at once. */
+const unparsedParts = [
+  "status-line",
+  "head",
+  "chunk-extension",
+  "trailer",
+] as const;
+
+for (const part of unparsedParts) {
+  for (const route of [stream, once]) {
+    test(`an endless ${part} fails a ${route.kind} request at once, without suspicion of its content`, async () => {
+      // Guards against content that is blamed for bytes that are no response.
+      const endless = createEndlessUpstream(part);
+      await using fixture = await createForwardFixture(
+        [endless.behaviour],
+        route,
+      );
+      strictEqual((await fixture.call()).status, 502);
+      await endless.waitUntilClosed();
+      const [failed] = getFailedAttempts(fixture);
+      deepStrictEqual([failed?.kind, failed?.fingerprint], [
+        "broken",
+        undefined,
+      ]);
+      match(failed!.reason, /^HPE_/);
+    });
+  }
+}
+
+test("endless bytes behind a whole body end the connection, and the body is passed on", async () => {
+  // Guards against a whole response that is lost, or read on without end.
+  const endless = createEndlessUpstream("bytes-behind");
+  await using fixture = await createForwardFixture([endless.behaviour], once);
+  const res = await fixture.call();
+  deepStrictEqual([res.status, res.body.length], [200, 1_000]);
+  await endless.waitUntilClosed();
+});
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -42,7 +42,7 @@
   }
 
   function endTruncated(): void {
-    end(Effect.fail(createTruncatedError()));
+    end(Effect.fail(response.tryGetBreach() ?? createTruncatedError()));
   }
 
   if (res.destroyed) return endTruncated();
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -58,6 +58,11 @@
   onRead(): void;
   /** What is known of the end of the body, once it was read to its end. */
   readonly bodyEnd: Effect.Effect<BodyEnd>;
+  /**
+   * Returns why this side closed the connection: what arrived on it is no
+   * response. `undefined` if it did not.
+   */
+  tryGetBreach(): AttemptFailed | undefined;
 }
 
 /** Sends the request; succeeds with the head of the response. */
@@ -68,6 +73,7 @@
     const [host, port] = call.address.split(":");
     let isSent = false;
     let received: UpstreamResponse | undefined;
+    let breach: AttemptFailed | undefined;
     const req = sendRequest({
       agent: call.agent,
       host,
@@ -88,11 +94,11 @@
       reason: string,
       silence?: Silence,
     ): void {
+      const failure = new AttemptFailed({ kind, reason, silence });
+      if (kind === "broken") breach ??= failure;
       timeout[Symbol.dispose]();
       abortRequest();
-      if (received === undefined) {
-        resume(Effect.fail(new AttemptFailed({ kind, reason, silence })));
-      }
+      if (received === undefined) resume(Effect.fail(failure));
     }
 
     function failConnect(): void {
@@ -124,7 +130,8 @@
         abortRequest();
       }
       const onRead = () => call.trace?.onWaiting();
-      received = { res, trace, abort, onRead, bodyEnd };
+      const tryGetBreach = () => breach;
+      received = { res, trace, abort, onRead, bodyEnd, tryGetBreach };
       resume(Effect.succeed(received));
     });
     req.on("error", (err) => {
