Bound what arrives on a connection beside the body of a response

Node bounds a head, a trailer and an extension only.

Change: the bytes of the connection are counted beside the bytes of the body. Of others 64 KiB, four times the largest head, and eight for each byte of the body may come; then the attempt fails as "broken" and the connection is closed. A chunk of a single byte takes five others.

Ruled out: counting interim heads by the `information` event alone, which sees neither empty lines nor chunk sizes; and a timer that looks at `bytesRead`, which wakes the host for each open request.

Tests, failing before (504 after 4 s each): "endless bytes of the kind interim-heads", "empty-lines" and "chunk-size fail a stream (and an at-most-once) request as broken". "A response behind interim heads whose body comes in chunks of a byte is passed on" passed before and is kept.

--- a/src/forwarding/body_trace.ts
+++ b/src/forwarding/body_trace.ts
@@ -18,6 +18,8 @@
 export interface BodyTrace {
   /** Bytes were handed to this host's reader. */
   onRead(bytes: number): void;
+  /** Returns the bytes that have arrived, read or not. */
+  getReceivedBytes(): number;
   /** Bytes were given to the caller's response. */
   onRelayed(bytes: number): void;
   /** Reading was paused because the caller does not read. */
@@ -70,7 +72,11 @@
   let pausedSinceMs: number | undefined;
 
   function createEnd(connection: BodyConnection, code?: string): ConnectionEnd {
-    return { connection, code, receivedBytes: readBytes + res.readableLength };
+    return { connection, code, receivedBytes: getReceivedBytes() };
+  }
+
+  function getReceivedBytes(): number {
+    return end?.receivedBytes ?? readBytes + res.readableLength;
   }
 
   function getPausedMs(nowMs: number): number {
@@ -79,6 +85,7 @@
 
   return {
     onRead: (bytes) => void (readBytes += bytes),
+    getReceivedBytes,
     onRelayed: (bytes) => void (relayedBytes += bytes),
     onPaused: (nowMs) => void (pausedSinceMs ??= nowMs),
     onResumed(nowMs) {
--- a/src/forwarding/drain_body.ts
+++ b/src/forwarding/drain_body.ts
@@ -29,7 +29,7 @@
   response: UpstreamResponse,
   onClosed: (body: UndrainedBody) => void,
 ): void {
-  const { res } = response;
+  const { res, trace } = response;
   let readBytes = 0;
 
   function close(reason: string): void {
@@ -46,6 +46,7 @@
   res.on("close", () => timeout[Symbol.dispose]());
   res.on("data", (bytes: Buffer) => {
     readBytes += bytes.length;
+    trace.onRead(bytes.length);
     if (readBytes <= MAX_DRAINED_BYTES) return;
     close(`The body is larger than ${MAX_DRAINED_BYTES} bytes`);
   });
--- a/src/forwarding/endless_responses_test.ts
+++ b/src/forwarding/endless_responses_test.ts
@@ -9,9 +9,10 @@
   type ForwardFixture,
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
-import { answer } from "../testing/raw_responses.ts";
+import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
 import { MAX_DRAINED_BYTES } from "./drain_body.ts";
 import { MAX_EVENT_BYTES } from "./event_splitter.ts";
+import { MAX_OVERHEAD_BYTES } from "./overhead_watch.ts";
 
 /** Largest number of bytes that the host reads at once. */
 const READ_BYTES = 64 * 1024;
@@ -127,3 +128,40 @@
   deepStrictEqual([res.status, res.body.length], [200, 1_000]);
   await endless.waitUntilClosed();
 });
+
+/** Parts whose bytes the parser drops without a word. */
+const droppedParts = ["interim-heads", "empty-lines", "chunk-size"] as const;
+
+for (const part of droppedParts) {
+  for (const route of [stream, once]) {
+    test(`endless bytes of the kind ${part} fail a ${route.kind} request as broken`, async () => {
+      // Guards against a host that parses for nobody until the deadline.
+      const endless = createEndlessUpstream(part);
+      await using fixture = await createForwardFixture(
+        [endless.behaviour],
+        route,
+      );
+      strictEqual((await fixture.call()).status, 502);
+      await endless.waitUntilClosed();
+      const [failed] = getFailedAttempts(fixture);
+      deepStrictEqual([failed?.kind, failed?.fingerprint], [
+        "broken",
+        undefined,
+      ]);
+      const bytes = Number(/^\d+/.exec(failed!.reason)?.[0]);
+      ok(bytes <= MAX_OVERHEAD_BYTES + READ_BYTES, failed!.reason);
+    });
+  }
+}
+
+test("a response behind interim heads whose body comes in chunks of a byte is passed on", async () => {
+  // Guards against small chunks that count as bytes without an end.
+  const body = "x".repeat(30_000);
+  const chunks = chunk("x").repeat(body.length);
+  await using fixture = await createForwardFixture([(socket, { id }) => {
+    const interim = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(9);
+    socket.write(`${interim}${streamHead(id)}${chunks}0\r\n\r\n`);
+  }], once);
+  const res = await fixture.call();
+  deepStrictEqual([res.status, res.body === body], [200, true]);
+});
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -20,6 +20,7 @@
 import type { BodyEnd } from "./body_end.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
+import { watchOverhead } from "./overhead_watch.ts";
 import { CONNECT_TIMEOUT_MS, connectWithin } from "./try_connect.ts";
 import { AttemptFailed, type Silence } from "./types.ts";
 
@@ -118,6 +119,13 @@
       timeout[Symbol.dispose]();
     });
     req.on("information", () => call.trace?.onWaiting());
+    req.once("socket", (socket) => {
+      const overhead = watchOverhead(socket, {
+        getBodyBytes: () => received?.trace.getReceivedBytes() ?? 0,
+        onExceeded: (reason) => fail("broken", reason),
+      });
+      req.once("close", () => overhead[Symbol.dispose]());
+    });
     req.on("response", (res) => {
       call.trace?.onWaiting();
       // Without a listener, an error event of the body would end the process.
