Bound what a host holds for all responses together

A host with 250 MB is killed with all that it serves when several upstreams send bodies without end at once: each body had a bound of 8 MiB, all together had none. Seen by hand on loopback, one host of the real program, all four upstreams endless: peak of 234 MB with 24 requests at once, 475 MB with 60. A caller that does not read a whole answer, or that pipelines behind a slow one, held its bytes here without a bound over all callers as well.

Change: bodies that are being read, the incomplete event of each stream and whole answers that wait for their callers are counted together. They may take an eighth of the host's memory (the new setting `limits.memory_mb`): 31 MB of 250. Beyond that the response that holds the most is dropped. One that is arriving fails as "broken", a failure of its upstream with a reason that says so; an answer that waits is cut, which its length shows, and `answer-dropped` is logged.

Why the largest and not the next to arrive: small responses would fail without freeing anything, for as long as the large one stays. Ordinary bodies are some KB, so that hundreds of them fit. Bytes are counted exactly only when the sum of all that was added since the last count could pass the bound.

Not counted: what a stream has given to its caller's connection; the pause holds it to 16 KB and the events of one read.

Tests, failing before (with the count switched off): "without room the chunked-body" and "the event without an end fails, and a small response is whole", "without room the largest answer that its caller does not read is cut, not the next to arrive", "the response that holds the most is dropped, not the one that arrives last", "as many responses are dropped as it takes to make room". "Answers that callers have read take no room" and "what responses no longer hold does not count" pass either way and guard normal traffic. cut_bodies_test.ts gives its reader the memory that is now an input; what it checks is unchanged.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -207,6 +207,12 @@
     /** Bytes of the body that were read and dropped. */
     readonly readBytes: number;
   }
+  | {
+    readonly event: "answer-dropped";
+    readonly request: string;
+    /** Bytes that the caller had not read. */
+    readonly unsentBytes: number;
+  }
   | {
     readonly event: "request-ended";
     readonly request: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -142,6 +142,9 @@
       return `Closed the connection to ${decision.upstream} after ` +
         `${decision.readBytes} bytes of a body that nobody needs: ` +
         `"${decision.reason}"`;
+    case "answer-dropped":
+      return `Closed the caller's connection with ${decision.unsentBytes} ` +
+        `bytes unsent: the host had no room, and this response held the most`;
     case "request-ended":
       return `Ended as ${decision.outcome} with status ${decision.status} ` +
         `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -12,8 +12,10 @@
 import { createStallTolerantClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
+  createResponseMemory,
   createUpstreamAgent,
   type ForwardHost,
+  getMaxHeldBytes,
   serve,
   tryConnect,
 } from "../forwarding/mod.ts";
@@ -268,6 +270,9 @@
         () => getServingHosts(peers.membership.getMembers()).length,
       ),
     ),
+    responseMemory: createResponseMemory(
+      getMaxHeldBytes(settings.memoryBytes),
+    ),
     tryGetRoutes: platformView.tryGetRoutes,
     getRegion: (dataCentre) => settings.regions.get(dataCentre),
     getEvacuated: platformView.getEvacuated,
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -36,6 +36,8 @@
    * Number of standard-speed cores available to this process; may be below 1.
    */
   readonly processorShare: number;
+  /** Memory above which the process is killed, in bytes. */
+  readonly memoryBytes: number;
   /** Time between SIGTERM and SIGKILL, in ms. */
   readonly stopGraceMs: number;
   /** Maximum time for which callers may cache a list of hosts, in ms. */
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -30,6 +30,7 @@
 import type { WarmUps } from "../warmup/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyTrace } from "./body_trace.ts";
+import type { ResponseMemory } from "./response_memory.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
@@ -54,6 +55,7 @@
   readonly backoffs: BackoffWatch;
   readonly crashes: CrashWatch;
   readonly retryBudget: RetryBudget;
+  readonly responseMemory: ResponseMemory;
   tryGetRoutes(): RouteTable | undefined;
   /** Returns the region of a data centre; `undefined` if it is not declared. */
   getRegion(dataCentre: string): string | undefined;
--- a/src/forwarding/relay_buffered.ts
+++ b/src/forwarding/relay_buffered.ts
@@ -18,6 +18,7 @@
 import { readResponseBody } from "./response_body.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
 import { AttemptFailed } from "./types.ts";
+import { holdUntilSent } from "./unsent_answer.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
 /**
@@ -47,6 +48,7 @@
   const limits = {
     maxBytes: MAX_RESPONSE_BYTES,
     timeoutMs: Math.max(1, remainingMs),
+    memory: host.responseMemory,
   };
   const silenceLimitMs = call.route.kind === "idempotent"
     ? tryGetSilenceLimitMs(call.route, remainingMs)
@@ -77,6 +79,12 @@
       }
       call.progress.status = status;
       sendBuffered(call.res, response, chunks);
+      holdUntilSent(host.responseMemory, call.res, (unsentBytes) =>
+        host.log({
+          event: "answer-dropped",
+          request: call.headers.requestId,
+          unsentBytes,
+        }));
       return Effect.void;
     }),
   );
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -19,6 +19,7 @@
 import { getEndToEndHeaders } from "./headers.ts";
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
 import { receiveBody } from "./response_body.ts";
+import { createDroppedError } from "./response_memory.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
 import { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
@@ -48,11 +49,21 @@
     const splitter = createEventSplitter();
     const events = createEventRelay(host, call, { attempt, response });
     const silenceLimitMs = tryGetSilenceLimitMs(call.route, Infinity);
+    const getHeldBytes = () => splitter.getIncomplete().length;
+    const held = host.responseMemory.hold({
+      getHeldBytes,
+      drop: () => fail(createDroppedError(getHeldBytes())),
+    });
     let hasEnded = false;
 
-    function end(result: Effect.Effect<void, AttemptFailed>): void {
+    function stop(): void {
       hasEnded = true;
+      held[Symbol.dispose]();
       silence[Symbol.dispose]();
+    }
+
+    function end(result: Effect.Effect<void, AttemptFailed>): void {
+      stop();
       resume(result);
     }
 
@@ -83,7 +94,8 @@
       silence.recordBytes();
       const chunk = splitter.push(bytes);
       if (chunk !== undefined && !events.relay(chunk)) awaitCaller();
-      if (splitter.isOversized()) fail(createOversizedError());
+      if (splitter.isOversized()) return fail(createOversizedError());
+      held.onGrown(bytes.length);
     }
 
     function finish(): Effect.Effect<void, AttemptFailed> {
@@ -102,7 +114,7 @@
     });
     return Effect.sync(() => {
       if (hasEnded) return;
-      hasEnded = true;
+      stop();
       response.abort();
     });
   });
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -13,6 +13,7 @@
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
 import { createTruncatedError, tryGetBodyFailure } from "./body_end.ts";
+import { createDroppedError, type ResponseMemory } from "./response_memory.ts";
 import { AttemptFailed, type Silence } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
@@ -55,12 +56,21 @@
   res.on("close", endTruncated);
 }
 
+/** What limits the reading of a complete body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  readonly timeoutMs: number;
+  /** Counts the body while it is read, and may have it dropped. */
+  readonly memory: ResponseMemory;
+}
+
 /**
- * Reads the complete body. Fails if it is truncated or exceeds the size limit.
+ * Reads the complete body. Fails if it is truncated, exceeds the size limit or
+ * is dropped.
  */
 export function readResponseBody(
   response: UpstreamResponse,
-  limits: { readonly maxBytes: number; readonly timeoutMs: number },
+  limits: BodyLimits,
 ): Effect.Effect<readonly Buffer[], AttemptFailed> {
   return Effect.callback<readonly Buffer[], AttemptFailed>((resume) => {
     const chunks: Buffer[] = [];
@@ -69,11 +79,17 @@
 
     function end(result: Effect.Effect<void, AttemptFailed>): void {
       hasEnded = true;
-      timeout[Symbol.dispose]();
+      stop();
       resume(result.pipe(Effect.map(() => chunks)));
     }
 
+    function stop(): void {
+      timeout[Symbol.dispose]();
+      held[Symbol.dispose]();
+    }
+
     function fail(failure: AttemptFailed): void {
+      chunks.length = 0;
       end(Effect.fail(failure));
       response.abort();
     }
@@ -92,14 +108,20 @@
 
     function onChunk(chunk: Buffer): void {
       size += chunk.length;
-      if (size > limits.maxBytes) failTooLarge();
-      else chunks.push(chunk);
+      if (size > limits.maxBytes) return failTooLarge();
+      chunks.push(chunk);
+      held.onGrown(chunk.length);
     }
 
+    const held = limits.memory.hold({
+      getHeldBytes: () => size,
+      drop: () => fail(createDroppedError(size)),
+    });
+
     const timeout = startTimeout(limits.timeoutMs, failSilent);
     receiveBody(response, { onChunk, onEnd: end });
     return Effect.sync(() => {
-      timeout[Symbol.dispose]();
+      stop();
       if (!hasEnded) response.abort();
     });
   });
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -24,6 +24,7 @@
 import { listen } from "../entry/servers.ts";
 import { startTicker } from "../entry/ticker.ts";
 import {
+  createResponseMemory,
   createUpstreamAgent,
   type ForwardHost,
   serve,
@@ -144,13 +145,22 @@
   readonly preferredAddresses?: readonly string[];
   /** Addresses of upstreams to which all others are preferred. */
   readonly lastAddresses?: readonly string[];
+  /** Bytes that the responses of the host may take. */
+  readonly responseMemoryBytes?: number;
 }
 
+/** Bytes that the responses of the host may take, unless a test says else. */
+const RESPONSE_MEMORY_BYTES = 30_000_000;
+
 /** Starts an entry host with upstreams that behave as given. */
 export async function createForwardFixture(
   behaviours: readonly Behaviour[],
   routeChanges: Partial<Route> = {},
-  { preferredAddresses = [], lastAddresses = [] }: FixtureOptions = {},
+  {
+    preferredAddresses = [],
+    lastAddresses = [],
+    responseMemoryBytes = RESPONSE_MEMORY_BYTES,
+  }: FixtureOptions = {},
 ): Promise<ForwardFixture> {
   const arrivals: string[] = [];
   const log: Decision[] = [];
@@ -201,6 +211,7 @@
     crashes,
     log: writeLog,
     tryGetRoutes: () => routes,
+    responseMemory: createResponseMemory(responseMemoryBytes),
   });
   const responses: ServerResponse[] = [];
   const callers = await listen("127.0.0.1:0", (req, res) => {
@@ -254,10 +265,12 @@
 
 function createHost(
   directory: ForwardHost["directory"],
-  parts: Pick<ForwardHost, "log" | "tryGetRoutes" | "crashes"> & {
-    readonly controls: Controls;
-    readonly recordedPacing: RecordedPacing;
-  },
+  parts:
+    & Pick<ForwardHost, "log" | "tryGetRoutes" | "crashes" | "responseMemory">
+    & {
+      readonly controls: Controls;
+      readonly recordedPacing: RecordedPacing;
+    },
 ): ForwardHost {
   const clock = systemClock;
   const load = createLoadView({
@@ -278,6 +291,7 @@
   return {
     log: parts.log,
     tryGetRoutes: parts.tryGetRoutes,
+    responseMemory: parts.responseMemory,
     clock,
     startedMs: clock.monotonicMs(),
     codec: createTestCodec(),
