Test that endless bytes are a failure of their upstream, and others are served

For each part of a response that may have no end: four requests at once are all served, some by way of the endless upstream, and the failure is counted in that upstream's health, without a suspicion of the content. The fixture of forwarding shows its health watch for it.

A test holds that counting the bytes of a connection leaves no listener on one that is used again.

--- a/src/forwarding/endless_responses_test.ts
+++ b/src/forwarding/endless_responses_test.ts
@@ -19,6 +19,8 @@
 
 const stream = { kind: "stream", isResumable: false } as const;
 
+const idempotent = { kind: "idempotent", isResumable: false } as const;
+const resumable = { kind: "stream", isResumable: true } as const;
 const once = { kind: "at-most-once", isResumable: false } as const;
 
 const answers: Behaviour = (socket, { id }) =>
@@ -165,3 +167,73 @@
   const res = await fixture.call();
   deepStrictEqual([res.status, res.body === body], [200, true]);
 });
+
+test("a connection that serves several requests keeps no listener of earlier ones", async () => {
+  // Guards against a count of bytes that goes on for each past response.
+  await using fixture = await createForwardFixture([answers], once);
+  const counts: number[] = [];
+  for (const id of ["first", "second", "third"]) {
+    strictEqual((await fixture.call({ id })).status, 200);
+    const sockets = Object.values(fixture.agent.freeSockets).flat();
+    counts.push(...sockets.map((each) => each!.listenerCount("data")));
+  }
+  deepStrictEqual(counts, [counts[0], counts[0], counts[0]]);
+});
+
+/**
+ * Number of calls that are under way at the same time: no more than a host may
+ * send again before its first success.
+ */
+const CONCURRENT_CALLS = 4;
+
+const EVENT = "id: 1\ndata: a\n\n";
+
+const servesEvent: Behaviour = (socket, { id }) =>
+  void socket.write(answer(id, EVENT));
+
+const failures = [
+  { part: "event", route: resumable },
+  { part: "chunked-body", route: idempotent },
+  { part: "body-until-close", route: idempotent },
+  { part: "interim-heads", route: idempotent },
+  { part: "head", route: idempotent },
+  { part: "trailer", route: idempotent },
+] as const;
+
+for (const { part, route } of failures) {
+  test(`while one upstream sends an endless ${part}, all ${route.kind} requests are served`, async () => {
+    // Guards against one upstream whose bytes keep a host from its callers.
+    const endless = createEndlessUpstream(part);
+    await using fixture = await createForwardFixture(
+      [endless.behaviour, servesEvent],
+      route,
+    );
+    const responses = await Promise.all(
+      Array.from(
+        { length: CONCURRENT_CALLS },
+        (_, at) => fixture.call({ id: `request-${at}` }),
+      ),
+    );
+    ok(fixture.arrivals.includes("up-0"));
+    deepStrictEqual(
+      responses.map(({ status, body }) => [status, body]),
+      responses.map(() => [200, EVENT]),
+    );
+    await endless.waitUntilClosed();
+  });
+
+  test(`an endless ${part} counts as a failure of its upstream`, async (t) => {
+    // Guards against request after request to an upstream that fails at once.
+    const endless = createEndlessUpstream(part);
+    await using fixture = await createForwardFixture(
+      [endless.behaviour, servesEvent],
+      route,
+    );
+    const { mock } = t.mock.method(fixture.health, "recordFailure");
+    strictEqual((await fixture.call()).status, 200);
+    deepStrictEqual(mock.calls.map((each) => each.arguments), [
+      ["up-0", "failed"],
+    ]);
+    ok(!fixture.log.some((each) => each.event === "content-suspected"));
+  });
+}
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -19,6 +19,7 @@
 } from "../testing/raw_responses.ts";
 import { createAttemptTrace } from "./attempt_trace.ts";
 import { readResponseBody } from "./response_body.ts";
+import { createResponseMemory } from "./response_memory.ts";
 import { openCall } from "./upstream_call.ts";
 
 type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
@@ -30,6 +31,8 @@
 const STREAM_TIMEOUT_MS = 2_000;
 const BODY_TIMEOUT_MS = 50;
 
+const MAX_BODY_BYTES = 100;
+
 /** Part of a time-out for which its timer has surely waited. */
 const SURE_SHARE = 0.9;
 
@@ -166,7 +169,11 @@
     mayStillSend: () => true,
     onSent: () => {},
   }));
-  const limits = { maxBytes: 100, timeoutMs: BODY_TIMEOUT_MS };
+  const limits = {
+    maxBytes: MAX_BODY_BYTES,
+    timeoutMs: BODY_TIMEOUT_MS,
+    memory: createResponseMemory(MAX_BODY_BYTES),
+  };
   const { kind, silence } = await Effect.runPromise(
     Effect.flip(readResponseBody(response, limits)),
   );
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -35,7 +35,11 @@
 import { EMPTY_PACING_STATS, type Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
-import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
+import {
+  createBackoffWatch,
+  createHealthWatch,
+  type HealthWatch,
+} from "../upstreams/mod.ts";
 import type { WarmUpAllowance } from "../warmup/mod.ts";
 import { createTestCodec } from "./call_codec.ts";
 import {
@@ -89,6 +93,7 @@
   readonly recordedPacing: RecordedPacing;
   readonly crashes: CrashWatch;
   readonly upstreamAddresses: readonly string[];
+  readonly health: HealthWatch;
   /** Port at which the host listens for callers. */
   readonly port: number;
   /** The host's responses to callers, in order of arrival. */
@@ -227,6 +232,7 @@
     recordedPacing,
     crashes,
     upstreamAddresses: entries.map((each) => each.address),
+    health: host.health,
     port,
     responses,
     agent: host.agent,
