Split whole events without copying them

Cause: an empty buffer was made anew and appended to for each read.

Change: nothing is taken from or appended to an empty buffer.

No change of behaviour; the tests of the splitter hold it.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -56,20 +56,16 @@
     push(bytes) {
       // Latin-1 maps each byte to one character, so that offsets in text and
       // bytes agree.
-      const before = pending.getBytes().subarray(-EVENT_END_OVERLAP)
-        .toString("latin1");
+      const before = getLastText(pending.getBytes());
       const text = before + bytes.toString("latin1");
       const end = getLastEventEnd(text) - before.length;
       if (end <= 0) {
         pending.append(bytes);
         return undefined;
       }
-      const complete = join(pending.take(), bytes.subarray(0, end));
-      pending.append(bytes.subarray(end));
-      return {
-        bytes: complete,
-        lastEventId: getLastEventId(complete.toString("latin1")),
-      };
+      const chunk = createChunk(pending.take(), bytes.subarray(0, end));
+      if (end < bytes.length) pending.append(bytes.subarray(end));
+      return chunk;
     },
     getIncomplete: pending.getBytes,
     isOversized: () => pending.getBytes().length > MAX_EVENT_BYTES,
@@ -82,8 +78,15 @@
   return new AttemptFailed({ kind: "broken", reason });
 }
 
-function join(first: Buffer, second: Buffer): Buffer {
-  return first.length === 0 ? second : Buffer.concat([first, second]);
+/** Returns the last bytes as text, in which an event end may have begun. */
+function getLastText(held: Buffer): string {
+  const at = Math.max(0, held.length - EVENT_END_OVERLAP);
+  return held.toString("latin1", at);
+}
+
+function createChunk(held: Buffer, rest: Buffer): EventChunk {
+  const bytes = held.length === 0 ? rest : Buffer.concat([held, rest]);
+  return { bytes, lastEventId: getLastEventId(bytes.toString("latin1")) };
 }
 
 function getLastEventEnd(text: string): number {
--- a/src/forwarding/growing_buffer.ts
+++ b/src/forwarding/growing_buffer.ts
@@ -17,9 +17,11 @@
   take(): Buffer;
 }
 
+const EMPTY = Buffer.alloc(0);
+
 /** Creates an empty buffer, which uses no memory yet. */
 export function createGrowingBuffer(): GrowingBuffer {
-  let memory = Buffer.alloc(0);
+  let memory = EMPTY;
   let length = 0;
 
   function ensureCapacity(capacity: number): void {
@@ -30,7 +32,7 @@
   }
 
   function getBytes(): Buffer {
-    return memory.subarray(0, length);
+    return length === 0 ? EMPTY : memory.subarray(0, length);
   }
 
   return {
@@ -42,7 +44,7 @@
     getBytes,
     take() {
       const bytes = getBytes();
-      memory = Buffer.alloc(0);
+      memory = EMPTY;
       length = 0;
       return bytes;
     },
