Reproduce a silent attempt that is given up for a head without an answer

The silent attempt is aborted as soon as the other upstream sends a head with a status below 500. That is no answer yet: a 404 can't be passed on in a stream that has begun, and a body may break off. Then nobody is left, and the stream is cut, or the call ends with 502, although the first upstream would have gone on 0.15 s later.

Cause: `relay` in running_attempt.ts calls `onResponded` before it is known whether the response has something for the caller.

--- /dev/null
+++ b/src/forwarding/silent_rivals_test.ts
@@ -0,0 +1,89 @@
+import { deepStrictEqual } from "node:assert";
+import { test } from "node:test";
+import {
+  type Behaviour,
+  createForwardFixture,
+} from "../testing/forward_fixture.ts";
+import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
+import { createStreamFixture } from "../testing/stream_fixture.ts";
+
+/** An idempotent call is sent to a second upstream after half of its time. */
+const call = {
+  kind: "idempotent",
+  isResumable: false,
+  timeoutMs: 1_600,
+} as const;
+
+/** Longer than the time without an event after which another is sought, in ms. */
+const SHORT_SILENCE_MS = 1_750;
+
+const END = "0\r\n\r\n";
+
+function event(id: number): string {
+  return chunk(`id: ${id}\ndata: ${id}\n\n`);
+}
+
+/** The events with these ids as the caller receives them. */
+function eventTexts(...ids: readonly number[]): string {
+  return ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join("");
+}
+
+/** Answers with this status after a time, in ms. */
+function answers(
+  afterMs: number,
+  body: string,
+  status?: string,
+): Behaviour {
+  return (socket, { id }) =>
+    void setTimeout(() => socket.write(answer(id, body, status)), afterMs);
+}
+
+/** Sends two events, nothing for a time, and then the rest. */
+function pauses(silenceMs: number): Behaviour {
+  return (socket, { id }) => {
+    socket.write(streamHead(id) + event(1) + event(2));
+    setTimeout(() => socket.write(event(3) + END), silenceMs);
+  };
+}
+
+async function assertCallIsAnswered(
+  behaviours: readonly Behaviour[],
+  expected: string,
+  maxAttempts = 2,
+): Promise<void> {
+  const route = { ...call, maxAttempts };
+  await using fixture = await createForwardFixture(behaviours, route);
+  const { status, body } = await fixture.call();
+  deepStrictEqual([status, body], [200, expected]);
+}
+
+async function assertStreamIsWhole(
+  other: Behaviour,
+  silenceMs = SHORT_SILENCE_MS,
+): Promise<void> {
+  const first = pauses(silenceMs);
+  await using fixture = await createStreamFixture([first, other]);
+  const { body, isTruncated } = await fixture.call();
+  deepStrictEqual([body, isTruncated], [eventTexts(1, 2, 3), false]);
+}
+
+test("a stream of a silent upstream is not cut when the other upstream answers with a failure", async () => {
+  await assertStreamIsWhole(answers(0, "no", "404 Not Found"));
+});
+
+test("a stream of a silent upstream is not cut when the other upstream breaks off behind its head", async () => {
+  await assertStreamIsWhole((socket, { id }) => {
+    socket.write(streamHead(id));
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+});
+
+test("a call of a silent upstream is not refused when the other upstream breaks off behind its head", async () => {
+  await assertCallIsAnswered([
+    answers(1_000, "first"),
+    (socket, { id }) => {
+      socket.write(answer(id, "second").slice(0, -1));
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    },
+  ], "first");
+});
