Reproduce a second attempt that is given up for a failure of the first

What callers saw: none yet, found in review. An idempotent call is at work at two upstreams. The first, silent until then, answers 500 or that it has not run the request: the second attempt is aborted, and the caller gets 500 or 502, although the second upstream would have answered 0.2 s later.

Cause: `sendAttempt` stops the silence at each head, before it validates it, and the end of the silence aborts the other attempt at once.

--- a/src/forwarding/silent_rivals_test.ts
+++ b/src/forwarding/silent_rivals_test.ts
@@ -5,6 +5,7 @@
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
 import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
+import { rejectNotRun } from "../testing/silent_upstreams.ts";
 import { createStreamFixture } from "../testing/stream_fixture.ts";
 
 /** An idempotent call is sent to a second upstream after half of its time. */
@@ -87,3 +88,18 @@
     },
   ], "first");
 });
+
+test("a failure of a silent upstream does not end the call that another one answers", async () => {
+  await assertCallIsAnswered([
+    answers(900, "no", "500 Failed"),
+    answers(300, "second"),
+  ], "second");
+});
+
+test("a rejection of a silent upstream does not end the call that another one answers", async () => {
+  await assertCallIsAnswered([
+    (socket, request) =>
+      void setTimeout(() => rejectNotRun(socket, request), 900),
+    answers(300, "second"),
+  ], "second");
+});
