Reproduce a call that waits for two dark upstreams until its deadline

What callers saw: none yet, found in review. Two upstreams that don't answer leave an idempotent call with three attempts without the third one: 504 at the deadline.

Cause: `awaitHeir` waits without a time-out for either of two attempts, and the silence of the second is watched by nobody.

--- a/src/forwarding/silent_rivals_test.ts
+++ b/src/forwarding/silent_rivals_test.ts
@@ -103,3 +103,8 @@
     answers(300, "second"),
   ], "second");
 });
+
+test("a call does not wait until its deadline for two upstreams that are dark", async () => {
+  const dark: Behaviour = () => {};
+  await assertCallIsAnswered([dark, dark, answers(0, "third")], "third", 3);
+});
