Reproduce a stream that is left to an upstream that sent part of an event

What callers saw: none yet, found in review. A silent upstream sends a part of an event, nothing for the caller, and then nothing more. The second attempt, which would have brought the event 80 ms later, is aborted; as no other upstream is left, the stream is held without an event until its deadline, and its caller abandons it after two seconds.

Cause: each byte ends the silence and with it the other attempt, not each event.

--- a/src/forwarding/silent_rivals_test.ts
+++ b/src/forwarding/silent_rivals_test.ts
@@ -1,4 +1,4 @@
-import { deepStrictEqual } from "node:assert";
+import { deepStrictEqual, ok } from "node:assert";
 import { test } from "node:test";
 import {
   type Behaviour,
@@ -18,6 +18,9 @@
 /** Longer than the time without an event after which another is sought, in ms. */
 const SHORT_SILENCE_MS = 1_750;
 
+/** Time without an event after which a caller abandons a stream, in ms. */
+const CALLER_PATIENCE_MS = 2_000;
+
 const END = "0\r\n\r\n";
 
 function event(id: number): string {
@@ -108,3 +111,17 @@
   const dark: Behaviour = () => {};
   await assertCallIsAnswered([dark, dark, answers(0, "third")], "third", 3);
 });
+
+test("a caller does not abandon a stream whose upstream is dark in the middle of an event", async () => {
+  await using fixture = await createStreamFixture([
+    (socket, { id }) => {
+      socket.write(streamHead(id) + event(1) + event(2));
+      setTimeout(() => socket.write(event(3).slice(0, 8)), 1_700);
+    },
+    (socket, { id }) =>
+      void setTimeout(() => socket.write(streamHead(id) + event(3) + END), 180),
+  ]);
+  const res = await fixture.call();
+  deepStrictEqual([res.body, res.isTruncated], [eventTexts(1, 2, 3), false]);
+  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+});
