End the search for another upstream with the attempt that it is for

Cause: the search looked only at the last silence, which the end of the attempt leaves in place; the wait between two searches looked at the attempt as well, and so returned at once, again and again.

Change: the search ends when the attempt has ended.

--- a/src/forwarding/take_over.ts
+++ b/src/forwarding/take_over.ts
@@ -73,7 +73,7 @@
     let logged: string | undefined;
     while (true) {
       const silence = silent.attempt.silence.tryGetSilence();
-      if (silence === undefined) return silent;
+      if (silence === undefined || !silent.isSilent()) return silent;
       const found = yield* tryStartOther(host, call, silent, starter);
       if (found?.kind === "wait" && found.because !== logged) {
         logged = found.because;
