Let the first attempt that brings the caller something end the others

With two attempts at one request, who goes on was decided by signs that are no answer:

- A head with a status below 500 of the second ended the silent first.
A 404 can't be passed on in a stream that has begun, and a body may break off: the stream was cut, or the call ended with 502, though the first would have gone on.
- Any head of the first ended the second, also a 500 or a rejection: 500 or 502, though the second would have answered 0.2 s later.
- Any byte of the first ended the second, also a part of an event: the stream was held without an event until its deadline.
- Of two silent attempts at a call nobody watched the second, so that a third upstream was not asked: 504 at the deadline.

Change: an attempt ends the others when it is about to give the caller a part of its response: complete events, the end of a stream, or a body that is whole and may be passed on. A silence ends with events, not with bytes. All attempts of a request stand in one list; while all of them are silent another upstream is sought, and one that fails leaves the list. The silent attempts at a stream still end 200 ms after the request was sent to another.

Why it holds: whatever ends an attempt now is in the hands of the caller, or is the attempt's own failure, or the bound on two upstreams at one stream.

The line of a second attempt that fails says `keep-other` in place of `keep-earlier`, as either may be the one that goes on.

Left: a second upstream that rejects a stream later than 200 ms after it was asked.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -159,7 +159,7 @@
     readonly kind: string;
     readonly reason: string;
     /** The next step for the request. */
-    readonly next: "another-upstream" | "resume" | "keep-earlier" | "give-up";
+    readonly next: "another-upstream" | "resume" | "keep-other" | "give-up";
     /** Reason why there is no further attempt. */
     readonly because: string | undefined;
     /** Upstreams that the request could be sent to next. */
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -63,7 +63,6 @@
     });
   }).pipe(
     Effect.flatMap((response) => {
-      attempt.silence.stop();
       attempt.bodyTrace = response.trace;
       return validateResponse(host, call, upstream, response);
     }),
@@ -77,7 +76,7 @@
   progress.attempts++;
   progress.possibleRuns++;
   attempt.onSent();
-  if (limitMs !== undefined) attempt.silence.start("head", limitMs);
+  if (limitMs !== undefined) attempt.silence.enter("head", limitMs);
 }
 
 /**
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -15,11 +15,11 @@
 import { getEligible } from "./eligible_upstreams.ts";
 import type { SilenceStep } from "./next_step.ts";
 import type { PickedUpstream } from "./pick_upstream.ts";
-import type { AttemptFailed, Silence } from "./types.ts";
+import type { AttemptFailed } from "./types.ts";
 
 /** What follows a failed attempt, for the log. */
 export interface LoggedStep {
-  readonly kind: "another-upstream" | "resume" | "keep-earlier" | "give-up";
+  readonly kind: "another-upstream" | "resume" | "keep-other" | "give-up";
   /** Reason why there is no further attempt. */
   readonly because?: string;
 }
@@ -105,8 +105,10 @@
   host: ForwardHost,
   call: Call,
   attempt: Attempt,
-  { silence, step }: { readonly silence: Silence; readonly step: SilenceStep },
+  step: SilenceStep,
 ): void {
+  const silence = attempt.silence.tryGetSilence();
+  if (silence === undefined) return;
   const { candidates, remainingMs } = getChoice(host, call);
   call.progress.silentPhase = silence.phase;
   host.log({
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -23,7 +23,7 @@
 import { getRequestProgress } from "./request_progress.ts";
 import { FAILED_RETRY_MS } from "./retry_after.ts";
 import { type RunningAttempt, startAttempt } from "./running_attempt.ts";
-import { type AttemptStarter, seekTakeOver, untilTrue } from "./take_over.ts";
+import { type AttemptStarter, followAttempts } from "./take_over.ts";
 import type { AttemptFailed } from "./types.ts";
 
 /**
@@ -42,9 +42,10 @@
         pickUpstream(host, call).pipe(
           Effect.mapError((err) => correctRejection(call, err)),
           Effect.tap(() => checkNotBlocked(host, call)),
-          Effect.flatMap((picked) =>
-            follow(host, call, attempts, attempts.start(picked, () => {}))
-          ),
+          Effect.flatMap((picked) => {
+            attempts.start(picked);
+            return followAttempts(host, call, attempts);
+          }),
           Effect.catchTag("AttemptFailed", (err) => handleFailure(err)),
         ),
     );
@@ -82,54 +83,45 @@
 
 function createAttempts(host: ForwardHost, call: Call): Attempts {
   const { progress } = call;
-  const started: RunningAttempt[] = [];
+  const running: RunningAttempt[] = [];
+  let connects = 0;
+
+  function abortOthers(kept: RunningAttempt): void {
+    for (const each of running) {
+      if (each !== kept) each.abort();
+    }
+  }
 
   function countRunning(): number {
-    return started.filter((each) => each.tryGetExit() === undefined).length;
+    return running.filter((each) => each.tryGetExit() === undefined).length;
   }
 
   return {
-    countConnects: () => started.length,
-    start(picked, onResponded) {
+    countConnects: () => connects,
+    running,
+    start(picked) {
+      connects++;
       progress.triedUpstreams.add(picked.upstream.id);
       logAttempt(host, call, picked);
-      const running = startAttempt(host, call, picked, {
+      const started = startAttempt(host, call, picked, {
         isAlone: () => countRunning() <= 1,
-        onResponded,
+        onDelivering: () => abortOthers(started),
       });
-      started.push(running);
-      return running;
+      running.push(started);
+      return started;
+    },
+    remove(ended) {
+      running.splice(running.indexOf(ended), 1);
     },
     release: Effect.suspend(() => {
       for (const endPrefill of progress.prefillEnds) endPrefill();
-      return Effect.forEach(started, (each) => each.release, {
+      return Effect.forEach(running, (each) => each.release, {
         discard: true,
       });
     }),
   };
 }
 
-/** Waits for the end of the attempt, or of the one that takes over from it. */
-function follow(
-  host: ForwardHost,
-  call: Call,
-  attempts: Attempts,
-  first: RunningAttempt,
-): Effect.Effect<void, AttemptFailed> {
-  return Effect.gen(function* () {
-    let current = first;
-    while (true) {
-      yield* untilTrue(
-        [current],
-        () => current.isSilent() || current.tryGetExit() !== undefined,
-      );
-      const exit = current.tryGetExit();
-      if (exit !== undefined) return yield* exit;
-      current = yield* seekTakeOver(host, call, current, attempts);
-    }
-  });
-}
-
 /**
  * Replaces a rejection that promises "not run" by a 502 if an earlier attempt
  * may have run the request.
--- a/src/forwarding/relay_buffered.ts
+++ b/src/forwarding/relay_buffered.ts
@@ -16,6 +16,7 @@
 import { getEligible } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { readResponseBody } from "./response_body.ts";
+import type { AttemptRivals } from "./running_attempt.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
 import { AttemptFailed } from "./types.ts";
 import { holdUntilSent } from "./unsent_answer.ts";
@@ -27,11 +28,9 @@
  */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
-/** What is relayed, and beside what. */
-export interface BufferedRelay {
+/** What is relayed, and beside which other attempts. */
+export interface BufferedRelay extends AttemptRivals {
   readonly response: UpstreamResponse;
-  /** Whether no other attempt of the request runs. */
-  isAlone(): boolean;
 }
 
 /**
@@ -42,7 +41,7 @@
   host: ForwardHost,
   call: Call,
   attempt: Attempt,
-  { response, isAlone }: BufferedRelay,
+  { response, isAlone, onDelivering }: BufferedRelay,
 ): Effect.Effect<void, AttemptFailed> {
   const remainingMs = getRemainingMs(host, call);
   const limits = {
@@ -54,13 +53,13 @@
     ? tryGetSilenceLimitMs(call.route, remainingMs)
     : undefined;
   if (silenceLimitMs !== undefined) {
-    attempt.silence.start("body", silenceLimitMs);
+    attempt.silence.enter("body", silenceLimitMs);
   }
   const observed: UpstreamResponse = {
     ...response,
     onRead() {
       response.onRead();
-      attempt.silence.recordBytes();
+      attempt.silence.restart();
     },
   };
   return readResponseBody(observed, limits).pipe(
@@ -77,6 +76,7 @@
         const reason = `Status ${status} when resuming a stream`;
         return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
       }
+      onDelivering();
       call.progress.status = status;
       sendBuffered(call.res, response, chunks);
       holdUntilSent(host.responseMemory, call.res, (unsentBytes) =>
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -34,6 +34,13 @@
   end(): void;
 }
 
+/** What is relayed. */
+export interface StreamRelay {
+  readonly response: UpstreamResponse;
+  /** Called right before events, or the end of the stream, are relayed. */
+  onDelivering(): void;
+}
+
 /**
  * Relays the stream to its end. Fails if the stream is truncated. Interruption,
  * as when the caller disconnects, aborts the upstream's response.
@@ -42,7 +49,7 @@
   host: ForwardHost,
   call: Call,
   attempt: Attempt,
-  response: UpstreamResponse,
+  { response, onDelivering }: StreamRelay,
 ): Effect.Effect<void, AttemptFailed> {
   return Effect.callback<void, AttemptFailed>((resume) => {
     const { silence, upstream } = attempt;
@@ -74,12 +81,12 @@
 
     function awaitEvent(): void {
       if (silenceLimitMs === undefined || hasEnded) return;
-      silence.start("events", silenceLimitMs);
+      silence.enter("events", silenceLimitMs);
     }
 
     /** Nothing is read meanwhile, so that the upstream is not silent. */
     function awaitCaller(): void {
-      silence.stop();
+      silence.pause();
       response.res.pause();
       call.res.once("drain", () => {
         events.onResumed();
@@ -91,18 +98,24 @@
 
     function onChunk(bytes: Buffer): void {
       host.health.recordActivity(upstream.id);
-      silence.recordBytes();
       const chunk = splitter.push(bytes);
-      if (chunk !== undefined && !events.relay(chunk)) awaitCaller();
+      if (chunk !== undefined) relayEvents(chunk);
       if (splitter.isOversized()) return fail(createOversizedError());
       held.onGrown(bytes.length);
     }
 
+    function relayEvents(chunk: EventChunk): void {
+      onDelivering();
+      silence.restart();
+      if (!events.relay(chunk)) awaitCaller();
+    }
+
     function finish(): Effect.Effect<void, AttemptFailed> {
       if (splitter.getIncomplete().length > 0) {
         const reason = "The stream ended in the middle of an event";
         return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
       }
+      onDelivering();
       events.end();
       return Effect.void;
     }
--- a/src/forwarding/running_attempt.ts
+++ b/src/forwarding/running_attempt.ts
@@ -40,8 +40,6 @@
   tryGetExit(): AttemptExit | undefined;
   /** Whether it runs and its upstream is silent. */
   isSilent(): boolean;
-  /** Whether it has a response that may be passed on to the caller. */
-  hasResponded(): boolean;
   /** Ends it, and closes the connection to its upstream. */
   abort(): void;
   /** Calls `run` after each change of the above, until disposed of. */
@@ -54,8 +52,8 @@
 export interface AttemptRivals {
   /** Whether no other attempt of the request runs. */
   isAlone(): boolean;
-  /** Called right before the attempt relays its response to the caller. */
-  onResponded(): void;
+  /** Called right before the attempt gives the caller a part of its response. */
+  onDelivering(): void;
 }
 
 /** Starts an attempt at the upstream. */
@@ -66,7 +64,6 @@
   rivals: AttemptRivals,
 ): RunningAttempt {
   const listeners = new Set<() => void>();
-  let hasResponded = false;
 
   function notify(): void {
     for (const run of [...listeners]) run();
@@ -74,14 +71,7 @@
 
   const attempt = createAttempt(host, call, picked, notify);
   call.progress.attempt = attempt;
-  const fiber = Effect.runFork(runAttempt(host, call, attempt, {
-    isAlone: rivals.isAlone,
-    onResponded() {
-      hasResponded = true;
-      rivals.onResponded();
-      notify();
-    },
-  }));
+  const fiber = Effect.runFork(runAttempt(host, call, attempt, rivals));
   fiber.addObserver(notify);
 
   return {
@@ -90,7 +80,6 @@
     isSilent: () =>
       fiber.pollUnsafe() === undefined &&
       attempt.silence.tryGetSilence() !== undefined,
-    hasResponded: () => hasResponded,
     abort: () => fiber.interruptUnsafe(),
     onChange(run) {
       listeners.add(run);
@@ -190,12 +179,11 @@
   rivals: AttemptRivals,
 ): Effect.Effect<void, AttemptFailed> {
   const status = response.res.statusCode ?? 0;
-  if (status < 500) rivals.onResponded();
   if (call.route.kind === "stream" && isSuccess(status)) {
-    return relayStream(host, call, attempt, response);
+    const { onDelivering } = rivals;
+    return relayStream(host, call, attempt, { response, onDelivering });
   }
-  const { isAlone } = rivals;
-  return relayBuffered(host, call, attempt, { response, isAlone });
+  return relayBuffered(host, call, attempt, { response, ...rivals });
 }
 
 function isSuccess(status: number): boolean {
--- a/src/forwarding/silence_watch.ts
+++ b/src/forwarding/silence_watch.ts
@@ -1,7 +1,7 @@
 /**
- * Notices when an upstream that runs a request sends nothing for too long, and
- * when it sends again. A silence ends nothing by itself: a sound upstream may
- * pause for a second or two and go on.
+ * Notices when an upstream that runs a request brings nothing for too long, and
+ * when it goes on. A silence ends nothing by itself: a sound upstream may pause
+ * for a second or two and go on.
  *
  * @module
  */
@@ -11,12 +11,15 @@
 
 /** The silences of one attempt. Disposal leaves the last state as it is. */
 export interface SilenceWatch extends Disposable {
-  /** Starts to wait for bytes, for `limitMs` each time. */
-  start(phase: Silence["phase"], limitMs: number): void;
-  /** Bytes of the upstream have arrived. */
-  recordBytes(): void;
-  /** Stops to wait, as this host doesn't read or nothing is owed. */
-  stop(): void;
+  /**
+   * Waits for what the phase brings, for `limitMs` each time. A silence that
+   * lasts goes on: a new phase alone brings the caller nothing.
+   */
+  enter(phase: Silence["phase"], limitMs: number): void;
+  /** What was awaited has come; ends a silence, and waits anew. */
+  restart(): void;
+  /** Stops to wait, as this host doesn't read; ends a silence. */
+  pause(): void;
   /** The silence that lasts; `undefined` without one. */
   tryGetSilence(): Silence | undefined;
 }
@@ -36,31 +39,26 @@
     onChange();
   }
 
-  function wait(): void {
+  function wait({ limitMs }: Silence): void {
     timeout?.[Symbol.dispose]();
-    const { limitMs } = awaited!;
     timeout = startTimeout(limitMs, () => set(awaited));
   }
 
-  function stop(): void {
-    timeout?.[Symbol.dispose]();
-    awaited = undefined;
-    set(undefined);
-  }
-
   return {
-    start(phase, limitMs) {
+    enter(phase, limitMs) {
       awaited = { phase, limitMs };
-      wait();
-      set(undefined);
+      if (silence === undefined) wait(awaited);
     },
-    recordBytes() {
+    restart() {
       if (awaited === undefined) return;
       if (silence === undefined) timeout?.restart();
-      else wait();
+      else wait(awaited);
+      set(undefined);
+    },
+    pause() {
+      timeout?.[Symbol.dispose]();
       set(undefined);
     },
-    stop,
     tryGetSilence: () => silence,
     [Symbol.dispose]: () => timeout?.[Symbol.dispose](),
   };
--- a/src/forwarding/take_over.ts
+++ b/src/forwarding/take_over.ts
@@ -1,6 +1,7 @@
 /**
- * Seeks another upstream for a request whose upstream is silent, and gives the
- * silent attempt up only for one that takes over.
+ * Follows the attempts of a request to its answer. While all of its upstreams
+ * are silent another one is sought, and the first attempt that has something for
+ * the caller ends the others.
  *
  * Load: sound upstreams pause for a second or two, or are lost without a reset,
  * while the others are full, leaving or silent as well.
@@ -26,7 +27,6 @@
 import { type PickedUpstream, pickUpstream } from "./pick_upstream.ts";
 import { getRequestProgress } from "./request_progress.ts";
 import {
-  type AttemptRivals,
   recordFailure,
   type RunningAttempt,
   tryGetFailure,
@@ -34,7 +34,7 @@
 import { AttemptFailed, type Silence } from "./types.ts";
 
 /**
- * Time, in ms, for which the silent upstream of a stream may still speak after
+ * Time, in ms, for which the silent upstream of a stream may still go on after
  * the request was sent to another: longer than a rejection takes from another
  * region. After it the silent attempt ends, so that two upstreams don't work on
  * the stream for long.
@@ -44,46 +44,122 @@
 /** Time between two searches during one silence, in ms. */
 const SEARCH_INTERVAL_MS = 200;
 
-/** What the search needs of the request's attempts. */
+/** Starts the attempts of a request. */
 export interface AttemptStarter {
   /** Number of connection attempts so far. */
   countConnects(): number;
-  start(
-    picked: PickedUpstream,
-    onResponded: AttemptRivals["onResponded"],
-  ): RunningAttempt;
+  /** Attempts that run, or whose end has not been handled; the oldest first. */
+  readonly running: readonly RunningAttempt[];
+  start(picked: PickedUpstream): RunningAttempt;
+  /** Takes an attempt that has ended off `running`. */
+  remove(ended: RunningAttempt): void;
 }
 
 /**
- * Waits until the attempt has ended or its upstream has spoken, and meanwhile
- * seeks another upstream. Returns the attempt that goes on: the silent one, or
- * the one that took over.
+ * Waits until an attempt has answered the request, or until the last one has
+ * failed. To be called with one attempt running.
  */
-export function seekTakeOver(
+export function followAttempts(
   host: ForwardHost,
   call: Call,
-  silent: RunningAttempt,
   starter: AttemptStarter,
-): Effect.Effect<RunningAttempt> {
+): Effect.Effect<void, AttemptFailed> {
+  const { running } = starter;
+  return Effect.gen(function* () {
+    while (true) {
+      yield* untilTrue(
+        running,
+        () => tryGetEnded(running) !== undefined || areSilent(running),
+      );
+      const ended = tryGetEnded(running);
+      if (ended === undefined) {
+        yield* seekAnother(host, call, starter);
+        continue;
+      }
+      starter.remove(ended);
+      const exit = ended.tryGetExit()!;
+      if (running.length === 0 || Exit.isSuccess(exit)) return yield* exit;
+      endOneOfSeveral(host, call, running, ended);
+    }
+  });
+}
+
+function tryGetEnded(
+  running: readonly RunningAttempt[],
+): RunningAttempt | undefined {
+  return running.find((each) => each.tryGetExit() !== undefined);
+}
+
+function areSilent(running: readonly RunningAttempt[]): boolean {
+  return running.every((each) => each.isSilent());
+}
+
+/** Records the end of an attempt beside which others go on. */
+function endOneOfSeveral(
+  host: ForwardHost,
+  call: Call,
+  running: readonly RunningAttempt[],
+  { attempt, tryGetExit }: RunningAttempt,
+): void {
+  call.progress.attempt = running.at(-1)!.attempt;
+  const failure = tryGetFailure(tryGetExit());
+  const silence = attempt.silence.tryGetSilence();
+  if (failure !== undefined) {
+    logOneOfSeveral(host, call, attempt, failure, "keep-other");
+  } else if (silence !== undefined) {
+    const err = createSilentError(silence);
+    recordFailure(host, call, attempt, err);
+    const kind = call.res.headersSent ? "resume" : "another-upstream";
+    logOneOfSeveral(host, call, attempt, err, kind);
+  }
+}
+
+function logOneOfSeveral(
+  host: ForwardHost,
+  call: Call,
+  attempt: Attempt,
+  err: AttemptFailed,
+  kind: LoggedStep["kind"],
+): void {
+  const chosen: ChosenStep = {
+    ...getChoice(host, call),
+    step: { kind },
+    retry: "taken",
+  };
+  logFailure(host, call, attempt, { err, chosen });
+}
+
+function createSilentError(silence: Silence): AttemptFailed {
+  const reason = `Nothing arrived within ${Math.round(silence.limitMs)} ms`;
+  return new AttemptFailed({ kind: "silent", reason, silence });
+}
+
+/**
+ * Seeks another upstream until one of the silent attempts goes on or ends, or
+ * until another attempt has been started.
+ */
+function seekAnother(
+  host: ForwardHost,
+  call: Call,
+  starter: AttemptStarter,
+): Effect.Effect<void> {
   const { progress, route } = call;
+  const { running } = starter;
   return Effect.gen(function* () {
     // Only one attempt at a stream goes on, so that a sound upstream is left
     // for a healthy one only.
     progress.needsHealthy = route.kind === "stream";
     let logged: string | undefined;
-    while (true) {
-      const silence = silent.attempt.silence.tryGetSilence();
-      if (silence === undefined || !silent.isSilent()) return silent;
-      const found = yield* tryStartOther(host, call, silent, starter);
-      if (found?.kind === "wait" && found.because !== logged) {
+    while (areSilent(running)) {
+      const found = yield* tryStartAnother(host, call, starter);
+      if (found?.kind === "started") {
+        return yield* endOverlap(call, running, found.other);
+      }
+      if (found !== undefined && found.because !== logged) {
         logged = found.because;
-        logSilence(host, call, silent.attempt, { silence, step: found });
+        logSilences(host, call, running, found);
       }
-      const heir = found?.kind === "started"
-        ? yield* awaitHeir(host, call, { silent, silence, other: found.other })
-        : undefined;
-      if (heir !== undefined) return heir;
-      yield* untilTrue([silent], () => !silent.isSilent(), SEARCH_INTERVAL_MS);
+      yield* untilTrue(running, () => !areSilent(running), SEARCH_INTERVAL_MS);
     }
   }).pipe(Effect.ensuring(Effect.sync(() => progress.needsHealthy = false)));
 }
@@ -94,163 +170,84 @@
   | Extract<SilenceStep, { readonly kind: "wait" }>;
 
 /**
- * Sends the request to another upstream, unless the silent one speaks before
+ * Sends the request to another upstream, unless a silent one goes on before
  * that (`undefined`), or the request may not be sent there.
  */
-function tryStartOther(
+function tryStartAnother(
   host: ForwardHost,
   call: Call,
-  silent: RunningAttempt,
   starter: AttemptStarter,
 ): Effect.Effect<Found | undefined> {
+  const { running } = starter;
   const connects = starter.countConnects();
   const step = decideOnSilence(getRequestProgress(host, call, connects));
   if (step.kind === "wait") return Effect.succeed(step);
   const picked = pickUpstream(host, call).pipe(
-    Effect.map((each) => startOther(host, call, silent, starter, each)),
+    Effect.map((each) => startPicked(host, call, starter, each)),
     Effect.catchTag(
       "Rejected",
       ({ reason }) => Effect.succeed(createWait(reason)),
     ),
   );
-  const spoken = untilTrue([silent], () => !silent.isSilent())
+  const changed = untilTrue(running, () => !areSilent(running))
     .pipe(Effect.as(undefined));
-  return Effect.raceFirst(picked, spoken);
+  return Effect.raceFirst(picked, changed);
 }
 
-function startOther(
+function startPicked(
   host: ForwardHost,
   call: Call,
-  silent: RunningAttempt,
   starter: AttemptStarter,
   picked: PickedUpstream,
 ): Found | undefined {
-  const silence = silent.attempt.silence.tryGetSilence();
-  const mayStart = silence !== undefined &&
-    host.retryBudget.tryTake("", call.service);
-  if (!mayStart) {
-    picked.endPrefill();
-    return silence && createWait("The retry budget is exhausted");
+  const isSilent = areSilent(starter.running);
+  if (isSilent && host.retryBudget.tryTake("", call.service)) {
+    logSilences(host, call, starter.running, { kind: "seek-another" });
+    return { kind: "started", other: starter.start(picked) };
   }
-  const step = { kind: "seek-another" } as const;
-  logSilence(host, call, silent.attempt, { silence, step });
-  const other = starter.start(picked, () => silent.abort());
-  return { kind: "started", other };
+  picked.endPrefill();
+  return isSilent ? createWait("The retry budget is exhausted") : undefined;
 }
 
 function createWait(because: string): Found {
   return { kind: "wait", because };
 }
 
-/** The silent attempt, and the one that may take over from it. */
-interface Rivals {
-  readonly silent: RunningAttempt;
-  readonly silence: Silence;
-  readonly other: RunningAttempt;
+function logSilences(
+  host: ForwardHost,
+  call: Call,
+  running: readonly RunningAttempt[],
+  step: SilenceStep,
+): void {
+  for (const { attempt } of running) logSilence(host, call, attempt, step);
 }
 
 /**
- * Waits until it is known which of two attempts goes on; `undefined` if the
- * silent one does. The first that has something for the caller ends the other.
+ * Ends the silent attempts at a stream some time after the request was sent to
+ * another upstream, unless one of the attempts has ended or gone on by then.
  */
-function awaitHeir(
-  host: ForwardHost,
-  call: Call,
-  rivals: Rivals,
-): Effect.Effect<RunningAttempt | undefined> {
-  const { silent, other } = rivals;
+function endOverlap(
+  { route }: Call,
+  running: readonly RunningAttempt[],
+  other: RunningAttempt,
+): Effect.Effect<void> {
+  if (route.kind !== "stream") return Effect.void;
+  const silent = running.filter((each) => each !== other);
+  const isDecided = () => tryGetEnded(running) !== undefined;
   return Effect.gen(function* () {
-    using _watch = silent.onChange(() => {
-      if (hasGoneOn(silent)) other.abort();
-    });
-    const isDecided = () =>
-      !silent.isSilent() || other.hasResponded() ||
-      other.tryGetExit() !== undefined;
-    yield* untilTrue(
-      [silent, other],
-      () => isDecided() || other.attempt.isSent,
-    );
-    if (!isDecided()) {
-      yield* untilTrue([silent, other], isDecided, getOverlapMs(call));
-    }
-    return settle(host, call, rivals);
+    yield* untilTrue(running, () => isDecided() || other.attempt.isSent);
+    if (isDecided()) return;
+    yield* untilTrue(running, isDecided, STREAM_OVERLAP_MS);
+    if (isDecided()) return;
+    for (const each of silent) each.abort();
   });
 }
 
-/** Whether the attempt has spoken, or has been answered. */
-function hasGoneOn(attempt: RunningAttempt): boolean {
-  const exit = attempt.tryGetExit();
-  return exit === undefined ? !attempt.isSilent() : Exit.isSuccess(exit);
-}
-
-/** Time after which the silent attempt ends; `undefined` if both may go on. */
-function getOverlapMs({ route }: Call): number | undefined {
-  return route.kind === "idempotent" ? undefined : STREAM_OVERLAP_MS;
-}
-
-/** Decides which attempt goes on, and ends the other one. */
-function settle(
-  host: ForwardHost,
-  call: Call,
-  rivals: Rivals,
-): RunningAttempt | undefined {
-  const { silent, other } = rivals;
-  const otherExit = other.tryGetExit();
-  const hasFailed = otherExit !== undefined && !other.hasResponded();
-  if (!hasGoneOn(silent) && !hasFailed) {
-    giveUp(host, call, rivals);
-    return other;
-  }
-  other.abort();
-  call.progress.attempt = silent.attempt;
-  const err = tryGetFailure(otherExit);
-  if (err !== undefined) {
-    logTakenStep(host, call, other.attempt, err, "keep-earlier");
-  }
-  return undefined;
-}
-
-/** Ends the silent attempt, unless it has failed by itself. */
-function giveUp(
-  host: ForwardHost,
-  call: Call,
-  { silent, silence }: Rivals,
-): void {
-  const { attempt } = silent;
-  const ownFailure = tryGetFailure(silent.tryGetExit());
-  const err = ownFailure ?? createSilentError(silence);
-  silent.abort();
-  if (ownFailure === undefined) recordFailure(host, call, attempt, err);
-  const kind = call.res.headersSent ? "resume" : "another-upstream";
-  logTakenStep(host, call, attempt, err, kind);
-}
-
-/** Logs a failure after which the request goes on at an attempt that runs. */
-function logTakenStep(
-  host: ForwardHost,
-  call: Call,
-  attempt: Attempt,
-  err: AttemptFailed,
-  kind: LoggedStep["kind"],
-): void {
-  const chosen: ChosenStep = {
-    ...getChoice(host, call),
-    step: { kind },
-    retry: "taken",
-  };
-  logFailure(host, call, attempt, { err, chosen });
-}
-
-function createSilentError(silence: Silence): AttemptFailed {
-  const reason = `Nothing arrived within ${Math.round(silence.limitMs)} ms`;
-  return new AttemptFailed({ kind: "silent", reason, silence });
-}
-
 /**
  * Waits until the condition holds, which may change with the attempts, or until
  * the time-out, in ms.
  */
-export function untilTrue(
+function untilTrue(
   attempts: readonly RunningAttempt[],
   condition: () => boolean,
   timeoutMs?: number,
--- a/src/forwarding/take_over_test.ts
+++ b/src/forwarding/take_over_test.ts
@@ -77,7 +77,7 @@
     deepStrictEqual(findFailures(fixture), [[
       "up-1",
       "not-run",
-      "keep-earlier",
+      "keep-other",
     ]]);
   });
 
