End an attempt's silence before the other attempts end

Cause: an attempt that brings events ended the others first and its own silence after that. The end of the others woke the search for another upstream in the same turn; it found the attempt silent and sent the request to a third upstream, to go on after an event that was about to be relayed. The log of such a request shows it: a search with a silence of 0 ms.

Change: the silence ends first. The attempts are copied before they are ended, as each end may take one off the list.

--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -86,8 +86,10 @@
   const running: RunningAttempt[] = [];
   let connects = 0;
 
-  function abortOthers(kept: RunningAttempt): void {
-    for (const each of running) {
+  /** Ends all other attempts; no further one is sought for this one's silence. */
+  function prefer(kept: RunningAttempt): void {
+    kept.attempt.silence.restart();
+    for (const each of [...running]) {
       if (each !== kept) each.abort();
     }
   }
@@ -105,7 +107,7 @@
       logAttempt(host, call, picked);
       const started = startAttempt(host, call, picked, {
         isAlone: () => countRunning() <= 1,
-        onDelivering: () => abortOthers(started),
+        onDelivering: () => prefer(started),
       });
       running.push(started);
       return started;
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -106,7 +106,6 @@
 
     function relayEvents(chunk: EventChunk): void {
       onDelivering();
-      silence.restart();
       if (!events.relay(chunk)) awaitCaller();
     }
 
--- a/src/forwarding/take_over_test.ts
+++ b/src/forwarding/take_over_test.ts
@@ -96,6 +96,21 @@
     ok(seconds.every((each) => each.readableEnded || each.destroyed));
   });
 
+  test("no third upstream repeats an event while the first goes on", async () => {
+    await using fixture = await createForwardFixture([
+      (socket, req) => {
+        stops(socket, req);
+        setTimeout(() => socket.write(event(3)), SILENCE_MS);
+        setTimeout(() => socket.write(END), SILENCE_MS + MAX_OVERLAP_MS);
+      },
+      createIdle([]),
+      (socket, { id }) => socket.write(streamHead(id) + event(3) + END),
+    ], { maxAttempts: 3 });
+    const res = await fixture.call();
+    deepStrictEqual([res.isTruncated, res.body], [false, eventTexts(1, 2, 3)]);
+    deepStrictEqual(fixture.arrivals, ["up-0", "up-1"]);
+  });
+
   test("an upstream that has been replaced is soon no longer at work", async () => {
     let closedMs = Infinity;
     let sentMs = Infinity;
