Count a prompt once, and ask for a retry before it waits in the queue again

A search without a retry took a turn of a warm-up too.

Change: a request's tokens are recorded once. The search asks whether a retry is left before the prompt waits, and takes it when the request is sent.

Test: "a prompt whose upstream is silent counts once in what its team asks for" failed with the recording as it was, and passes.

--- a/src/admission/retry_budget.ts
+++ b/src/admission/retry_budget.ts
@@ -41,6 +41,8 @@
 /** The retry budgets of one host, by team and service. */
 export interface RetryBudget {
   recordSuccess(team: string, service: string): void;
+  /** Whether a retry is left. */
+  hasRetry(team: string, service: string): boolean;
   /** Takes one retry from the budget or the reserve; false if none is left. */
   tryTake(team: string, service: string): boolean;
 }
@@ -128,13 +130,18 @@
     return budget;
   }
 
-  function tryTakeReserve(): boolean {
+  /** Returns the reserve after refilling it up to now. */
+  function getReserve(): number {
     const nowMs = clock.monotonicMs();
     const capacity = options.getReserve();
     const refilled = (nowMs - reserveAtMs) * capacity / options.reserveRefillMs;
     reserve = Math.min(capacity, reserve + refilled);
     reserveAtMs = nowMs;
-    if (reserve < 1) return false;
+    return reserve;
+  }
+
+  function tryTakeReserve(): boolean {
+    if (getReserve() < 1) return false;
     reserve--;
     return true;
   }
@@ -143,6 +150,8 @@
     recordSuccess(team, service) {
       getBudget(team, service).credit += options.creditPerSuccess;
     },
+    hasRetry: (team, service) =>
+      getBudget(team, service).credit >= 1 || getReserve() >= 1,
     tryTake(team, service) {
       const budget = getBudget(team, service);
       if (budget.credit < 1) return tryTakeReserve();
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -145,6 +145,8 @@
   attempt: Attempt | undefined;
   /** Whether only healthy upstreams may take the request over. */
   needsHealthy: boolean;
+  /** Whether its tokens count in what its team has asked for. */
+  isDemandRecorded: boolean;
   /**
    * Id of the upstream for which the request was counted against a warm-up
    * limit when it was picked.
@@ -208,6 +210,7 @@
     triedUpstreams: new Set(),
     attempt: undefined,
     needsHealthy: false,
+    isDemandRecorded: false,
     countedWarmUpOf: undefined,
     prefillEnds: [],
     lastEventId,
--- a/src/forwarding/failed_takeovers_test.ts
+++ b/src/forwarding/failed_takeovers_test.ts
@@ -1,3 +1,4 @@
+import { deepStrictEqual } from "node:assert";
 import { test } from "node:test";
 import { createForwardFixture } from "../testing/forward_fixture.ts";
 import {
@@ -49,3 +50,16 @@
   void first.isSilent.then(() => fixture.controls.inFlight = SLOTS);
   await assertStreamGoesOn(fixture, { first, other });
 });
+
+test("a prompt whose upstream is silent counts once in what its team asks for", async () => {
+  const first = createSilentStream(shortSilence);
+  const other = createSoundStream();
+  await using fixture = await createForwardFixture(
+    [first.behaviour, other.behaviour],
+    { ...streamRoute, hasPrompts: true },
+  );
+  using _passes = fixture.startSchedulingPasses();
+  void first.isSilent.then(() => fixture.controls.inFlight = SLOTS);
+  await fixture.call();
+  deepStrictEqual(fixture.askedTokens.length, 1);
+});
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -105,7 +105,10 @@
 ): Effect.Effect<PickedUpstream, Rejected> {
   const serviceTokens = getServiceTokens(prompt);
   const workTokens = getWorkTokens(prompt);
-  recordDemand(host, call.team ?? "", prompt);
+  if (!call.progress.isDemandRecorded) {
+    call.progress.isDemandRecorded = true;
+    recordDemand(host, call.team ?? "", prompt);
+  }
   return Effect.callback<PickedUpstream, Rejected>((resume) => {
     const queuedAtMs = host.clock.monotonicMs();
     call.progress.queuedAtMs = queuedAtMs;
--- a/src/forwarding/take_over.ts
+++ b/src/forwarding/take_over.ts
@@ -41,6 +41,8 @@
  */
 const STREAM_OVERLAP_MS = 200;
 
+const NO_RETRY_REASON = "The retry budget is exhausted";
+
 /** Time between two searches during one silence, in ms. */
 const SEARCH_INTERVAL_MS = 200;
 
@@ -182,6 +184,9 @@
   const connects = starter.countConnects();
   const step = decideOnSilence(getRequestProgress(host, call, connects));
   if (step.kind === "wait") return Effect.succeed(step);
+  if (!host.retryBudget.hasRetry("", call.service)) {
+    return Effect.succeed(createWait(NO_RETRY_REASON));
+  }
   const picked = pickUpstream(host, call).pipe(
     Effect.map((each) => startPicked(host, call, starter, each)),
     Effect.catchTag(
@@ -206,7 +211,7 @@
     return { kind: "started", other: starter.start(picked) };
   }
   picked.endPrefill();
-  return isSilent ? createWait("The retry budget is exhausted") : undefined;
+  return isSilent ? createWait(NO_RETRY_REASON) : undefined;
 }
 
 function createWait(because: string): Found {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -91,6 +91,8 @@
   /** Puts the next configuration in force, whose route has the changes. */
   applyConfiguration(routeChanges: Partial<Route>): void;
   readonly recordedPacing: RecordedPacing;
+  /** Tokens that were recorded as asked for by the team, in order. */
+  readonly askedTokens: readonly number[];
   readonly crashes: CrashWatch;
   readonly upstreamAddresses: readonly string[];
   readonly health: HealthWatch;
@@ -205,6 +207,7 @@
     onDecision: () => {},
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
+  const askedTokens: number[] = [];
   function writeLog(decision: Decision): void {
     log.push(decision);
     controls.onDecision(decision);
@@ -213,6 +216,7 @@
   const host = createHost(directory, {
     controls,
     recordedPacing,
+    askedTokens,
     crashes,
     log: writeLog,
     tryGetRoutes: () => routes,
@@ -230,6 +234,7 @@
     log,
     controls,
     recordedPacing,
+    askedTokens,
     crashes,
     upstreamAddresses: entries.map((each) => each.address),
     health: host.health,
@@ -276,6 +281,7 @@
     & {
       readonly controls: Controls;
       readonly recordedPacing: RecordedPacing;
+      readonly askedTokens: number[];
     },
 ): ForwardHost {
   const clock = systemClock;
@@ -304,7 +310,10 @@
     agent: createUpstreamAgent(),
     directory,
     markLeaving: (life) => void directory.markLeaving(life, "answer"),
-    load,
+    load: {
+      ...load,
+      recordAsked: (_team, tokens) => void parts.askedTokens.push(tokens),
+    },
     getPacing: () => pacing,
     queue: createPromptQueue({
       nowMs: clock.monotonicMs,
@@ -330,6 +339,8 @@
     crashes: parts.crashes,
     retryBudget: {
       recordSuccess: retryBudget.recordSuccess,
+      hasRetry: (team, service) =>
+        parts.controls.hasRetries && retryBudget.hasRetry(team, service),
       tryTake: (team, service) =>
         parts.controls.hasRetries && retryBudget.tryTake(team, service),
     },
