Leave a silent stream for any upstream before its caller gives it up

Callers wait two seconds at least.

Cause: a stream was left for a healthy upstream only, for as long as the silence lasted.

Change: after 0.85 of the callers' patience any upstream will do.

Test: "a caller does not abandon a stream while the other upstream is slow to begin one" waited 3,207 ms with the search as it was, and passes.

--- a/src/forwarding/dark_streams_test.ts
+++ b/src/forwarding/dark_streams_test.ts
@@ -18,6 +18,9 @@
 /** Time without an event after which a caller abandons a stream, in ms. */
 const CALLER_PATIENCE_MS = 2_000;
 
+/** Longer than the time after which an upstream without a byte is avoided, in ms. */
+const SLOW_BEGIN_MS = 3_000;
+
 /** Longest time for which two upstreams may work on one stream, in ms. */
 const MAX_OVERLAP_MS = 400;
 
@@ -79,3 +82,23 @@
   const tookMs = performance.now() - startMs;
   ok(tookMs < timeoutMs + MAX_HELD_PAST_DEADLINE_MS, `Took ${tookMs} ms`);
 });
+
+test("a caller does not abandon a stream while the other upstream is slow to begin one", async () => {
+  const first = createSilentStream(darkness);
+  let arrivals = 0;
+  const slow = createSilentStream({ before: "head", lasts: SLOW_BEGIN_MS });
+  const sound = createSoundStream();
+  await using fixture = await createStreamFixture([
+    first.behaviour,
+    (socket, request) => {
+      arrivals++;
+      (arrivals === 1 ? slow : sound).behaviour(socket, request);
+    },
+  ]);
+  const call = fixture.call();
+  await first.isSilent;
+  void fixture.call({ id: "slow" }).catch(() => {});
+  const res = await call;
+  assertWholeStream(res);
+  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+});
--- a/src/forwarding/take_over.ts
+++ b/src/forwarding/take_over.ts
@@ -31,6 +31,7 @@
   type RunningAttempt,
   tryGetFailure,
 } from "./running_attempt.ts";
+import { getPatienceMs } from "./silence_limits.ts";
 import { AttemptFailed, type Silence } from "./types.ts";
 
 /**
@@ -41,6 +42,9 @@
  */
 const STREAM_OVERLAP_MS = 200;
 
+/** Share of the callers' patience after which any other upstream will do. */
+const LAST_CHANCE_SHARE = 0.85;
+
 const NO_RETRY_REASON = "The retry budget is exhausted";
 
 /** Time between two searches during one silence, in ms. */
@@ -145,14 +149,12 @@
   call: Call,
   starter: AttemptStarter,
 ): Effect.Effect<void> {
-  const { progress, route } = call;
+  const { progress } = call;
   const { running } = starter;
   return Effect.gen(function* () {
-    // Only one attempt at a stream goes on, so that a sound upstream is left
-    // for a healthy one only.
-    progress.needsHealthy = route.kind === "stream";
     let logged: string | undefined;
     while (areSilent(running)) {
+      progress.needsHealthy = needsHealthy(call, running);
       const found = yield* tryStartAnother(host, call, starter);
       if (found?.kind === "started") {
         return yield* endOverlap(call, running, found.other);
@@ -166,6 +168,22 @@
   }).pipe(Effect.ensuring(Effect.sync(() => progress.needsHealthy = false)));
 }
 
+/**
+ * Whether the silent attempts are left for a healthy upstream only. Only one
+ * attempt at a stream goes on, and a sound upstream that pauses may be the best
+ * there is; but not once the caller is about to abandon the stream.
+ */
+function needsHealthy(
+  { route }: Call,
+  running: readonly RunningAttempt[],
+): boolean {
+  if (route.kind !== "stream") return false;
+  const silentMs = Math.max(
+    ...running.map((each) => each.attempt.trace.getSilentMs()),
+  );
+  return silentMs < getPatienceMs(route) * LAST_CHANCE_SHARE;
+}
+
 /** Another attempt that was started, or the reason why none was. */
 type Found =
   | { readonly kind: "started"; readonly other: RunningAttempt }
