Look at an upstream's health for each event only where it was unhealthy

Cost, found in review: the log of health looked at the whole state of an upstream with each part of each stream. Activity can only end an unhealthy state, so that nothing is missed by looking only where one was reported. The tests of health pass unchanged.

--- a/src/upstreams/health_changes.ts
+++ b/src/upstreams/health_changes.ts
@@ -46,6 +46,8 @@
     because: UnhealthyReason | undefined,
     getObservation: () => HealthObservation,
   ): void;
+  /** Whether the upstream was last reported as unhealthy. */
+  isReportedUnhealthy(upstream: string): boolean;
 }
 
 /** Limit on reports per second, over all upstreams of a host. */
@@ -73,6 +75,7 @@
   }
 
   return {
+    isReportedUnhealthy: (upstream) => unhealthy.has(upstream),
     observe(upstream, because, getObservation) {
       const reported = unhealthy.get(upstream);
       if ((because === undefined) === (reported === undefined)) return;
--- a/src/upstreams/health_watch.ts
+++ b/src/upstreams/health_watch.ts
@@ -148,7 +148,8 @@
       record.lastActivityMs = clock.monotonicMs();
       record.unreachableMs = INITIAL_UNREACHABLE_MS;
       record.unreachableUntilMs = 0;
-      check(upstream, record);
+      // Activity can only end an unhealthy state, and comes with each event.
+      if (changes.isReportedUnhealthy(upstream)) check(upstream, record);
     },
     recordSuccess(upstream) {
       const record = get(upstream);
