Read and log the software version that an upstream's row names

Callers got streams with events of two software versions, and no line of ours says which version an upstream has. It is logged with each `upstream-changed`, which also tells of a row that names another version without a restart (`other-version`): that is what one of the hypotheses (a version that changes under one id) would show. Nothing is decided by it, and rows stay usable as before.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -333,6 +333,8 @@
     readonly upstream: string;
     readonly service: string;
     readonly address: string;
+    /** Version of its software; absent if its entry names none. */
+    readonly softwareVersion?: string | undefined;
     readonly change: string;
     /** The platform's table, a response of the upstream, or another host. */
     readonly from: string;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -186,7 +186,8 @@
       return `${decision.event}: "${decision.text ?? ""}"`;
     case "upstream-changed":
       return `Upstream ${decision.upstream} of ${decision.service}: ` +
-        `${decision.change}, from ${decision.from} (platform's version ` +
+        `${decision.change}, from ${decision.from}, software version ` +
+        `${decision.softwareVersion ?? "not named"} (platform's version ` +
         `${decision.platformVersion})`;
     case "upstream-said":
       return describeUpstreamSignal(decision);
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -35,6 +35,7 @@
     event: "upstream-changed",
     upstream: "i-1",
     service: "model",
+    softwareVersion: "v1",
     change: "removed",
     platformVersion: 20,
   }),
@@ -112,7 +113,7 @@
     text,
     /\+950 ms {2}h2 {2}Attempt at i-1 failed: not-sent, "ECONNREFUSED"/,
   );
-  match(text, /Upstream i-1 of model: removed/);
+  match(text, /Upstream i-1 of model: removed, .* software version v1 /);
 });
 
 test("a cut response is described with what was received, read and relayed", () => {
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -28,6 +28,12 @@
    * nothing of it.
    */
   readonly warmUpLeftMs: number | undefined;
+  /**
+   * Version of the upstream's software, not of a model's weights. Versions have
+   * no order. Two upstreams of one service write streams that fit together only
+   * if their versions are equal; `undefined` if the entry names none.
+   */
+  readonly softwareVersion: string | undefined;
 }
 
 /**
--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -49,8 +49,8 @@
   /** Whether the platform was unavailable within the last `ms` milliseconds. */
   hadOutageWithin(ms: number): boolean;
   /**
-   * Called when an upstream was added or removed, is leaving, or is kept after
-   * an outage.
+   * Called when an upstream was added or removed, is leaving, is kept after an
+   * outage, or names another software version without a restart.
    */
   onChange(
     entry: UpstreamEntry,
@@ -69,7 +69,12 @@
 export type ChangeSource = LeavingSource | "table";
 
 /** A change to an upstream's entry. */
-export type UpstreamChange = "added" | "leaving" | "removed" | "kept";
+export type UpstreamChange =
+  | "added"
+  | "leaving"
+  | "removed"
+  | "kept"
+  | "other-version";
 
 /**
  * How long an entry that vanished after an outage is kept, in ms: the 2 s
@@ -132,7 +137,10 @@
   function reportChange(id: string, entry: UpstreamEntry): void {
     const known = rows.get(id)?.value;
     const isSameInstance = known?.incarnation === entry.incarnation;
-    if (isSameInstance && known?.state === entry.state) return;
+    if (isSameInstance && known.softwareVersion !== entry.softwareVersion) {
+      host.onChange(entry, "other-version", "table");
+    }
+    if (isSameInstance && known.state === entry.state) return;
     if (entry.state === "leaving") {
       if (leaving.add(entry)) host.onChange(entry, "leaving", "table");
     } else if (!leaving.has(entry)) host.onChange(entry, "added", "table");
--- a/src/discovery/upstream_directory_test.ts
+++ b/src/discovery/upstream_directory_test.ts
@@ -58,6 +58,19 @@
   deepStrictEqual(fixture.getReadyIds(), []);
 });
 
+test("another software version of an upstream is reported, with or without a restart", () => {
+  const fixture = createFixture();
+  fixture.update({ ...one, softwareVersion: "v1" });
+  fixture.update({ ...one, softwareVersion: "v1.1" });
+  fixture.update({ ...one, softwareVersion: "v1.1" });
+  fixture.update({ ...one, softwareVersion: "v1", incarnation: 2 });
+  deepStrictEqual(fixture.changes, [
+    "one added",
+    "one other-version",
+    "one added",
+  ]);
+});
+
 test("entries that expired during an outage are kept until they may return", () => {
   // The platform's store is down for five seconds, and the entries of all
   // upstreams expire meanwhile. When it returns, the upstreams register again
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -140,6 +140,7 @@
         upstream: entry.id,
         service: entry.service,
         address: entry.address,
+        softwareVersion: entry.softwareVersion,
         change,
         from,
         platformEra: upstreams.getPosition().era,
--- a/src/testing/routing_fixture.ts
+++ b/src/testing/routing_fixture.ts
@@ -71,6 +71,7 @@
     state: "ready",
     incarnation: 1,
     warmUpLeftMs: 0,
+    softwareVersion: "v1",
     ...changes,
   };
 }
