Log the software versions of a stream and the request that it takes up

A caller with a stream of two versions had one line, `answered`. Now `attempt-started` has the version of its upstream, the version at which the stream began (once an event was relayed) and the request whose stream the caller takes up; `request-ended` has the versions whose events were relayed, in order. This tells the host's own resumption from the caller's, and both from a version that changes under an id. Nothing is decided by it.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -134,6 +134,15 @@
     readonly request: string;
     readonly team: string | undefined;
     readonly upstream: string;
+    /** Version of the upstream's software; absent if its entry names none. */
+    readonly softwareVersion: string | undefined;
+    /**
+     * Software version of the upstream that brought the stream's first event;
+     * absent before this host has relayed any.
+     */
+    readonly streamVersion: string | undefined;
+    /** The earlier request whose stream the caller takes up. */
+    readonly resumes: string | undefined;
     readonly attempt: number;
     readonly waitedMs: number;
     /** The part of `waitedMs` in the queue; absent if it is not queued. */
@@ -239,6 +248,14 @@
     readonly firstEventMs: number | undefined;
     /** Chunks of a stream that were relayed to the caller. */
     readonly chunks: number;
+    /**
+     * Software versions of the upstreams whose events were relayed, in order,
+     * each once; `null` in the line for one that no entry names. Absent without
+     * any event.
+     */
+    readonly eventVersions: readonly (string | undefined)[] | undefined;
+    /** The earlier request whose stream the caller takes up. */
+    readonly resumes: string | undefined;
     /** Longest time between two chunks of a stream. */
     readonly longestPauseMs: number | undefined;
     readonly retryAfterMs: number | undefined;
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -122,8 +122,12 @@
 export function describeDecision(decision: Decision): string {
   switch (decision.event) {
     case "attempt-started":
-      return `Sent to ${decision.upstream} (attempt ${decision.attempt}) after ` +
-        `${decision.waitedMs} ms; ${decision.inFlight} other requests of this ` +
+      return `Sent to ${decision.upstream}${
+        formatVersion(decision)
+      } (attempt ` +
+        `${decision.attempt}) after ${decision.waitedMs} ms${
+          formatResumes(decision)
+        }; ${decision.inFlight} other requests of this ` +
         `host were in flight there${formatPrefill(decision.readingTokens)}; ${
           formatInputs(decision.inputs)
         }`;
@@ -150,9 +154,9 @@
         `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
         `"${decision.reason}"${formatCut(decision)}${
           formatRetry(decision.retryAfterMs)
-        }${formatQueue(decision.queue)}${formatBody(decision.body)}; ${
-          formatInputs(decision.inputs)
-        }`;
+        }${formatQueue(decision.queue)}${formatEventVersions(decision)}${
+          formatResumes(decision)
+        }${formatBody(decision.body)}; ${formatInputs(decision.inputs)}`;
     case "reading-limit-changed":
       return `An upstream of ${decision.service} may have ` +
         `${decision.limitTokens} tokens to prefill; ${decision.inTimeTokens} ` +
@@ -297,6 +301,35 @@
   return `${cut}${silent}${phase}`;
 }
 
+/** The version, and the stream's if it is another one. */
+function formatVersion(
+  { softwareVersion, streamVersion }: Extract<
+    Decision,
+    { readonly event: "attempt-started" }
+  >,
+): string {
+  const own = softwareVersion === undefined
+    ? ""
+    : ` of version ${softwareVersion}`;
+  const isSame = streamVersion === undefined ||
+    streamVersion === softwareVersion;
+  return isSame ? own : `${own}, though the stream began at ${streamVersion},`;
+}
+
+function formatEventVersions(
+  { eventVersions }: Extract<Decision, { readonly event: "request-ended" }>,
+): string {
+  if (eventVersions === undefined) return "";
+  const names = eventVersions.map((each) => each ?? "not named");
+  return `; events of software versions: ${names.join(", ")}`;
+}
+
+function formatResumes(
+  { resumes }: { readonly resumes: string | undefined },
+): string {
+  return resumes === undefined ? "" : `; it takes up the stream of ${resumes}`;
+}
+
 function formatPrefill(readingTokens: number | undefined): string {
   if (readingTokens === undefined) return "";
   return `, with ${readingTokens} tokens to prefill`;
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -142,6 +142,29 @@
   match(line!, /failed \(ECONNRESET\); configuration 4/);
 });
 
+test("a stream is described with the software versions of its attempts and events", () => {
+  // Guards against a mixed stream whose two versions no trace shows.
+  const { logged } = parseDecisionLines([
+    createLine("h1", 0, {
+      event: "attempt-started",
+      request: "r-1",
+      upstream: "i-2",
+      softwareVersion: "v1.1",
+      streamVersion: "v1",
+      resumes: "r-0",
+      attempt: 2,
+      waitedMs: 3,
+      inFlight: 11,
+      inputs,
+    }),
+    createLine("h1", 5, createEnd("r-1", { eventVersions: ["v1", null] })),
+  ].join("\n"));
+  const [, sent, end] = formatRequestTrace(tryTraceRequest(logged, "r-1")!);
+  match(sent!, /i-2 of version v1.1, though the stream began at v1, \(attempt/);
+  match(sent!, /it takes up the stream of r-0/);
+  match(end!, /events of software versions: v1, not named/);
+});
+
 test("a refusal is described with its wait, its reason and the time to retry", () => {
   const end = createEnd("r-1", {
     outcome: "not-run",
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -69,6 +69,8 @@
     firstEventMs: 5,
     chunks: 3,
     longestPauseMs: 2,
+    eventVersions: undefined,
+    resumes: undefined,
     retryAfterMs: undefined,
     queue: undefined,
     body,
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -57,6 +57,9 @@
     request: call.headers.requestId,
     team: call.team,
     upstream: picked.upstream.id,
+    softwareVersion: picked.upstream.softwareVersion,
+    streamVersion: tryGetFirst(call.progress.eventVersions),
+    resumes: call.headers.resumedRequestId,
     attempt: call.progress.attempts + 1,
     waitedMs: Math.round(nowMs - call.arrivedMs),
     queuedMs: queuedAtMs === undefined
@@ -70,6 +73,11 @@
   });
 }
 
+function tryGetFirst<T>(values: Iterable<T>): T | undefined {
+  const [first] = values;
+  return first;
+}
+
 /** Logs that an attempt has failed or was given up. */
 export function logFailure(
   host: ForwardHost,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -159,6 +159,11 @@
    * would count as load forever.
    */
   readonly prefillEnds: (() => void)[];
+  /**
+   * Software versions of the upstreams whose events were relayed, in the order
+   * of their first ones; `undefined` for an upstream that names none.
+   */
+  readonly eventVersions: Set<string | undefined>;
   /** Id of the last event that was sent to the caller. */
   lastEventId: string | undefined;
   firstEventMs: number | undefined;
@@ -213,6 +218,7 @@
     isDemandRecorded: false,
     countedWarmUpOf: undefined,
     prefillEnds: [],
+    eventVersions: new Set(),
     lastEventId,
     firstEventMs: undefined,
     silentPhase: undefined,
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -175,6 +175,7 @@
       const nowMs = host.clock.monotonicMs();
       recordPause(nowMs);
       progress.chunks++;
+      progress.eventVersions.add(attempt.upstream.softwareVersion);
       if (!caller.headersSent) startStream(call, response);
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       trace.onRelayed(bytes.length);
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -129,6 +129,8 @@
     totalMs,
     firstEventMs: roundMs(call?.progress.firstEventMs),
     chunks: call?.progress.chunks ?? 0,
+    eventVersions: tryGetEventVersions(call),
+    resumes: headers?.resumedRequestId,
     longestPauseMs: roundMs(call?.progress.longestPauseMs),
     retryAfterMs: end.retryAfterMs,
     queue: end.queue,
@@ -144,6 +146,15 @@
   });
 }
 
+function tryGetEventVersions(
+  call: Call | undefined,
+): readonly (string | undefined)[] | undefined {
+  const versions = call?.progress.eventVersions;
+  return versions === undefined || versions.size === 0
+    ? undefined
+    : [...versions];
+}
+
 function roundMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -42,6 +42,11 @@
   readonly prompt: Prompt | undefined;
   /** Id of the last stream event that the caller has already received. */
   readonly lastEventId: string | undefined;
+  /**
+   * Id of the request that brought the first event of the stream that this
+   * request takes up, over any number of tries; `undefined` if it names none.
+   */
+  readonly resumedRequestId: string | undefined;
 }
 
 /**
--- a/src/testing/call_codec.ts
+++ b/src/testing/call_codec.ts
@@ -30,6 +30,7 @@
           }],
         },
         lastEventId: undefined,
+        resumedRequestId: req.headers["x-resumes"] as string | undefined,
       };
     },
     createUpstreamHeaders(rawHeaders, { lastEventId }) {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -136,6 +136,8 @@
   readonly id?: string;
   readonly body?: string;
   readonly key?: string;
+  /** Id of the request whose stream this one takes up. */
+  readonly resumes?: string;
   /** Time after which the caller closes the connection, in ms. */
   readonly disconnectAfterMs?: number;
 }
@@ -154,6 +156,8 @@
   readonly lastAddresses?: readonly string[];
   /** Bytes that the responses of the host may take. */
   readonly responseMemoryBytes?: number;
+  /** Software version of each upstream; that of the fixture's entries if left out. */
+  readonly softwareVersions?: readonly string[];
 }
 
 /** Bytes that the responses of the host may take, unless a test says else. */
@@ -167,6 +171,7 @@
     preferredAddresses = [],
     lastAddresses = [],
     responseMemoryBytes = RESPONSE_MEMORY_BYTES,
+    softwareVersions = [],
   }: FixtureOptions = {},
 ): Promise<ForwardFixture> {
   const arrivals: string[] = [];
@@ -179,7 +184,11 @@
   );
   const entries = [
     ...createEntries("preferred", preferredAddresses),
-    ...createEntries("up", servers.map(({ port }) => `127.0.0.1:${port}`)),
+    ...createEntries("up", servers.map(({ port }) => `127.0.0.1:${port}`))
+      .map((each, at) => ({
+        ...each,
+        softwareVersion: softwareVersions[at] ?? each.softwareVersion,
+      })),
     ...createEntries("z-last", lastAddresses),
   ];
   const directory = createUpstreamDirectory({
@@ -454,7 +463,14 @@
       port,
       method: options.method ?? "POST",
       path: "/drafts/1",
-      headers: { host: "model.example", "x-id": id, "x-key": key },
+      headers: {
+        host: "model.example",
+        "x-id": id,
+        "x-key": key,
+        ...(options.resumes === undefined
+          ? {}
+          : { "x-resumes": options.resumes }),
+      },
     });
     req.on("response", (res) => {
       const chunks: Buffer[] = [];
