Show in tests that streams go on at another software version

Callers got whole streams with events of two versions. Cause, of the part in one host: after a failure in mid-stream any eligible upstream is picked. A row whose version is missing or no text is used today; the platform's pages call it a row that names no upstream to use.

Beside them a test that passes, so that a mend doesn't refuse too much: a stream without an event may go to any version. The rows of the stand-ins name a version now, as those of the platform do.

--- a/src/forwarding/software_versions_test.ts
+++ b/src/forwarding/software_versions_test.ts
@@ -39,6 +39,11 @@
   };
 }
 
+/** The writers of the events, in order. */
+function getWriters(body: string): readonly string[] {
+  return [...body.matchAll(/data: (\S+)/g)].map(([, writer]) => writer!);
+}
+
 function getLines<E extends string>(fixture: ForwardFixture, event: E) {
   return fixture.log.filter((each) => each.event === event);
 }
@@ -74,3 +79,54 @@
   ok(end?.event === "request-ended");
   strictEqual(end.eventVersions, undefined);
 });
+
+test("a stream whose upstream dies never goes on at another software version", async () => {
+  await using fixture = await createForwardFixture(
+    [diesAs("v1"), writesAs("v1.1"), writesAs("v1")],
+    {},
+    { softwareVersions: ["v1", "v1.1", "v1"] },
+  );
+  const res = await fixture.call();
+  deepStrictEqual(fixture.arrivals, ["up-0", "up-2"]);
+  deepStrictEqual(getWriters(res.body), ["v1", "v1", "v1", "v1"]);
+  strictEqual(res.isTruncated, false);
+});
+
+test("a stream is cut where only another software version could go on", async () => {
+  await using fixture = await createForwardFixture(
+    [diesAs("v1"), writesAs("v1.1")],
+    {},
+    { softwareVersions: ["v1", "v1.1"] },
+  );
+  const res = await fixture.call();
+  deepStrictEqual(fixture.arrivals, ["up-0"]);
+  deepStrictEqual(getWriters(res.body), ["v1", "v1"]);
+  strictEqual(res.isTruncated, true);
+});
+
+test("a stream keeps its version when its upstream comes back under its id with another", async () => {
+  const comesBack: Behaviour = (socket, request) => {
+    diesAs("v1")(socket, request);
+    fixture.restartUpstream(0, "v1.1");
+  };
+  await using fixture = await createForwardFixture(
+    [comesBack, writesAs("v1.1"), writesAs("v1")],
+    {},
+    { softwareVersions: ["v1", "v1.1", "v1"] },
+  );
+  const res = await fixture.call();
+  deepStrictEqual(fixture.arrivals, ["up-0", "up-2"]);
+  deepStrictEqual(getWriters(res.body), ["v1", "v1", "v1", "v1"]);
+});
+
+test("a stream that has no event yet may go to any software version", async () => {
+  const diesAtOnce: Behaviour = (socket) => socket.resetAndDestroy();
+  await using fixture = await createForwardFixture(
+    [diesAtOnce, writesAs("v1.1")],
+    {},
+    { softwareVersions: ["v1", "v1.1"] },
+  );
+  const res = await fixture.call();
+  deepStrictEqual(getWriters(res.body), ["v1.1", "v1.1", "v1.1", "v1.1"]);
+  strictEqual(res.isTruncated, false);
+});
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -80,6 +80,8 @@
   sendAndClose(): Promise<void>;
   /** Sends a request and returns its connection. */
   sendRaw(id: string): Socket;
+  /** Registers another start of the upstream, with that software version. */
+  restartUpstream(at: number, softwareVersion: string): void;
   /** Runs scheduling passes periodically, as an entry host does. */
   startSchedulingPasses(): Disposable;
   /** Prefill tokens that count as outstanding at the first upstream. */
@@ -196,13 +198,21 @@
     hadOutageWithin: () => false,
     onChange: () => {},
   });
-  directory.update(
-    new Map(entries.map((value) => [
-      value.id,
-      { key: value.id, version: 1, value },
-    ])),
-    { version: 1 },
-  );
+  let tableVersion = 0;
+
+  function updateDirectory(): void {
+    tableVersion++;
+    const rows = entries.map((value) => ({
+      key: value.id,
+      version: tableVersion,
+      value,
+    }));
+    directory.update(new Map(rows.map((row) => [row.key, row])), {
+      version: tableVersion,
+    });
+  }
+
+  updateDirectory();
   const route = createRoute({ hasPrompts: false, ...routeChanges });
   let routes = createRouteTable(createRoutingConfig({ routes: [route] }));
   const controls: Controls = {
@@ -261,6 +271,12 @@
     sendHead: () => sendHead(port),
     sendAndClose: () => sendAndClose(port),
     sendRaw: (id) => sendRaw(port, id),
+    restartUpstream(at, softwareVersion) {
+      const entry = entries[at]!;
+      const incarnation = entry.incarnation + 1;
+      entries[at] = { ...entry, softwareVersion, incarnation };
+      updateDirectory();
+    },
     startSchedulingPasses: () =>
       startTicker(SCHEDULING_PERIOD_MS, { decide: host.queue.tick }),
     getReadingTokens: () => host.load.getReadingTokens("up-0"),
