--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -31,7 +31,8 @@
   /**
    * Version of the upstream's software, not of a model's weights. Versions have
    * no order. Two upstreams of one service write streams that fit together only
-   * if their versions are equal; `undefined` if the entry names none.
+   * if their versions are equal; `undefined` only in a copy of the table by a
+   * host whose software doesn't read versions.
    */
   readonly softwareVersion: string | undefined;
 }
