Let a stream go on only at the software version that began it

Cause: the decision on eligible upstreams didn't know the stream's version.

Once the first event is relayed, the request keeps the stream's origin: the version that the entry named when its upstream was picked, not looked up by id later. `tryGetExclusion` has one more reason, `other-version`, so that all who ask it follow: the pick, a ranking cached before the version was known, the search during a silence, and the last look before the first byte. An entry that names another version without a restart no longer counts as the one that was picked. Before the first event any version may take over, as before.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -138,7 +138,7 @@
     readonly softwareVersion: string | undefined;
     /**
      * Software version of the upstream that brought the stream's first event;
-     * absent before this host has relayed any.
+     * absent until this host knows it.
      */
     readonly streamVersion: string | undefined;
     /** The earlier request whose stream the caller takes up. */
--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -30,7 +30,10 @@
 export interface UpstreamDirectory {
   /** The service's upstreams that may receive new requests, ordered by id. */
   getReady(service: string): readonly UpstreamEntry[];
-  /** Whether this instance of the upstream may still receive new requests. */
+  /**
+   * Whether this instance of the upstream, with the same software, may still
+   * receive new requests.
+   */
   isReady(entry: UpstreamEntry): boolean;
   /** Returns the upstream's entry, also of one that is leaving. */
   tryGet(id: string): UpstreamEntry | undefined;
@@ -169,7 +172,8 @@
       removeExpired();
       const known = rows.get(entry.id)?.value;
       return known !== undefined && acceptsWork(known) &&
-        known.incarnation === entry.incarnation;
+        known.incarnation === entry.incarnation &&
+        known.softwareVersion === entry.softwareVersion;
     },
     tryGet: (id) => rows.get(id)?.value,
     markLeaving(instance, from) {
--- a/src/discovery/upstream_directory_test.ts
+++ b/src/discovery/upstream_directory_test.ts
@@ -1,4 +1,4 @@
-import { deepStrictEqual } from "node:assert";
+import { deepStrictEqual, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { createManualClock } from "../core/mod.ts";
 import { createUpstreamEntry } from "../testing/routing_fixture.ts";
@@ -71,6 +71,15 @@
   ]);
 });
 
+test("an upstream that was picked is not used once its row names other software", () => {
+  const fixture = createFixture();
+  const picked = { ...one, softwareVersion: "v1" };
+  fixture.update(picked);
+  strictEqual(fixture.directory.isReady(picked), true);
+  fixture.update({ ...one, softwareVersion: "v1.1" });
+  strictEqual(fixture.directory.isReady(picked), false);
+});
+
 test("entries that expired during an outage are kept until they may return", () => {
   // The platform's store is down for five seconds, and the entries of all
   // upstreams expire meanwhile. When it returns, the upstreams register again
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -58,7 +58,7 @@
     team: call.team,
     upstream: picked.upstream.id,
     softwareVersion: picked.upstream.softwareVersion,
-    streamVersion: tryGetFirst(call.progress.eventVersions),
+    streamVersion: call.progress.origin?.softwareVersion,
     resumes: call.headers.resumedRequestId,
     attempt: call.progress.attempts + 1,
     waitedMs: Math.round(nowMs - call.arrivedMs),
@@ -73,11 +73,6 @@
   });
 }
 
-function tryGetFirst<T>(values: Iterable<T>): T | undefined {
-  const [first] = values;
-  return first;
-}
-
 /** Logs that an attempt has failed or was given up. */
 export function logFailure(
   host: ForwardHost,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -164,6 +164,8 @@
    * of their first ones; `undefined` for an upstream that names none.
    */
   readonly eventVersions: Set<string | undefined>;
+  /** Where the stream began; `undefined` until it is known. */
+  origin: StreamOrigin | undefined;
   /** Id of the last event that was sent to the caller. */
   lastEventId: string | undefined;
   firstEventMs: number | undefined;
@@ -178,6 +180,15 @@
   status: number;
 }
 
+/** Where a stream began, at this host or at another. */
+export interface StreamOrigin {
+  /**
+   * Software version of the upstream that brought the first event, as its entry
+   * named it when the upstream was picked; `undefined` if it named none.
+   */
+  readonly softwareVersion: string | undefined;
+}
+
 /** One attempt of a request at one upstream. */
 export interface Attempt {
   readonly upstream: UpstreamEntry;
@@ -219,6 +230,7 @@
     countedWarmUpOf: undefined,
     prefillEnds: [],
     eventVersions: new Set(),
+    origin: undefined,
     lastEventId,
     firstEventMs: undefined,
     silentPhase: undefined,
--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -16,7 +16,12 @@
   type UpstreamFacts,
 } from "../placement/mod.ts";
 import type { AllowedRegions } from "../routing/mod.ts";
-import { type Call, type ForwardHost, isQueued } from "./call.ts";
+import {
+  type Call,
+  type ForwardHost,
+  isQueued,
+  type StreamOrigin,
+} from "./call.ts";
 import { createNotRunRejection, type Rejected } from "./rejections.ts";
 import { getBackoffRetryMs, getNoUpstreamRetryMs } from "./retry_after.ts";
 
@@ -100,12 +105,27 @@
     isReady: host.directory.isReady(upstream),
     region: host.getRegion(upstream.dataCentre),
     isEvacuated: host.getEvacuated().has(upstream.dataCentre),
+    isOtherVersion: !mayGoOnAt(call.progress.origin, upstream),
     wasTried: call.progress.triedUpstreams.has(upstream.id),
     backoffMs: host.backoffs.getRemainingMs(upstream),
     warmUp: host.warmUps.getAllowance(upstream),
   };
 }
 
+/**
+ * Whether a stream of that origin may go on at the upstream. Where it began at
+ * a version that no entry names, nobody can tell.
+ */
+function mayGoOnAt(
+  origin: StreamOrigin | undefined,
+  upstream: UpstreamEntry,
+): boolean {
+  if (origin === undefined) return true;
+  const { softwareVersion } = origin;
+  return softwareVersion !== undefined &&
+    softwareVersion === upstream.softwareVersion;
+}
+
 /**
  * Returns the regions that the request's route and team allow now. A route that
  * was removed meanwhile keeps those that it had.
@@ -151,6 +171,7 @@
   gone: "leaving",
   region: "outside the allowed regions",
   evacuated: "in evacuated data centres",
+  "other-version": "of another software version than the stream",
   "back-off": "in back-off",
   tried: "tried before",
   "warming-up": "warming up, with no request due from this host",
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -163,7 +163,8 @@
 
 /**
  * Returns a function that caches the ranking until it expires or until the
- * ready upstreams, the configuration or the evacuations change.
+ * ready upstreams, the configuration, the evacuations or the stream's origin
+ * change.
  */
 function createRankingCache(
   host: ForwardHost,
@@ -179,6 +180,7 @@
       host.directory.getReady(call.service),
       host.tryGetRoutes(),
       host.getEvacuated(),
+      call.progress.origin,
     ];
     const isChanged = nowBasis.some((each, at) => each !== basis[at]);
     if (isChanged || nowMs - rankedAtMs > RANKING_TTL_MS) {
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -176,6 +176,9 @@
       recordPause(nowMs);
       progress.chunks++;
       progress.eventVersions.add(attempt.upstream.softwareVersion);
+      progress.origin ??= {
+        softwareVersion: attempt.upstream.softwareVersion,
+      };
       if (!caller.headersSent) startStream(call, response);
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       trace.onRelayed(bytes.length);
--- a/src/placement/eligibility.ts
+++ b/src/placement/eligibility.ts
@@ -4,7 +4,7 @@
  *
  * Load: while requests wait, connect or resume, operators change the allowed
  * regions and evacuate data centres, and upstreams leave, ask for a back-off or
- * start again and are cold.
+ * start again, cold or with other software.
  *
  * Failure prevented: each place decides by the conditions that it knows of, so
  * that a request reaches an upstream that another place would have left out.
@@ -24,6 +24,7 @@
   "gone",
   "region",
   "evacuated",
+  "other-version",
   "back-off",
   "tried",
   "warming-up",
@@ -39,6 +40,8 @@
   /** Its region; `undefined` if nobody declares its data centre. */
   readonly region: string | undefined;
   readonly isEvacuated: boolean;
+  /** Whether the request goes on with a stream of another software version. */
+  readonly isOtherVersion: boolean;
   /** Whether this request was sent there before. */
   readonly wasTried: boolean;
   /** Remaining back-off that it asked this host for, in ms. */
@@ -62,6 +65,7 @@
   if (!facts.isReady) return "gone";
   if (!isAllowed(facts.region, allowedRegions)) return "region";
   if (facts.isEvacuated) return "evacuated";
+  if (facts.isOtherVersion) return "other-version";
   if (facts.backoffMs > 0) return "back-off";
   if (facts.wasTried) return "tried";
   const { warmUp } = facts;
--- a/src/placement/eligibility_test.ts
+++ b/src/placement/eligibility_test.ts
@@ -11,6 +11,7 @@
   isReady: true,
   region: "lagos",
   isEvacuated: false,
+  isOtherVersion: false,
   wasTried: false,
   backoffMs: 0,
   warmUp: "unlimited",
@@ -22,6 +23,7 @@
   isReady: fc.boolean(),
   region: fc.constantFrom("lagos", "abuja", undefined),
   isEvacuated: fc.boolean(),
+  isOtherVersion: fc.boolean(),
   wasTried: fc.boolean(),
   backoffMs: fc.constantFrom(0, 500),
   warmUp: fc.constantFrom("unlimited", "now", "later", "none"),
@@ -37,7 +39,7 @@
   mayWait: fc.boolean(),
 });
 
-test("an upstream that may be used is ready, allowed, not evacuated, not tried, open and due", () => {
+test("an upstream that may be used is ready, allowed, not evacuated, of the stream's version, not tried, open and due", () => {
   fc.assert(
     fc.property(facts, rules, (upstream, { allowedRegions, mayWait }) => {
       const mayBeUsed =
@@ -49,6 +51,7 @@
       strictEqual(
         mayBeUsed,
         upstream.isReady && isAllowed && !upstream.isEvacuated &&
+          !upstream.isOtherVersion &&
           !upstream.wasTried && upstream.backoffMs === 0 && isDue,
       );
     }),
