Add the search for the software version at which a stream began

A caller takes a stream up at any host, over several tries, with the first host dead, and no host knows at which software version it began (ORDER).

- Each host remembers for 30 s what it began.
While a service has several versions it tells three hosts, chosen by rendezvous of the request's digest, the first of each data centre; when a second version appears, it tells all that it remembers, and a few hosts broadcast the version to those whose tables are older.
One tick ends all questions; a caller that leaves takes its question with it; questions, streams and versions are bounded.
- The decision is a pure function.
One version only, a current table and a host that has run for 30 s: nobody is asked.
Otherwise a version that somebody names decides; where this host knows one version, all that were asked must know no other, or, without an answer to the contrary, its table must be current and nothing may have been missed: no upstream has started of late, or the service began under this host's eyes.
All else is unknown.

--- /dev/null
+++ b/src/stream_versions/stream_versions.ts
@@ -0,0 +1,244 @@
+/**
+ * Knows at which software version a stream began that a caller takes up at any
+ * host. What upstreams of two versions write doesn't fit together.
+ *
+ * Load: upstreams of several versions serve side by side in one service, hosts
+ * are lost, and callers take their streams up at other hosts, over several
+ * tries.
+ *
+ * Failures prevented: a caller gets events of two versions; or streams are
+ * refused although their version serves, since the host that began them is
+ * gone.
+ *
+ * While a service has several versions, the host that begins a stream tells a
+ * few others, chosen by the digest of the request. A host that is asked to take
+ * a stream up asks these. While there is one version, nobody tells or asks;
+ * each host remembers what it began, and tells that once a second one appears.
+ *
+ * @module
+ */
+
+import * as Effect from "effect/Effect";
+import { getOrCreate } from "../core/mod.ts";
+import type { Fact } from "../membership/mod.ts";
+import { rankByRendezvous } from "../membership/mod.ts";
+import { type BegunStream, createBegunStreams } from "./begun_streams.ts";
+import {
+  decideByAnswers,
+  decideByOwn,
+  type VersionKnowledge,
+} from "./decide_version.ts";
+import { createFactsOutbox } from "./facts_outbox.ts";
+import { chooseKeepers } from "./keepers.ts";
+import {
+  createKnownVersions,
+  type ServiceVersion,
+  type VersionRow,
+} from "./known_versions.ts";
+import type {
+  FoundVersion,
+  KeeperAnswer,
+  StreamVersionsHost,
+} from "./types.ts";
+import {
+  createStreamFact,
+  createVersionFact,
+  getShortDigest,
+  type StreamMessage,
+  tryParseStreamFact,
+  tryParseVersionFact,
+} from "./version_facts.ts";
+import { createVersionQueries } from "./version_queries.ts";
+
+/** The first event of a stream. */
+export interface FirstEvent {
+  readonly service: string;
+  /** The request that brought it. */
+  readonly request: string;
+  readonly version: string;
+}
+
+/** The versions of streams, as one host knows them. */
+export interface StreamVersions extends Disposable {
+  /** Must be called with all rows before a change of them is in force. */
+  updateRows(rows: readonly VersionRow[]): void;
+  /** Records that the first event of a stream came from that version. */
+  recordBegun(stream: FirstEvent): void;
+  /**
+   * Finds the version of the stream that a caller takes up; `request` brought
+   * its first event, and is `undefined` if the caller names none.
+   */
+  find(
+    service: string,
+    request: string | undefined,
+  ): Effect.Effect<FoundVersion>;
+  /** Handles a fact for all hosts. */
+  receiveFact(fact: Fact): void;
+  /** Handles a fact for this host alone. */
+  receiveDirectFact(fact: Fact): void;
+  /** Asks, ends and forgets what is due; called many times per second. */
+  tick(): void;
+}
+
+/**
+ * Number of hosts that send a new version to all others at once; the rest leave
+ * it to gossip.
+ */
+const BROADCASTERS = 3;
+
+/** Stands for the request of a caller that names none; no digest equals it. */
+const NO_REQUEST = "none";
+
+/** Creates the versions of a host that knows none. */
+export function createStreamVersions(
+  host: StreamVersionsHost,
+): StreamVersions {
+  const { clock, self } = host;
+  const startedMs = clock.monotonicMs();
+  const own = createBegunStreams(clock);
+  const told = createBegunStreams(clock);
+  const known = createKnownVersions(clock);
+  const outbox = createFactsOutbox(host.sendFacts);
+  const queries = createVersionQueries({
+    clock,
+    send: (question, peer) =>
+      send(peer, { kind: "ask", ...question, from: self }),
+  });
+
+  function send(peer: string, message: StreamMessage): void {
+    outbox.add(peer, createStreamFact(message));
+  }
+
+  function getOtherKeepers(digest: string): readonly string[] {
+    return chooseKeepers(digest, host.getHosts())
+      .filter((each) => each !== self);
+  }
+
+  function tell({ digest, version }: BegunStream): void {
+    for (const peer of getOtherKeepers(digest)) {
+      send(peer, { kind: "begun", digest, version });
+    }
+  }
+
+  function hasSeveral(service: string): boolean {
+    return known.get(service).length > 1;
+  }
+
+  /** Tells what this host began while the service had one version. */
+  function onVersionAdded({ service }: ServiceVersion): void {
+    if (hasSeveral(service)) own.getAll(service).forEach(tell);
+  }
+
+  /** A host whose table is older must know that it has to ask. */
+  function publish(added: ServiceVersion): void {
+    if (!hasSeveral(added.service)) return;
+    const fact = createVersionFact(added, clock.wallMs());
+    const addresses = host.getHosts().map((each) => each.peerAddress);
+    const broadcasters = rankByRendezvous(fact.key, addresses)
+      .slice(0, BROADCASTERS);
+    if (broadcasters.includes(self)) host.broadcastFact(fact);
+    else host.gossipFact(fact);
+  }
+
+  function getKnowledge(service: string): VersionKnowledge {
+    return {
+      versions: known.get(service),
+      tableAgeMs: host.getTableAgeMs(),
+      hostAgeMs: clock.monotonicMs() - startedMs,
+      mayHaveMissed: known.mayHaveMissed(service),
+    };
+  }
+
+  function tryGetRecorded(digest: string): string | undefined {
+    return (own.tryGet(digest) ?? told.tryGet(digest))?.version;
+  }
+
+  function ask(service: string, digest: string): Effect.Effect<FoundVersion> {
+    return queries.ask({ digest, service }, getOtherKeepers(digest)).pipe(
+      Effect.map(({ asked, answers }) => {
+        const knowledge = getKnowledge(service);
+        const decided = decideByAnswers({ ...knowledge, asked, answers });
+        const versions = knowledge.versions.length;
+        return { ...decided, versions, asked, answered: answers.length };
+      }),
+    );
+  }
+
+  function getAnswer(service: string, digest: string): KeeperAnswer {
+    const recorded = tryGetRecorded(digest);
+    if (recorded !== undefined) return { kind: "known", version: recorded };
+    const [single, ...others] = known.get(service);
+    return single === undefined || others.length > 0
+      ? { kind: "not-known" }
+      : { kind: "single-version", version: single };
+  }
+
+  function receive(message: StreamMessage): void {
+    const { digest } = message;
+    switch (message.kind) {
+      case "begun": {
+        const { version } = message;
+        told.record({ digest, service: "", version });
+        const answer = { kind: "known", version } as const;
+        queries.receive(digest, { from: self, answer });
+        return;
+      }
+      case "ask": {
+        const answer = getAnswer(message.service, digest);
+        send(message.from, { kind: "answer", digest, from: self, answer });
+        return;
+      }
+      case "answer":
+        queries.receive(digest, message);
+    }
+  }
+
+  return {
+    updateRows(rows) {
+      const digests = new Map<string, string>();
+      const getService = (name: string) =>
+        getOrCreate(digests, name, () => getShortDigest(name));
+      const added = known.update(
+        rows.map((each) => ({ ...each, service: getService(each.service) })),
+      );
+      added.forEach(onVersionAdded);
+      added.forEach(publish);
+    },
+    recordBegun({ service: serviceName, request, version }) {
+      const service = getShortDigest(serviceName);
+      const stream = { digest: getShortDigest(request), service, version };
+      own.record(stream);
+      if (hasSeveral(service)) tell(stream);
+    },
+    find: (serviceName, request) =>
+      Effect.suspend(() => {
+        const service = getShortDigest(serviceName);
+        const digest = request === undefined
+          ? NO_REQUEST
+          : getShortDigest(request);
+        const knowledge = getKnowledge(service);
+        const decided = decideByOwn({
+          ...knowledge,
+          recorded: tryGetRecorded(digest),
+          namesRequest: request !== undefined,
+        });
+        if (decided.kind === "ask") return ask(service, digest);
+        const versions = knowledge.versions.length;
+        return Effect.succeed({ ...decided, versions, asked: 0, answered: 0 });
+      }),
+    receiveFact(fact) {
+      const seen = tryParseVersionFact(fact, clock.wallMs());
+      if (seen !== undefined && known.record(seen)) onVersionAdded(seen);
+    },
+    receiveDirectFact(fact) {
+      const message = tryParseStreamFact(fact);
+      if (message !== undefined) receive(message);
+    },
+    tick() {
+      queries.tick();
+      own.expire();
+      told.expire();
+    },
+    [Symbol.dispose]: () => outbox[Symbol.dispose](),
+  };
+}
--- /dev/null
+++ b/src/stream_versions/types.ts
@@ -0,0 +1,64 @@
+/**
+ * Types of the search for the software version at which a stream began.
+ *
+ * @module
+ */
+
+import type { Clock } from "../core/mod.ts";
+import type { Fact } from "../membership/mod.ts";
+
+/** A host that may be told of a stream, or asked about one. */
+export interface KeeperHost {
+  readonly peerAddress: string;
+  readonly dataCentre: string;
+}
+
+/** Dependencies of the stream versions, supplied by the process. */
+export interface StreamVersionsHost {
+  readonly clock: Clock;
+  /** Peer address of this host. */
+  readonly self: string;
+  /** The hosts that are alive, including this one. */
+  getHosts(): readonly KeeperHost[];
+  /** Time since this host's table of upstreams was last confirmed, in ms. */
+  getTableAgeMs(): number;
+  /** Sends the facts to one host, which does not gossip them. */
+  sendFacts(facts: readonly Fact[], peerAddress: string): void;
+  /** Sends the fact to all hosts, which get it within one network delay. */
+  broadcastFact(fact: Fact): void;
+  /** Sends the fact to all hosts, in a few seconds. */
+  gossipFact(fact: Fact): void;
+}
+
+/**
+ * Who named the version: this host's own memory, another host, or the table of
+ * upstreams, in which the service has a single one.
+ */
+export type VersionSource = "own" | "keeper" | "single-version";
+
+/** How many hosts were asked about a stream, and answered. */
+export interface AskedHosts {
+  readonly asked: number;
+  readonly answered: number;
+}
+
+/** What a host knows of a stream that it is asked to take up. */
+export type FoundVersion =
+  | { readonly kind: "none" }
+  | {
+    readonly kind: "found";
+    readonly version: string;
+    readonly from: VersionSource;
+  } & AskedHosts
+  | { readonly kind: "unknown"; readonly versions: number } & AskedHosts;
+
+/** What another host answers about a stream. */
+export type KeeperAnswer =
+  | { readonly kind: "known"; readonly version: string }
+  /** It knows a single version of the service. */
+  | { readonly kind: "single-version"; readonly version: string }
+  /** It knows none or several versions of the service. */
+  | { readonly kind: "not-known" };
+
+/** Time for which streams and versions are remembered, in ms. */
+export const MEMORY_MS = 30_000;
