Take a caller's stream up only at the software version that began it

Cause: nobody knew at which version the stream began.

The host that relays the first event records its version under the request that `Resumes` names, or under its own. A stream that is taken up asks `src/stream_versions` before anything is sent; the version found becomes the request's origin, which the decision on eligible upstreams follows as for the host's own resumption. If nobody knows it, the caller gets 503 as not run at once, with a short `Retry-After`. The caller's leaving and the deadline end the question. `stream-version-found` and `stream-version-unknown` tell who knew, how many were asked and how long it took; `azurestile_stream_versions_total` counts them by who knew.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -104,6 +104,17 @@
   readonly code: string | undefined;
 }
 
+/** How the version of a stream was sought. */
+export interface StreamVersionInputs {
+  readonly request: string;
+  /** The earlier request whose stream the caller takes up. */
+  readonly resumes: string | undefined;
+  readonly tookMs: number;
+  /** Hosts that were asked, and how many of them answered. */
+  readonly asked: number;
+  readonly answered: number;
+}
+
 /** What an attempt waited for when its time-out passed. */
 export type SilencePhase = "connect" | "head" | "events" | "body";
 
@@ -138,7 +149,7 @@
     readonly softwareVersion: string | undefined;
     /**
      * Software version of the upstream that brought the stream's first event;
-     * absent until this host knows it.
+     * absent before this host has relayed any.
      */
     readonly streamVersion: string | undefined;
     /** The earlier request whose stream the caller takes up. */
@@ -473,4 +484,16 @@
   | { readonly event: "runtime-warning" } & RuntimeWarning
   /** An error that nothing caught ends the process. */
   | { readonly event: "uncaught-error" } & UncaughtError
+  /** The version at which a stream goes on that a caller takes up. */
+  | {
+    readonly event: "stream-version-found";
+    readonly version: string;
+    readonly from: "own" | "keeper" | "single-version";
+  } & StreamVersionInputs
+  /** A caller's stream isn't taken up: nobody knows where it began. */
+  | {
+    readonly event: "stream-version-unknown";
+    /** Versions of the service that this host knows. */
+    readonly versions: number;
+  } & StreamVersionInputs
   | { readonly event: "log-lines-dropped"; readonly lines: number };
--- a/src/diagnostics/request_trace.ts
+++ b/src/diagnostics/request_trace.ts
@@ -11,6 +11,7 @@
   LoggedBody,
   LoggedSilence,
   QueueInputs,
+  StreamVersionInputs,
 } from "./decisions.ts";
 import type { LoggedDecision } from "./decision_lines.ts";
 
@@ -241,11 +242,30 @@
     case "uncaught-error":
       return `The process ended on an uncaught error: ${decision.kind}, ` +
         `"${decision.message}"`;
+    case "stream-version-found":
+      return `The stream${formatOf(decision.resumes)} goes on at version ` +
+        `${decision.version} (${decision.from})${formatAsked(decision)}`;
+    case "stream-version-unknown":
+      return `The stream${formatOf(decision.resumes)} is not taken up, since ` +
+        `nobody knows its version, of ${decision.versions}${
+          formatAsked(decision)
+        }`;
     case "log-lines-dropped":
       return `${decision.lines} log lines were dropped: their reader was too slow`;
   }
 }
 
+function formatOf(request: string | undefined): string {
+  return request === undefined ? "" : ` of ${request}`;
+}
+
+function formatAsked(
+  { asked, answered, tookMs }: StreamVersionInputs,
+): string {
+  if (asked === 0) return "";
+  return `; ${answered} of ${asked} hosts answered within ${tookMs} ms`;
+}
+
 function formatReason(because: string | undefined): string {
   return because === undefined ? "" : `, since "${because}"`;
 }
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -165,6 +165,37 @@
   match(end!, /events of software versions: v1, not named/);
 });
 
+test("a stream that is taken up is described with who knew its version", () => {
+  const common = {
+    request: "r-2",
+    resumes: "r-1",
+    tookMs: 41,
+    asked: 3,
+    answered: 2,
+  };
+  const { logged } = parseDecisionLines([
+    createLine("h1", 0, {
+      event: "stream-version-found",
+      version: "v1.1",
+      from: "keeper",
+      ...common,
+    }),
+    createLine("h2", 3, {
+      event: "stream-version-unknown",
+      versions: 2,
+      ...common,
+    }),
+  ].join("\n"));
+  const [, found, unknown] = formatRequestTrace(
+    tryTraceRequest(logged, "r-2")!,
+  );
+  match(
+    found!,
+    /stream of r-1 goes on at version v1.1 \(keeper\); 2 of 3 hosts/,
+  );
+  match(unknown!, /stream of r-1 is not taken up.* within 41 ms/);
+});
+
 test("a refusal is described with its wait, its reason and the time to retry", () => {
   const end = createEnd("r-1", {
     outcome: "not-run",
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -24,6 +24,11 @@
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
+import {
+  createStreamVersions,
+  STREAM_KEY_PREFIX,
+  VERSION_KEY_PREFIX,
+} from "../stream_versions/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
 import { openLoadExchange } from "./load_exchange.ts";
@@ -99,7 +104,9 @@
   function onFact(fact: Fact): void {
     if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receiveFact(fact);
     else if (fact.key.startsWith(FULL_KEY_PREFIX)) fullHosts.receive(fact);
-    else platformView.receive(fact);
+    else if (fact.key.startsWith(VERSION_KEY_PREFIX)) {
+      streamVersions.receiveFact(fact);
+    } else platformView.receive(fact);
   }
 
   const stallTolerantClock = createStallTolerantClock(clock);
@@ -189,6 +196,15 @@
     onAsked: (result) => metrics.observeAsked(result),
     log,
   });
+  const streamVersions = createStreamVersions({
+    clock,
+    self: peerAddress,
+    getHosts: getAlive,
+    getTableAgeMs: () => platformView.getInputs().confirmedMsAgo,
+    sendFacts: (facts, to) => peers.membership.sendFacts(facts, to),
+    broadcastFact: (fact) => peers.membership.broadcastFact(fact),
+    gossipFact: (fact) => peers.membership.gossipFact(fact),
+  });
   const platformView = createPlatformView({
     clock,
     platform: host.platform,
@@ -198,7 +214,10 @@
     regions: settings.regions,
     log,
     onUpstreamAdded: (upstream) => crashes.recordRunning(upstream),
-    onUpstreamRows: cold.update,
+    onUpstreamRows(rows) {
+      cold.update(rows);
+      streamVersions.updateRows(rows.map((each) => each.value));
+    },
     onEvacuationEnded: cold.recordEvacuationEnded,
     onPlatformRestored: () => registration.refresh(),
     onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
@@ -242,6 +261,9 @@
     onFact,
     onDirectFact(fact) {
       if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receiveReport(fact);
+      else if (fact.key.startsWith(STREAM_KEY_PREFIX)) {
+        streamVersions.receiveDirectFact(fact);
+      }
     },
     tryGetTable: (name) => platformView.tryGetTable(name),
     onTickFailed: (reason) =>
@@ -263,6 +285,7 @@
     health,
     backoffs: createBackoffWatch(clock),
     crashes,
+    streamVersions,
     retryBudget: createRetryBudget(
       clock,
       getFleetRetryOptions(
@@ -348,6 +371,7 @@
   function decide(): void {
     queue.tick();
     crashes.tick();
+    streamVersions.tick();
     const limits = platformView.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
   }
@@ -396,6 +420,7 @@
     },
     async [Symbol.asyncDispose]() {
       ticker[Symbol.dispose]();
+      streamVersions[Symbol.dispose]();
       for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
       for (const server of servers) await server[Symbol.asyncDispose]();
       agent.destroy();
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -190,6 +190,13 @@
     () => Number(host.isReady()),
   );
 
+  const streamVersions = new Counter({
+    name: "azurestile_stream_versions_total",
+    help: "Streams that callers took up, by who knew their software version",
+    labelNames: ["from"],
+    registers,
+  });
+
   // Up to twenty series.
   const bodies = new Counter({
     name: "azurestile_response_bodies_total",
@@ -260,7 +267,11 @@
       if (decision.event === "request-ended" && decision.isCut) {
         responsesCut.inc({ silent_phase: decision.silentPhase ?? "none" });
       }
-      if (decision.event === "attempt-failed") {
+      if (decision.event === "stream-version-found") {
+        streamVersions.inc({ from: decision.from });
+      } else if (decision.event === "stream-version-unknown") {
+        streamVersions.inc({ from: "nobody" });
+      } else if (decision.event === "attempt-failed") {
         observeFailure(decision);
       } else if (decision.event === "attempt-silent") {
         const { phase } = decision.silence;
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -92,6 +92,29 @@
   code: undefined,
 };
 
+test("streams that callers take up are counted by who knew their version", async () => {
+  const metrics = createMetrics();
+  const common = {
+    request: "r-2",
+    resumes: "r-1",
+    tookMs: 3,
+    asked: 3,
+    answered: 1,
+  };
+  const found = { event: "stream-version-found", version: "v1" } as const;
+  metrics.observeDecision({ ...found, ...common, from: "keeper" });
+  metrics.observeDecision({ ...found, ...common, from: "own" });
+  metrics.observeDecision({
+    event: "stream-version-unknown",
+    ...common,
+    versions: 2,
+  });
+  const text = await metrics.render();
+  for (const from of ["keeper", "own", "nobody"]) {
+    ok(text.includes(`azurestile_stream_versions_total{from="${from}"} 1`));
+  }
+});
+
 test("response bodies are counted by framing and connection, and what was lost unread", async () => {
   // Guards against losses that only the log of a single request shows.
   const metrics = createMetrics();
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -60,7 +60,7 @@
   /** Called when an upstream process is known to be running. */
   onUpstreamAdded(upstream: UpstreamEntry): void;
   /** Called with all rows of upstreams before a change of them is in force. */
-  onUpstreamRows(rows: Iterable<TableRow<UpstreamEntry>>): void;
+  onUpstreamRows(rows: readonly TableRow<UpstreamEntry>[]): void;
   /** Called when a data centre was taken back after an evacuation. */
   onEvacuationEnded(dataCentre: string): void;
   /** Peer addresses of the hosts that are alive, including this one. */
@@ -203,7 +203,7 @@
     eras.recordPosition(table, tables[table].getPosition(), from);
     if (table === "config") updateFromOperators(from);
     else {
-      host.onUpstreamRows(upstreams.getRows().values());
+      host.onUpstreamRows([...upstreams.getRows().values()]);
       directory.update(upstreams.getRows(), upstreams.getPosition());
     }
   }
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -58,7 +58,7 @@
     team: call.team,
     upstream: picked.upstream.id,
     softwareVersion: picked.upstream.softwareVersion,
-    streamVersion: call.progress.origin?.softwareVersion,
+    streamVersion: tryGetFirst(call.progress.eventVersions),
     resumes: call.headers.resumedRequestId,
     attempt: call.progress.attempts + 1,
     waitedMs: Math.round(nowMs - call.arrivedMs),
@@ -73,6 +73,11 @@
   });
 }
 
+function tryGetFirst<T>(values: Iterable<T>): T | undefined {
+  const [first] = values;
+  return first;
+}
+
 /** Logs that an attempt has failed or was given up. */
 export function logFailure(
   host: ForwardHost,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -26,6 +26,7 @@
 import type { Pacing } from "../pacing/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
+import type { StreamVersions } from "../stream_versions/mod.ts";
 import type { BackoffWatch, HealthWatch } from "../upstreams/mod.ts";
 import type { WarmUps } from "../warmup/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
@@ -54,6 +55,7 @@
   readonly health: HealthWatch;
   readonly backoffs: BackoffWatch;
   readonly crashes: CrashWatch;
+  readonly streamVersions: Pick<StreamVersions, "find" | "recordBegun">;
   readonly retryBudget: RetryBudget;
   readonly responseMemory: ResponseMemory;
   tryGetRoutes(): RouteTable | undefined;
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -21,6 +21,7 @@
 import { receiveBody } from "./response_body.ts";
 import { createDroppedError } from "./response_memory.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
+import { recordFirstEvent } from "./stream_origin.ts";
 import { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
@@ -175,10 +176,10 @@
       const nowMs = host.clock.monotonicMs();
       recordPause(nowMs);
       progress.chunks++;
+      if (progress.eventVersions.size === 0) {
+        recordFirstEvent(host, call, attempt.upstream);
+      }
       progress.eventVersions.add(attempt.upstream.softwareVersion);
-      progress.origin ??= {
-        softwareVersion: attempt.upstream.softwareVersion,
-      };
       if (!caller.headersSent) startStream(call, response);
       progress.lastEventId = lastEventId ?? progress.lastEventId;
       trace.onRelayed(bytes.length);
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -34,6 +34,7 @@
 } from "./request_end.ts";
 import { FAILED_RETRY_MS, getNoConfigRetryMs } from "./retry_after.ts";
 import { tryRefuseEarly } from "./refuse_early.ts";
+import { findOrigin } from "./stream_origin.ts";
 import type { CallHeaders } from "./types.ts";
 
 /**
@@ -279,7 +280,10 @@
   host: ForwardHost,
   call: Call,
 ): Effect.Effect<void, Rejected | CallerLost> {
-  return forward(host, call).pipe(Effect.raceFirst(failWhenOver(host, call)));
+  return findOrigin(host, call).pipe(
+    Effect.andThen(forward(host, call)),
+    Effect.raceFirst(failWhenOver(host, call)),
+  );
 }
 
 /** Fails when the caller disconnects or the deadline passes; never succeeds. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -12,6 +12,7 @@
   request,
   type ServerResponse,
 } from "node:http";
+import * as Effect from "effect/Effect";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { createRetryBudget } from "../admission/mod.ts";
 import { systemClock } from "../core/mod.ts";
@@ -35,6 +36,7 @@
 import { EMPTY_PACING_STATS, type Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
+import type { FirstEvent, FoundVersion } from "../stream_versions/mod.ts";
 import {
   createBackoffWatch,
   createHealthWatch,
@@ -95,6 +97,8 @@
   readonly recordedPacing: RecordedPacing;
   /** Tokens that were recorded as asked for by the team, in order. */
   readonly askedTokens: readonly number[];
+  /** Streams that began here. */
+  readonly begun: readonly FirstEvent[];
   readonly crashes: CrashWatch;
   readonly upstreamAddresses: readonly string[];
   readonly health: HealthWatch;
@@ -128,6 +132,8 @@
   evacuated: ReadonlySet<string>;
   /** Whether the retry budget has retries left. */
   hasRetries: boolean;
+  /** What is known of each stream that a caller takes up. */
+  foundVersion: FoundVersion;
   /** Called with each decision when it is logged. */
   onDecision(decision: Decision): void;
 }
@@ -222,11 +228,19 @@
     shareUsed: 0,
     evacuated: new Set(),
     hasRetries: true,
+    foundVersion: {
+      kind: "found",
+      version: "v1",
+      from: "single-version",
+      asked: 0,
+      answered: 0,
+    },
     warmUp: "unlimited",
     onDecision: () => {},
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
   const askedTokens: number[] = [];
+  const begun: FirstEvent[] = [];
   function writeLog(decision: Decision): void {
     log.push(decision);
     controls.onDecision(decision);
@@ -236,6 +250,7 @@
     controls,
     recordedPacing,
     askedTokens,
+    begun,
     crashes,
     log: writeLog,
     tryGetRoutes: () => routes,
@@ -254,6 +269,7 @@
     controls,
     recordedPacing,
     askedTokens,
+    begun,
     crashes,
     upstreamAddresses: entries.map((each) => each.address),
     health: host.health,
@@ -307,6 +323,7 @@
       readonly controls: Controls;
       readonly recordedPacing: RecordedPacing;
       readonly askedTokens: number[];
+      readonly begun: FirstEvent[];
     },
 ): ForwardHost {
   const clock = systemClock;
@@ -362,6 +379,10 @@
     health: createHealthWatch(clock),
     backoffs: createBackoffWatch(clock),
     crashes: parts.crashes,
+    streamVersions: {
+      find: () => Effect.sync(() => parts.controls.foundVersion),
+      recordBegun: (stream) => void parts.begun.push(stream),
+    },
     retryBudget: {
       recordSuccess: retryBudget.recordSuccess,
       hasRetry: (team, service) =>
