Start a stream that has begun before new prompts that yield alike

A stream that is taken up may go on at the upstreams of one version only. In the queue the newest prompts go first, so that under load such a stream would be refused more often than new ones, with the events that its caller has wasted; new prompts can go to any upstream.

Of prompts that yield alike, those of streams that have begun go first. They still yield to teams under their share, as before.

Test: seen failing without the comparison, passes with it.

--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -121,6 +121,7 @@
       route: call.route.name,
       serviceTokens,
       workTokens,
+      isBegun: call.progress.origin !== undefined,
       getUpstreams: createRankingCache(host, call, prompt),
       isCallerConnected: () => !hasDisconnected(call.res),
       start(id, { readingTokens, queuedTokens }) {
--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -237,6 +237,7 @@
       route: kind.name,
       serviceTokens: size,
       workTokens,
+      isBegun: false,
       getUpstreams: () => rankedUpstreams,
       isCallerConnected: () => true,
       start: (engine, reading) => run(req, host, engine, reading),
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -28,6 +28,9 @@
  *   starts for a caller that has disconnected.
  * - An upstream that has just started gets few requests until it is warm. Those
  *   for which none is due from this host yet wait, or go to the next one.
+ * - A stream that has begun may go on at a part of the upstreams only, and a
+ *   refusal wastes the events that its caller has. Of prompts that yield alike,
+ *   such ones therefore go first.
  * - Prefilling a shared prefix at a second upstream takes prefill time from all
  *   other prompts there. A prompt therefore leaves the upstreams chosen by its
  *   prefix only for an idle one.
@@ -231,6 +234,7 @@
     return prompts.sort((a, b) =>
       Number(a.isDeprioritised) - Number(b.isDeprioritised) ||
       a.yields - b.yields ||
+      Number(b.prompt.isBegun) - Number(a.prompt.isBegun) ||
       options.compare(a.prompt, b.prompt)
     );
   }
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -23,6 +23,7 @@
   /** Service tokens per token of upstream work; the mean is 60. */
   readonly efficiency?: number;
   readonly ranked?: readonly string[];
+  readonly isBegun?: boolean;
 }
 
 /** Creates a queue for idle upstreams with 48 slots each. */
@@ -91,6 +92,7 @@
       targetMs: 800,
       serviceTokens: workTokens * efficiency,
       workTokens,
+      isBegun: options.isBegun ?? false,
       isCallerConnected: () => !disconnected.has(request),
       // Only the first has cached the shared prefix, of 13,300 tokens.
       getUpstreams: () =>
@@ -272,6 +274,28 @@
   deepStrictEqual(fixture.log, ["calm-2 to a", "calm-1 late"]);
 });
 
+test("a stream that has begun goes before newer prompts that yield alike", () => {
+  const fixture = createFixture();
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ ranked: ["a"], readingTokens: 15_000, isBegun: true });
+  fixture.advance(300);
+  fixture.add({ ranked: ["a"], readingTokens: 15_000 });
+  fixture.getUse("a").inFlight = 0;
+  fixture.queue.tick();
+  deepStrictEqual(fixture.log, ["calm-1 to a"]);
+});
+
+test("a stream that has begun doesn't go before teams that are not over their share", () => {
+  const fixture = createFixture();
+  fixture.overShare.add("greedy");
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ ranked: ["a"], team: "greedy", isBegun: true });
+  fixture.add({ ranked: ["a"], readingTokens: 15_000 });
+  fixture.getUse("a").inFlight = 0;
+  fixture.queue.tick();
+  deepStrictEqual(fixture.log, ["calm-2 to a"]);
+});
+
 test("callers that are refused together get different retry times", () => {
   // Guards against callers that are refused in the same pass and return
   // together: a hundred of them came back within 20 ms, a second later, found
--- a/src/queue/shared_capacity_test.ts
+++ b/src/queue/shared_capacity_test.ts
@@ -139,6 +139,7 @@
         targetMs: TARGET_MS,
         serviceTokens: promptTokens,
         workTokens: promptTokens,
+        isBegun: false,
         isCallerConnected: () => true,
         getUpstreams: () => [{
           upstream: UPSTREAMS[first]!,
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -29,6 +29,11 @@
    * cache.
    */
   readonly workTokens: number;
+  /**
+   * Whether its caller has events of the stream already, so that only upstreams
+   * of one software version may go on with it.
+   */
+  readonly isBegun: boolean;
   /** Eligible upstreams, the best first; called in each scheduling pass. */
   getUpstreams(): readonly RankedUpstream[];
   /**
