--- /dev/null
+++ b/src/diagnostics/describe_decision.ts
@@ -0,0 +1,302 @@
+/**
+ * Describes logged decisions in sentences for operators.
+ *
+ * @module
+ */
+
+import type {
+  Decision,
+  Inputs,
+  LoggedBody,
+  LoggedSilence,
+  QueueInputs,
+  StreamVersionInputs,
+} from "./decisions.ts";
+
+/** Describes a decision in one sentence, without its time and host. */
+export function describeDecision(decision: Decision): string {
+  switch (decision.event) {
+    case "attempt-started":
+      return `Sent to ${decision.upstream}${
+        formatVersion(decision)
+      } (attempt ` +
+        `${decision.attempt}) after ${decision.waitedMs} ms${
+          formatResumes(decision)
+        }; ${decision.inFlight} other requests of this ` +
+        `host were in flight there${formatPrefill(decision.readingTokens)}; ${
+          formatInputs(decision.inputs)
+        }`;
+    case "attempt-failed":
+      return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
+        `"${decision.reason}"${
+          formatSilence(decision.silence)
+        }; next: ${decision.next}${formatReason(decision.because)}${
+          formatBody(decision.body)
+        }`;
+    case "attempt-silent":
+      return `Attempt at ${decision.upstream} goes on${
+        formatSilence(decision.silence)
+      }; next: ${decision.next}${formatReason(decision.because)}`;
+    case "drained-body-closed":
+      return `Closed the connection to ${decision.upstream} after ` +
+        `${decision.readBytes} bytes of a body that nobody needs: ` +
+        `"${decision.reason}"`;
+    case "answer-dropped":
+      return `Closed the caller's connection with ${decision.unsentBytes} ` +
+        `bytes unsent: the host had no room, and this response held the most`;
+    case "request-ended":
+      return `Ended as ${decision.outcome} with status ${decision.status} ` +
+        `after ${decision.totalMs} ms and ${decision.attempts} attempts: ` +
+        `"${decision.reason}"${formatCut(decision)}${
+          formatRetry(decision.retryAfterMs)
+        }${formatQueue(decision.queue)}${formatEventVersions(decision)}${
+          formatResumes(decision)
+        }${formatBody(decision.body)}; ${formatInputs(decision.inputs)}`;
+    case "reading-limit-changed":
+      return `An upstream of ${decision.service} may have ` +
+        `${decision.limitTokens} tokens to prefill; ${decision.inTimeTokens} ` +
+        `are prefilled in time; a share of ${decision.lateShare} of the ` +
+        `responses paused too long`;
+    case "intake-changed":
+      return `${decision.isFull ? "Accepts no" : "Accepts"} new callers: an ` +
+        `event-loop iteration took ${decision.meanTurnMs} ms on average`;
+    case "config-in-force":
+      return `Configuration ${decision.version} in force, from ${decision.from}`;
+    case "evacuation-began":
+    case "evacuation-ended":
+      return `${decision.event} in ${decision.dataCentre}${
+        decision.isDeclared ? "" : ", which is not declared"
+      } (platform's version ${decision.platformVersion})`;
+    case "upstream-cold":
+      return `Upstream ${decision.upstream} of ${decision.service} is cold for ` +
+        `${decision.leftMs} ms, known from: ${decision.because}`;
+    case "config-doubtful":
+      return `Configuration ${decision.version}: ${decision.problem}`;
+    case "region-undeclared":
+      return `Configuration ${decision.version} allows the region ` +
+        `"${decision.region}", to which no data centre belongs`;
+    case "platform-era-changed":
+      return `The platform was restored from a backup: ${decision.table} at ` +
+        `version ${decision.platformVersion} of era ${decision.era}, after ` +
+        `${decision.lastVersion} of era ${decision.lastEra}; from ` +
+        `${decision.from}`;
+    case "platform-era-unnamed":
+    case "platform-era-named":
+      return `${decision.event}: "${decision.text ?? ""}"`;
+    case "upstream-changed":
+      return `Upstream ${decision.upstream} of ${decision.service}: ` +
+        `${decision.change}, from ${decision.from}, software version ` +
+        `${decision.softwareVersion ?? "not named"} (platform's version ` +
+        `${decision.platformVersion})`;
+    case "upstream-said":
+      return describeUpstreamSignal(decision);
+    case "upstream-unhealthy":
+    case "upstream-healthy":
+      return describeHealthChange(decision);
+    case "member-changed":
+      return `Host ${decision.member} is ${decision.state}`;
+    case "table-reader-changed":
+      return `${decision.reads ? "Reads" : "Does not read"} ` +
+        `${decision.table} from the platform, ${decision.because}: ` +
+        `${decision.passedOver} hosts skipped, last successful read ` +
+        `${decision.unconfirmedMs} ms before`;
+    case "table-not-fetched":
+      return `${decision.peer} did not send its newer ${decision.table} ` +
+        `within ${decision.tookMs} ms`;
+    case "platform-lost":
+    case "platform-regained":
+      return `${decision.event} for ${decision.table}: "${decision.reason}"`;
+    case "row-unreadable":
+      return `Row "${decision.key}" of ${decision.table} can't be read: ` +
+        `"${decision.reason}"`;
+    case "content-suspected":
+      return `Content ${decision.fingerprint} is suspect after ` +
+        `${decision.crashes} crashes, the last of ${decision.process}, ` +
+        `known from: ${decision.from}`;
+    case "content-cleared":
+      return `Content ${decision.fingerprint} ran well elsewhere; ` +
+        `${decision.crashes} crashes count, known from: ${decision.from}`;
+    case "content-blocked":
+      return `Content ${decision.fingerprint} is refused after ` +
+        `${decision.crashes} crashes`;
+    case "started":
+      return `Started, incarnation ${decision.incarnation}`;
+    case "drain-phase":
+      return `Drain: ${decision.phase}, ${decision.inFlight} requests in flight`;
+    case "stopped":
+      return `Stopped after ${decision.tookMs} ms, ${decision.cut} requests cut`;
+    case "settings-reloaded":
+    case "settings-refused":
+      return `${decision.event}: "${decision.reason}"`;
+    case "task-failed":
+      return `Task ${decision.task} failed: "${decision.reason}"`;
+    case "runtime-warning":
+      return `Node.js warned ${decision.count} times: ${decision.kind}, ` +
+        `"${decision.message}"`;
+    case "uncaught-error":
+      return `The process ended on an uncaught error: ${decision.kind}, ` +
+        `"${decision.message}"`;
+    case "stream-version-found":
+      return `The stream${formatOf(decision.resumes)} goes on at version ` +
+        `${decision.version} (${decision.from})${formatAsked(decision)}`;
+    case "stream-version-unknown":
+      return `The stream${formatOf(decision.resumes)} is not taken up, since ` +
+        `nobody knows its version, of ${decision.versions}${
+          formatAsked(decision)
+        }`;
+    case "log-lines-dropped":
+      return `${decision.lines} log lines were dropped: their reader was too slow`;
+  }
+}
+
+function formatOf(request: string | undefined): string {
+  return request === undefined ? "" : ` of ${request}`;
+}
+
+function formatAsked(
+  { asked, answered, tookMs }: StreamVersionInputs,
+): string {
+  if (asked === 0) return "";
+  return `; ${answered} of ${asked} hosts answered within ${tookMs} ms`;
+}
+
+function formatReason(because: string | undefined): string {
+  return because === undefined ? "" : `, since "${because}"`;
+}
+
+function describeUpstreamSignal(
+  signal: Extract<Decision, { readonly event: "upstream-said" }>,
+): string {
+  const from = `Upstream ${signal.upstream} with status ${signal.status}`;
+  switch (signal.said) {
+    case "leaving":
+      return `${from}: it is leaving`;
+    case "rest":
+      return `${from}: it asked this host to back off for ${signal.restMs} ms`;
+    case "unreadable-rest":
+      return `${from}: a back-off that can't be read, "${signal.text}"`;
+  }
+}
+
+function describeHealthChange(
+  change: Extract<
+    Decision,
+    { readonly event: "upstream-unhealthy" | "upstream-healthy" }
+  >,
+): string {
+  const { upstream, because, inFlight, silentMs, failureShare } = change;
+  const lasted = change.lastedMs === undefined
+    ? ""
+    : ` after ${change.lastedMs} ms`;
+  return `${change.event}: ${upstream}, ${because}${lasted}; ${inFlight} ` +
+    `requests in flight, silent for ${silentMs} ms, a share of ` +
+    `${failureShare} failed`;
+}
+
+function formatSilence(silence: LoggedSilence | undefined): string {
+  if (silence === undefined) return "";
+  const { phase, silentMs, limitMs, isAborted } = silence;
+  return `, silent for ${silentMs} ms of ${limitMs} ms (${phase}), ${
+    isAborted ? "aborted before" : "still open when"
+  } the next step was chosen`;
+}
+
+function formatCut(
+  { isCut, silentPhase, silentMs }: Extract<
+    Decision,
+    { readonly event: "request-ended" }
+  >,
+): string {
+  const cut = isCut ? "; the response had begun and was closed" : "";
+  const silent = silentMs === undefined ? "" : `; silent for ${silentMs} ms`;
+  const phase = silentPhase === undefined
+    ? ""
+    : `; its latest time-out passed in the phase "${silentPhase}"`;
+  return `${cut}${silent}${phase}`;
+}
+
+/** The version, and the stream's if it is another one. */
+function formatVersion(
+  { softwareVersion, streamVersion }: Extract<
+    Decision,
+    { readonly event: "attempt-started" }
+  >,
+): string {
+  const own = softwareVersion === undefined
+    ? ""
+    : ` of version ${softwareVersion}`;
+  const isSame = streamVersion === undefined ||
+    streamVersion === softwareVersion;
+  return isSame ? own : `${own}, though the stream began at ${streamVersion},`;
+}
+
+function formatEventVersions(
+  { eventVersions }: Extract<Decision, { readonly event: "request-ended" }>,
+): string {
+  if (eventVersions === undefined) return "";
+  const names = eventVersions.map((each) => each ?? "not named");
+  return `; events of software versions: ${names.join(", ")}`;
+}
+
+function formatResumes(
+  { resumes }: { readonly resumes: string | undefined },
+): string {
+  return resumes === undefined ? "" : `; it takes up the stream of ${resumes}`;
+}
+
+function formatPrefill(readingTokens: number | undefined): string {
+  if (readingTokens === undefined) return "";
+  return `, with ${readingTokens} tokens to prefill`;
+}
+
+function formatRetry(retryAfterMs: number | undefined): string {
+  if (retryAfterMs === undefined) return "";
+  return `; the caller may retry in ${Math.round(retryAfterMs)} ms`;
+}
+
+/** Descriptions of the values of `QueueInputs.yields`. */
+const yieldTexts = [
+  "of full priority",
+  "inefficient",
+  "of a team over its share",
+] as const;
+
+function formatQueue(queue: QueueInputs | undefined): string {
+  if (queue === undefined) return "";
+  return `; with ${queue.waiting} prompts queued it was ` +
+    `${yieldTexts[queue.yields]} (${queue.shareUsed} of the share used); ` +
+    `${formatCapacity(queue)}`;
+}
+
+function formatCapacity(queue: QueueInputs): string {
+  const { backlog, load, upstream, limitTokens } = queue;
+  if (backlog !== undefined) {
+    return `${backlog.waiting} requests of its team and route were ahead, of ` +
+      `which ${backlog.startedPerSecond} start per second`;
+  }
+  if (load === undefined) return "no upstream to wait for";
+  const usage = `${upstream} had ${load.inFlight} of ${load.slots} slots in ` +
+    `use and ${load.readingTokens} of ${limitTokens} tokens to prefill`;
+  if (load.underservedElsewhere === 0) return usage;
+  return `${usage}, and ${load.underservedElsewhere} prompts of underserved ` +
+    `teams waited for it at other hosts`;
+}
+
+function formatBody(body: LoggedBody | undefined): string {
+  if (body === undefined) return "";
+  const { announcedBytes, code, isEndReceived } = body;
+  const announced = announcedBytes === undefined ? "" : ` of ${announcedBytes}`;
+  return `; the response body (${body.framing}): ${body.receivedBytes}` +
+    `${announced} bytes received ${
+      isEndReceived ? "to" : "without"
+    } its end, ` +
+    `${body.unreadBytes} of them not read, ${body.relayedBytes} relayed, ` +
+    `paused for ${body.pausedMs} ms, connection ${body.connection}${
+      code === undefined ? "" : ` (${code})`
+    }`;
+}
+
+function formatInputs(inputs: Inputs): string {
+  return `configuration ${inputs.configVersion} and upstreams ` +
+    `${inputs.upstreamsVersion}, last read ${inputs.confirmedMsAgo} ms before`;
+}
--- a/src/diagnostics/mod.ts
+++ b/src/diagnostics/mod.ts
@@ -9,5 +9,6 @@
 export * from "./decision_log.ts";
 export * from "./decisions.ts";
 export * from "./decision_lines.ts";
+export * from "./describe_decision.ts";
 export * from "./request_trace.ts";
 export * from "./runtime_watch.ts";
