--- a/src/forwarding/crowded_memory_test.ts
+++ b/src/forwarding/crowded_memory_test.ts
@@ -1,9 +1,9 @@
 import { deepStrictEqual, match, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { createEndlessUpstream } from "../testing/endless_upstream.ts";
+import type { CallerResponse } from "../testing/forward_callers.ts";
 import {
   type Behaviour,
-  type CallerResponse,
   createForwardFixture,
   type ForwardFixture,
 } from "../testing/forward_fixture.ts";
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -6,9 +6,9 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import * as Effect from "effect/Effect";
 import { listen } from "../entry/servers.ts";
+import type { CallerResponse } from "../testing/forward_callers.ts";
 import {
   type Behaviour,
-  type CallerResponse,
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
--- a/src/testing/stream_fixture.ts
+++ b/src/testing/stream_fixture.ts
@@ -5,9 +5,9 @@
  */
 
 import { deepStrictEqual } from "node:assert";
+import type { CallerResponse } from "./forward_callers.ts";
 import {
   type Behaviour,
-  type CallerResponse,
   createForwardFixture,
   type FixtureOptions,
   type ForwardFixture,
