Assert what the log says of a take-over, and the load after a caller has left

Found in review: no test asserted any more whether a retry was taken, nor the line of an attempt that another has replaced, and a test that names the load of both attempts did not look at it.

--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -123,6 +123,25 @@
   ok(isWholeSilence(line!), JSON.stringify(line));
 });
 
+test("the line of a silent upstream that another has replaced tells what that took", async () => {
+  // Guards against a take-over whose log leaves open what was chosen by what.
+  const sendsAll: Behaviour = (socket, { id }) =>
+    socket.write(streamHead(id) + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  await using fixture = await createForwardFixture([sendsOneEvent, sendsAll], {
+    kind: "stream",
+    isResumable: true,
+  });
+  const { isTruncated } = await fixture.call();
+  const [line, ...others] = getFailedAttempts(fixture.log);
+  deepStrictEqual([isTruncated, others.length], [false, 0]);
+  deepStrictEqual(
+    [line?.kind, line?.next, line?.retry, line?.candidates, line?.isBegun],
+    ["silent", "resume", "taken", 0, true],
+  );
+  const { phase, isAborted } = line!.silence!;
+  deepStrictEqual([phase, isAborted], ["events", true]);
+});
+
 test("the line of an upstream that broke off tells no silence", async () => {
   // Guards against a crash that the log shows as a silence.
   await using fixture = await createForwardFixture([
--- a/src/forwarding/take_over_test.ts
+++ b/src/forwarding/take_over_test.ts
@@ -198,5 +198,7 @@
     await sleep(50);
     strictEqual(sockets.length, 2);
     ok(sockets.every((each) => each.readableEnded || each.destroyed));
+    const inFlight = ["up-0", "up-1"].map(fixture.health.getInFlight);
+    deepStrictEqual(inFlight, [0, 0]);
   });
 });
