--- a/src/forwarding/silent_rivals_test.ts
+++ b/src/forwarding/silent_rivals_test.ts
@@ -4,7 +4,13 @@
   type Behaviour,
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
-import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
+import { answer, streamHead } from "../testing/raw_responses.ts";
+import {
+  createEvent,
+  createEventTexts,
+  createPause,
+  STREAM_END,
+} from "../testing/stream_events.ts";
 import { rejectNotRun } from "../testing/silent_upstreams.ts";
 import { createStreamFixture } from "../testing/stream_fixture.ts";
 
@@ -21,17 +27,6 @@
 /** Time without an event after which a caller abandons a stream, in ms. */
 const CALLER_PATIENCE_MS = 2_000;
 
-const END = "0\r\n\r\n";
-
-function event(id: number): string {
-  return chunk(`id: ${id}\ndata: ${id}\n\n`);
-}
-
-/** The events with these ids as the caller receives them. */
-function eventTexts(...ids: readonly number[]): string {
-  return ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join("");
-}
-
 /** Answers with this status after a time, in ms. */
 function answers(
   afterMs: number,
@@ -42,14 +37,6 @@
     void setTimeout(() => socket.write(answer(id, body, status)), afterMs);
 }
 
-/** Sends two events, nothing for a time, and then the rest. */
-function pauses(silenceMs: number): Behaviour {
-  return (socket, { id }) => {
-    socket.write(streamHead(id) + event(1) + event(2));
-    setTimeout(() => socket.write(event(3) + END), silenceMs);
-  };
-}
-
 async function assertCallIsAnswered(
   behaviours: readonly Behaviour[],
   expected: string,
@@ -65,10 +52,10 @@
   other: Behaviour,
   silenceMs = SHORT_SILENCE_MS,
 ): Promise<void> {
-  const first = pauses(silenceMs);
+  const first = createPause(silenceMs);
   await using fixture = await createStreamFixture([first, other]);
   const { body, isTruncated } = await fixture.call();
-  deepStrictEqual([body, isTruncated], [eventTexts(1, 2, 3), false]);
+  deepStrictEqual([body, isTruncated], [createEventTexts(1, 2, 3), false]);
 }
 
 test("a stream of a silent upstream is not cut when the other upstream answers with a failure", async () => {
@@ -115,13 +102,19 @@
 test("a caller does not abandon a stream whose upstream is dark in the middle of an event", async () => {
   await using fixture = await createStreamFixture([
     (socket, { id }) => {
-      socket.write(streamHead(id) + event(1) + event(2));
-      setTimeout(() => socket.write(event(3).slice(0, 8)), 1_700);
+      socket.write(streamHead(id) + createEvent(1) + createEvent(2));
+      setTimeout(() => socket.write(createEvent(3).slice(0, 8)), 1_700);
     },
     (socket, { id }) =>
-      void setTimeout(() => socket.write(streamHead(id) + event(3) + END), 180),
+      void setTimeout(
+        () => socket.write(streamHead(id) + createEvent(3) + STREAM_END),
+        180,
+      ),
   ]);
   const res = await fixture.call();
-  deepStrictEqual([res.body, res.isTruncated], [eventTexts(1, 2, 3), false]);
+  deepStrictEqual([res.body, res.isTruncated], [
+    createEventTexts(1, 2, 3),
+    false,
+  ]);
   ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
 });
--- a/src/forwarding/take_over_test.ts
+++ b/src/forwarding/take_over_test.ts
@@ -7,7 +7,14 @@
   createForwardFixture,
   type ForwardFixture,
 } from "../testing/forward_fixture.ts";
-import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
+import { answer, streamHead } from "../testing/raw_responses.ts";
+import {
+  createEvent,
+  createEventTexts,
+  createPause,
+  stopAfterTwoEvents,
+  STREAM_END,
+} from "../testing/stream_events.ts";
 
 /** An idempotent call is sent to a second upstream after half of this, in ms. */
 const CALL_TIMEOUT_MS = 800;
@@ -24,29 +31,6 @@
 /** Longer than the time without an event after which another is sought, in ms. */
 const SILENCE_MS = 1_750;
 
-const END = "0\r\n\r\n";
-
-function event(id: number): string {
-  return chunk(`id: ${id}\ndata: ${id}\n\n`);
-}
-
-/** The events with these ids as the caller receives them. */
-function eventTexts(...ids: readonly number[]): string {
-  return ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join("");
-}
-
-/** Sends two events, nothing for `silenceMs`, and then the rest. */
-function pauses(silenceMs: number): Behaviour {
-  return (socket, { id }) => {
-    socket.write(streamHead(id) + event(1) + event(2));
-    setTimeout(() => socket.write(event(3) + END), silenceMs);
-  };
-}
-
-/** Sends two events and nothing more. */
-const stops: Behaviour = (socket, { id }) =>
-  socket.write(streamHead(id) + event(1) + event(2));
-
 const rejects: Behaviour = (socket) =>
   socket.write(
     "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
@@ -68,11 +52,14 @@
 describe("a silent upstream", { concurrency: true }, () => {
   test("a stream whose second upstream rejects it goes on at the first", async () => {
     await using fixture = await createForwardFixture([
-      pauses(SILENCE_MS),
+      createPause(SILENCE_MS),
       rejects,
     ]);
     const res = await fixture.call();
-    deepStrictEqual([res.isTruncated, res.body], [false, eventTexts(1, 2, 3)]);
+    deepStrictEqual([res.isTruncated, res.body], [
+      false,
+      createEventTexts(1, 2, 3),
+    ]);
     deepStrictEqual(fixture.arrivals, ["up-0", "up-1"]);
     deepStrictEqual(findFailures(fixture), [[
       "up-1",
@@ -84,14 +71,20 @@
   test("a stream that speaks before another takes over brings no event twice", async () => {
     const seconds: Socket[] = [];
     await using fixture = await createForwardFixture([
-      pauses(SILENCE_MS - 50),
+      createPause(SILENCE_MS - 50),
       (socket, { id }) => {
         seconds.push(socket);
-        setTimeout(() => socket.write(streamHead(id) + event(3) + END), 250);
+        setTimeout(
+          () => socket.write(streamHead(id) + createEvent(3) + STREAM_END),
+          250,
+        );
       },
     ]);
     const res = await fixture.call();
-    deepStrictEqual([res.isTruncated, res.body], [false, eventTexts(1, 2, 3)]);
+    deepStrictEqual([res.isTruncated, res.body], [
+      false,
+      createEventTexts(1, 2, 3),
+    ]);
     await sleep(50);
     ok(seconds.every((each) => each.readableEnded || each.destroyed));
   });
@@ -99,15 +92,19 @@
   test("no third upstream repeats an event while the first goes on", async () => {
     await using fixture = await createForwardFixture([
       (socket, req) => {
-        stops(socket, req);
-        setTimeout(() => socket.write(event(3)), SILENCE_MS);
-        setTimeout(() => socket.write(END), SILENCE_MS + MAX_OVERLAP_MS);
+        stopAfterTwoEvents(socket, req);
+        setTimeout(() => socket.write(createEvent(3)), SILENCE_MS);
+        setTimeout(() => socket.write(STREAM_END), SILENCE_MS + MAX_OVERLAP_MS);
       },
       createIdle([]),
-      (socket, { id }) => socket.write(streamHead(id) + event(3) + END),
+      (socket, { id }) =>
+        socket.write(streamHead(id) + createEvent(3) + STREAM_END),
     ], { maxAttempts: 3 });
     const res = await fixture.call();
-    deepStrictEqual([res.isTruncated, res.body], [false, eventTexts(1, 2, 3)]);
+    deepStrictEqual([res.isTruncated, res.body], [
+      false,
+      createEventTexts(1, 2, 3),
+    ]);
     deepStrictEqual(fixture.arrivals, ["up-0", "up-1"]);
   });
 
@@ -117,21 +114,27 @@
     await using fixture = await createForwardFixture([
       (socket, req) => {
         socket.on("end", () => closedMs = performance.now());
-        stops(socket, req);
+        stopAfterTwoEvents(socket, req);
       },
       (socket, { id }) => {
         sentMs = performance.now();
-        setTimeout(() => socket.write(streamHead(id) + event(3) + END), 700);
+        setTimeout(
+          () => socket.write(streamHead(id) + createEvent(3) + STREAM_END),
+          700,
+        );
       },
     ]);
     const res = await fixture.call();
-    deepStrictEqual([res.isTruncated, res.body], [false, eventTexts(1, 2, 3)]);
+    deepStrictEqual([res.isTruncated, res.body], [
+      false,
+      createEventTexts(1, 2, 3),
+    ]);
     ok(closedMs - sentMs < MAX_OVERLAP_MS);
     deepStrictEqual(findFailures(fixture), [["up-0", "silent", "resume"]]);
   });
 
   test("a stream is not taken from one silent upstream to another", async () => {
-    const both = pauses(SILENCE_MS);
+    const both = createPause(SILENCE_MS);
     await using fixture = await createForwardFixture([both, both]);
     const responses = await Promise.all(
       ["one", "two"].map((id) => fixture.call({ id })),
@@ -143,15 +146,21 @@
   test("a stream goes on at the second upstream if the first breaks off", async () => {
     await using fixture = await createForwardFixture([
       (socket, req) => {
-        stops(socket, req);
+        stopAfterTwoEvents(socket, req);
         setTimeout(() => socket.resetAndDestroy(), 1_700);
       },
       (socket, { id }) => {
-        setTimeout(() => socket.write(streamHead(id) + event(3) + END), 180);
+        setTimeout(
+          () => socket.write(streamHead(id) + createEvent(3) + STREAM_END),
+          180,
+        );
       },
     ]);
     const res = await fixture.call();
-    deepStrictEqual([res.isTruncated, res.body], [false, eventTexts(1, 2, 3)]);
+    deepStrictEqual([res.isTruncated, res.body], [
+      false,
+      createEventTexts(1, 2, 3),
+    ]);
     deepStrictEqual(fixture.arrivals, ["up-0", "up-1"]);
   });
 
