Hear nothing of other hosts before this host can answer them

Cause: the socket for datagrams was read while the one for connections was still being opened. A fact that came in that moment was handled by parts that need the membership, which the process did not have yet: those of crashes since they report to others, and now those of stream versions.

Change: what arrives before that is dropped, as any datagram may be; facts and probes are repeated.

--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -99,9 +99,14 @@
     onConfigVersion: () => {},
     getConfigVersion: () => ({ version: 0, digest: "" }),
   }, membershipOptions);
+  let isOpen = false;
   const datagrams = await openDatagrams(peerAddress, {
     codec: createDatagramCodec(FLEET_NAME),
-    onMessage: membership.receive,
+    onMessage(message, sender) {
+      // What others say is handled with the membership, which the caller of
+      // this function doesn't have yet. Datagrams may be lost, and are repeated.
+      if (isOpen) membership.receive(message, sender);
+    },
   });
   const fleetToken = getDigest(FLEET_NAME);
   const server = await listenForPeers(peerAddress, {
@@ -135,6 +140,7 @@
     return Effect.sync(() => ticker[Symbol.dispose]());
   });
 
+  isOpen = true;
   return {
     membership,
     async fetchTable(name, address) {
--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -4,13 +4,23 @@
 import process from "node:process";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { systemClock } from "../core/mod.ts";
+import type { MembershipMessage } from "../membership/mod.ts";
+import { createDatagramCodec } from "../peers/mod.ts";
+import type { SentDatagram } from "../testing/datagram_sender_worker.ts";
 import { blockEventLoop } from "../testing/block_event_loop.ts";
-import { openPeers, type Peers } from "./peers.ts";
+import { FLEET_NAME, openPeers, type Peers } from "./peers.ts";
 import type { EntrySettings } from "./types.ts";
 
+/** Number of starts during which datagrams arrive. */
+const STARTS = 20;
+
+/** Time for which a host that has started hears them, in ms. */
+const HEARING_MS = 5;
+
 /** Finds a port at which neither datagrams nor connections are received. */
 async function findPort(): Promise<number> {
   while (true) {
@@ -40,9 +50,10 @@
 
 function openHost(
   peerAddress: string,
-  { onSuspect, onProbe }: {
-    onSuspect(): void;
-    onProbe(): void;
+  { onSuspect = () => {}, onProbe = () => {}, onFact = () => {} }: {
+    onSuspect?(): void;
+    onProbe?(): void;
+    onFact?(): void;
   },
 ): Promise<Peers> {
   const settings = {
@@ -58,7 +69,7 @@
       return 0;
     },
     onMemberChanged: ({ state }) => void (state === "suspect" && onSuspect()),
-    onFact: () => {},
+    onFact,
     onDirectFact: () => {},
     tryGetTable: () => undefined,
     onTickFailed: (reason) => {
@@ -67,6 +78,26 @@
   });
 }
 
+/** A message with a fact. */
+const factMessage: MembershipMessage = {
+  from: "127.0.0.1:1",
+  incarnation: 1,
+  sequence: 1,
+  isAck: false,
+  wantsSync: false,
+  probeTarget: "",
+  configVersion: 0,
+  configDigest: "",
+  updates: [],
+  facts: [{ key: "some-fact", version: 1, value: "" }],
+  directFacts: [],
+};
+
+function startDatagramSender(workerData: SentDatagram): Worker {
+  const url = new URL("../testing/datagram_sender_worker.js", import.meta.url);
+  return new Worker(url, { workerData });
+}
+
 function countAlive({ membership }: Peers): number {
   return membership.getMembers().filter((each) => each.state === "alive")
     .length;
@@ -110,13 +141,30 @@
   const port = await findPort();
   const taken = createServer();
   await listenTcp(taken, port);
-  const open = openHost(`127.0.0.1:${port}`, {
-    onSuspect: () => {},
-    onProbe: () => {},
-  });
+  const open = openHost(`127.0.0.1:${port}`, {});
   await rejects(open, /EADDRINUSE/);
   const socket = createSocket("udp4");
   ok(await tryBind(socket, port));
   socket.close();
   taken.close();
 });
+
+test("a host that starts hears nothing of others before it can answer them", async () => {
+  // Guards against a process that ends at its start since a fact came too soon.
+  const port = await findPort();
+  const bytes = createDatagramCodec(FLEET_NAME).encode(factMessage);
+  const sender = startDatagramSender({ bytes, port });
+  let isOpen = false;
+  const facts: boolean[] = [];
+  for (let start = 0; start < STARTS; start++) {
+    await using _peers = await openHost(`127.0.0.1:${port}`, {
+      onFact: () => void facts.push(isOpen),
+    });
+    isOpen = true;
+    await sleep(HEARING_MS);
+    isOpen = false;
+  }
+  await sender.terminate();
+  ok(facts.length > 0);
+  ok(facts.every(Boolean));
+});
