--- a/src/forwarding/silent_rivals_test.ts
+++ b/src/forwarding/silent_rivals_test.ts
@@ -24,6 +24,9 @@
 /** Longer than the time without an event after which another is sought, in ms. */
 const SHORT_SILENCE_MS = 1_750;
 
+/** A silence that is just short enough for callers, in ms. */
+const LONG_SILENCE_MS = 1_950;
+
 /** Time without an event after which a caller abandons a stream, in ms. */
 const CALLER_PATIENCE_MS = 2_000;
 
@@ -99,6 +102,12 @@
   await assertCallIsAnswered([dark, dark, answers(0, "third")], "third", 3);
 });
 
+test("a stream of a silent upstream is not cut when the other upstream rejects it after 300 ms", async () => {
+  const rejectsLate: Behaviour = (socket, request) =>
+    void setTimeout(() => rejectNotRun(socket, request), 300);
+  await assertStreamIsWhole(rejectsLate, LONG_SILENCE_MS);
+});
+
 test("a caller does not abandon a stream whose upstream is dark in the middle of an event", async () => {
   await using fixture = await createStreamFixture([
     (socket, { id }) => {
