List the upstreams that a request may use once for each decision

After a failure, and in each search during a silence, the eligible upstreams were listed twice: for the decision and for its log line. The decision now takes the choice that is logged; nothing else changes. The head of attempt_trace.ts said that nothing is decided by it, which was no longer so.

--- a/src/forwarding/attempt_trace.ts
+++ b/src/forwarding/attempt_trace.ts
@@ -1,6 +1,7 @@
 /**
  * Records for how long the upstream of one attempt has been silent, and whether
- * this host has closed the attempt. Only records: nothing is decided by it.
+ * this host has closed the attempt: for the log, and to tell when a caller is
+ * about to abandon its stream.
  *
  * @module
  */
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -56,7 +56,7 @@
     const choice = getChoice(host, call);
     let retry: RetryUse = "not-asked";
     const step = decideNextStep({
-      ...getRequestProgress(host, call, attempts.countConnects()),
+      ...getRequestProgress(host, call, attempts.countConnects(), choice),
       failure: err.kind,
       tryTakeRetry() {
         const isTaken = host.retryBudget.tryTake("", call.service);
--- a/src/forwarding/request_progress.ts
+++ b/src/forwarding/request_progress.ts
@@ -5,8 +5,8 @@
  */
 
 import { isContentBlocked } from "./blocked_content.ts";
-import { type Call, type ForwardHost, getRemainingMs } from "./call.ts";
-import { getEligible } from "./eligible_upstreams.ts";
+import type { Choice } from "./attempt_log.ts";
+import type { Call, ForwardHost } from "./call.ts";
 import type { RequestProgress } from "./next_step.ts";
 
 /** Returns the state of the request after so many connection attempts. */
@@ -14,6 +14,7 @@
   host: ForwardHost,
   call: Call,
   connects: number,
+  { candidates, remainingMs }: Choice,
 ): RequestProgress {
   const { route, progress } = call;
   return {
@@ -25,8 +26,8 @@
     connects,
     hasSentEvents: call.res.headersSent,
     hasEventId: progress.lastEventId !== undefined,
-    remainingMs: getRemainingMs(host, call),
+    remainingMs,
     isBlocked: isContentBlocked(host, call),
-    hasCandidate: getEligible(host, call).length > 0,
+    hasCandidate: candidates > 0,
   };
 }
--- a/src/forwarding/take_over.ts
+++ b/src/forwarding/take_over.ts
@@ -200,7 +200,10 @@
 ): Effect.Effect<Found | undefined> {
   const { running } = starter;
   const connects = starter.countConnects();
-  const step = decideOnSilence(getRequestProgress(host, call, connects));
+  const choice = getChoice(host, call);
+  const step = decideOnSilence(
+    getRequestProgress(host, call, connects, choice),
+  );
   if (step.kind === "wait") return Effect.succeed(step);
   if (!host.retryBudget.hasRetry("", call.service)) {
     return Effect.succeed(createWait(NO_RETRY_REASON));
