Name the shared parts of a prompt whose answer broke off

Now attempt-failed of the kind cut-off names the parts that other requests may have as well (all but the last, 16 at most, in a form that is safe in facts), and for how long events had come: what had been written for a while isn't what crashed its upstream.

No decision changes.

--- a/src/crashes/mod.ts
+++ b/src/crashes/mod.ts
@@ -8,4 +8,5 @@
 export type { ConnectResult } from "./crash_detector.ts";
 export * from "./crash_facts.ts";
 export * from "./crash_watch.ts";
+export * from "./subjects.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/src/crashes/subjects.ts
@@ -0,0 +1,36 @@
+/**
+ * What a crash can be put down to: the whole content of a request, or one part
+ * of prompts, which requests share that have nothing else in common.
+ *
+ * @module
+ */
+
+import { getDigest } from "../core/mod.ts";
+
+/** Prefix of the name of a part. A content's name has only hexadecimal digits. */
+const PART_PREFIX = "part-";
+
+/** Ids of parts that may stand in a name as they are. */
+const PLAIN_ID = /^[0-9A-Za-z_.-]{1,32}$/;
+
+/** Limit on the parts of one request that are named; those beyond are not. */
+const MAX_PARTS = 16;
+
+/**
+ * Names the parts that other requests may have as well: all but the last, which
+ * belongs to one request or session. Takes their ids in prompt order.
+ */
+export function getSharedParts(ids: readonly string[]): readonly string[] {
+  const shared = new Set(ids.slice(0, -1).slice(0, MAX_PARTS));
+  return [...shared].map(getPartName);
+}
+
+/** Whether this is the name of a part. */
+export function isPart(subject: string): boolean {
+  return subject.startsWith(PART_PREFIX);
+}
+
+function getPartName(id: string): string {
+  const text = PLAIN_ID.test(id) ? id : getDigest(id).slice(0, 32);
+  return `${PART_PREFIX}${text}`;
+}
--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -197,6 +197,10 @@
     readonly silence: LoggedSilence | undefined;
     /** Digest of the content, if it may have crashed the upstream. */
     readonly fingerprint: string | undefined;
+    /** Likewise the parts of its prompt that other requests may have as well. */
+    readonly parts: readonly string[] | undefined;
+    /** Likewise the time for which events had come; absent before the first. */
+    readonly sinceFirstEventMs: number | undefined;
     /** The body of the response of this attempt; absent if none had begun. */
     readonly body: LoggedBody | undefined;
   }
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -41,6 +41,8 @@
     contact: undefined,
     silence: undefined,
     fingerprint: undefined,
+    parts: undefined,
+    sinceFirstEventMs: undefined,
     body: undefined,
     ...changes,
   };
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RetryUse } from "../diagnostics/mod.ts";
+import type { Decision, RetryUse } from "../diagnostics/mod.ts";
 import {
   type Attempt,
   type Call,
@@ -78,6 +78,29 @@
   return first;
 }
 
+/** What of a request may have crashed the upstream, for the log. */
+type LoggedSuspects = Pick<
+  Extract<Decision, { readonly event: "attempt-failed" }>,
+  "fingerprint" | "parts" | "sinceFirstEventMs"
+>;
+
+const NO_SUSPECTS: LoggedSuspects = {
+  fingerprint: undefined,
+  parts: undefined,
+  sinceFirstEventMs: undefined,
+};
+
+function getSuspects(
+  host: ForwardHost,
+  { fingerprint, parts }: Call,
+  { firstEventsMs }: Attempt,
+): LoggedSuspects {
+  const sinceFirstEventMs = firstEventsMs === undefined
+    ? undefined
+    : Math.round(host.clock.monotonicMs() - firstEventsMs);
+  return { fingerprint, parts, sinceFirstEventMs };
+}
+
 /** Logs that an attempt has failed or was given up. */
 export function logFailure(
   host: ForwardHost,
@@ -103,7 +126,9 @@
     isBegun: call.res.headersSent,
     contact: err.contact,
     silence: err.silence && attempt.trace.toLog(err.silence),
-    fingerprint: err.kind === "cut-off" ? call.fingerprint : undefined,
+    ...(err.kind === "cut-off"
+      ? getSuspects(host, call, attempt)
+      : NO_SUSPECTS),
     body: takeLoggedBody(host, attempt),
   });
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -117,6 +117,8 @@
    * Digest of path, team and body: equal for every resend of the same request.
    */
   readonly fingerprint: string;
+  /** Names of the parts of its prompt that other requests may have as well. */
+  readonly parts: readonly string[];
   /** Monotonic milliseconds. */
   readonly arrivedMs: number;
   /**
@@ -210,6 +212,8 @@
   /** To be called when the first byte of the request may have left this host. */
   onSent(): void;
   isSent: boolean;
+  /** Monotonic time of the first events of its response; `undefined` before. */
+  firstEventsMs: number | undefined;
   /** Number of upstreams to which the request had been sent, this one included. */
   number: number;
   /**
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -149,6 +149,7 @@
 
   function onFirstEvent(nowMs: number): void {
     attempt.endPrefill();
+    attempt.firstEventsMs = nowMs;
     progress.firstEventMs ??= nowMs - call.arrivedMs;
     const { queuedTokens, startedMs, isUpstreamCold } = attempt;
     if (queuedTokens === undefined || isUpstreamCold) return;
--- a/src/forwarding/running_attempt.ts
+++ b/src/forwarding/running_attempt.ts
@@ -104,6 +104,7 @@
     trace: createAttemptTrace(host.clock),
     endPrefill,
     isSent: false,
+    firstEventsMs: undefined,
     number: progress.attempts,
     bodyTrace: undefined,
     onSent() {
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -9,6 +9,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import { getDigest, startTimeout } from "../core/mod.ts";
+import { getSharedParts } from "../crashes/mod.ts";
 import {
   type CallerLost,
   createDisconnected,
@@ -180,6 +181,7 @@
       service: pickService(route.services, host.random()),
       body,
       fingerprint: getFingerprint(req, team, body),
+      parts: getSharedParts(headers.prompt?.parts.map(({ id }) => id) ?? []),
       arrivedMs: state.arrivedMs,
       deadlineMs: state.arrivedMs + Math.min(callerTimeoutMs, route.timeoutMs),
       progress: createProgress(headers.lastEventId),
