Take a stream that ends inside an event for broken off

What callers could see: an upstream crashes under a request, its streams have neither length nor chunks and its connections end in order; the request comes again and crashes the next, as nothing was counted. Cause: the end of such a body was judged by its connection alone, and an incomplete event made the attempt "broken", after which no upstream is asked. By the users' pages such a stream has been broken off: the attempt is now "cut-off", and the upstream is asked whether it still takes connections, which alone counts as a crash. One that lives counts for nothing, as before. A stream that ends between two events stays without proof either way.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -10,6 +10,7 @@
 import type { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
+import type { ConnectResult } from "../crashes/mod.ts";
 import type { Attempt, Call, ForwardHost } from "./call.ts";
 import {
   createEventSplitter,
@@ -110,11 +111,19 @@
       if (!events.relay(chunk)) awaitCaller();
     }
 
+    function endsInsideEvent(): boolean {
+      return splitter.getIncomplete().length > 0;
+    }
+
+    /** An end inside an event shows more than a missing proof of the end. */
+    function correctFailure(failure: AttemptFailed): AttemptFailed {
+      const { contact } = failure;
+      if (contact === undefined || !endsInsideEvent()) return failure;
+      return createBrokenOffError(contact);
+    }
+
     function finish(): Effect.Effect<void, AttemptFailed> {
-      if (splitter.getIncomplete().length > 0) {
-        const reason = "The stream ended in the middle of an event";
-        return Effect.fail(new AttemptFailed({ kind: "broken", reason }));
-      }
+      if (endsInsideEvent()) return Effect.fail(createBrokenOffError());
       onDelivering();
       events.end();
       return Effect.void;
@@ -123,7 +132,10 @@
     awaitEvent();
     receiveBody(response, {
       onChunk,
-      onEnd: (result) => end(result.pipe(Effect.flatMap(finish))),
+      onEnd: (result) =>
+        end(
+          result.pipe(Effect.mapError(correctFailure), Effect.flatMap(finish)),
+        ),
     });
     return Effect.sync(() => {
       if (hasEnded) return;
@@ -133,6 +145,11 @@
   });
 }
 
+function createBrokenOffError(contact?: ConnectResult): AttemptFailed {
+  const reason = "The stream ended in the middle of an event";
+  return new AttemptFailed({ kind: "cut-off", reason, contact });
+}
+
 function createEventRelay(
   host: ForwardHost,
   call: Call,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -147,7 +147,8 @@
  * - `not-run`: the upstream states that it has not run the request and never
  *   will.
  * - `broken`: the request was sent and may have run; the answer is unusable.
- * - `cut-off`: like `broken`, but the connection ended before the answer did.
+ * - `cut-off`: like `broken`, but the connection ended before the answer did, or
+ *   a stream ended inside an event.
  * - `silent`: like `broken`, but nothing at all arrived within the time-out.
  */
 export class AttemptFailed extends Data.TaggedError("AttemptFailed")<{
