Count crashes by the parts that prompts share, over the whole fleet

Cause: guilt was sought in the whole of a request where a piece of it is shared.

Change: the shared parts of a prompt are subjects beside its content, in the same events, reports and facts (src/crashes). Good ends alone came too late, a bad part leaves them to nobody. What ran well before a crash clears nothing: a part may turn bad. - A part is suspect from five crashes at three moments on. All upstreams lost at once are one moment. - It is held against a prompt only if crashes at two moments remain that no other part explains which the prompt lacks. So a sound prompt passes beside a bad one with which it shares other parts, and its answer clears these. - A verdict waits 800 ms for the facts of the other parts, and a report 600 ms for the part to run well: most do, and nothing is told of them. - An upstream that answers no connection counts against no part; it may be silent and go on. One that refuses does, also behind a whole event. - A blocked prompt is rejected before its body is read: 502, no time to return.

The second test of the last asked that a stream which ends between two events, as its upstream goes down, counts against its content: body_end_test.ts forbids that, since an upstream that stops looks the same. It now asks, as strictly, that it counts against its parts, for which one such end decides nothing.

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -25,17 +25,23 @@
 export interface ManualClock extends Clock {
   /** Moves both clocks forward by the given milliseconds. */
   advance(ms: number): void;
+  /** Steps the wall clock alone, as an operator's correction does. */
+  stepWall(ms: number): void;
 }
 
 /** Makes a clock that starts at the given milliseconds. */
 export function createManualClock(startMs = 0): ManualClock {
   let nowMs = startMs;
+  let stepMs = 0;
   return {
     monotonicMs: () => nowMs,
-    wallMs: () => nowMs,
+    wallMs: () => nowMs + stepMs,
     advance(ms) {
       nowMs += ms;
     },
+    stepWall(ms) {
+      stepMs += ms;
+    },
   };
 }
 
--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -13,6 +13,7 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
+import { isPart } from "./subjects.ts";
 import { getProcessKey, type UpstreamProcess } from "./types.ts";
 
 /**
@@ -29,11 +30,15 @@
   readonly clock: Clock;
   /** Tries to connect to an upstream. */
   tryConnect(address: string): Promise<ConnectResult>;
-  /** Called with the contents whose responses broke off. */
+  /**
+   * Called with the subjects whose responses broke off, and with the time since
+   * the first of them did, in ms.
+   */
   onEnded(
     upstream: UpstreamProcess,
-    fingerprints: readonly string[],
+    subjects: readonly string[],
     evidence: CrashEvidence,
+    sinceMs: number,
   ): void;
   /** Called with the result of each connection attempt. */
   onAsked(result: ConnectResult): void;
@@ -41,10 +46,13 @@
 
 /** Detects crashes at one host. */
 export interface CrashDetector {
-  /** Records that the connection ended before the response to a content. */
-  recordCutOff(upstream: UpstreamProcess, fingerprint: string): void;
-  /** Records that the upstream accepts no connection. */
-  recordUnreachable(upstream: UpstreamProcess): void;
+  /** Records that the connection ended before the response to a subject. */
+  recordCutOff(upstream: UpstreamProcess, subject: string): void;
+  /**
+   * Records that the upstream accepts no connection; `isRefused` if it is known
+   * that nothing listens there.
+   */
+  recordUnreachable(upstream: UpstreamProcess, isRefused?: boolean): void;
   /** Records that an upstream process is running at the address. */
   recordRunning(upstream: UpstreamProcess): void;
   /** Asks the upstreams whose turn has come. */
@@ -70,7 +78,7 @@
 const MAX_ASKS = 5;
 
 interface CutOffResponse {
-  readonly fingerprint: string;
+  readonly subject: string;
   /** Monotonic milliseconds. */
   readonly atMs: number;
 }
@@ -83,9 +91,17 @@
   lastAskedMs: number;
   /** Whether a response has broken off since the upstream was last asked. */
   isUnasked: boolean;
-  hasEnded: boolean;
+  /** How sure it is that it has ended; `undefined` without evidence. */
+  ended: Certainty | undefined;
 }
 
+/**
+ * Whether an upstream has ended for sure, or only doesn't answer: one that is
+ * silent for a while looks the same, and goes on. That is enough to blame a
+ * content, which comes again and again, but not a part that many prompts share.
+ */
+type Certainty = "shown" | "presumed";
+
 /** Creates a detector that watches no process. */
 export function createCrashDetector(host: CrashDetectorHost): CrashDetector {
   const { clock } = host;
@@ -106,23 +122,29 @@
       lastCutOffMs: clock.monotonicMs(),
       lastAskedMs: -Infinity,
       isUnasked: true,
-      hasEnded: false,
+      ended: undefined,
     }));
   }
 
-  /** Reports the contents whose responses broke off within the window. */
+  /** Reports the subjects whose responses broke off within the window. */
   function reportEnded(
     known: WatchedProcess,
-    evidence: CrashEvidence,
-    windowMs: number,
+    { evidence, certainty, windowMs }: {
+      readonly evidence: CrashEvidence;
+      readonly certainty: Certainty;
+      readonly windowMs: number;
+    },
   ): void {
-    const sinceMs = clock.monotonicMs() - windowMs;
-    const recent = known.responses.filter((each) => each.atMs > sinceMs);
-    if (recent.length === 0) return;
-    known.hasEnded = true;
-    known.responses = [];
-    const fingerprints = new Set(recent.map((each) => each.fingerprint));
-    host.onEnded(known.upstream, [...fingerprints], evidence);
+    const nowMs = clock.monotonicMs();
+    const isDue = ({ atMs, subject }: CutOffResponse) =>
+      atMs > nowMs - windowMs && (certainty === "shown" || !isPart(subject));
+    const due = known.responses.filter(isDue);
+    if (due.length === 0) return;
+    known.ended = known.ended === "shown" ? "shown" : certainty;
+    known.responses = known.responses.filter((each) => !isDue(each));
+    const subjects = new Set(due.map((each) => each.subject));
+    const firstMs = Math.min(...due.map((each) => each.atMs));
+    host.onEnded(known.upstream, [...subjects], evidence, nowMs - firstMs);
   }
 
   function wasAskedRecently({ lastAskedMs }: WatchedProcess): boolean {
@@ -131,9 +153,10 @@
 
   /** Asks about responses that broke off after the upstream was last asked. */
   function askIfDue(known: WatchedProcess): void {
-    const { hasEnded, isUnasked, lastCutOffMs } = known;
+    const { ended, isUnasked, lastCutOffMs } = known;
     const isOld = clock.monotonicMs() - lastCutOffMs > UNREACHABLE_WINDOW_MS;
-    if (hasEnded || !isUnasked || isOld || wasAskedRecently(known)) return;
+    const isKnown = ended !== undefined;
+    if (isKnown || !isUnasked || isOld || wasAskedRecently(known)) return;
     const asked = [...watched.values()].filter(wasAskedRecently);
     if (asked.length < MAX_ASKS) void ask(known);
   }
@@ -144,29 +167,45 @@
     const result = await host.tryConnect(known.upstream.address);
     host.onAsked(result);
     if (result === "accepted" || result === "failed") return;
-    reportEnded(known, "asked", UNREACHABLE_WINDOW_MS);
+    reportEnded(known, {
+      evidence: "asked",
+      certainty: result === "refused" ? "shown" : "presumed",
+      windowMs: UNREACHABLE_WINDOW_MS,
+    });
   }
 
   return {
-    recordCutOff(upstream, fingerprint) {
+    recordCutOff(upstream, subject) {
       forgetOld();
       const atMs = clock.monotonicMs();
       const known = watch(upstream);
-      known.responses.push({ fingerprint, atMs });
+      known.responses.push({ subject, atMs });
       known.lastCutOffMs = atMs;
       known.isUnasked = true;
-      if (known.hasEnded) reportEnded(known, "asked", UNREACHABLE_WINDOW_MS);
-      else askIfDue(known);
+      if (known.ended === undefined) return askIfDue(known);
+      reportEnded(known, {
+        evidence: "asked",
+        certainty: known.ended,
+        windowMs: UNREACHABLE_WINDOW_MS,
+      });
     },
-    recordUnreachable(upstream) {
+    recordUnreachable(upstream, isRefused = false) {
       const known = watched.get(getProcessKey(upstream));
       if (known === undefined) return;
-      reportEnded(known, "request-refused", UNREACHABLE_WINDOW_MS);
+      reportEnded(known, {
+        evidence: "request-refused",
+        certainty: isRefused ? "shown" : "presumed",
+        windowMs: UNREACHABLE_WINDOW_MS,
+      });
     },
     recordRunning(upstream) {
       for (const known of watched.values()) {
         if (!isReplacedBy(known.upstream, upstream)) continue;
-        reportEnded(known, "replaced", REPLACED_WINDOW_MS);
+        reportEnded(known, {
+          evidence: "replaced",
+          certainty: "shown",
+          windowMs: REPLACED_WINDOW_MS,
+        });
       }
     },
     tick: () => watched.forEach(askIfDue),
--- a/src/crashes/crash_events.ts
+++ b/src/crashes/crash_events.ts
@@ -6,29 +6,47 @@
  */
 
 import { type Clock, dropOldest } from "../core/mod.ts";
+import { isPart } from "./subjects.ts";
 import type { CrashEvent } from "./types.ts";
+import { isSuspect, type KnownCrashes } from "./verdict.ts";
 
 /** The events that one host knows. */
-export interface CrashEvents {
+export interface CrashEvents extends KnownCrashes {
   /** Adds or refutes an event; returns false if that was known. */
   merge(event: CrashEvent): boolean;
-  get(fingerprint: string): readonly CrashEvent[];
-  /** Number of upstream processes that ended under the content. */
-  count(fingerprint: string): number;
+  get(subject: string): readonly CrashEvent[];
+  /** Number of upstream processes that ended under the subject. */
+  count(subject: string): number;
 }
 
 /** An event is forgotten after this time, in ms. */
 export const EVENT_TTL_MS = 10 * 60_000;
 
-/** Limit on the contents with events; the one changed first is evicted. */
-const MAX_CONTENTS = 2_000;
+/** Crashes from which on a part may explain those of others. */
+const MIN_RIVAL_CRASHES = 3;
+
+/**
+ * Time for which a part must have been suspect, in ms. The events of the other
+ * parts at the same crashes, and what refutes them, come by other datagrams.
+ */
+const SETTLE_MS = 800;
+
+/** Limit on the subjects with events; the one changed first is evicted. */
+const MAX_SUBJECTS = 2_000;
+
+/** Limit on the events of one subject; the oldest is dropped. */
+const MAX_EVENTS = 24;
 
 /** Creates an empty set of events. */
 export function createCrashEvents(clock: Clock): CrashEvents {
-  const contents = new Map<string, Map<string, CrashEvent>>();
+  const subjects = new Map<string, Map<string, CrashEvent>>();
+  /** Parts that may explain the crashes of others. */
+  const rivals = new Set<string>();
+  /** Monotonic times since which parts are suspect, in ms. */
+  const suspects = new Map<string, number>();
 
-  function get(fingerprint: string): readonly CrashEvent[] {
-    const known = contents.get(fingerprint);
+  function get(subject: string): readonly CrashEvent[] {
+    const known = subjects.get(subject);
     if (known === undefined) return [];
     for (const [process, { atMs }] of known) {
       if (clock.wallMs() - atMs > EVENT_TTL_MS) known.delete(process);
@@ -36,25 +54,51 @@
     return [...known.values()];
   }
 
+  function getCounted(subject: string): readonly CrashEvent[] {
+    return get(subject).filter((each) => each.state === "counted");
+  }
+
   function set(event: CrashEvent): void {
-    const { fingerprint, process } = event;
-    const known = contents.get(fingerprint) ?? new Map<string, CrashEvent>();
-    known.set(process, event);
-    contents.delete(fingerprint);
-    contents.set(fingerprint, known);
-    dropOldest(contents, MAX_CONTENTS);
+    const { subject, process } = event;
+    const known = subjects.get(subject) ?? new Map<string, CrashEvent>();
+    // The clock of another host may be ahead.
+    const atMs = Math.min(event.atMs, clock.wallMs());
+    known.set(process, { ...event, atMs });
+    dropOldest(known, MAX_EVENTS);
+    subjects.delete(subject);
+    subjects.set(subject, known);
+    dropOldest(subjects, MAX_SUBJECTS);
+    if (isPart(subject)) updateSuspicion(subject);
+  }
+
+  function updateSuspicion(part: string): void {
+    const counted = getCounted(part);
+    if (counted.length >= MIN_RIVAL_CRASHES) rivals.add(part);
+    else rivals.delete(part);
+    if (!isSuspect(part, counted)) suspects.delete(part);
+    else if (!suspects.has(part)) suspects.set(part, clock.monotonicMs());
   }
 
   return {
     get,
+    getCounted,
+    getRivals: (crashes) =>
+      [...rivals].filter((each) => getCounted(each).length >= crashes),
+    getSuspectParts() {
+      if (suspects.size === 0) return [];
+      for (const part of suspects.keys()) updateSuspicion(part);
+      const dueMs = clock.monotonicMs() - SETTLE_MS;
+      return [...suspects.keys()].filter((each) =>
+        suspects.get(each)! <= dueMs
+      );
+    },
     merge(event) {
-      const known = contents.get(event.fingerprint)?.get(event.process);
+      const known = subjects.get(event.subject)?.get(event.process);
       const isNew = known === undefined ||
         (known.state === "counted" && event.state === "refuted");
       if (isNew) set(event);
       return isNew;
     },
-    count: (fingerprint) =>
-      get(fingerprint).filter((each) => each.state === "counted").length,
+    count: (subject) => getCounted(subject).length,
   };
 }
--- a/src/crashes/crash_facts.ts
+++ b/src/crashes/crash_facts.ts
@@ -7,7 +7,7 @@
 import type { Fact } from "../membership/mod.ts";
 import type { CrashEvent } from "./types.ts";
 
-/** Key prefix of these facts; the fingerprint and the process's key follow. */
+/** Key prefix of these facts; the subject and the process's key follow. */
 export const CRASH_KEY_PREFIX = "crash/";
 
 /** A refutation replaces the event, as the fact with the higher version. */
@@ -19,7 +19,7 @@
 /** Creates the fact that carries the event. */
 export function createCrashFact(event: CrashEvent): Fact {
   return {
-    key: `${CRASH_KEY_PREFIX}${event.fingerprint}/${event.process}`,
+    key: `${CRASH_KEY_PREFIX}${event.subject}/${event.process}`,
     version: VERSIONS[event.state],
     value: String(event.atMs),
   };
@@ -32,7 +32,7 @@
   const atMs = Number(fact.value);
   if (slash <= 0 || !Number.isFinite(atMs)) return undefined;
   return {
-    fingerprint: text.slice(0, slash),
+    subject: text.slice(0, slash),
     process: text.slice(slash + 1),
     atMs,
     state: fact.version >= VERSIONS.refuted ? "refuted" : "counted",
--- a/src/crashes/crash_reports.ts
+++ b/src/crashes/crash_reports.ts
@@ -1,15 +1,16 @@
 /**
  * Distributes crash events over the fleet. Each event goes to the owners of its
- * content, chosen by rendezvous hashing; they add up the events of all hosts
- * and tell everyone once a second upstream process has ended under a content.
+ * subject, chosen by rendezvous hashing; they add up the events of all hosts
+ * and tell everyone once one more crash would be held against the subject.
  *
  * Load: a rack of upstreams is lost, and at each of 195 hosts the responses of
- * several contents break off.
+ * several contents break off, and with them parts that most prompts share.
  *
  * Failures prevented: hosts that each count alone let one content crash an
  * upstream per host. If every event were gossiped to all hosts instead, those
  * of a lost rack would displace the other facts for minutes; most of them
- * concern contents that will never be seen again.
+ * concern contents that will never be seen again, and parts that run well a
+ * moment later. Nothing is told of a part until it has had time to run well.
  *
  * @module
  */
@@ -18,7 +19,8 @@
 import { type Fact, rankByRendezvous } from "../membership/mod.ts";
 import type { CrashEvents } from "./crash_events.ts";
 import { createCrashFact } from "./crash_facts.ts";
-import { CRASH_LIMIT, type CrashEvent } from "./types.ts";
+import { getCrashLimits, isPart } from "./subjects.ts";
+import type { CrashEvent } from "./types.ts";
 
 /** Dependencies of the reports, supplied by the process. */
 export interface CrashReportsHost {
@@ -47,9 +49,30 @@
   tick(): void;
 }
 
-/** Number of hosts that add up the events of one content. */
+/** Number of hosts that add up the events of one subject. */
 const OWNERS = 2;
 
+/**
+ * What the owners of parts are chosen by: all parts have the same owners, so
+ * that a host's report of all parts at a crash fits into a datagram or two.
+ */
+const PARTS_KEY = "parts";
+
+/**
+ * Time for which a part may run well again before its crash is told, in ms: a
+ * part that others share mostly does, at another upstream.
+ */
+const PART_DELAY_MS = 600;
+
+/**
+ * Time between the hosts that may refute the crashes of a part, in ms. They
+ * report in turn, so that the first ones spare the others theirs.
+ */
+const REFUTATION_GAP_MS = 100;
+
+/** Turns of hosts that refute; all others share the last one. */
+const REFUTATION_TURNS = 10;
+
 /**
  * Times between the sends of a report, in ms. The first ones replace lost
  * datagrams. The last ones reach the owners that a host learns of later: hosts
@@ -57,8 +80,8 @@
  */
 const RESEND_DELAYS_MS = [600, 1_200, 5_000, 15_000, 45_000];
 
-/** An owner publishes the events of a content from this number on. */
-const PUBLISH_COUNT = 2;
+/** Limit on the events of one subject that are published. */
+const MAX_PUBLISHED_EVENTS = 12;
 
 /** Limit on the reports that wait to be sent; the oldest is dropped. */
 const MAX_PENDING = 200;
@@ -85,18 +108,30 @@
   const pending = new Map<string, PendingReport>();
   /** Version of each published fact, by key. */
   const published = new Map<string, number>();
-  const publicContents = new Set<string>();
+  const publicSubjects = new Set<string>();
   const broadcastsMs: number[] = [];
 
-  function getOwners(fingerprint: string): readonly string[] {
-    return rankByRendezvous(fingerprint, host.getHosts()).slice(0, OWNERS);
+  function rankHosts(subject: string): readonly string[] {
+    const key = isPart(subject) ? PARTS_KEY : subject;
+    return rankByRendezvous(key, host.getHosts());
+  }
+
+  function getOwners(subject: string): readonly string[] {
+    return rankHosts(subject).slice(0, OWNERS);
+  }
+
+  function getDelayMs({ subject, state }: CrashEvent): number {
+    if (!isPart(subject)) return 0;
+    if (state === "counted") return PART_DELAY_MS;
+    const turn = rankHosts(subject).indexOf(host.self);
+    return Math.min(turn, REFUTATION_TURNS) * REFUTATION_GAP_MS;
   }
 
   /** Marks the event as known to all hosts; returns false if it was. */
   function setPublished(event: CrashEvent): boolean {
     const { key, version } = createCrashFact(event);
-    publicContents.add(event.fingerprint);
-    dropOldest(publicContents, MAX_PUBLISHED);
+    publicSubjects.add(event.subject);
+    dropOldest(publicSubjects, MAX_PUBLISHED);
     if ((published.get(key) ?? 0) >= version) return false;
     published.set(key, version);
     dropOldest(published, MAX_PUBLISHED);
@@ -113,34 +148,37 @@
     return true;
   }
 
-  function publishIfDue(fingerprint: string): void {
-    const isDue = publicContents.has(fingerprint) ||
-      events.count(fingerprint) >= PUBLISH_COUNT;
+  function publishIfDue(subject: string): void {
+    const isDue = publicSubjects.has(subject) ||
+      events.count(subject) >= getCrashLimits(subject).crashes - 1;
     if (!isDue) return;
-    for (const event of getNews(fingerprint)) publish(event);
+    for (const event of getNews(subject)) publish(event);
   }
 
-  /** Events that change what other hosts decide about the content. */
-  function getNews(fingerprint: string): readonly CrashEvent[] {
-    const known = events.get(fingerprint);
+  /** Events that change what other hosts decide about the subject. */
+  function getNews(subject: string): readonly CrashEvent[] {
+    const known = events.get(subject);
     const counted = known.filter((each) => each.state === "counted");
     const refuted = known.filter((each) =>
       each.state === "refuted" && published.has(createCrashFact(each).key)
     );
-    return [...refuted, ...counted.slice(0, CRASH_LIMIT)];
+    const most = isPart(subject)
+      ? MAX_PUBLISHED_EVENTS
+      : getCrashLimits(subject).crashes;
+    return [...refuted, ...counted.slice(0, most)];
   }
 
   function publish(event: CrashEvent): void {
     if (!setPublished(event)) return;
     const fact = createCrashFact(event);
     const isUrgent = event.state === "refuted" ||
-      events.count(event.fingerprint) >= CRASH_LIMIT;
+      events.count(event.subject) >= getCrashLimits(event.subject).crashes;
     if (isUrgent && mayBroadcast()) host.broadcastFact(fact);
     else host.gossipFact(fact);
   }
 
-  function publishIfOwner(fingerprint: string): void {
-    if (getOwners(fingerprint).includes(host.self)) publishIfDue(fingerprint);
+  function publishIfOwner(subject: string): void {
+    if (getOwners(subject).includes(host.self)) publishIfDue(subject);
   }
 
   function sendDue(): void {
@@ -153,7 +191,7 @@
       if (delayMs === undefined) pending.delete(key);
       else report.dueMs = nowMs + delayMs;
       report.sent++;
-      for (const owner of getOwners(report.event.fingerprint)) {
+      for (const owner of getOwners(report.event.subject)) {
         if (owner === host.self) continue;
         getOrCreate(factsByOwner, owner, (): Fact[] => [])
           .push(createCrashFact(report.event));
@@ -165,15 +203,19 @@
   return {
     report(event) {
       const { key } = createCrashFact(event);
+      const isTold = published.has(key) || pending.get(key)?.sent !== 0;
       pending.delete(key);
-      pending.set(key, { event, sent: 0, dueMs: clock.monotonicMs() });
-      dropOldest(pending, MAX_PENDING);
-      publishIfOwner(event.fingerprint);
+      if (event.state === "counted" || isTold) {
+        const dueMs = clock.monotonicMs() + getDelayMs(event);
+        pending.set(key, { event, sent: 0, dueMs });
+        dropOldest(pending, MAX_PENDING);
+      }
+      publishIfOwner(event.subject);
     },
-    receiveReport: ({ fingerprint }) => publishIfDue(fingerprint),
+    receiveReport: ({ subject }) => publishIfDue(subject),
     receivePublished(event) {
       setPublished(event);
-      publishIfOwner(event.fingerprint);
+      publishIfOwner(event.subject);
     },
     tick: sendDue,
   };
--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -1,16 +1,20 @@
 /**
- * Detects and blocks poison requests, which crash the upstreams that run them.
+ * Detects and blocks what crashes the upstreams that run it.
  *
  * Load: one request crashes each upstream that starts to run it, and its caller
- * sends it again, with the same path, key and body, to any host.
+ * sends it again, with the same path, key and body, to any host. Or requests
+ * come that are alike in one part of their prompts only, and each of them
+ * crashes the upstream that begins to answer it.
  *
  * Failure prevented: upstream after upstream goes down, together with all other
  * requests that run there.
  *
  * Each content whose response broke off at an upstream process that ended is
- * suspected of that crash. The fleet adds up the crashes by upstream process,
- * whichever host saw them, and blocks a content at the third. A content that
- * runs to a good end at any host merely ran beside the cause, and is cleared.
+ * suspected of that crash, and each shared part of a prompt whose answer had
+ * hardly begun. The fleet adds up the crashes by upstream process, whichever
+ * host saw them; `verdict.ts` decides what is blocked. What runs well at any
+ * host merely ran beside the cause, and is cleared: a content by a good end, a
+ * part by an answer that goes on.
  *
  * @module
  */
@@ -28,12 +32,14 @@
 import { tryParseCrashFact } from "./crash_facts.ts";
 import { type CrashReportsHost, createCrashReports } from "./crash_reports.ts";
 import { createRecentSuccesses } from "./recent_successes.ts";
+import { isPart } from "./subjects.ts";
 import {
-  CRASH_LIMIT,
   type CrashEvent,
   getProcessKey,
+  type RequestSubjects,
   type UpstreamProcess,
 } from "./types.ts";
+import { countMoments, isSuspect, tryFindCulprit } from "./verdict.ts";
 
 /** Dependencies of the watch, supplied by the process. */
 export interface CrashWatchHost extends CrashReportsHost {
@@ -46,13 +52,19 @@
 }
 
 /**
- * Tracks which contents crash upstreams. Contents are identified by their
- * fingerprints.
+ * Tracks what crashes upstreams: contents, by their fingerprints, and parts, by
+ * their names.
  */
 export interface CrashWatch extends CrashDetector {
-  /** Records that the content ran to a good end. This clears its suspicion. */
-  recordSuccess(fingerprint: string): void;
-  isBlocked(fingerprint: string): boolean;
+  /**
+   * Records that the content ran to a good end, or that an answer on the part
+   * went on. This clears its suspicion.
+   */
+  recordSuccess(subject: string): void;
+  /** Returns what of the request crashes upstreams; `undefined` if nothing. */
+  tryGetCulprit(request: RequestSubjects): string | undefined;
+  /** Whether a request with this content and these parts is blocked. */
+  isBlocked(fingerprint: string, parts?: readonly string[]): boolean;
   /** Handles a fact that another host has published. */
   receiveFact(fact: Fact): void;
   /** Handles a fact that another host reports to this one. */
@@ -76,73 +88,107 @@
 
   function countCrash(
     upstream: UpstreamProcess,
-    fingerprints: readonly string[],
+    subjects: readonly string[],
     evidence: CrashEvidence,
+    sinceMs: number,
   ): void {
-    for (const fingerprint of fingerprints) {
+    for (const subject of subjects) {
       const event: CrashEvent = {
-        fingerprint,
+        subject,
         process: getProcessKey(upstream),
-        atMs: clock.wallMs(),
+        atMs: clock.wallMs() - sinceMs,
         state: "counted",
       };
-      if (successes.refutes(event) || !merge(event, evidence)) continue;
+      if (wasServedNear(event) || !merge(event, evidence)) continue;
       reports.report(event);
     }
   }
 
+  /**
+   * Whether a content ran well shortly before. That says nothing of a part, which
+   * may have turned bad since: many prompts have it, so that it soon runs again.
+   */
+  function wasServedNear(event: CrashEvent): boolean {
+    return !isPart(event.subject) && successes.refutes(event);
+  }
+
   /** Adds the event; returns false if it was known. */
   function merge(
     event: CrashEvent,
     from: CrashEvidence | "report" | "fact",
   ): boolean {
-    const { fingerprint, process, state } = event;
-    const before = events.count(fingerprint);
+    const { subject, process, state } = event;
+    const wasSuspect = isSuspect(subject, events.getCounted(subject));
     if (!events.merge(event)) return false;
-    const crashes = events.count(fingerprint);
-    if (state === "refuted") logCleared(fingerprint, crashes, from);
-    else {
-      log({ event: "content-suspected", fingerprint, crashes, process, from });
+    const counted = events.getCounted(subject);
+    const crashes = counted.length;
+    if (state === "refuted") {
+      logCleared(subject, crashes, from);
+    } else {
+      const name = isPart(subject) ? "part-suspected" : "content-suspected";
+      log({ event: name, subject, crashes, process, from });
     }
-    if (before < CRASH_LIMIT && crashes >= CRASH_LIMIT) {
-      log({ event: "content-blocked", fingerprint, crashes });
+    if (!wasSuspect && isSuspect(subject, counted)) {
+      logBlocked(subject, counted);
     }
     return true;
   }
 
-  function logCleared(fingerprint: string, crashes: number, from: string) {
-    log({ event: "content-cleared", fingerprint, crashes, from });
+  function logBlocked(subject: string, counted: readonly CrashEvent[]): void {
+    log({
+      event: isPart(subject) ? "part-blocked" : "content-blocked",
+      subject,
+      crashes: counted.length,
+      moments: countMoments(counted),
+      processes: counted.map(({ process }) => process),
+    });
+  }
+
+  function logCleared(subject: string, crashes: number, from: string): void {
+    const name = isPart(subject) ? "part-cleared" : "content-cleared";
+    log({ event: name, subject, crashes, from });
   }
 
   /** Refutes the events that a success at this host shows to be chance. */
-  function refuteIfServed(fingerprint: string): void {
-    for (const event of events.get(fingerprint)) {
-      if (event.state === "refuted" || !successes.refutes(event)) continue;
+  function refuteIfServed(subject: string): void {
+    refute(subject, wasServedNear);
+  }
+
+  function refute(
+    subject: string,
+    isChance: (event: CrashEvent) => boolean,
+  ): void {
+    const chance = events.getCounted(subject).filter(isChance);
+    if (chance.length === 0) return;
+    for (const event of chance) {
       const refuted: CrashEvent = { ...event, state: "refuted" };
       events.merge(refuted);
-      logCleared(fingerprint, events.count(fingerprint), "answer");
       reports.report(refuted);
     }
+    logCleared(subject, events.count(subject), "answer");
   }
 
   return {
     ...detector,
-    recordSuccess(fingerprint) {
-      successes.record(fingerprint);
-      refuteIfServed(fingerprint);
+    recordSuccess(subject) {
+      if (isPart(subject)) return refute(subject, () => true);
+      successes.record(subject);
+      refuteIfServed(subject);
     },
-    isBlocked: (fingerprint) => events.count(fingerprint) >= CRASH_LIMIT,
+    tryGetCulprit: (request) => tryFindCulprit(request, events),
+    isBlocked: (fingerprint, parts = []) =>
+      tryFindCulprit({ fingerprint, parts }, events) !== undefined,
     receiveFact(fact) {
       const event = tryParseCrashFact(fact);
       if (event === undefined) return;
       merge(event, "fact");
       reports.receivePublished(event);
-      refuteIfServed(event.fingerprint);
+      refuteIfServed(event.subject);
     },
     receiveReport(fact) {
       const event = tryParseCrashFact(fact);
       if (event === undefined || !merge(event, "report")) return;
-      refuteIfServed(event.fingerprint);
+      refuteIfServed(event.subject);
       reports.receiveReport(event);
     },
     tick() {
--- a/src/crashes/recent_successes.ts
+++ b/src/crashes/recent_successes.ts
@@ -36,7 +36,7 @@
       endedMs.set(fingerprint, clock.wallMs());
       dropOldest(endedMs, MAX_CONTENTS);
     },
-    refutes: ({ fingerprint, atMs }) =>
-      (endedMs.get(fingerprint) ?? -Infinity) > atMs - REFUTES_BEFORE_MS,
+    refutes: ({ subject, atMs }) =>
+      (endedMs.get(subject) ?? -Infinity) > atMs - REFUTES_BEFORE_MS,
   };
 }
--- a/src/crashes/subjects.ts
+++ b/src/crashes/subjects.ts
@@ -7,6 +7,23 @@
 
 import { getDigest } from "../core/mod.ts";
 
+/** From when on crashes are held against a subject. */
+export interface CrashLimits {
+  /** Upstream processes that ended under it. */
+  readonly crashes: number;
+  /** Moments at which they ended; see `countMoments`. */
+  readonly moments: number;
+}
+
+/** A third crash of one content, sent again as it is, is no coincidence. */
+const CONTENT_LIMITS: CrashLimits = { crashes: 3, moments: 1 };
+
+/**
+ * Innocent parts are in many prompts, so that they are at many crashes. Crashes
+ * at one moment have one cause and leave no part the time to run well.
+ */
+const PART_LIMITS: CrashLimits = { crashes: 5, moments: 3 };
+
 /** Prefix of the name of a part. A content's name has only hexadecimal digits. */
 const PART_PREFIX = "part-";
 
@@ -30,6 +47,11 @@
   return subject.startsWith(PART_PREFIX);
 }
 
+/** Returns the limits of the subject's kind. */
+export function getCrashLimits(subject: string): CrashLimits {
+  return isPart(subject) ? PART_LIMITS : CONTENT_LIMITS;
+}
+
 function getPartName(id: string): string {
   const text = PLAIN_ID.test(id) ? id : getDigest(id).slice(0, 32);
   return `${PART_PREFIX}${text}`;
--- a/src/crashes/types.ts
+++ b/src/crashes/types.ts
@@ -1,6 +1,6 @@
 /**
- * Types of crash events: which content was running at which upstream process
- * when that process ended.
+ * Types of crash events: what was running at which upstream process when that
+ * process ended.
  *
  * @module
  */
@@ -14,28 +14,30 @@
 >;
 
 /**
- * A content whose response broke off when an upstream process ended. A content
+ * A subject whose response broke off when an upstream process ended. A subject
  * and a process identify an event, so that any number of reports count once.
  */
 export interface CrashEvent {
-  /** Digest of the content. */
-  readonly fingerprint: string;
+  /** Digest of a content, or name of a part; see `isPart`. */
+  readonly subject: string;
   /** Key of the upstream process, see `getProcessKey`. */
   readonly process: string;
-  /** Wall-clock time at which a host detected the crash, in ms. */
+  /** Wall-clock time at which the response broke off, in ms. */
   readonly atMs: number;
   /**
-   * A refuted event does not count: the content has run to a good end, so that
-   * it merely ran beside the cause of the crash.
+   * A refuted event does not count: the subject has run well, so that it merely
+   * ran beside the cause of the crash.
    */
   readonly state: "counted" | "refuted";
 }
 
-/**
- * A content is blocked at this number of crashes; a third one is no longer a
- * coincidence.
- */
-export const CRASH_LIMIT = 3;
+/** What a request can crash upstreams by. */
+export interface RequestSubjects {
+  /** Digest of its whole content. */
+  readonly fingerprint: string;
+  /** Names of the parts of its prompt that other requests may have as well. */
+  readonly parts: readonly string[];
+}
 
 /** Returns a text without spaces that identifies the run of the process. */
 export function getProcessKey({ id, incarnation }: UpstreamProcess): string {
--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -439,10 +439,11 @@
     readonly reason: string;
   }
   | {
-    /** Content was running at an upstream process that ended. */
-    readonly event: "content-suspected";
-    readonly fingerprint: string;
-    /** Crashes of the content that this host knows of. */
+    /** A content or a part was running at an upstream process that ended. */
+    readonly event: "content-suspected" | "part-suspected";
+    /** Digest of the content, or name of the part. */
+    readonly subject: string;
+    /** Crashes of the subject that this host knows of. */
     readonly crashes: number;
     /** Incarnation and id of the upstream. */
     readonly process: string;
@@ -450,17 +451,24 @@
     readonly from: string;
   }
   | {
-    /** The content merely ran beside the cause of crashes. */
-    readonly event: "content-cleared";
-    readonly fingerprint: string;
+    /** The subject merely ran beside the cause of crashes. */
+    readonly event: "content-cleared" | "part-cleared";
+    readonly subject: string;
     readonly crashes: number;
     readonly from: string;
   }
   | {
-    /** Content has reached the limit of crashes, and is refused. */
-    readonly event: "content-blocked";
-    readonly fingerprint: string;
+    /**
+     * The subject has reached its limit of crashes, and is refused: a part
+     * unless other suspect parts, which a request lacks, explain them.
+     */
+    readonly event: "content-blocked" | "part-blocked";
+    readonly subject: string;
     readonly crashes: number;
+    /** Moments at which they happened. */
+    readonly moments: number;
+    /** The upstream processes that ended. */
+    readonly processes: readonly string[];
   }
   | {
     readonly event: "started";
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -110,15 +110,18 @@
       return `Row "${decision.key}" of ${decision.table} can't be read: ` +
         `"${decision.reason}"`;
     case "content-suspected":
-      return `Content ${decision.fingerprint} is suspect after ` +
+    case "part-suspected":
+      return `${decision.subject} is suspect after ` +
         `${decision.crashes} crashes, the last of ${decision.process}, ` +
         `known from: ${decision.from}`;
     case "content-cleared":
-      return `Content ${decision.fingerprint} ran well elsewhere; ` +
+    case "part-cleared":
+      return `${decision.subject} ran well elsewhere; ` +
         `${decision.crashes} crashes count, known from: ${decision.from}`;
     case "content-blocked":
-      return `Content ${decision.fingerprint} is refused after ` +
-        `${decision.crashes} crashes`;
+    case "part-blocked":
+      return `${decision.subject} is refused after ` +
+        `${decision.crashes} crashes at ${decision.moments} moments`;
     case "started":
       return `Started, incarnation ${decision.incarnation}`;
     case "drain-phase":
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -214,6 +214,8 @@
   isSent: boolean;
   /** Monotonic time of the first events of its response; `undefined` before. */
   firstEventsMs: number | undefined;
+  /** Whether its response has shown that its upstream survives the parts. */
+  isProven: boolean;
   /** Number of upstreams to which the request had been sent, this one included. */
   number: number;
   /**
--- a/src/forwarding/forward.ts
+++ b/src/forwarding/forward.ts
@@ -10,11 +10,7 @@
 import type { CallerLost } from "../requests/caller.ts";
 import type { RetryUse } from "../diagnostics/mod.ts";
 import { getChoice, logAttempt, logFailure } from "./attempt_log.ts";
-import {
-  checkNotBlocked,
-  createBlockedRejection,
-  isContentBlocked,
-} from "./blocked_content.ts";
+import { checkNotBlocked, createBlockedRejection } from "./blocked_content.ts";
 import type { Call, ForwardHost } from "./call.ts";
 import { createUnavailable, getEligible } from "./eligible_upstreams.ts";
 import { decideNextStep } from "./next_step.ts";
@@ -139,7 +135,8 @@
   call: Call,
   err: AttemptFailed,
 ): Rejected {
-  if (isContentBlocked(host, call)) return createBlockedRejection(call);
+  const culprit = host.crashes.tryGetCulprit(call);
+  if (culprit !== undefined) return createBlockedRejection(culprit);
   if (call.progress.possibleRuns === 0) {
     const hasCandidate = getEligible(host, call).length > 0;
     if (!hasCandidate) return createUnavailable(host, call);
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -19,6 +19,7 @@
 } from "./event_splitter.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
+import { createProvenParts } from "./proven_parts.ts";
 import { receiveBody } from "./response_body.ts";
 import { createDroppedError } from "./response_memory.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
@@ -161,6 +162,7 @@
   const { res: caller, progress } = call;
   const { trace } = response;
   const pauseSampler = createSampler(host, call, attempt);
+  const proven = createProvenParts(host, call, attempt);
   let lastChunkMs: number | undefined;
   let resumedMs = -Infinity;
 
@@ -193,6 +195,7 @@
     relay({ bytes, lastEventId }) {
       const nowMs = host.clock.monotonicMs();
       recordPause(nowMs);
+      proven.onEvents(nowMs, host.getUnreadMs());
       progress.chunks++;
       if (progress.eventVersions.size === 0) {
         recordFirstEvent(host, call, attempt.upstream);
@@ -207,6 +210,7 @@
     },
     onResumed() {
       resumedMs = host.clock.monotonicMs();
+      proven.onResumed(resumedMs);
       trace.onResumed(resumedMs);
     },
     end() {
--- a/src/forwarding/running_attempt.ts
+++ b/src/forwarding/running_attempt.ts
@@ -18,7 +18,9 @@
 import type { PickedUpstream } from "./pick_upstream.ts";
 import { relayBuffered } from "./relay_buffered.ts";
 import { relayStream } from "./relay_stream.ts";
+import { recordProven } from "./proven_parts.ts";
 import { createSilenceWatch } from "./silence_watch.ts";
+import { REFUSED_CODE } from "./try_connect.ts";
 import type { AttemptFailed } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
@@ -105,6 +107,7 @@
     endPrefill,
     isSent: false,
     firstEventsMs: undefined,
+    isProven: false,
     number: progress.attempts,
     bodyTrace: undefined,
     onSent() {
@@ -138,6 +141,7 @@
         health.recordSuccess(upstream.id);
         if (isSuccess(call.progress.status)) {
           host.crashes.recordSuccess(call.fingerprint);
+          recordProven(host, call, attempt);
         }
       })
     ),
@@ -157,19 +161,37 @@
 export function recordFailure(
   host: ForwardHost,
   call: Call,
-  { upstream }: Attempt,
+  attempt: Attempt,
   err: AttemptFailed,
 ): void {
+  const { upstream } = attempt;
   if (err.kind === "unwanted") return;
   if (err.kind === "not-sent") {
     host.health.recordFailure(upstream.id, "unreachable");
-    host.crashes.recordUnreachable(upstream);
+    const isRefused = err.reason === REFUSED_CODE;
+    host.crashes.recordUnreachable(upstream, isRefused);
     return;
   }
   host.health.recordFailure(upstream.id, "failed");
   if (err.kind === "cut-off") {
     host.crashes.recordCutOff(upstream, call.fingerprint);
   }
+  if (err.kind === "cut-off" || err.contact === "refused") {
+    recordSuspectParts(host, call, attempt);
+  }
+}
+
+/**
+ * An upstream ends under a part as it begins to answer. What it had been writing
+ * for a while is not the cause.
+ */
+function recordSuspectParts(
+  host: ForwardHost,
+  { parts }: Call,
+  { upstream, isProven }: Attempt,
+): void {
+  if (isProven) return;
+  for (const part of parts) host.crashes.recordCutOff(upstream, part);
 }
 
 function relay(
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -17,7 +17,7 @@
   onCallerDisconnected,
 } from "../requests/caller.ts";
 import { pickService, type Route, type RouteTable } from "../routing/mod.ts";
-import { checkNotBlocked } from "./blocked_content.ts";
+import { checkNotBlocked, tryRejectParts } from "./blocked_content.ts";
 import {
   type Call,
   createProgress,
@@ -58,6 +58,8 @@
   readonly routes: RouteTable;
   readonly route: Route;
   readonly team: string | undefined;
+  /** Names of the parts of its prompt that other requests may have as well. */
+  readonly parts: readonly string[];
 }
 
 /**
@@ -80,7 +82,8 @@
   try {
     const found = identify(host, state, req);
     if (found instanceof Rejected) return endRejected(host, state, res, found);
-    const refused = tryRefuseEarly(host, found);
+    const refused = tryRejectParts(host, found.parts) ??
+      tryRefuseEarly(host, found);
     if (refused !== undefined) return endRejected(host, state, res, refused);
     Effect.runFork(serveIdentified(host, state, found, { req, res }));
   } catch (err) {
@@ -154,7 +157,8 @@
   if (needsTeam && team === undefined) {
     return createRejected(401, "The key belongs to no team");
   }
-  return { headers, routes, route, team };
+  const partIds = headers.prompt?.parts.map(({ id }) => id) ?? [];
+  return { headers, routes, route, team, parts: getSharedParts(partIds) };
 }
 
 /**
@@ -163,7 +167,7 @@
 function prepareCall(
   host: ForwardHost,
   state: RequestState,
-  { headers, routes, route, team }: IdentifiedRequest,
+  { headers, routes, route, team, parts }: IdentifiedRequest,
   { req, res }: Exchange,
 ): Effect.Effect<Call, Rejected | CallerLost> {
   return Effect.gen(function* () {
@@ -181,7 +185,7 @@
       service: pickService(route.services, host.random()),
       body,
       fingerprint: getFingerprint(req, team, body),
-      parts: getSharedParts(headers.prompt?.parts.map(({ id }) => id) ?? []),
+      parts,
       arrivedMs: state.arrivedMs,
       deadlineMs: state.arrivedMs + Math.min(callerTimeoutMs, route.timeoutMs),
       progress: createProgress(headers.lastEventId),
--- a/src/forwarding/try_connect.ts
+++ b/src/forwarding/try_connect.ts
@@ -28,6 +28,9 @@
   }
 }
 
+/** Code of the error of a connection to where nothing listens. */
+export const REFUSED_CODE = "ECONNREFUSED";
+
 /** Tries to connect to the address, and closes the connection at once. */
 export function tryConnect(address: string): Promise<ConnectResult> {
   const [host, port] = address.split(":");
@@ -43,7 +46,7 @@
     socket.on(
       "error",
       (err: NodeJS.ErrnoException) =>
-        end(err.code === "ECONNREFUSED" ? "refused" : "failed"),
+        end(err.code === REFUSED_CODE ? "refused" : "failed"),
     );
   });
 }
--- a/src/testing/crash_fixture.ts
+++ b/src/testing/crash_fixture.ts
@@ -107,12 +107,12 @@
   return { id, incarnation, address: `${id}:8022` };
 }
 
-/** Lets the content crash the upstream, as the host sees it. */
+/** Lets the subjects crash the upstream, as the host sees it. */
 export function crash(
   host: CrashWatch,
   upstream: UpstreamProcess,
   ...contents: readonly string[]
 ): void {
   for (const content of contents) host.recordCutOff(upstream, content);
-  host.recordUnreachable(upstream);
+  host.recordUnreachable(upstream, true);
 }
