Send no prompt again that broke off as upstreams crash under its parts

What callers saw: one prompt with a bad part ends up to three upstreams, since each attempt that breaks off is repeated at the next. Cause: a failure was followed by another attempt whatever the fleet knew of crashes under the parts of the prompt. Now it isn't if the prompt broke off and upstreams have ended under one of its parts at least twice without an answer that went on since. For a bystander that ends a request whose next upstream would mostly go as well; one crash by chance, or parts that run well elsewhere, change nothing.

next_step_test.ts, seen failing without it.

--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -63,6 +63,8 @@
   recordSuccess(subject: string): void;
   /** Returns what of the request crashes upstreams; `undefined` if nothing. */
   tryGetCulprit(request: RequestSubjects): string | undefined;
+  /** Whether upstreams have crashed under the subject, not once only. */
+  isSuspected(subject: string): boolean;
   /** Whether a request with this content and these parts is blocked. */
   isBlocked(fingerprint: string, parts?: readonly string[]): boolean;
   /** Handles a fact that another host has published. */
@@ -73,6 +75,9 @@
   tick(): void;
 }
 
+/** Crashes from which on they are unlikely to be chance. */
+const SUSPECTED_CRASHES = 2;
+
 /** Creates a watch without suspects. */
 export function createCrashWatch(host: CrashWatchHost): CrashWatch {
   const { clock, log } = host;
@@ -175,6 +180,7 @@
       successes.record(subject);
       refuteIfServed(subject);
     },
+    isSuspected: (subject) => events.count(subject) >= SUSPECTED_CRASHES,
     tryGetCulprit: (request) => tryFindCulprit(request, events),
     isBlocked: (fingerprint, parts = []) =>
       tryFindCulprit({ fingerprint, parts }, events) !== undefined,
--- a/src/forwarding/next_step.ts
+++ b/src/forwarding/next_step.ts
@@ -37,6 +37,8 @@
   readonly remainingMs: number;
   /** Whether the content is blocked because it crashes upstreams. */
   readonly isBlocked: boolean;
+  /** Whether upstreams have crashed under a part of the prompt, not once only. */
+  readonly isSuspect: boolean;
   /** Whether some upstream has not been tried yet and accepts requests now. */
   readonly hasCandidate: boolean;
 }
@@ -86,7 +88,7 @@
  * conditions allow a retry.
  */
 export function decideNextStep(input: StepInput): NextStep {
-  const because = tryGetGiveUpReason(input);
+  const because = tryGetSuspicion(input) ?? tryGetGiveUpReason(input);
   if (because !== undefined) return { kind: "give-up", because };
   // A request that was never sent has reached no upstream, so that sending it
   // is not a retry.
@@ -109,6 +111,18 @@
     : { kind: "wait", because };
 }
 
+/**
+ * A prompt that broke off as upstreams crash under one of its parts would often
+ * crash the next upstream, and with it all other prompts that run there.
+ */
+function tryGetSuspicion(
+  { failure, isSuspect }: StepInput,
+): string | undefined {
+  return failure === "cut-off" && isSuspect
+    ? "Upstreams crash under what this prompt shares with others"
+    : undefined;
+}
+
 function tryGetGiveUpReason(input: RequestProgress): string | undefined {
   if (input.isBlocked) return "Upstreams crashed under this content";
   if (input.remainingMs < MIN_REMAINING_MS) return "Too little time remains";
--- a/src/forwarding/next_step_test.ts
+++ b/src/forwarding/next_step_test.ts
@@ -21,6 +21,7 @@
     hasEventId: false,
     remainingMs: 1_000,
     isBlocked: false,
+    isSuspect: false,
     hasCandidate: true,
     tryTakeRetry() {
       taken++;
@@ -130,6 +131,7 @@
     hasEventId: true,
     remainingMs: 1_000,
     isBlocked: false,
+    isSuspect: false,
     hasCandidate: true,
   };
   strictEqual(decideOnSilence(progress).kind, "seek-another");
@@ -146,3 +148,11 @@
     strictEqual(decideOnSilence({ ...progress, ...each }).kind, "wait");
   }
 });
+
+test("a prompt that broke off as upstreams crash under its parts is not sent again", () => {
+  // Guards against one prompt that takes down an upstream with each attempt.
+  const suspect = { isSuspect: true, failure: "cut-off" } as const;
+  strictEqual(decide(suspect).step, "give-up");
+  strictEqual(decide({ isSuspect: true }).step, "another-upstream");
+  strictEqual(decide({ failure: "cut-off" }).step, "another-upstream");
+});
--- a/src/forwarding/request_progress.ts
+++ b/src/forwarding/request_progress.ts
@@ -28,6 +28,7 @@
     hasEventId: progress.lastEventId !== undefined,
     remainingMs,
     isBlocked: isContentBlocked(host, call),
+    isSuspect: call.parts.some((each) => host.crashes.isSuspected(each)),
     hasCandidate: candidates > 0,
   };
 }
