Drop messages that are sent after a host's sockets have closed

What operators could see: a host that stops ends with an uncaught error, ERR_SOCKET_DGRAM_NOT_RUNNING, and its last lines are lost. Datagrams may be lost, so one that comes too late is dropped. The test failed before with that error.

--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -130,7 +130,11 @@
   // host anyway.
   socket.on("error", () => {});
 
+  let isClosed = false;
+
   function sendBytes(target: string, bytes: Uint8Array): void {
+    // Requests that end as the host stops still have something to tell.
+    if (isClosed) return;
     const [targetHost, targetPort] = target.split(":");
     socket.send(bytes, Number(targetPort), targetHost);
   }
@@ -146,6 +150,7 @@
       for (const target of addresses) sendBytes(target, bytes);
     },
     async [Symbol.asyncDispose]() {
+      isClosed = true;
       await new Promise<void>((resolve) => socket.close(resolve));
     },
   };
--- a/src/peers/datagrams_test.ts
+++ b/src/peers/datagrams_test.ts
@@ -8,7 +8,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import type { MembershipMessage } from "../membership/mod.ts";
-import { createDatagramCodec } from "./datagrams.ts";
+import { createDatagramCodec, openDatagrams } from "./datagrams.ts";
 
 const message: MembershipMessage = {
   from: "entry-1",
@@ -58,3 +58,14 @@
   assert.equal(decoded.updates[0]!.state, "dead");
   assert.equal(decoded.updates[0]!.publicAddress, "10.0.0.3:21001");
 });
+
+test("a message that is sent after the socket has closed is dropped", async () => {
+  // Guards against a request that ends as its host stops, and ends the process.
+  const socket = await openDatagrams("127.0.0.1:0", {
+    codec: createDatagramCodec("secret-of-the-fleet"),
+    onMessage: () => {},
+  });
+  await socket[Symbol.asyncDispose]();
+  socket.send("127.0.0.1:9", message);
+  socket.sendToAll(["127.0.0.1:9"], message);
+});
