Publish a part's crashes only while they are about to count

Cause: once a part had been published, each later crash of it was published as well, for each popular part at each crash, and with each its refutation; these facts filled the datagrams, so that hosts learned late which parts were cleared, and until then took them to explain the crashes. Contents as before.

--- a/src/crashes/crash_reports.ts
+++ b/src/crashes/crash_reports.ts
@@ -149,22 +149,20 @@
   }
 
   function publishIfDue(subject: string): void {
-    const isDue = publicSubjects.has(subject) ||
-      events.count(subject) >= getCrashLimits(subject).crashes - 1;
-    if (!isDue) return;
     for (const event of getNews(subject)) publish(event);
   }
 
   /** Events that change what other hosts decide about the subject. */
   function getNews(subject: string): readonly CrashEvent[] {
-    const known = events.get(subject);
-    const counted = known.filter((each) => each.state === "counted");
-    const refuted = known.filter((each) =>
+    const refuted = events.get(subject).filter((each) =>
       each.state === "refuted" && published.has(createCrashFact(each).key)
     );
-    const most = isPart(subject)
-      ? MAX_PUBLISHED_EVENTS
-      : getCrashLimits(subject).crashes;
+    const counted = events.getCounted(subject);
+    const { crashes } = getCrashLimits(subject);
+    // A part that is public mostly runs well again, and then begins anew.
+    const isPublic = !isPart(subject) && publicSubjects.has(subject);
+    if (!isPublic && counted.length < crashes - 1) return refuted;
+    const most = isPart(subject) ? MAX_PUBLISHED_EVENTS : crashes;
     return [...refuted, ...counted.slice(0, most)];
   }
 
