--- a/src/crashes/crash_events.ts
+++ b/src/crashes/crash_events.ts
@@ -35,7 +35,7 @@
 const MAX_SUBJECTS = 2_000;
 
 /** Limit on the events of one subject; the oldest is dropped. */
-const MAX_EVENTS = 24;
+const MAX_EVENTS = 16;
 
 /** Creates an empty set of events. */
 export function createCrashEvents(clock: Clock): CrashEvents {
