--- a/src/crashes/crash_events.ts
+++ b/src/crashes/crash_events.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { type Clock, dropOldest } from "../core/mod.ts";
+import type { Clock } from "../core/mod.ts";
 import { isPart } from "./subjects.ts";
 import type { CrashEvent } from "./types.ts";
 import { isSuspect, type KnownCrashes } from "./verdict.ts";
@@ -34,12 +34,14 @@
 /** Limit on the subjects with events; the one changed first is evicted. */
 const MAX_SUBJECTS = 2_000;
 
-/** Limit on the events of one subject; the oldest is dropped. */
-const MAX_EVENTS = 16;
+/** Limit on all events; the subject that changed first is evicted with its own. */
+const MAX_EVENTS = 20_000;
 
 /** Creates an empty set of events. */
 export function createCrashEvents(clock: Clock): CrashEvents {
   const subjects = new Map<string, Map<string, CrashEvent>>();
+  /** Number of all events. */
+  let total = 0;
   /** Parts that may explain the crashes of others. */
   const rivals = new Set<string>();
   /** Monotonic times since which parts are suspect, in ms. */
@@ -49,7 +51,9 @@
     const known = subjects.get(subject);
     if (known === undefined) return [];
     for (const [process, { atMs }] of known) {
-      if (clock.wallMs() - atMs > EVENT_TTL_MS) known.delete(process);
+      if (clock.wallMs() - atMs <= EVENT_TTL_MS) continue;
+      known.delete(process);
+      total--;
     }
     return [...known.values()];
   }
@@ -58,16 +62,26 @@
     return get(subject).filter((each) => each.state === "counted");
   }
 
+  function evictOldest(): void {
+    const [oldest] = subjects;
+    if (oldest === undefined) return;
+    const [subject, known] = oldest;
+    total -= known.size;
+    subjects.delete(subject);
+    rivals.delete(subject);
+    suspects.delete(subject);
+  }
+
   function set(event: CrashEvent): void {
     const { subject, process } = event;
     const known = subjects.get(subject) ?? new Map<string, CrashEvent>();
     // The clock of another host may be ahead.
     const atMs = Math.min(event.atMs, clock.wallMs());
+    if (!known.has(process)) total++;
     known.set(process, { ...event, atMs });
-    dropOldest(known, MAX_EVENTS);
     subjects.delete(subject);
     subjects.set(subject, known);
-    dropOldest(subjects, MAX_SUBJECTS);
+    while (subjects.size > MAX_SUBJECTS || total > MAX_EVENTS) evictOldest();
     if (isPart(subject)) updateSuspicion(subject);
   }
 
