Judge crashes by when a host learned of them, not by its time of day

What callers could see: on a host whose time of day jumps ahead all crashes have expired, and what crashes upstreams is sent on; on one whose clock is set back, content that runs well stays refused, since its crashes lie in the future; and crashes of many moments, told at once, count as one. A crash is now forgotten ten minutes after a host has learned of it, by its monotonic clock, and a success refutes all crashes known by then. Moments are still told by the times of the hosts that saw them, in which differences between clocks can only add moments.

part_watch_test.ts, seen failing before: "what is blocked stays blocked when the time of day jumps" and, with a content, "hosts whose clocks differ by an hour".

--- a/src/crashes/crash_events.ts
+++ b/src/crashes/crash_events.ts
@@ -19,7 +19,10 @@
   count(subject: string): number;
 }
 
-/** An event is forgotten after this time, in ms. */
+/**
+ * An event is forgotten at a host this long after the host has learned of it, in
+ * ms, whatever happens to the hosts' wall clocks.
+ */
 export const EVENT_TTL_MS = 10 * 60_000;
 
 /** Crashes from which on a part may explain those of others. */
@@ -37,9 +40,15 @@
 /** Limit on all events; the subject that changed first is evicted with its own. */
 const MAX_EVENTS = 20_000;
 
+interface KnownEvent {
+  readonly event: CrashEvent;
+  /** Monotonic time at which this host learned of the event, in ms. */
+  readonly sinceMs: number;
+}
+
 /** Creates an empty set of events. */
 export function createCrashEvents(clock: Clock): CrashEvents {
-  const subjects = new Map<string, Map<string, CrashEvent>>();
+  const subjects = new Map<string, Map<string, KnownEvent>>();
   /** Number of all events. */
   let total = 0;
   /** Parts that may explain the crashes of others. */
@@ -50,12 +59,13 @@
   function get(subject: string): readonly CrashEvent[] {
     const known = subjects.get(subject);
     if (known === undefined) return [];
-    for (const [process, { atMs }] of known) {
-      if (clock.wallMs() - atMs <= EVENT_TTL_MS) continue;
+    const nowMs = clock.monotonicMs();
+    for (const [process, { sinceMs }] of known) {
+      if (nowMs - sinceMs <= EVENT_TTL_MS) continue;
       known.delete(process);
       total--;
     }
-    return [...known.values()];
+    return [...known.values()].map(({ event }) => event);
   }
 
   function getCounted(subject: string): readonly CrashEvent[] {
@@ -74,11 +84,9 @@
 
   function set(event: CrashEvent): void {
     const { subject, process } = event;
-    const known = subjects.get(subject) ?? new Map<string, CrashEvent>();
-    // The clock of another host may be ahead.
-    const atMs = Math.min(event.atMs, clock.wallMs());
+    const known = subjects.get(subject) ?? new Map<string, KnownEvent>();
     if (!known.has(process)) total++;
-    known.set(process, { ...event, atMs });
+    known.set(process, { event, sinceMs: clock.monotonicMs() });
     subjects.delete(subject);
     subjects.set(subject, known);
     while (subjects.size > MAX_SUBJECTS || total > MAX_EVENTS) evictOldest();
@@ -109,7 +117,7 @@
     merge(event) {
       const known = subjects.get(event.subject)?.get(event.process);
       const isNew = known === undefined ||
-        (known.state === "counted" && event.state === "refuted");
+        (known.event.state === "counted" && event.state === "refuted");
       if (isNew) set(event);
       return isNew;
     },
--- a/src/crashes/crash_watch.ts
+++ b/src/crashes/crash_watch.ts
@@ -176,9 +176,8 @@
   return {
     ...detector,
     recordSuccess(subject) {
-      if (isPart(subject)) return refute(subject, () => true);
-      successes.record(subject);
-      refuteIfServed(subject);
+      if (!isPart(subject)) successes.record(subject);
+      refute(subject, () => true);
     },
     isSuspected: (subject) => events.count(subject) >= SUSPECTED_CRASHES,
     tryGetCulprit: (request) => tryFindCulprit(request, events),
--- a/src/crashes/part_watch_test.ts
+++ b/src/crashes/part_watch_test.ts
@@ -94,17 +94,37 @@
   ok(fixture.log.every((each) => each.event !== "part-suspected"));
 });
 
-test("hosts whose clocks differ by an hour still clear a part", () => {
+test("hosts whose clocks differ by an hour still clear what runs well", () => {
   // Guards against crashes that lie in the future of the host that saw a good
   // answer.
   const fixture = createCrashFixture({ hosts: 3 });
   const { hosts, clock, advance } = fixture;
-  crashUpstreams(fixture, 5, ["part-a"]);
+  crashUpstreams(fixture, 5, ["part-a", "content"]);
   advance(CONTACT_MS);
+  strictEqual(hosts[0]!.isBlocked("content"), true);
   clock.stepWall(-3_600_000);
-  hosts[1]!.recordSuccess("part-a");
+  for (const subject of ["part-a", "content"]) hosts[1]!.recordSuccess(subject);
   advance(1_500);
   strictEqual(countBlocking(fixture, ["part-a"]), 0);
+  ok(hosts.every((each) => !each.isBlocked("content")));
+});
+
+test("what is blocked stays blocked when the time of day jumps", () => {
+  // Guards against hosts that forget crashes, or take those of many moments for
+  // one, when their wall clocks are set.
+  for (const stepMs of [-3_600_000, -5_000, 5_000, 3_600_000]) {
+    const fixture = createCrashFixture({ hosts: 5 });
+    fixture.clock.stepWall(stepMs);
+    crashUpstreams(fixture, 5, ["part-a"]);
+    for (const at of [7, 8, 9]) {
+      crash(fixture.hosts[0]!, createProcess(`u-${at}`), "content");
+    }
+    fixture.advance(CONTACT_MS);
+    fixture.clock.stepWall(-2 * stepMs);
+    fixture.advance(1_000);
+    strictEqual(countBlocking(fixture, ["part-a"]), 5);
+    ok(fixture.hosts.every((each) => each.isBlocked("content")));
+  }
 });
 
 test("the log says which crashes and which answer decided on a part", () => {
