Hold a crash against a part only once other hosts have told theirs

Cause: a host knows at once which parts its own prompts had at a crash, and hears up to two seconds later which others were there, or that they are cleared. What it had just seen itself seemed to have no other explanation. A part was held back 800 ms after it became suspect, not each of its crashes. Now a host holds a crash against a part only when it has known of it for 1.5 s; others' explain from when they come.

--- a/src/crashes/crash_events.ts
+++ b/src/crashes/crash_events.ts
@@ -29,10 +29,11 @@
 const MIN_RIVAL_CRASHES = 3;
 
 /**
- * Time for which a part must have been suspect, in ms. The events of the other
- * parts at the same crashes, and what refutes them, come by other datagrams.
+ * Time for which a host must have known of a crash to hold it against a part, in
+ * ms. It knows at once of the prompts that it has sent itself; which other parts
+ * were there, and what refutes them, it hears by several datagrams.
  */
-const SETTLE_MS = 800;
+const SETTLE_MS = 1_500;
 
 /** Limit on the subjects with events; the one changed first is evicted. */
 const MAX_SUBJECTS = 2_000;
@@ -51,12 +52,10 @@
   const subjects = new Map<string, Map<string, KnownEvent>>();
   /** Number of all events. */
   let total = 0;
-  /** Parts that may explain the crashes of others. */
+  /** Parts that may explain the crashes of others; all suspects are among them. */
   const rivals = new Set<string>();
-  /** Monotonic times since which parts are suspect, in ms. */
-  const suspects = new Map<string, number>();
 
-  function get(subject: string): readonly CrashEvent[] {
+  function getKnown(subject: string): readonly KnownEvent[] {
     const known = subjects.get(subject);
     if (known === undefined) return [];
     const nowMs = clock.monotonicMs();
@@ -65,13 +64,26 @@
       known.delete(process);
       total--;
     }
-    return [...known.values()].map(({ event }) => event);
+    return [...known.values()];
+  }
+
+  function get(subject: string): readonly CrashEvent[] {
+    return getKnown(subject).map(({ event }) => event);
   }
 
   function getCounted(subject: string): readonly CrashEvent[] {
     return get(subject).filter((each) => each.state === "counted");
   }
 
+  function getSettled(subject: string): readonly CrashEvent[] {
+    const dueMs = clock.monotonicMs() - SETTLE_MS;
+    return getKnown(subject)
+      .filter(({ event, sinceMs }) =>
+        event.state === "counted" && sinceMs <= dueMs
+      )
+      .map(({ event }) => event);
+  }
+
   function evictOldest(): void {
     const [oldest] = subjects;
     if (oldest === undefined) return;
@@ -79,7 +91,6 @@
     total -= known.size;
     subjects.delete(subject);
     rivals.delete(subject);
-    suspects.delete(subject);
   }
 
   function set(event: CrashEvent): void {
@@ -90,15 +101,12 @@
     subjects.delete(subject);
     subjects.set(subject, known);
     while (subjects.size > MAX_SUBJECTS || total > MAX_EVENTS) evictOldest();
-    if (isPart(subject)) updateSuspicion(subject);
+    if (isPart(subject)) updateRival(subject);
   }
 
-  function updateSuspicion(part: string): void {
-    const counted = getCounted(part);
-    if (counted.length >= MIN_RIVAL_CRASHES) rivals.add(part);
+  function updateRival(part: string): void {
+    if (getCounted(part).length >= MIN_RIVAL_CRASHES) rivals.add(part);
     else rivals.delete(part);
-    if (!isSuspect(part, counted)) suspects.delete(part);
-    else if (!suspects.has(part)) suspects.set(part, clock.monotonicMs());
   }
 
   return {
@@ -106,14 +114,9 @@
     getCounted,
     getRivals: (crashes) =>
       [...rivals].filter((each) => getCounted(each).length >= crashes),
-    getSuspectParts() {
-      if (suspects.size === 0) return [];
-      for (const part of suspects.keys()) updateSuspicion(part);
-      const dueMs = clock.monotonicMs() - SETTLE_MS;
-      return [...suspects.keys()].filter((each) =>
-        suspects.get(each)! <= dueMs
-      );
-    },
+    getSettled,
+    getSuspectParts: () =>
+      [...rivals].filter((each) => isSuspect(each, getSettled(each))),
     merge(event) {
       const known = subjects.get(event.subject)?.get(event.process);
       const isNew = known === undefined ||
--- a/src/crashes/crash_events_test.ts
+++ b/src/crashes/crash_events_test.ts
@@ -44,6 +44,7 @@
     events.merge({ ...createEvent("part-a", process), atMs: clock.wallMs() });
     clock.advance(1_000);
   }
+  clock.advance(2_000);
   strictEqual(events.getSuspectParts().length, 1);
   strictEqual(events.getRivals(5).length, 1);
   clock.advance(EVENT_TTL_MS);
--- a/src/crashes/verdict.ts
+++ b/src/crashes/verdict.ts
@@ -25,7 +25,9 @@
 export interface KnownCrashes {
   /** Returns the counted events of a subject. */
   getCounted(subject: string): readonly CrashEvent[];
-  /** The parts that are suspect. */
+  /** Likewise those of which all that the fleet knows should have come. */
+  getSettled(subject: string): readonly CrashEvent[];
+  /** The parts that are suspect by their settled events. */
   getSuspectParts(): readonly string[];
   /**
    * The parts that may explain the crashes of others, with at least so many
@@ -86,7 +88,7 @@
   parts: readonly string[],
   known: KnownCrashes,
 ): boolean {
-  const crashes = known.getCounted(suspect);
+  const crashes = known.getSettled(suspect);
   const explained = new Set(
     known.getRivals(crashes.length * MIN_RIVAL_SHARE)
       .filter((each) => !parts.includes(each))
