--- a/src/forwarding/blocked_content.ts
+++ b/src/forwarding/blocked_content.ts
@@ -12,8 +12,11 @@
 import { Rejected } from "./rejections.ts";
 
 /** Whether the content of the request, or a part of it, is blocked now. */
-export function isContentBlocked(host: ForwardHost, call: Call): boolean {
-  return host.crashes.tryGetCulprit(call) !== undefined;
+export function isContentBlocked(
+  { crashes }: ForwardHost,
+  { fingerprint, parts }: Call,
+): boolean {
+  return crashes.isBlocked(fingerprint, parts);
 }
 
 /**
