Stop using an upstream whose address another one has taken over

A 421 names the instance that answers. If it is another one than expected, the expected one has ended: it is marked like one that has said that it leaves, and the other hosts are told by the same fact. It holds for that incarnation only, so that a restart under the same id is used again.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -381,10 +381,13 @@
     /** Wall milliseconds of the start of the upstream. */
     readonly incarnation: number;
     readonly status: number;
-    readonly said: "leaving" | "rest" | "unreadable-rest";
+    readonly said: "leaving" | "replaced" | "rest" | "unreadable-rest";
     /** Back-off: how long it asked this host not to send requests. */
     readonly restMs: number | undefined;
-    /** The text that can't be read. */
+    /**
+     * The text that can't be read, or the id of the upstream that has the
+     * address now.
+     */
     readonly text: string | undefined;
   }
   | {
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -174,6 +174,8 @@
   switch (signal.said) {
     case "leaving":
       return `${from}: it is leaving`;
+    case "replaced":
+      return `${from}: upstream ${signal.text} has its address now`;
     case "rest":
       return `${from}: it asked this host to back off for ${signal.restMs} ms`;
     case "unreadable-rest":
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -74,6 +74,11 @@
   readonly isNotRun: boolean;
   /** The upstream states that it is leaving, and takes no new requests. */
   readonly isLeaving: boolean;
+  /**
+   * Id of the upstream that answers at this address and rejects requests for
+   * another one; `undefined` if the response names none.
+   */
+  readonly rejectedBy: string | undefined;
   /**
    * The back-off that the upstream asks of this host; `undefined` if it asks
    * for none.
--- a/src/forwarding/upstream_signals.ts
+++ b/src/forwarding/upstream_signals.ts
@@ -1,6 +1,7 @@
 /**
  * Handles the signals that upstreams send in response headers: that they are
- * leaving, that clients should back off, or that they are cold.
+ * leaving, that another one has their address, that clients should back off, or
+ * that they are cold.
  *
  * @module
  */
@@ -15,7 +16,7 @@
   readonly status: number;
   readonly headers: Pick<
     ResponseHeaders,
-    "isLeaving" | "backoff" | "warmUpLeftMs"
+    "isLeaving" | "rejectedBy" | "backoff" | "warmUpLeftMs"
   >;
 }
 
@@ -28,7 +29,7 @@
   call: Call,
   head: ResponseHead,
 ): void {
-  const { isLeaving, backoff, warmUpLeftMs } = head.headers;
+  const { isLeaving, rejectedBy, backoff, warmUpLeftMs } = head.headers;
   if (warmUpLeftMs !== undefined && warmUpLeftMs > 0) {
     host.recordWarmUp(head.upstream, warmUpLeftMs);
   }
@@ -36,6 +37,12 @@
     logSignal(host, call, head, { said: "leaving" });
     host.markLeaving(head.upstream);
   }
+  if (rejectedBy !== undefined && rejectedBy !== head.upstream.id) {
+    // The instance has ended. Its registration expires only seconds later, and
+    // until then every host would have a request rejected there.
+    logSignal(host, call, head, { said: "replaced", text: rejectedBy });
+    host.markLeaving(head.upstream);
+  }
   if (backoff !== undefined) recordBackoff(host, call, head, backoff);
 }
 
@@ -61,7 +68,7 @@
  * "rest".
  */
 interface SignalFields {
-  readonly said: "leaving" | "rest" | "unreadable-rest";
+  readonly said: "leaving" | "replaced" | "rest" | "unreadable-rest";
   readonly restMs?: number;
   readonly text?: string;
 }
--- a/src/testing/call_codec.ts
+++ b/src/testing/call_codec.ts
@@ -42,6 +42,7 @@
       isSealed: headers["x-seal"] !== undefined,
       isNotRun: status === 421 || headers["x-not-run"] !== undefined,
       isLeaving: headers["x-leaving"] !== undefined,
+      rejectedBy: headers["x-rejected-by"] as string | undefined,
       backoff: headers["x-rest-ms"] === undefined
         ? undefined
         : { kind: "for", ms: Number(headers["x-rest-ms"]) },
