Decode the transfer rate of the engines' KV caches

Cause: upstreams can fetch the KV cache of a shared prefix from each other, at a rate that depends on the deployment. The hosts did not know it.

Change: a service's "kv_bytes" and "link_mbps" become `RoutedService.memoryTransfer`, found by `RouteTable.tryGetMemoryTransfer`.

--- a/src/routing/route_table.ts
+++ b/src/routing/route_table.ts
@@ -9,7 +9,12 @@
 import { getOrCreate } from "../core/mod.ts";
 import type { WarmUpLimit } from "../warmup/types.ts";
 import { type AllowedRegions, intersectRegions } from "./allowed_regions.ts";
-import type { Route, RoutingConfig, WeightedService } from "./types.ts";
+import type {
+  MemoryTransfer,
+  Route,
+  RoutingConfig,
+  WeightedService,
+} from "./types.ts";
 
 /** Indexes of one configuration. */
 export interface RouteTable {
@@ -27,6 +32,8 @@
   tryGetPromptTargetMs(service: string): number | undefined;
   /** Returns the limit on requests to the service's cold upstreams. */
   tryGetWarmUpLimit(service: string): WarmUpLimit | undefined;
+  /** Returns how the service's upstreams fetch memory from each other. */
+  tryGetMemoryTransfer(service: string): MemoryTransfer | undefined;
   /** Returns the regions that both the route and the team allow. */
   getAllowedRegions(route: Route, team: string | undefined): AllowedRegions;
   /** Returns the regions that all routes of the host name allow. */
@@ -48,6 +55,9 @@
   const warmUpByService = new Map(
     config.services.map((service) => [service.name, service.warmUp]),
   );
+  const transferByService = new Map(
+    config.services.map((service) => [service.name, service.memoryTransfer]),
+  );
   const regionsByTeam = new Map(
     config.teams.map((team) => [team.name, team.allowedRegions]),
   );
@@ -70,6 +80,7 @@
     },
     tryGetTeam: (key) => teamByKey.get(key),
     tryGetWarmUpLimit: (service) => warmUpByService.get(service),
+    tryGetMemoryTransfer: (service) => transferByService.get(service),
     getAllowedRegions: (route, team = "") =>
       intersectRegions([route.allowedRegions, regionsByTeam.get(team) ?? []]),
     getAllowedRegionsOfHostName(hostName) {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -74,6 +74,19 @@
    * need no warm-up.
    */
   readonly warmUp: WarmUpLimit | undefined;
+  /**
+   * How its upstreams fetch the memory of prompt tokens from each other;
+   * `undefined` if they do not.
+   */
+  readonly memoryTransfer: MemoryTransfer | undefined;
+}
+
+/** Transfer of the memory of prompt tokens (KV cache) between two upstreams. */
+export interface MemoryTransfer {
+  /** Memory of one token, in bytes; above 0. */
+  readonly bytesPerToken: number;
+  /** Rate of the link of one upstream, in Mbit/s; above 0. */
+  readonly megabitsPerSecond: number;
 }
 
 /** A team and the keys of its callers. */
--- a/src/testing/routing_fixture.ts
+++ b/src/testing/routing_fixture.ts
@@ -40,6 +40,7 @@
       maxConnections: 100,
       promptMemoryTokens: 400_000,
       warmUp: undefined,
+      memoryTransfer: undefined,
     }],
     teams: [{
       name: "fitters",
