Offer the learned time to prefill a token

Cause: the cost of fetching a prefix is compared with that of prefilling it, for which the prefill speed of the service is needed.

Change: `Pacing.getMsPerToken` returns the slope of the first-event model. The fixture of pacing_test.ts gives its tests the pacing.

--- a/src/pacing/first_event_model.ts
+++ b/src/pacing/first_event_model.ts
@@ -35,6 +35,8 @@
    * event arrives within the given time.
    */
   getTokensWithin(ms: number): number;
+  /** Returns the time to prefill one more token, in ms. */
+  getMsPerToken(): number;
   /** Returns the sums over the samples of this host. */
   getLocalSums(): FirstEventSums;
 }
@@ -122,6 +124,7 @@
       const slope = getSlope(sums);
       return Math.max(0, (ms - getBaseMs(sums, slope)) / slope);
     },
+    getMsPerToken: () => getSlope(getSums()),
     getLocalSums() {
       decay();
       return local;
--- a/src/pacing/pacing.ts
+++ b/src/pacing/pacing.ts
@@ -36,6 +36,8 @@
    * service for the time to the first event.
    */
   getLimitTokens(targetMs: number): number;
+  /** Returns the learned time to prefill a token at an upstream, in ms. */
+  getMsPerToken(): number;
   /** Returns the statistics of this host, for the other hosts. */
   getStats(): PacingStats;
 }
@@ -93,6 +95,7 @@
   return {
     recordFirstEvent: firstEvents.addSample,
     recordPause: pauses.addSample,
+    getMsPerToken: firstEvents.getMsPerToken,
     getStats: () => ({
       ...pauses.getLocalStats(),
       firstEvents: firstEvents.getLocalSums(),
--- a/src/pacing/pacing_test.ts
+++ b/src/pacing/pacing_test.ts
@@ -18,6 +18,7 @@
   });
   const getLimit = () => pacing.getLimitTokens(TARGET_MS);
   return {
+    pacing,
     getLimit,
     /**
      * Simulates ten prompts a second; `lateShare` of the responses pause too
@@ -75,6 +76,14 @@
   ok(fixture.getLimit() >= MIN_TOKENS);
 });
 
+test("the time to prefill a token is learned", () => {
+  // Guards against fetches that take longer than the prefill at a fast engine.
+  const { pacing, play } = createFixture(0.01);
+  play(15, 0);
+  const msPerToken = pacing.getMsPerToken();
+  ok(msPerToken > 0.009 && msPerToken < 0.012, `${msPerToken}`);
+});
+
 test("the model predicts within a tenth where prompts differ in size", () => {
   const clock = createManualClock(1_000);
   const model = createFirstEventModel({
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -29,7 +29,11 @@
 import { getNameDigest } from "../peers/mod.ts";
 import { EMPTY_PACING_STATS, type Pacing } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
-import { createRouteTable, type Route } from "../routing/mod.ts";
+import {
+  createRouteTable,
+  type MemoryTransfer,
+  type Route,
+} from "../routing/mod.ts";
 import type { FirstEvent, FoundVersion } from "../stream_versions/mod.ts";
 import {
   createBackoffWatch,
@@ -75,6 +79,8 @@
   sendRaw(id: string): Socket;
   /** Registers another start of the upstream, with that software version. */
   restartUpstream(at: number, softwareVersion: string): void;
+  /** Lets the host know that the upstream is leaving. */
+  leaveUpstream(id: string): void;
   /** Runs scheduling passes periodically, as an entry host does. */
   startSchedulingPasses(): Disposable;
   /** Prefill tokens that count as outstanding at the first upstream. */
@@ -115,6 +121,10 @@
   unreadMs: number;
   /** Requests in flight at each upstream. */
   inFlight: number;
+  /** Ids of upstreams without free slots. */
+  fullUpstreams: ReadonlySet<string>;
+  /** Ids of upstreams that are cold, though their warm-up allows any request. */
+  coldUpstreams: ReadonlySet<string>;
   /** Service that each team received, divided by its share. */
   shareUsed: number;
   /** What the warm-up of each upstream allows the host. */
@@ -132,6 +142,9 @@
 /** Most prefill tokens that may be outstanding at an upstream. */
 const PREFILL_LIMIT_TOKENS = 14_000;
 
+/** Time to prefill a token, in ms, as learned. */
+const MS_PER_PREFILL_TOKEN = 0.02;
+
 /** Interval between two scheduling passes, in ms. */
 const SCHEDULING_PERIOD_MS = 10;
 
@@ -145,6 +158,8 @@
   readonly responseMemoryBytes?: number;
   /** Software version of each upstream; that of the fixture's entries if left out. */
   readonly softwareVersions?: readonly string[];
+  /** How upstreams fetch prefixes from each other; they do not if left out. */
+  readonly memoryTransfer?: MemoryTransfer;
 }
 
 /** Bytes that the responses of the host may take, unless a test says else. */
@@ -159,6 +174,7 @@
     lastAddresses = [],
     responseMemoryBytes = RESPONSE_MEMORY_BYTES,
     softwareVersions = [],
+    memoryTransfer,
   }: FixtureOptions = {},
 ): Promise<ForwardFixture> {
   const arrivals: string[] = [];
@@ -199,11 +215,17 @@
 
   updateDirectory();
   const route = createRoute({ hasPrompts: false, ...routeChanges });
-  let routes = createRouteTable(createRoutingConfig({ routes: [route] }));
+  const services = createRoutingConfig().services
+    .map((each) => ({ ...each, memoryTransfer }));
+  let routes = createRouteTable(
+    createRoutingConfig({ routes: [route], services }),
+  );
   const controls: Controls = {
     isOverloaded: false,
     unreadMs: 0,
     inFlight: 0,
+    fullUpstreams: new Set(),
+    coldUpstreams: new Set(),
     shareUsed: 0,
     evacuated: new Set(),
     hasRetries: true,
@@ -260,6 +282,7 @@
       routes = createRouteTable(createRoutingConfig({
         version: version + 1,
         routes: [{ ...route, ...changes }],
+        services,
       }));
     },
     call: (options = {}) => send(port, options),
@@ -272,6 +295,8 @@
       entries[at] = { ...entry, softwareVersion, incarnation };
       updateDirectory();
     },
+    leaveUpstream: (id) =>
+      host.markLeaving(entries.find((each) => each.id === id)!),
     startSchedulingPasses: () =>
       startTicker(SCHEDULING_PERIOD_MS, { decide: host.queue.tick }),
     getReadingTokens: () => host.load.getReadingTokens("up-0"),
@@ -318,6 +343,7 @@
       void parts.recordedPacing.firstEvents.push(tokens),
     recordPause: (isLate) => void parts.recordedPacing.pauses.push(isLate),
     getLimitTokens: () => PREFILL_LIMIT_TOKENS,
+    getMsPerToken: () => MS_PER_PREFILL_TOKEN,
     getStats: () => EMPTY_PACING_STATS,
   };
   const retryBudget = createRetryBudget(clock);
@@ -338,8 +364,8 @@
     getPacing: () => pacing,
     queue: createPromptQueue({
       nowMs: clock.monotonicMs,
-      getLoad: () => ({
-        slots: 48,
+      getLoad: (upstream) => ({
+        slots: parts.controls.fullUpstreams.has(upstream) ? 0 : 48,
         inFlight: parts.controls.inFlight,
         readingTokens: 0,
         underservedElsewhere: 0,
@@ -374,7 +400,9 @@
     warmUps: {
       getAllowance: () => parts.controls.warmUp,
       take: () => {},
-      isCold: () => parts.controls.warmUp !== "unlimited",
+      isCold: ({ id }) =>
+        parts.controls.warmUp !== "unlimited" ||
+        parts.controls.coldUpstreams.has(id),
     },
     recordWarmUp: () => {},
     getDistance: () => "same-data-centre",
