Start prompts with a hot prefix at a second and third upstream

Cause: prompts with a long shared prefix waited for the one upstream that rendezvous hashing selects, while others had room. Prefilling the prefix at a second upstream costs too much, fetching it from the first may not.

`rankForPrompt` adds a fetch to each upstream but the first. The queue tries the second and third where the first has no room; a prompt that spills over to an idle upstream fetches as well. Without terms for a fetch the ranking and the queue are as before.

Tested: dist/placement and dist/queue tests: pass. The existing tests are unchanged; the fixture of prompt_queue_test.ts has a further option.

--- a/src/placement/mod.ts
+++ b/src/placement/mod.ts
@@ -9,4 +9,5 @@
 export * from "./least_loaded.ts";
 export * from "./prefix_affinity.ts";
 export * from "./prefill_tokens.ts";
+export * from "./prefix_fetch.ts";
 export * from "./prompt_ranking.ts";
--- a/src/placement/prompt_ranking.ts
+++ b/src/placement/prompt_ranking.ts
@@ -17,6 +17,7 @@
  */
 
 import { NEGLIGIBLE_PREFILL_TOKENS, putFirst } from "./prefix_affinity.ts";
+import { createFetchDecision, type PrefixFetch } from "./prefix_fetch.ts";
 
 /** A prompt and the upstreams that it may use. */
 export interface PromptRankingInput {
@@ -29,12 +30,30 @@
   isNear(id: string): boolean;
   /** Whether the upstream is cold and a request of this host is due there. */
   isColdAndDue(id: string): boolean;
+  /**
+   * How upstreams fetch the shared prefix from each other; `undefined` if they
+   * do not.
+   */
+  readonly fetch?: PrefixFetchTerms | undefined;
+}
+
+/** How upstreams may fetch a shared prefix from each other. */
+export interface PrefixFetchTerms {
+  /** Cost of a fetch, in prefill tokens. */
+  readonly tokens: number;
+  /** Whether the upstream is ready, healthy, warm and not in back-off. */
+  mayBeSource(id: string): boolean;
 }
 
 /** An upstream with the tokens that it would have to prefill. */
 export interface UpstreamForPrompt {
   readonly upstream: string;
   readonly readingTokens: number;
+  /**
+   * Absent if it prefills the shared prefix or has it cached. Otherwise the cost
+   * is included in `readingTokens`.
+   */
+  readonly fetch?: PrefixFetch | undefined;
 }
 
 /** Returns the upstreams, the best first. */
@@ -44,7 +63,9 @@
   const { ranked, unsharedTokens, totalTokens } = input;
   const isSharedPrefixSmall =
     totalTokens - unsharedTokens <= NEGLIGIBLE_PREFILL_TOKENS;
-  if (!isSharedPrefixSmall) return addTokens(ranked, input);
+  if (!isSharedPrefixSmall) {
+    return addFetches(addTokens(ranked, input), input);
+  }
   const cold = ranked.filter(input.isColdAndDue);
   const warm = ranked.filter((id) => !input.isColdAndDue(id));
   return [
@@ -66,3 +87,18 @@
     readingTokens: at === 0 ? unsharedTokens : totalTokens,
   }));
 }
+
+/** Lets upstreams fetch the prefix instead of prefilling it. */
+function addFetches(
+  upstreams: readonly UpstreamForPrompt[],
+  { ranked, unsharedTokens, fetch: terms }: PromptRankingInput,
+): readonly UpstreamForPrompt[] {
+  if (terms === undefined) return upstreams;
+  const { tokens: fetchTokens, mayBeSource } = terms;
+  const tryGetFetch = createFetchDecision({ ranked, fetchTokens, mayBeSource });
+  return upstreams.map((each, at) => {
+    const fetch = tryGetFetch(at);
+    if (fetch === undefined) return each;
+    return { ...each, readingTokens: unsharedTokens + fetch.tokens, fetch };
+  });
+}
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -34,6 +34,9 @@
  * - Prefilling a shared prefix at a second upstream takes prefill time from all
  *   other prompts there. A prompt therefore leaves the upstreams chosen by its
  *   prefix only for an idle one.
+ * - Prompts with a hot prefix wait for one upstream while others have room. Where
+ *   upstreams can fetch the prefix from each other, two further ones therefore
+ *   get the prompts for which the first has no room.
  *
  * @module
  */
@@ -176,6 +179,9 @@
     const [first] = upstreams;
     if (first === undefined) return undefined;
     const similar = upstreams.slice(0, MAX_SIMILAR).filter((each) =>
+      // The first is preferred to one that would have to fetch the prefix, even
+      // over a fast link.
+      each.fetch === undefined &&
       each.readingTokens - first.readingTokens <= options.negligibleTokens
     );
     for (let at = 0; at < similar.length; at += SIMILAR_GROUP_SIZE) {
@@ -184,6 +190,10 @@
       );
       if (withRoom.length > 0) return getLeastBusy(withRoom, getLoad);
     }
+    const copy = upstreams.find((each) =>
+      each.fetch?.reason === "copy" && fitsUpstream(each)
+    );
+    if (copy !== undefined) return copy;
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
     return upstreams.find((each) => !similar.includes(each) && isIdle(each));
@@ -207,11 +217,11 @@
 
   function start(prompt: WaitingPrompt, chosen: RankedUpstream): void {
     removeWaiting(prompt, true);
-    const { upstream, readingTokens } = chosen;
+    const { upstream, readingTokens, fetch } = chosen;
     const queuedTokens = getLoad(upstream).readingTokens + readingTokens;
     host.onStart(prompt, upstream, readingTokens);
     loadCache.delete(upstream);
-    prompt.start(upstream, { readingTokens, queuedTokens });
+    prompt.start(upstream, { readingTokens, queuedTokens, fetch });
   }
 
   /**
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { getOrCreate } from "../core/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
+import { rankForPrompt } from "../placement/mod.ts";
 import {
   createPromptQueue,
   defaultPromptQueueOptions,
@@ -24,6 +25,8 @@
   readonly efficiency?: number;
   readonly ranked?: readonly string[];
   readonly isBegun?: boolean;
+  /** Cost of a fetch of the shared prefix; it is not fetched if left out. */
+  readonly fetchTokens?: number;
 }
 
 /** Creates a queue for idle upstreams with 48 slots each. */
@@ -81,6 +84,7 @@
       sharedTokens = 18_000,
       workTokens = 200,
       efficiency = 60,
+      fetchTokens,
     } = options;
     const request = `${team}-${++prompts}`;
     const prompt: WaitingPrompt = {
@@ -96,12 +100,21 @@
       isCallerConnected: () => !disconnected.has(request),
       // Only the first has cached the shared prefix, of 13,300 tokens.
       getUpstreams: () =>
-        ranked.map((upstream, at) => ({
-          upstream,
-          readingTokens: at === 0
-            ? readingTokens
-            : readingTokens + sharedTokens,
-        })),
+        fetchTokens !== undefined
+          ? rankForPrompt({
+            ranked,
+            unsharedTokens: readingTokens,
+            totalTokens: readingTokens + sharedTokens,
+            isNear: () => true,
+            isColdAndDue: () => false,
+            fetch: { tokens: fetchTokens, mayBeSource: () => true },
+          })
+          : ranked.map((upstream, at) => ({
+            upstream,
+            readingTokens: at === 0
+              ? readingTokens
+              : readingTokens + sharedTokens,
+          })),
       start: (upstream) => log.push(`${request} to ${upstream}`),
       refuse(refusal) {
         log.push(`${request} ${refusal.reason}`);
@@ -531,3 +544,43 @@
     ok(fixture.getLoadReads() <= 60);
   }
 });
+
+test("a prompt for which the first upstream has no room goes to the second, then to the third, and no further", () => {
+  // Guards against prompts with a hot prefix that wait for one upstream while
+  // others have room, and against copies of it at all upstreams.
+  const fixture = createFixture();
+  const ranked = ["a", "b", "c", "d"];
+  const hot = { ranked, readingTokens: 8_000, fetchTokens: 1_000 };
+  // None is idle.
+  for (const id of ranked) fixture.getUse(id).inFlight = 1;
+  for (let at = 0; at < 4; at++) fixture.add(hot);
+  deepStrictEqual(fixture.log, ["calm-1 to a", "calm-2 to b", "calm-3 to c"]);
+  deepStrictEqual(
+    ranked.map((id) => fixture.getUse(id).readingTokens),
+    [8_000, 9_000, 9_000, 0],
+  );
+  // The first is preferred again once it has room.
+  fixture.getUse("b").readingTokens = 0;
+  fixture.getUse("a").readingTokens = 0;
+  fixture.advance(10);
+  strictEqual(fixture.log.at(-1), "calm-4 to a");
+});
+
+test("a prompt keeps to its first upstream over a link on which a fetch costs little", () => {
+  // Guards against prefixes that are copied for a small difference in load.
+  const fixture = createFixture();
+  fixture.getUse("a").inFlight = 5;
+  fixture.add({ fetchTokens: 10 });
+  deepStrictEqual(fixture.log, ["calm-1 to a"]);
+});
+
+test("shortly before its refusal a prompt goes to any idle upstream, with a fetch", () => {
+  const fixture = createFixture();
+  const ranked = ["a", "b", "c", "d"];
+  for (const id of ["a", "b", "c"]) fixture.getUse(id).inFlight = 48;
+  fixture.add({ ranked, fetchTokens: 1_000 });
+  deepStrictEqual(fixture.log, []);
+  fixture.advance(450);
+  deepStrictEqual(fixture.log, ["calm-1 to d"]);
+  strictEqual(fixture.getUse("d").readingTokens, 7_000);
+});
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -10,6 +10,7 @@
  */
 
 import type { QueueInputs } from "../diagnostics/mod.ts";
+import type { PrefixFetch } from "../placement/mod.ts";
 
 /** A prompt that waits to be sent to an upstream. */
 export interface WaitingPrompt {
@@ -58,6 +59,11 @@
   readonly readingTokens: number;
   /** Tokens to prefill before the prompt's first event, including its own. */
   readonly queuedTokens: number;
+  /**
+   * The fetch by which the upstream gets the shared prefix; its cost is included
+   * above. `undefined` if it needs none.
+   */
+  readonly fetch: PrefixFetch | undefined;
 }
 
 /** An upstream to which a prompt may be sent. */
@@ -68,6 +74,11 @@
    * expects.
    */
   readonly readingTokens: number;
+  /**
+   * The fetch by which it would get the shared prefix; its cost is included in
+   * `readingTokens`. Absent if it needs none.
+   */
+  readonly fetch?: PrefixFetch | undefined;
 }
 
 /** Why a prompt is refused, and when its caller should retry. */
