Tell upstreams where to fetch a shared prefix from

Cause: the upstream that the queue chose did not learn that another one has the prefix of its prompt cached.

The source may itself get the request, is healthy and warm; this is checked again when the prompt starts. Retries and take-overs pick anew, so that an upstream that was tried is no source. Prompts that were to fetch are no samples of the prefill speed. `attempt-started` has `fetchFrom`, `fetchTokens` and `fetchReason`; `azurestile_prefix_fetches_total` counts prompts by reason.

Not played on a deployment.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -169,6 +169,18 @@
      * knows.
      */
     readonly readingTokens: number | undefined;
+    /**
+     * Id of the upstream from which it is to fetch the shared prefix; absent if
+     * it is to fetch none.
+     */
+    readonly fetchFrom: string | undefined;
+    /** The part of `readingTokens` that a fetch was expected to cost. */
+    readonly fetchTokens: number | undefined;
+    /**
+     * `copy`: the upstream is the second or third for the prefix. `spillover`:
+     * it was idle, and the prompt would have been refused soon.
+     */
+    readonly fetchReason: "copy" | "spillover" | undefined;
     readonly inputs: Inputs;
   }
   | {
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -23,9 +23,9 @@
         `${decision.attempt}) after ${decision.waitedMs} ms${
           formatResumes(decision)
         }; ${decision.inFlight} other requests of this ` +
-        `host were in flight there${formatPrefill(decision.readingTokens)}; ${
-          formatInputs(decision.inputs)
-        }`;
+        `host were in flight there${formatPrefill(decision.readingTokens)}${
+          formatFetch(decision)
+        }; ${formatInputs(decision.inputs)}`;
     case "attempt-failed":
       return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
         `"${decision.reason}"${
@@ -252,6 +252,16 @@
   return `, with ${readingTokens} tokens to prefill`;
 }
 
+function formatFetch(
+  { fetchFrom, fetchTokens }: Extract<
+    Decision,
+    { readonly event: "attempt-started" }
+  >,
+): string {
+  if (fetchFrom === undefined) return "";
+  return `, of which ${fetchTokens} for a shared prefix from ${fetchFrom}`;
+}
+
 function formatRetry(retryAfterMs: number | undefined): string {
   if (retryAfterMs === undefined) return "";
   return `; the caller may retry in ${Math.round(retryAfterMs)} ms`;
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -44,6 +44,7 @@
   render(): Promise<string>;
 }
 
+type StartedAttempt = Extract<Decision, { readonly event: "attempt-started" }>;
 type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
 
 /** Bucket bounds in seconds, from a short call to a long stream. */
@@ -197,6 +198,12 @@
     registers,
   });
 
+  const prefixFetches = new Counter({
+    name: "azurestile_prefix_fetches_total",
+    help: "Prompts whose upstream fetches the shared prefix, by reason",
+    labelNames: ["reason"],
+    registers,
+  });
   // Up to twenty series.
   const bodies = new Counter({
     name: "azurestile_response_bodies_total",
@@ -252,6 +259,11 @@
     if (contact !== undefined) bodiesUnproven.inc({ contact });
   }
 
+  function observeStart({ fetchFrom, fetchReason }: StartedAttempt): void {
+    if (fetchFrom === undefined || fetchReason === undefined) return;
+    prefixFetches.inc({ reason: fetchReason });
+  }
+
   return {
     observeEnd(end) {
       const route = end.route ?? "none";
@@ -278,6 +290,8 @@
         attemptsSilent.inc({ phase, next: decision.next });
       } else if (isSentAfterDisconnect(decision)) {
         sentAfterDisconnect.inc();
+      } else if (decision.event === "attempt-started") {
+        observeStart(decision);
       } else if (decision.event === "log-lines-dropped") {
         logLinesDropped.inc(decision.lines);
       }
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -211,3 +211,14 @@
   ok(cut.includes('event="log-lines-dropped"'));
   ok(cut.includes('framing="chunked",connection="kept"'));
 });
+
+test("prompts whose upstreams fetch the prefix are counted by reason", async () => {
+  const metrics = createMetrics();
+  const event = "attempt-started";
+  const fetch = { event, fetchFrom: "i-1", fetchReason: "copy" } as Decision;
+  metrics.observeDecision(fetch);
+  // No source was left for this one.
+  metrics.observeDecision({ ...fetch, fetchFrom: undefined } as Decision);
+  const text = await metrics.render();
+  ok(text.includes('azurestile_prefix_fetches_total{reason="copy"} 1\n'));
+});
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -43,6 +43,7 @@
         upstreamId: upstream.id,
         team: call.team,
         lastEventId: progress.lastEventId,
+        fetchFrom: attempt.fetch?.source?.address,
       },
     );
     return openCall({
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -69,6 +69,9 @@
     unreadMs: Math.round(host.getUnreadMs()),
     inFlight: host.health.getInFlight(picked.upstream.id),
     readingTokens: picked.readingTokens,
+    fetchFrom: picked.fetch?.source?.id,
+    fetchTokens: picked.fetch?.tokens,
+    fetchReason: picked.fetch?.reason,
     inputs: host.getInputs(),
   });
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -22,7 +22,7 @@
   UpstreamInstance,
 } from "../discovery/mod.ts";
 import type { LoadView } from "../load/mod.ts";
-import type { Distance } from "../placement/mod.ts";
+import type { Distance, PrefixFetchReason } from "../placement/mod.ts";
 import type { Pacing } from "../pacing/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
@@ -193,6 +193,18 @@
   readonly softwareVersion: string | undefined;
 }
 
+/** The fetch of a prompt's shared prefix by the upstream that was picked. */
+export interface PickedFetch {
+  /**
+   * The upstream to fetch from; `undefined` if it could not be fetched from any
+   * more when the prompt started. The prefix is then prefilled.
+   */
+  readonly source: UpstreamEntry | undefined;
+  /** Cost that was counted, in prefill tokens. */
+  readonly tokens: number;
+  readonly reason: PrefixFetchReason;
+}
+
 /** One attempt of a request at one upstream. */
 export interface Attempt {
   readonly upstream: UpstreamEntry;
@@ -205,6 +217,11 @@
    * if the request was not queued.
    */
   readonly queuedTokens: number | undefined;
+  /**
+   * `undefined` if the upstream was not expected to fetch the prompt's shared
+   * prefix.
+   */
+  readonly fetch: PickedFetch | undefined;
   readonly silence: SilenceWatch;
   readonly trace: AttemptTrace;
   /** Removes the request's tokens from the upstream's load, once. */
--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -62,6 +62,21 @@
   return exclusion === undefined;
 }
 
+/**
+ * Whether another upstream may fetch the prefix of this request's prompt from
+ * this one: it may get the request itself, is healthy and warm.
+ */
+export function mayFetchFrom(
+  host: ForwardHost,
+  call: Call,
+  upstream: UpstreamEntry,
+): boolean {
+  const facts = getFacts(host, call, upstream);
+  return tryGetExclusion(facts, getRules(host, call)) === undefined &&
+    !host.warmUps.isCold(upstream) &&
+    !host.health.isUnhealthy(upstream.id);
+}
+
 /**
  * Counts a request against the warm-up limit of the upstream, unless it was
  * counted when the upstream was picked. One that was warm then and is cold now
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -10,9 +10,12 @@
 import {
   getAffinityKey,
   getPrefillTokens,
+  type PrefixFetch,
+  type PrefixFetchTerms,
   rankByAffinity,
   rankByLoad,
   rankForPrompt,
+  tryGetFetchTokens,
 } from "../placement/mod.ts";
 import type {
   PromptRefusal,
@@ -25,11 +28,13 @@
   type ForwardHost,
   getRemainingMs,
   isQueued,
+  type PickedFetch,
 } from "./call.ts";
 import {
   countWarmUp,
   createUnavailable,
   getEligible,
+  mayFetchFrom,
 } from "./eligible_upstreams.ts";
 import { Rejected } from "./rejections.ts";
 import type { Prompt } from "./types.ts";
@@ -47,6 +52,11 @@
    * this prompt.
    */
   readonly queuedTokens: number | undefined;
+  /**
+   * `undefined` if the upstream was not expected to fetch the prompt's shared
+   * prefix.
+   */
+  readonly fetch: PickedFetch | undefined;
   /** Removes the prompt's tokens from the upstream's load, once. */
   endPrefill(): void;
 }
@@ -94,6 +104,7 @@
     upstream,
     readingTokens: undefined,
     queuedTokens: undefined,
+    fetch: undefined,
     endPrefill: () => {},
   });
 }
@@ -124,9 +135,8 @@
       isBegun: call.progress.origin !== undefined,
       getUpstreams: createRankingCache(host, call, prompt),
       isCallerConnected: () => !hasDisconnected(call.res),
-      start(id, { readingTokens, queuedTokens }) {
-        const upstream = host.directory.getReady(call.service)
-          .find((each) => each.id === id)!;
+      start(id, { readingTokens, queuedTokens, fetch }) {
+        const upstream = tryGetReady(host, call, id)!;
         countWarmUp(host, call, upstream);
         let isPrefilling = true;
         function endPrefill(): void {
@@ -138,6 +148,7 @@
           upstream,
           readingTokens,
           queuedTokens,
+          fetch: fetch && resolveFetch(host, call, fetch),
           endPrefill,
         }));
       },
@@ -149,6 +160,28 @@
   });
 }
 
+function tryGetReady(
+  host: ForwardHost,
+  call: Call,
+  id: string,
+): UpstreamEntry | undefined {
+  return host.directory.getReady(call.service).find((each) => each.id === id);
+}
+
+/**
+ * Checks the source again: it may have failed or left since the upstreams were
+ * ranked.
+ */
+function resolveFetch(
+  host: ForwardHost,
+  call: Call,
+  { source: id, tokens, reason }: PrefixFetch,
+): PickedFetch {
+  const source = tryGetReady(host, call, id);
+  const mayFetch = source !== undefined && mayFetchFrom(host, call, source);
+  return { source: mayFetch ? source : undefined, tokens, reason };
+}
+
 /**
  * Adds a prompt to the recorded demand of its team, regardless of its outcome.
  */
@@ -211,9 +244,37 @@
       host.getDistance(candidates.get(id)!.dataCentre) !== "other-region",
     isColdAndDue: (id) =>
       host.warmUps.getAllowance(candidates.get(id)!) === "now",
+    fetch: tryGetFetchTerms(host, call, prompt, candidates),
   });
 }
 
+/**
+ * Returns how the upstreams of a service fetch the prompt's shared prefix from
+ * each other; `undefined` if they do not.
+ */
+function tryGetFetchTerms(
+  host: ForwardHost,
+  call: Call,
+  prompt: Prompt,
+  candidates: ReadonlyMap<string, UpstreamEntry>,
+): PrefixFetchTerms | undefined {
+  const { service } = call;
+  const transfer = host.tryGetRoutes()?.tryGetMemoryTransfer(service);
+  if (transfer === undefined) return undefined;
+  const prefixTokens = prompt.promptTokens - getOwnTokens(prompt);
+  const tokens = tryGetFetchTokens({
+    transfer,
+    readyUpstreams: host.directory.getReady(service).length,
+    prefixTokens,
+    prefixPrefillTokens: getPrefillTokens(prefixTokens, 0),
+    msPerPrefillToken: host.getPacing(service).getMsPerToken(),
+  });
+  if (tokens === undefined) return undefined;
+  const mayBeSource = (id: string) =>
+    mayFetchFrom(host, call, candidates.get(id)!);
+  return { tokens, mayBeSource };
+}
+
 /**
  * Returns the service that a prompt counts for in fair sharing, in tokens:
  * prompt tokens count once, generated tokens twice.
@@ -238,12 +299,14 @@
     prompt.maxOutputTokens * GENERATED_TOKEN_WEIGHT;
 }
 
-/**
- * Returns the tokens to prefill for the last part, which no other request
- * shares.
- */
+/** Returns the tokens of the last part, which no other request shares. */
+function getOwnTokens(prompt: Prompt): number {
+  return prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
+}
+
+/** Returns the tokens to prefill for the last part. */
 function getUnsharedPrefillTokens(prompt: Prompt): number {
-  const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.promptTokens;
+  const ownTokens = getOwnTokens(prompt);
   return getPrefillTokens(ownTokens, prompt.promptTokens - ownTokens);
 }
 
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -170,8 +170,11 @@
     attempt.endPrefill();
     attempt.firstEventsMs = nowMs;
     progress.firstEventMs ??= nowMs - call.arrivedMs;
-    const { queuedTokens, startedMs, isUpstreamCold } = attempt;
+    const { queuedTokens, startedMs, isUpstreamCold, fetch } = attempt;
     if (queuedTokens === undefined || isUpstreamCold) return;
+    // How long a fetch takes, or a prefill in place of one that failed, shows
+    // nothing of the prefill speed.
+    if (fetch !== undefined) return;
     const tookMs = nowMs - startedMs - host.getUnreadMs();
     host.getPacing(call.service)
       .recordFirstEvent(queuedTokens, Math.max(0, tookMs));
--- a/src/forwarding/running_attempt.ts
+++ b/src/forwarding/running_attempt.ts
@@ -94,7 +94,7 @@
 function createAttempt(
   host: ForwardHost,
   { progress }: Call,
-  { upstream, queuedTokens, endPrefill }: PickedUpstream,
+  { upstream, queuedTokens, fetch, endPrefill }: PickedUpstream,
   onChange: () => void,
 ): Attempt {
   return {
@@ -102,6 +102,7 @@
     startedMs: host.clock.monotonicMs(),
     isUpstreamCold: host.warmUps.isCold(upstream),
     queuedTokens,
+    fetch,
     silence: createSilenceWatch(onChange),
     trace: createAttemptTrace(host.clock),
     endPrefill,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -60,6 +60,11 @@
   readonly upstreamId: string;
   readonly team: string | undefined;
   readonly lastEventId: string | undefined;
+  /**
+   * `IP:PORT` of the upstream from which it fetches the prompt's shared prefix;
+   * absent if it fetches none.
+   */
+  readonly fetchFrom?: string | undefined;
 }
 
 /** The response headers by which the system decides. */
--- a/src/testing/call_codec.ts
+++ b/src/testing/call_codec.ts
@@ -33,9 +33,11 @@
         resumedRequestId: req.headers["x-resumes"] as string | undefined,
       };
     },
-    createUpstreamHeaders(rawHeaders, { lastEventId }) {
-      if (lastEventId === undefined) return [...rawHeaders];
-      return [...rawHeaders, "x-last-event", lastEventId];
+    createUpstreamHeaders(rawHeaders, { lastEventId, fetchFrom }) {
+      const headers = [...rawHeaders];
+      if (lastEventId !== undefined) headers.push("x-last-event", lastEventId);
+      if (fetchFrom !== undefined) headers.push("x-fetch", fetchFrom);
+      return headers;
     },
     readResponseHeaders: (status, headers) => ({
       requestId: headers["x-id"] as string | undefined,
