--- a/src/pacing/first_event_model.ts
+++ b/src/pacing/first_event_model.ts
@@ -77,7 +77,7 @@
  * Samples are capped at this time, in ms: a later first event means that the
  * upstream has failed.
  */
-const MAX_SAMPLE_MS = 3_000;
+export const MAX_SAMPLE_MS = 3_000;
 
 /** Creates a model without samples. */
 export function createFirstEventModel(
--- a/src/pacing/pacing.ts
+++ b/src/pacing/pacing.ts
@@ -19,8 +19,8 @@
 import { createPauseLimit } from "./pause_limit.ts";
 import type { PacingStats } from "./types.ts";
 
-/** The adaptive prefill limit of one service. */
-export interface Pacing {
+/** Records samples from which limits are learned. */
+export interface PacingRecorder {
   /**
    * Records a first event that arrived `tookMs` after its prompt was sent, with
    * `prefillTokens` to prefill before it.
@@ -31,6 +31,17 @@
    * that ran for a sample period without such a pause.
    */
   recordPause(isLate: boolean): void;
+}
+
+/** The adaptive prefill limit of one service. */
+export interface Pacing extends PacingRecorder {
+  /** Predicts the time to a first event, in ms; see `FirstEventModel`. */
+  predictMs(prefillTokens: number): number;
+  /**
+   * Returns the tokens that an upstream of mean speed prefills early enough for
+   * a first event within `targetMs`.
+   */
+  getInTimeTokens(targetMs: number): number;
   /**
    * Returns the limit, in tokens. `targetMs` is the shortest target of the
    * service for the time to the first event.
@@ -62,7 +73,7 @@
  * Changes of the limit by at least this factor are reported; smaller ones occur
  * twice a second.
  */
-const REPORT_FACTOR = 1.25;
+export const REPORT_FACTOR = 1.25;
 
 /**
  * Share of the target within which a first event is expected at an upstream
@@ -90,15 +101,21 @@
     host.onChanged({ limitTokens, inTimeTokens, lateShare });
   }
 
+  function getInTimeTokens(targetMs: number): number {
+    return firstEvents.getTokensWithin(targetMs * TARGET_SHARE);
+  }
+
   return {
     recordFirstEvent: firstEvents.addSample,
     recordPause: pauses.addSample,
+    predictMs: firstEvents.predictMs,
+    getInTimeTokens,
     getStats: () => ({
       ...pauses.getLocalStats(),
       firstEvents: firstEvents.getLocalSums(),
     }),
     getLimitTokens(targetMs) {
-      const inTimeTokens = firstEvents.getTokensWithin(targetMs * TARGET_SHARE);
+      const inTimeTokens = getInTimeTokens(targetMs);
       const limitTokens = pauses.getLimitTokens(inTimeTokens);
       reportChange(limitTokens, inTimeTokens);
       return limitTokens;
--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -45,7 +45,14 @@
 export interface PauseLimitHost {
   nowMs(): number;
   /** Returns the statistics and limits of all other hosts. */
-  getRemoteStats(): PauseStats;
+  getRemoteStats(): Omit<PauseStats, "hosts">;
+}
+
+/** Settings that differ between a service and one of its upstreams. */
+export interface PauseLimitOptions {
+  readonly initialTokens: number;
+  /** Time between two adjustments, in ms. */
+  readonly adjustPeriodMs: number;
 }
 
 /**
@@ -100,9 +107,18 @@
  */
 const COUNTS_AFTER_DECREASE_FACTOR = 0.5;
 
+const defaultPauseLimitOptions: PauseLimitOptions = {
+  initialTokens: INITIAL_TOKENS,
+  adjustPeriodMs: ADJUST_PERIOD_MS,
+};
+
 /** Creates a limit without samples. */
-export function createPauseLimit(host: PauseLimitHost): PauseLimit {
-  let tokens = INITIAL_TOKENS;
+export function createPauseLimit(
+  host: PauseLimitHost,
+  { initialTokens, adjustPeriodMs }: PauseLimitOptions =
+    defaultPauseLimitOptions,
+): PauseLimit {
+  let tokens = initialTokens;
   let adjustedAtMs = host.nowMs();
   let decayedAtMs = host.nowMs();
   let localLateAnswers = 0;
@@ -156,7 +172,7 @@
       if (isLate) localLateAnswers++;
     },
     getLimitTokens(ceilingTokens) {
-      if (host.nowMs() - adjustedAtMs >= ADJUST_PERIOD_MS) {
+      if (host.nowMs() - adjustedAtMs >= adjustPeriodMs) {
         adjustedAtMs = host.nowMs();
         adjust(ceilingTokens);
       }
