Exchange statistics of single upstreams once per second

Cause: alone, a host has less than one sample per upstream and second.

Change: UpstreamStatsReporter sends the statistics along the tree of the load reports in datagrams of at most 30 upstreams (32 bytes for each). A sum names the round of the receiver's own report in it, so that the receiver subtracts exactly its own part; a report of several datagrams counts once it is complete.

Tested: sums at 59 hosts in 6 data centres, lost datagrams, a host that joins, no aggregate for 5 s, 16 hosts, size and round trip of a full datagram.

--- a/src/load/load_reporter.ts
+++ b/src/load/load_reporter.ts
@@ -229,12 +229,16 @@
   };
 }
 
-function getDataCentres(hosts: readonly LoadPeer[]): readonly string[] {
+/** Returns the data centres of the hosts, each once. */
+export function getDataCentres(hosts: readonly LoadPeer[]): readonly string[] {
   return [...new Set(hosts.map((each) => each.dataCentre))];
 }
 
 /** Returns the aggregator of a data centre; all hosts choose the same one. */
-function getAggregator(hosts: readonly LoadPeer[], dataCentre: string): string {
+export function getAggregator(
+  hosts: readonly LoadPeer[],
+  dataCentre: string,
+): string {
   const addresses = hosts
     .filter((each) => each.dataCentre === dataCentre)
     .map((each) => each.peerAddress);
--- a/src/load/mod.ts
+++ b/src/load/mod.ts
@@ -9,3 +9,5 @@
 export * from "./decaying_rate.ts";
 export * from "./team_shares.ts";
 export * from "./types.ts";
+export * from "./upstream_stats_reporter.ts";
+export * from "./upstream_stats_totals.ts";
--- a/src/peers/load_codec.ts
+++ b/src/peers/load_codec.ts
@@ -18,13 +18,15 @@
 import { EMPTY_FIRST_EVENT_SUMS } from "../pacing/mod.ts";
 import { createAuthenticatedCodec, type DatagramCodec } from "./datagrams.ts";
 
-const toWireScope: Readonly<Record<LoadScope, WireScope>> = {
+/** The scopes of reports as numbers on the wire. */
+export const toWireScope: Readonly<Record<LoadScope, WireScope>> = {
   "host": WireScope.HOST,
   "data-centre": WireScope.DATA_CENTRE,
   "fleet": WireScope.FLEET,
 };
 
-const fromWireScope = new Map<WireScope, LoadScope>(
+/** The reverse of `toWireScope`. */
+export const fromWireScope = new Map<WireScope, LoadScope>(
   Object.entries(toWireScope).map((
     [scope, wire],
   ) => [wire, scope as LoadScope]),
