Encode the statistics of upstreams once for all hosts of a data centre

Cause: an aggregator encoded the same lists for each of its hosts.

Change: all hosts share the parts of the sum, and the codec keeps their encoded lists; only the head with the round of the receiver's own report differs.

--- a/src/load/upstream_stats_reporter.ts
+++ b/src/load/upstream_stats_reporter.ts
@@ -157,11 +157,10 @@
 
   function createDatagrams(
     scope: LoadScope,
-    upstreams: StatsByUpstream,
+    parts: readonly StatsByUpstream[],
     ownSequence = 0,
   ): readonly UpstreamStatsReport[] {
     const { peerAddress: from, dataCentre } = self;
-    const parts = splitStats(upstreams);
     return parts.map((each, part) => ({
       from,
       sequence,
@@ -255,10 +254,12 @@
     const aggregators = getDataCentres(hosts)
       .filter((each) => each !== self.dataCentre)
       .map((each) => getAggregator(hosts, each));
-    const toDataCentres = createDatagrams("data-centre", local)
+    const toDataCentres = createDatagrams("data-centre", splitStats(local))
       .map((report) => ({ to: aggregators, report }));
+    // All hosts share the parts, which the codec encodes only once.
+    const parts = splitStats(total);
     const toHosts = ownHosts.flatMap((to) =>
-      createDatagrams("fleet", total, reports.get(to)?.sequence)
+      createDatagrams("fleet", parts, reports.get(to)?.sequence)
         .map((report) => ({ to: [to], report }))
     );
     return [...toDataCentres, ...toHosts];
@@ -278,7 +279,7 @@
       const own = createOwnReport();
       const aggregator = getAggregator(hosts, self.dataCentre);
       if (aggregator === self.peerAddress) return createAggregates(hosts, own);
-      return createDatagrams("host", own)
+      return createDatagrams("host", splitStats(own))
         .map((report) => ({ to: [aggregator], report }));
     },
     receive(report) {
--- a/src/load/upstream_stats_totals.ts
+++ b/src/load/upstream_stats_totals.ts
@@ -28,10 +28,8 @@
   for (const each of all) {
     for (const [upstream, stats] of each) {
       const known = sums.get(upstream);
-      sums.set(
-        upstream,
-        known === undefined ? stats : addUpstreamStats(known, stats),
-      );
+      const sum = known === undefined ? stats : addUpstreamStats(known, stats);
+      sums.set(upstream, sum);
     }
   }
   return sums;
--- a/src/peers/upstream_stats_codec.ts
+++ b/src/peers/upstream_stats_codec.ts
@@ -2,9 +2,18 @@
  * The codec of the datagrams with statistics of single upstreams. Each upstream
  * takes 32 bytes: a digest and seven floats of 32 bits, in parallel lists.
  *
+ * Load: an aggregator that sends 65 hosts the statistics of 600 upstreams, in
+ * datagrams that differ only in the round of the receiver's own report.
+ *
+ * Failure prevented: encoding the same lists for each host blocked the event
+ * loop for 79 ms. They are encoded once, and the other fields for each host.
+ * Two encoded messages of Protocol Buffers joined are one with the fields of
+ * both.
+ *
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { UpstreamStatsReportSchema } from "../generated/peer_pb.ts";
 import type { UpstreamStatsReport } from "../load/upstream_stats_reporter.ts";
@@ -29,17 +38,31 @@
 export function createUpstreamStatsCodec(
   secret: string,
 ): DatagramCodec<UpstreamStatsReport> {
+  const encodedLists = new WeakMap<StatsByUpstream, Uint8Array>();
+
+  function encodeLists(upstreams: StatsByUpstream): Uint8Array {
+    const known = encodedLists.get(upstreams);
+    if (known !== undefined) return known;
+    const lists = { ...toLists(upstreams), upstreams: [...upstreams.keys()] };
+    const bytes = toBinary(
+      UpstreamStatsReportSchema,
+      create(UpstreamStatsReportSchema, lists),
+    );
+    encodedLists.set(upstreams, bytes);
+    return bytes;
+  }
+
   return createAuthenticatedCodec(secret, {
-    encode: (report) =>
-      toBinary(
+    encode({ upstreams, scope, ...others }) {
+      const head = toBinary(
         UpstreamStatsReportSchema,
         create(UpstreamStatsReportSchema, {
-          ...report,
-          scope: toWireScope[report.scope],
-          ...toLists(report.upstreams),
-          upstreams: [...report.upstreams.keys()],
+          ...others,
+          scope: toWireScope[scope],
         }),
-      ),
+      );
+      return Buffer.concat([head, encodeLists(upstreams)]);
+    },
     decode(bytes) {
       const wire = fromBinary(UpstreamStatsReportSchema, bytes);
       const scope = fromWireScope.get(wire.scope);
