Pace each upstream of large fleets by its own limit and weight

Cause: one limit for all upstreams of a service falls to its minimum because of the slow ones, or because of the shortest target of the service.

The log names the upstream of a limit and changes of weights; the metrics have the lowest, median and highest limit, and weights other than 1.

Changed fixtures: the pacing of forwarding is a PacingRecorder, which lacks the functions that forwarding does not call; the queue's fixture can give one upstream another limit; the metrics' fixture names the new value.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -292,16 +292,33 @@
   }
   | {
     /**
-     * The limit of prefill tokens in flight changed for a service's upstreams.
+     * The limit of prefill tokens in flight changed for a service's upstreams,
+     * or for one of them.
      */
     readonly event: "reading-limit-changed";
     readonly service: string;
+    /** Absent if the limit is that of the service. */
+    readonly upstream?: string;
     readonly limitTokens: number;
-    /** Tokens that are prefilled within the service's target, as measured. */
+    /**
+     * Tokens that are prefilled within the target, as measured: the shortest of
+     * the service, or the longest of the prompts at the upstream.
+     */
     readonly inTimeTokens: number;
     /** Share of the responses of the last seconds that paused too long. */
     readonly lateShare: number;
   }
+  | {
+    /** An upstream gets another share of the shared prefixes. */
+    readonly event: "upstream-weight-changed";
+    readonly upstream: string;
+    /** 1 is the share of an upstream of mean speed. */
+    readonly weight: number;
+    /** Speed relative to the mean of the service, as measured. */
+    readonly speed: number;
+    /** First events of all hosts behind it, of which recent ones count most. */
+    readonly samples: number;
+  }
   | {
     readonly event: "config-in-force";
     readonly version: number;
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -53,10 +53,16 @@
           formatResumes(decision)
         }${formatBody(decision.body)}; ${formatInputs(decision.inputs)}`;
     case "reading-limit-changed":
-      return `An upstream of ${decision.service} may have ` +
+      return `${
+        decision.upstream ?? `An upstream of ${decision.service}`
+      } may have ` +
         `${decision.limitTokens} tokens to prefill; ${decision.inTimeTokens} ` +
         `are prefilled in time; a share of ${decision.lateShare} of the ` +
         `responses paused too long`;
+    case "upstream-weight-changed":
+      return `${decision.upstream} gets ${decision.weight} times the share of ` +
+        `prefixes: its speed is ${decision.speed} of the mean by ` +
+        `${decision.samples} first events`;
     case "intake-changed":
       return `${decision.isFull ? "Accepts no" : "Accepts"} new callers: an ` +
         `event-loop iteration took ${decision.meanTurnMs} ms on average`;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -20,7 +20,7 @@
   tryConnect,
 } from "../forwarding/mod.ts";
 import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
-import { createLoadView } from "../load/mod.ts";
+import { createLoadView, createUpstreamStatsReporter } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
@@ -55,6 +55,8 @@
 import { createServicePacings } from "./service_pacings.ts";
 import { startTicker } from "./ticker.ts";
 import type { EntryHost, EntrySettings } from "./types.ts";
+import { createUpstreamPacings } from "./upstream_pacings.ts";
+import { openUpstreamStatsExchange } from "./upstream_stats_exchange.ts";
 
 /** A running entry host. */
 export interface Entry extends AsyncDisposable {
@@ -152,6 +154,25 @@
       platformView.tryGetRoutes()?.tryGetPromptTargetMs(service),
     log,
   });
+  const self = { peerAddress, dataCentre: settings.dataCentre };
+  const upstreamStats = createUpstreamStatsReporter({
+    clock: stallTolerantClock,
+    self,
+    getHosts: getAlive,
+    createOwnStats: () => upstreamPacings.getStats(),
+  });
+  const upstreamPacings = createUpstreamPacings({
+    clock,
+    services: pacings,
+    directory: {
+      tryGet: (id) => platformView.directory.tryGet(id),
+      getReady: (service) => platformView.directory.getReady(service),
+    },
+    countHosts: () => getAlive().length,
+    getDigest: getNameDigest,
+    getOthersStats: upstreamStats.getOthersStats,
+    log,
+  });
   const queue = createPromptQueue({
     nowMs: clock.monotonicMs,
     getLoad(upstream) {
@@ -170,7 +191,7 @@
     isUnderserved: load.isUnderserved,
     onUnderservedWaiting: load.setUnderserved,
     getMeanEfficiency: load.getMeanEfficiency,
-    getLimitTokens: pacings.getLimitTokens,
+    getLimitTokens: upstreamPacings.getLimitTokens,
     random: host.random,
     onStart(prompt, upstream, readingTokens) {
       load.beginPrefill(upstream, readingTokens);
@@ -244,7 +265,8 @@
     countEvacuated: () => platformView.getEvacuated().size,
     countColdUpstreams: cold.count,
     getUnreadMs: loopMonitor.getUnreadMs,
-    getReadingLimits: pacings.getLimits,
+    getReadingLimits: upstreamPacings.getLimits,
+    getUpstreamWeights: upstreamPacings.getWeights,
     isReady,
   });
   const peers = await openPeers(settings, {
@@ -281,7 +303,8 @@
     markLeaving: platformView.markLeaving,
     queue,
     load,
-    getPacing: pacings.get,
+    getPacing: upstreamPacings.getRecorder,
+    getWeight: upstreamPacings.getWeight,
     health,
     backoffs: createBackoffWatch(clock),
     crashes,
@@ -388,12 +411,18 @@
   });
   const loadExchange = await openLoadExchange({
     clock: stallTolerantClock,
-    self: { peerAddress, dataCentre: settings.dataCentre },
+    self,
     view: load,
     getHosts: getAlive,
   });
+  const upstreamStatsExchange = await openUpstreamStatsExchange({
+    peerAddress,
+    reporter: upstreamStats,
+    onRound: upstreamPacings.update,
+  });
   const tasks = [
     loadExchange.run,
+    upstreamStatsExchange.run,
     peers.run,
     platformView.run,
     registration.run,
@@ -425,6 +454,7 @@
       for (const server of servers) await server[Symbol.asyncDispose]();
       agent.destroy();
       await loadExchange[Symbol.asyncDispose]();
+      await upstreamStatsExchange[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
     },
   };
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -21,6 +21,8 @@
   countColdUpstreams(): number;
   getUnreadMs(): number;
   getReadingLimits(): readonly ReadingLimit[];
+  /** The weights of upstreams other than 1. */
+  getUpstreamWeights(): readonly UpstreamWeight[];
   isReady(): boolean;
 }
 
@@ -30,9 +32,20 @@
  */
 export interface ReadingLimit {
   readonly service: string;
+  /**
+   * Which of the limits of the service's upstreams this is; absent if all have
+   * the same.
+   */
+  readonly rank?: "lowest" | "median" | "highest";
   readonly tokens: number;
 }
 
+/** The weight of an upstream in the ranking of prompts. */
+export interface UpstreamWeight {
+  readonly upstream: string;
+  readonly weight: number;
+}
+
 /** The metrics of one host. */
 export interface EntryMetrics {
   observeEnd(end: CallEnd): void;
@@ -176,11 +189,13 @@
   new Gauge({
     name: "azurestile_reading_limit_tokens",
     help: "What an upstream may have to read at once, by service, as learned",
-    labelNames: ["service"],
+    labelNames: ["service", "rank"],
     registers,
     collect() {
-      for (const { service, tokens } of host.getReadingLimits()) {
-        this.set({ service }, tokens);
+      // A host can change between one limit and several.
+      this.reset();
+      for (const { service, rank, tokens } of host.getReadingLimits()) {
+        this.set(rank === undefined ? { service } : { service, rank }, tokens);
       }
     },
   });
@@ -204,8 +219,8 @@
     labelNames: ["framing", "connection"],
     registers,
   });
-  // The families that grow with the number of routes come last, since a scrape
-  // may be cut at some length.
+  // The families that grow with the number of routes or of upstreams come last,
+  // since a scrape may be cut at some length.
   const ended = new Counter({
     name: "azurestile_requests_ended_total",
     help: "Requests ended, by route, outcome and status",
@@ -226,6 +241,18 @@
     buckets: TIME_BUCKETS_S,
     registers,
   });
+  new Gauge({
+    name: "azurestile_upstream_weight",
+    help: "Share of the shared prefixes that an upstream gets, unless 1",
+    labelNames: ["upstream"],
+    registers,
+    collect() {
+      this.reset();
+      for (const { upstream, weight } of host.getUpstreamWeights()) {
+        this.set({ upstream }, weight);
+      }
+    },
+  });
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -1,12 +1,17 @@
 import { deepStrictEqual, ok } from "node:assert";
 import { test } from "node:test";
 import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
-import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
+import {
+  createEntryMetrics,
+  type EntryMetrics,
+  type MetricsHost,
+  type ReadingLimit,
+} from "./metrics.ts";
 
 /** Length at which a collector may cut a scrape, in bytes. */
 const CUT_BYTES = 4_096;
 
-function createMetrics(): EntryMetrics {
+function createMetrics(changes: Partial<MetricsHost> = {}): EntryMetrics {
   return createEntryMetrics({
     getConfigVersion: () => 1,
     getQueued: () => 0,
@@ -16,7 +21,9 @@
     countColdUpstreams: () => 3,
     getUnreadMs: () => 0,
     getReadingLimits: () => [],
+    getUpstreamWeights: () => [],
     isReady: () => true,
+    ...changes,
   });
 }
 
@@ -211,3 +218,25 @@
   ok(cut.includes('event="log-lines-dropped"'));
   ok(cut.includes('framing="chunked",connection="kept"'));
 });
+
+test("limits and weights of upstreams that no longer differ disappear", async () => {
+  // Guards against series that keep their last value after a fleet has shrunk
+  // to the limit of the service, or after an upstream has left.
+  let limits: readonly ReadingLimit[] = [
+    { service: "chat", rank: "lowest", tokens: 5_600 },
+    { service: "chat", rank: "highest", tokens: 36_000 },
+  ];
+  let weights = [{ upstream: "i-1", weight: 2 }];
+  const metrics = createMetrics({
+    getReadingLimits: () => limits,
+    getUpstreamWeights: () => weights,
+  });
+  const before = await metrics.render();
+  ok(before.includes('tokens{service="chat",rank="lowest"} 5600'));
+  ok(before.includes('azurestile_upstream_weight{upstream="i-1"} 2'));
+  limits = [{ service: "chat", tokens: 14_000 }];
+  weights = [];
+  const after = await metrics.render();
+  ok(after.includes('tokens{service="chat"} 14000'));
+  ok(!after.includes("rank=") && !after.includes("i-1"));
+});
--- a/src/entry/service_pacings.ts
+++ b/src/entry/service_pacings.ts
@@ -6,13 +6,9 @@
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import {
-  createPacing,
-  type Pacing,
-  type PacingChange,
-  type PacingStats,
-} from "../pacing/mod.ts";
+import { createPacing, type Pacing, type PacingStats } from "../pacing/mod.ts";
 import type { ReadingLimit } from "./metrics.ts";
+import { createReadingLimitDecision } from "./reading_limit_decision.ts";
 
 /** Dependencies of the pacings. */
 export interface ServicePacingsHost {
@@ -44,21 +40,12 @@
 export function createServicePacings(host: ServicePacingsHost): ServicePacings {
   const pacings = new Map<string, Pacing>();
 
-  function logLimit(service: string, change: PacingChange): void {
-    host.log({
-      event: "reading-limit-changed",
-      service,
-      limitTokens: Math.round(change.limitTokens),
-      inTimeTokens: Math.round(change.inTimeTokens),
-      lateShare: Number(change.lateShare.toFixed(3)),
-    });
-  }
-
   function create(service: string): Pacing {
     return createPacing({
       nowMs: host.clock.monotonicMs,
       getRemoteStats: () => host.getRemoteStats(service),
-      onChanged: (change) => logLimit(service, change),
+      onChanged: (change) =>
+        host.log(createReadingLimitDecision(service, change)),
     });
   }
 
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -23,7 +23,7 @@
 } from "../discovery/mod.ts";
 import type { LoadView } from "../load/mod.ts";
 import type { Distance } from "../placement/mod.ts";
-import type { Pacing } from "../pacing/mod.ts";
+import type { PacingRecorder } from "../pacing/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
@@ -48,10 +48,16 @@
   readonly queue: PromptQueue;
   readonly load: LoadView;
   /**
-   * Returns the adaptive prefill limit of the service, with the statistics
-   * behind it.
+   * Returns the recorder of samples for the prefill limits of the upstream and
+   * of its service.
    */
-  getPacing(service: string): Pacing;
+  getPacing(upstream: UpstreamEntry): PacingRecorder;
+  /**
+   * Returns the share of the shared prefixes that the upstream is preferred
+   * for, relative to the other upstreams; 1 unless its speed is known to
+   * differ.
+   */
+  getWeight(upstream: UpstreamEntry): number;
   readonly health: HealthWatch;
   readonly backoffs: BackoffWatch;
   readonly crashes: CrashWatch;
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -204,7 +204,7 @@
   );
   const key = getAffinityKey(prompt.model, prompt.parts);
   return rankForPrompt({
-    ranked: rankByAffinity(key, [...candidates.values()]),
+    ranked: rankByAffinity(key, [...candidates.values()], host.getWeight),
     unsharedTokens: getUnsharedPrefillTokens(prompt),
     totalTokens: getPrefillTokens(prompt.promptTokens, 0),
     isNear: (id) =>
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -170,10 +170,10 @@
     attempt.endPrefill();
     attempt.firstEventsMs = nowMs;
     progress.firstEventMs ??= nowMs - call.arrivedMs;
-    const { queuedTokens, startedMs, isUpstreamCold } = attempt;
+    const { queuedTokens, startedMs, isUpstreamCold, upstream } = attempt;
     if (queuedTokens === undefined || isUpstreamCold) return;
     const tookMs = nowMs - startedMs - host.getUnreadMs();
-    host.getPacing(call.service)
+    host.getPacing(upstream)
       .recordFirstEvent(queuedTokens, Math.max(0, tookMs));
   }
 
@@ -223,19 +223,19 @@
 
 /**
  * Creates a sampler that reports the pauses of one response to the pacing of
- * its service; `undefined` if the route has no pause target, or if the upstream
+ * its upstream; `undefined` if the route has no pause target, or if the upstream
  * is cold: it is slower than the limit is learned for.
  */
 function createSampler(
   host: ForwardHost,
-  { route, service }: Call,
-  { isUpstreamCold }: Attempt,
+  { route }: Call,
+  { isUpstreamCold, upstream }: Attempt,
 ): PauseSampler | undefined {
   const { pauseTargetMs } = route;
   if (pauseTargetMs === undefined || isUpstreamCold) return undefined;
   return createPauseSampler({
     targetMs: pauseTargetMs,
-    onSample: host.getPacing(service).recordPause,
+    onSample: host.getPacing(upstream).recordPause,
   });
 }
 
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -145,6 +145,8 @@
    * every prompt.
    */
   const loadCache = new Map<string, UpstreamLoad>();
+  /** Limits of the upstreams in the present pass, by upstream and target. */
+  const limitCache = new Map<string, Map<number, number>>();
   const limits = [
     options.limit,
     options.inefficientLimit,
@@ -154,24 +156,35 @@
   const getLoad = (upstream: string) =>
     getOrCreate(loadCache, upstream, () => host.getLoad(upstream));
 
+  function getLimitTokens(prompt: WaitingPrompt, upstream: string): number {
+    const { service, targetMs } = prompt;
+    const byTarget = getOrCreate(limitCache, upstream, () => new Map());
+    return getOrCreate(
+      byTarget,
+      targetMs,
+      () => host.getLimitTokens(service, upstream, targetMs),
+    );
+  }
+
   function tryChooseUpstream(
     { prompt, yields, isDeprioritised }: PrioritisedPrompt,
     nowMs: number,
   ): RankedUpstream | undefined {
     const limit = limits[yields];
-    const limitTokens = host.getLimitTokens(prompt.service);
-    const maxCountedTokens = limitTokens * options.maxCountedShare;
     const yieldsToUnderserved = options.yieldsToUnderserved &&
       isDeprioritised &&
       !host.isUnderserved(prompt.team);
-    const fitsUpstream = ({ upstream, readingTokens }: RankedUpstream) =>
-      hasRoom(getLoad(upstream), {
+    function fitsUpstream({ upstream, readingTokens }: RankedUpstream) {
+      const limitTokens = getLimitTokens(prompt, upstream);
+      const maxCountedTokens = limitTokens * options.maxCountedShare;
+      return hasRoom(getLoad(upstream), {
         readingTokens: Math.min(readingTokens, maxCountedTokens),
         slotShare: limit.slotShare,
         limitTokens: limitTokens * limit.prefillShare,
         fullLimitTokens: limitTokens,
         yieldsToUnderserved,
       });
+    }
     const upstreams = prompt.getUpstreams();
     const [first] = upstreams;
     if (first === undefined) return undefined;
@@ -242,6 +255,7 @@
   function startWaiting(): void {
     const nowMs = host.nowMs();
     loadCache.clear();
+    limitCache.clear();
     for (const next of getInPriorityOrder()) {
       if (!next.prompt.isCallerConnected()) continue;
       const chosen = tryChooseUpstream(next, nowMs);
@@ -270,7 +284,9 @@
       waiting: waiting.size,
       yields: getYieldLevel(prompt),
       shareUsed: Number(host.getShareUsed(prompt.team).toFixed(2)),
-      limitTokens: Math.round(host.getLimitTokens(prompt.service)),
+      limitTokens: Math.round(
+        host.getLimitTokens(prompt.service, upstream, prompt.targetMs),
+      ),
       upstream,
       load: upstream === undefined ? undefined : getLoad(upstream),
     };
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -24,6 +24,7 @@
   readonly efficiency?: number;
   readonly ranked?: readonly string[];
   readonly isBegun?: boolean;
+  readonly targetMs?: number;
 }
 
 /** Creates a queue for idle upstreams with 48 slots each. */
@@ -43,6 +44,8 @@
   const spentWarmUps = new Set<string>();
   /** Requests whose callers have disconnected. */
   const disconnected = new Set<string>();
+  /** Limits other than `LIMIT_TOKENS`, by upstream and target in ms. */
+  const limits = new Map<string, number>();
   const randoms: number[] = [];
   const retryAfterMs: number[] = [];
   const refusals: QueueInputs[] = [];
@@ -66,7 +69,8 @@
       void underservedReports.push(Object.fromEntries(prompts)),
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getMeanEfficiency: () => 60,
-    getLimitTokens: () => LIMIT_TOKENS,
+    getLimitTokens: (_service, upstream, targetMs) =>
+      limits.get(`${upstream}/${targetMs}`) ?? LIMIT_TOKENS,
     random: () => randoms.shift() ?? 0.5,
     onStart(_prompt, upstream, readingTokens) {
       getUse(upstream).readingTokens += readingTokens;
@@ -89,7 +93,7 @@
       service: "model",
       route: "drafts",
       arrivedMs: nowMs,
-      targetMs: 800,
+      targetMs: options.targetMs ?? 800,
       serviceTokens: workTokens * efficiency,
       workTokens,
       isBegun: options.isBegun ?? false,
@@ -124,6 +128,7 @@
     underservedTeams,
     underserved,
     underservedReports,
+    limits,
     randoms,
     retryAfterMs,
     refusals,
@@ -148,6 +153,20 @@
   deepStrictEqual(fixture.log, ["calm-1 late"]);
 });
 
+test("each upstream has its own limit, by the target of the prompt", () => {
+  // Guards against prompts that wait for a fast upstream because of the limit of
+  // slow ones, and against prompts held to the target of others.
+  const fixture = createFixture();
+  fixture.limits.set("fast/800", 30_000);
+  for (const upstream of ["slow", "fast"]) {
+    fixture.getUse(upstream).readingTokens = 12_000;
+  }
+  fixture.add({ ranked: ["slow"] });
+  fixture.add({ ranked: ["fast"], targetMs: 500 });
+  fixture.add({ ranked: ["fast"] });
+  deepStrictEqual(fixture.log, ["calm-3 to fast"]);
+});
+
 test("an overserved team goes last but may use room that no other team needs", () => {
   // Guards against an overserved team that starts before the others, and
   // against upstreams that stay idle while it waits.
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -103,8 +103,16 @@
    * Recent mean of service tokens per token of upstream work, of all prompts.
    */
   getMeanEfficiency(): number;
-  /** Limit on the tokens that an upstream of the service may be prefilling. */
-  getLimitTokens(service: string): number;
+  /**
+   * Limit on the tokens that the upstream of the service may be prefilling when
+   * a prompt with this target, in ms, starts there. Without an upstream, the
+   * limit of the service.
+   */
+  getLimitTokens(
+    service: string,
+    upstream: string | undefined,
+    targetMs: number,
+  ): number;
   /** A random number from 0 up to, but not including, 1. */
   random(): number;
   /** Called when a prompt starts, to count it in the load of its upstream. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -27,7 +27,7 @@
 } from "../forwarding/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { EMPTY_PACING_STATS, type Pacing } from "../pacing/mod.ts";
+import type { PacingRecorder } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import { createRouteTable, type Route } from "../routing/mod.ts";
 import type { FirstEvent, FoundVersion } from "../stream_versions/mod.ts";
@@ -313,12 +313,10 @@
     getStatedCapacity: () => 0,
     getLearned: () => [],
   });
-  const pacing: Pacing = {
+  const pacing: PacingRecorder = {
     recordFirstEvent: (tokens) =>
       void parts.recordedPacing.firstEvents.push(tokens),
     recordPause: (isLate) => void parts.recordedPacing.pauses.push(isLate),
-    getLimitTokens: () => PREFILL_LIMIT_TOKENS,
-    getStats: () => EMPTY_PACING_STATS,
   };
   const retryBudget = createRetryBudget(clock);
   return {
@@ -336,6 +334,7 @@
       recordAsked: (_team, tokens) => void parts.askedTokens.push(tokens),
     },
     getPacing: () => pacing,
+    getWeight: () => 1,
     queue: createPromptQueue({
       nowMs: clock.monotonicMs,
       getLoad: () => ({
