--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -165,6 +165,9 @@
   fixture.add({ ranked: ["fast"], targetMs: 500 });
   fixture.add({ ranked: ["fast"] });
   deepStrictEqual(fixture.log, ["calm-3 to fast"]);
+  fixture.limits.set("slow/800", 20_000);
+  fixture.advance(10);
+  deepStrictEqual(fixture.log, ["calm-3 to fast", "calm-1 to slow"]);
 });
 
 test("an overserved team goes last but may use room that no other team needs", () => {
