--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -237,7 +237,7 @@
   );
   const key = getAffinityKey(prompt.model, prompt.parts);
   return rankForPrompt({
-    ranked: rankByAffinity(key, [...candidates.values()]),
+    ranked: rankByAffinity(key, [...candidates.values()], host.getWeight),
     unsharedTokens: getUnsharedPrefillTokens(prompt),
     totalTokens: getPrefillTokens(prompt.promptTokens, 0),
     isNear: (id) =>
@@ -267,7 +267,7 @@
     readyUpstreams: host.directory.getReady(service).length,
     prefixTokens,
     prefixPrefillTokens: getPrefillTokens(prefixTokens, 0),
-    msPerPrefillToken: host.getPacing(service).getMsPerToken(),
+    msPerPrefillToken: host.getPrefillMsPerToken(service),
   });
   if (tokens === undefined) return undefined;
   const mayBeSource = (id: string) =>
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -27,7 +27,7 @@
 } from "../forwarding/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
-import { EMPTY_PACING_STATS, type Pacing } from "../pacing/mod.ts";
+import type { PacingRecorder } from "../pacing/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import {
   createRouteTable,
@@ -338,13 +338,10 @@
     getStatedCapacity: () => 0,
     getLearned: () => [],
   });
-  const pacing: Pacing = {
+  const pacing: PacingRecorder = {
     recordFirstEvent: (tokens) =>
       void parts.recordedPacing.firstEvents.push(tokens),
     recordPause: (isLate) => void parts.recordedPacing.pauses.push(isLate),
-    getLimitTokens: () => PREFILL_LIMIT_TOKENS,
-    getMsPerToken: () => MS_PER_PREFILL_TOKEN,
-    getStats: () => EMPTY_PACING_STATS,
   };
   const retryBudget = createRetryBudget(clock);
   return {
@@ -362,6 +359,8 @@
       recordAsked: (_team, tokens) => void parts.askedTokens.push(tokens),
     },
     getPacing: () => pacing,
+    getPrefillMsPerToken: () => MS_PER_PREFILL_TOKEN,
+    getWeight: () => 1,
     queue: createPromptQueue({
       nowMs: clock.monotonicMs,
       getLoad: (upstream) => ({
