Decode the limit of file descriptors from the settings

Cause: connection handoff bounds its relays by the host's file descriptors, which no field of the settings held. Change: limits.max_fds becomes EntrySettings.maxFds; a file without it is refused like one without any other limit.

--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -38,6 +38,8 @@
   readonly processorShare: number;
   /** Memory above which the process is killed, in bytes. */
   readonly memoryBytes: number;
+  /** Maximum number of open file descriptors of the process. */
+  readonly maxFds: number;
   /** Time between SIGTERM and SIGKILL, in ms. */
   readonly stopGraceMs: number;
   /** Maximum time for which callers may cache a list of hosts, in ms. */
