Hand off connections of overloaded entry hosts

Relays, and taken connections without a request, count as in flight for the drain. The fixtures of drain_test.ts and metrics_test.ts have the new dependency; no assertion of theirs changed.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -6,7 +6,8 @@
  * absent from the answers to host queries, reports that it is not ready, and
  * closes each connection after its response. A request that can't complete in
  * the remaining time is refused as "not run", which is true because it was not
- * sent to an upstream. Requests that have started are completed.
+ * sent to an upstream. Requests that have started are completed, also those on
+ * connections that were handed off between hosts.
  *
  * @module
  */
@@ -29,8 +30,9 @@
    * last byte was sent.
    */
   track(res: ServerResponse): void;
+  /** Responses and handed-off connections in flight. */
   countInFlight(): number;
-  /** Drains the host; returns the number of responses that were cut off. */
+  /** Drains the host; returns the number of them that were cut off. */
   readonly run: Effect.Effect<{ cut: number; tookMs: number }>;
 }
 
@@ -39,6 +41,11 @@
   readonly clock: Clock;
   /** Time from SIGTERM to SIGKILL, in ms. */
   readonly graceMs: number;
+  /**
+   * Handed-off connections that are in flight and carry no response of this
+   * host.
+   */
+  countHandoffs(): number;
   /** Announces to the other hosts that this host is leaving. */
   announceLeaving(): void;
   onPhase(phase: "leaving" | "ending", inFlight: number): void;
@@ -86,23 +93,25 @@
     if (!res.headersSent) res.setHeader("connection", "close");
   }
 
+  const countInFlight = () => openResponses.size + host.countHandoffs();
+
   function isDone(): boolean {
     const elapsedMs = getElapsedMs();
     if (elapsedMs >= graceMs - EXIT_MARGIN_MS) return true;
     const quietMs = clock.monotonicMs() - lastArrivalMs;
     return elapsedMs >= graceMs * MIN_STAY_SHARE && quietMs >= MIN_QUIET_MS &&
-      openResponses.size === 0;
+      countInFlight() === 0;
   }
 
   const run = Effect.gen(function* () {
     startedMs = clock.monotonicMs();
     host.announceLeaving();
     for (const res of openResponses) setConnectionClose(res);
-    host.onPhase("leaving", openResponses.size);
+    host.onPhase("leaving", countInFlight());
     while (!isDone()) yield* Effect.sleep(CHECK_INTERVAL_MS);
     hasEnded = true;
-    host.onPhase("ending", openResponses.size);
-    return { cut: openResponses.size, tookMs: Math.round(getElapsedMs()) };
+    host.onPhase("ending", countInFlight());
+    return { cut: countInFlight(), tookMs: Math.round(getElapsedMs()) };
   });
 
   return {
@@ -120,7 +129,7 @@
       onResponseClosed(res, () => openResponses.delete(res));
       if (startedMs !== undefined) setConnectionClose(res);
     },
-    countInFlight: () => openResponses.size,
+    countInFlight,
     run,
   };
 }
--- a/src/entry/drain_test.ts
+++ b/src/entry/drain_test.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import * as Effect from "effect/Effect";
 import { createManualClock, runAfterPendingReads } from "../core/mod.ts";
 import { createPipelinedResponses } from "../testing/pipelined_responses.ts";
@@ -13,13 +14,15 @@
 function createFixture() {
   const clock = createManualClock(1_000);
   const phases: string[] = [];
+  const handoffs = { count: 0 };
   const drain = createDrain({
     clock,
     graceMs: GRACE_MS,
+    countHandoffs: () => handoffs.count,
     announceLeaving: () => phases.push("told"),
     onPhase: (phase) => phases.push(phase),
   });
-  return { clock, drain, phases };
+  return { clock, drain, handoffs, phases };
 }
 
 function createResponse() {
@@ -83,6 +86,24 @@
   strictEqual((await running).cut, 2);
 });
 
+test("a drain waits for handed-off connections, and counts those that it cuts off", async () => {
+  // Guards against a relay that its origin aborts within the grace period.
+  const { clock, drain, handoffs } = createFixture();
+  handoffs.count = 2;
+  const running = Effect.runPromise(drain.run);
+  let hasEnded = false;
+  void running.then(() => hasEnded = true);
+  await Promise.resolve();
+  strictEqual(drain.countInFlight(), 2);
+  clock.advance(GRACE_MS * 7 / 8);
+  // Longer than the interval of the drain's checks.
+  await sleep(120);
+  strictEqual(hasEnded, false);
+  handoffs.count = 1;
+  clock.advance(GRACE_MS / 8);
+  strictEqual((await running).cut, 1);
+});
+
 test("pipelined responses are not in flight for ever once their connection is reset", async () => {
   const { drain } = createFixture();
   const socket = new Socket();
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { performance } from "node:perf_hooks";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
@@ -20,6 +21,7 @@
   tryConnect,
 } from "../forwarding/mod.ts";
 import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
+import { createHandoff } from "../handoff/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
@@ -31,6 +33,7 @@
 } from "../stream_versions/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
+import { listenForCallers } from "./caller_server.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
@@ -229,6 +232,7 @@
   const drain = createDrain({
     clock,
     graceMs: settings.stopGraceMs,
+    countHandoffs: () => handoff.countInFlight(),
     announceLeaving: () => peers.membership.leave(),
     onPhase: (phase, inFlight) =>
       log({ event: "drain-phase", phase, inFlight }),
@@ -245,6 +249,7 @@
     countColdUpstreams: cold.count,
     getUnreadMs: loopMonitor.getUnreadMs,
     getReadingLimits: pacings.getLimits,
+    countHandoffs: () => handoff.countOpen(),
     isReady,
   });
   const peers = await openPeers(settings, {
@@ -312,14 +317,34 @@
     random: host.random,
   };
 
-  const callers = await listen(
-    settings.callerAddress,
-    (req, res) => {
+  const handoff = createHandoff({
+    clock,
+    self: peerAddress,
+    maxFds: settings.maxFds,
+    random: host.random,
+    readLoopTimes: host.readLoopTimes ?? performance.eventLoopUtilization,
+    getAliveHosts: () =>
+      getAlive()
+        .filter((each) => each.dataCentre === settings.dataCentre)
+        .map((each) => each.peerAddress),
+    isFull: fullHosts.isFull,
+    isDraining: drain.isDraining,
+    isConfigured: () => platformView.tryGetRoutes() !== undefined,
+    serve: (socket) => callers.serve(socket),
+    onAsked: metrics.observeHandoff,
+    onReceived: metrics.observeReceived,
+    log,
+  });
+  const callers = await listenForCallers(settings.callerAddress, {
+    onRequest(req, res) {
+      if (!handoff.acceptRequest(req, res)) return;
       drain.track(res);
       serve(forwardHost, req, res);
     },
-    getBacklog(settings.processorShare),
-  );
+    onConnection: handoff.offer,
+    backlog: getBacklog(settings.processorShare),
+  });
+  await handoff.listen();
   const readiness = await listen(
     settings.readinessAddress,
     createReadinessListener(protocol, isReady),
@@ -361,6 +386,7 @@
     stallTolerantClock.tick();
     loopMonitor.tick();
     intake.tick();
+    handoff.tick();
   }
 
   /**
@@ -422,6 +448,7 @@
       ticker[Symbol.dispose]();
       streamVersions[Symbol.dispose]();
       for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
+      await handoff[Symbol.asyncDispose]();
       for (const server of servers) await server[Symbol.asyncDispose]();
       agent.destroy();
       await loadExchange[Symbol.asyncDispose]();
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -8,6 +8,7 @@
 import type { ConnectResult } from "../crashes/mod.ts";
 import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
+import type { AttemptOutcome, ReceivedOutcome } from "../handoff/mod.ts";
 import type { FetchOutcome } from "./platform_view.ts";
 
 /** Values that are read when the metrics are collected. */
@@ -21,6 +22,8 @@
   countColdUpstreams(): number;
   getUnreadMs(): number;
   getReadingLimits(): readonly ReadingLimit[];
+  /** Open handoffs of this host as the origin. */
+  countHandoffs(): number;
   isReady(): boolean;
 }
 
@@ -41,6 +44,10 @@
   observeFetch(table: string, outcome: FetchOutcome): void;
   /** Counts an upstream that was asked whether it has crashed. */
   observeAsked(result: ConnectResult): void;
+  /** Counts a host that was asked to take a connection. */
+  observeHandoff(outcome: AttemptOutcome): void;
+  /** Counts a connection that another host handed off. */
+  observeReceived(outcome: ReceivedOutcome): void;
   render(): Promise<string>;
 }
 
@@ -190,6 +197,24 @@
     () => Number(host.isReady()),
   );
 
+  const handoffs = new Counter({
+    name: "azurestile_handoff_connections_total",
+    help: "Hosts asked to take a connection, by outcome",
+    labelNames: ["outcome"],
+    registers,
+  });
+  const received = new Counter({
+    name: "azurestile_handoff_received_total",
+    help: "Connections that other hosts handed off, by outcome",
+    labelNames: ["outcome"],
+    registers,
+  });
+  addGauge(
+    "azurestile_handoff_open",
+    "Connections that this host hands off at present",
+    () => host.countHandoffs(),
+  );
+
   const streamVersions = new Counter({
     name: "azurestile_stream_versions_total",
     help: "Streams that callers took up, by who knew their software version",
@@ -284,6 +309,8 @@
     },
     observeFetch: (table, outcome) => tableFetches.inc({ table, outcome }),
     observeAsked: (result) => asked.inc({ result }),
+    observeHandoff: (outcome) => handoffs.inc({ outcome }),
+    observeReceived: (outcome) => received.inc({ outcome }),
     render: () => registry.metrics(),
   };
 }
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -16,6 +16,7 @@
     countColdUpstreams: () => 3,
     getUnreadMs: () => 0,
     getReadingLimits: () => [],
+    countHandoffs: () => 0,
     isReady: () => true,
   });
 }
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -11,6 +11,7 @@
 import type { DecisionLog } from "../diagnostics/mod.ts";
 import type { EntryPlatform } from "../discovery/mod.ts";
 import type { CallCodec } from "../forwarding/mod.ts";
+import type { LoopTimes } from "../handoff/mod.ts";
 
 /** The settings of one entry host. */
 export interface EntrySettings {
@@ -74,4 +75,9 @@
   /** Port and path of the metrics endpoint; absent to disable it. */
   readonly metrics?: { readonly port: number; readonly path: string };
   random(): number;
+  /**
+   * Reads the accumulated times of the event loop; those of this process if
+   * absent.
+   */
+  readLoopTimes?(): LoopTimes;
 }
