--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -22,6 +22,7 @@
     getUnreadMs: () => 0,
     getReadingLimits: () => [],
     getUpstreamWeights: () => [],
+    countHandoffs: () => 0,
     isReady: () => true,
     ...changes,
   });
--- a/src/placement/prefix_fetch.ts
+++ b/src/placement/prefix_fetch.ts
@@ -6,8 +6,8 @@
  * prefixes get far more prompts than one upstream can prefill in time.
  *
  * Failures prevented:
- * - The upstream that a hot prefix hashes to gets 2.24 times the mean load, and
- *   its prompts are refused while others have room.
+ * - Prompts with a hot prefix are refused while the upstream that it hashes to is
+ *   full and others have room.
  * - An upstream fetches over a link on which it would wait longer than for the
  *   prefill, or from one that is about to end.
  * - Copies of many prefixes at many upstreams evict each other. A fetch
