Let hosts agree on an upstream's weight, and let its limit recover

Two hosts that share most samples of an upstream at a boundary of two steps took each other's step every five seconds, and prefixes moved with it: 120 changes in 300 s where two are due. The mean is now over all hosts. - The limit by pauses kept the lowest ceiling that the first events had given it, and rose again only with samples of pauses: after 20 s of a slow upstream it stayed at 9,222 of 14,000 tokens for good. For one upstream the ceiling now bounds what is returned, not what is remembered. The limit of a service is computed as before.

--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -53,6 +53,12 @@
   readonly initialTokens: number;
   /** Time between two adjustments, in ms. */
   readonly adjustPeriodMs: number;
+  /**
+   * Whether the limit stays at the lowest ceiling until it increases by itself.
+   * If not, it is back as soon as the ceiling is. An upstream with few samples
+   * of pauses would otherwise keep the limit of one slow moment.
+   */
+  readonly keepsCeiling: boolean;
 }
 
 /**
@@ -110,12 +116,13 @@
 const defaultPauseLimitOptions: PauseLimitOptions = {
   initialTokens: INITIAL_TOKENS,
   adjustPeriodMs: ADJUST_PERIOD_MS,
+  keepsCeiling: true,
 };
 
 /** Creates a limit without samples. */
 export function createPauseLimit(
   host: PauseLimitHost,
-  { initialTokens, adjustPeriodMs }: PauseLimitOptions =
+  { initialTokens, adjustPeriodMs, keepsCeiling }: PauseLimitOptions =
     defaultPauseLimitOptions,
 ): PauseLimit {
   let tokens = initialTokens;
@@ -151,17 +158,27 @@
     if (answers > MIN_ANSWERS) tokens = (tokens + limitTokens / answers) / 2;
   }
 
+  function increase(ceilingTokens: number): void {
+    const increased = Math.min(tokens * INCREASE_FACTOR, ceilingTokens);
+    tokens = Math.max(tokens, increased);
+  }
+
+  function decrease(ceilingTokens: number): void {
+    const inForce = keepsCeiling ? tokens : Math.min(tokens, ceilingTokens);
+    tokens = inForce * DECREASE_FACTOR;
+    scale(COUNTS_AFTER_DECREASE_FACTOR);
+  }
+
   function adjust(ceilingTokens: number): void {
     decay();
     averageWithOtherHosts();
     if (getTotalAnswers() > MIN_ANSWERS) {
       const share = getLateShare();
-      if (share > DECREASE_ABOVE_SHARE) {
-        tokens *= DECREASE_FACTOR;
-        scale(COUNTS_AFTER_DECREASE_FACTOR);
-      } else if (share < INCREASE_BELOW_SHARE) tokens *= INCREASE_FACTOR;
+      if (share > DECREASE_ABOVE_SHARE) decrease(ceilingTokens);
+      else if (share < INCREASE_BELOW_SHARE) increase(ceilingTokens);
     }
-    tokens = Math.max(MIN_TOKENS, Math.min(tokens, ceilingTokens));
+    if (keepsCeiling) tokens = Math.min(tokens, ceilingTokens);
+    tokens = Math.max(MIN_TOKENS, tokens);
   }
 
   return {
@@ -176,7 +193,8 @@
         adjustedAtMs = host.nowMs();
         adjust(ceilingTokens);
       }
-      return tokens;
+      if (keepsCeiling) return tokens;
+      return Math.max(MIN_TOKENS, Math.min(tokens, ceilingTokens));
     },
     getLocalStats() {
       decay();
--- a/src/pacing/upstream_pacing.ts
+++ b/src/pacing/upstream_pacing.ts
@@ -89,7 +89,11 @@
   const { nowMs } = host;
   const pauses = createPauseLimit(
     { nowMs, getRemoteStats: host.getRemoteStats },
-    { initialTokens: host.initialTokens, adjustPeriodMs: ADJUST_PERIOD_MS },
+    {
+      initialTokens: host.initialTokens,
+      adjustPeriodMs: ADJUST_PERIOD_MS,
+      keepsCeiling: false,
+    },
   );
   const speeds = createSpeedSamples(nowMs);
   const weight = createWeightStep(nowMs);
--- a/src/pacing/weight_step.ts
+++ b/src/pacing/weight_step.ts
@@ -12,7 +12,7 @@
  * Hosts that learned at different times can be on different steps for one speed
  * within the hysteresis, and would send a prefix to two upstreams as long as
  * they are. A host whose step has not changed for a while therefore takes the
- * step that is usual among the other hosts.
+ * mean step of all hosts.
  *
  * @module
  */
@@ -69,7 +69,12 @@
     const isNear = (each: number) => Math.abs(position - each) <= MAX_DISTANCE;
     const canAdopt = input.otherSamples >= MIN_SAMPLES &&
       nowMs() - changedMs >= ADOPT_AFTER_MS;
-    const usual = Math.round(input.otherSteps / input.otherSamples);
+    const ownSamples = input.samples - input.otherSamples;
+    // This host's own step counts as well. Without it, two hosts with half of
+    // the samples each would take each other's step again and again.
+    const usual = Math.round(
+      (input.otherSteps + step * ownSamples) / input.samples,
+    );
     if (canAdopt && isNear(usual)) return usual;
     if (input.samples < MIN_SAMPLES || isNear(step)) return step;
     return Math.round(position);
--- a/src/pacing/weight_step_test.ts
+++ b/src/pacing/weight_step_test.ts
@@ -73,6 +73,31 @@
   deepEqualAll(hosts.map((each) => each.getStep()), 1);
 });
 
+test("two hosts that learned different steps agree", () => {
+  // Guards against hosts that take each other's step again and again, so that
+  // prefixes move between upstreams every few seconds.
+  const clock = createManualClock(100_000);
+  const hosts = [1.49, 1.51].map((position) => {
+    const step = createWeightStep(clock.monotonicMs);
+    step.update({ ...ALONE, speed: getSpeedAt(position) });
+    return step;
+  });
+  let known = hosts.map((each) => each.getStep());
+  let changes = 0;
+  for (let second = 0; second < 300; second++) {
+    clock.advance(1_000);
+    const next = hosts.map((each) => each.getStep());
+    hosts.forEach((each, at) => {
+      const otherSteps = 20 * known[1 - at]!;
+      const input = { speed: getSpeedAt(1.5), samples: 40, otherSamples: 20 };
+      if (each.update({ ...input, otherSteps })) changes++;
+    });
+    known = next;
+  }
+  ok(changes <= 2, `${changes} changes`);
+  strictEqual(hosts[0]!.getStep(), hosts[1]!.getStep());
+});
+
 function deepEqualAll(values: readonly number[], expected: number): void {
   for (const each of values) strictEqual(each, expected);
 }
