Keep room for underserved teams between their prompts

Causes, by these logs and the code: that an underserved prompt waits is told to other hosts by load reports, which take up to 0.3 s in a fleet that aggregates them, while the prompt waits half a second; the room is given away again before its team's next prompt arrives. And a prompt of an overserved team that is about to be refused took any idle upstream, also one that an underserved prompt was waiting for.

- In fleets that aggregate load reports an upstream counts as awaited for one second after the last prompt of an underserved team has waited for it.
Smaller fleets are served as before.
- An overserved team spills over to no upstream for which an underserved team waits.

Tests: "an overserved team takes no idle upstream for which an underserved team waits" and "an upstream stays awaited for a while after an underserved team's prompt was refused" failed before.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -22,7 +22,11 @@
 } from "../forwarding/mod.ts";
 import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
 import { createHandoff } from "../handoff/mod.ts";
-import { createLoadView, createUpstreamStatsReporter } from "../load/mod.ts";
+import {
+  createLoadView,
+  createUpstreamStatsReporter,
+  isFullMesh,
+} from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
@@ -82,6 +86,15 @@
  */
 const QUEUE_TICK_MS = 10;
 
+/**
+ * Time for which an upstream counts as awaited by underserved teams after one of
+ * their prompts has waited for it, in ms, in a fleet that aggregates its load
+ * reports. These take up to a third of a second to other hosts, and a prompt
+ * waits for little longer: without this, the room that it was refused for would
+ * be given to overserved teams again before the team's next prompt arrives.
+ */
+const UNDERSERVED_MEMORY_MS = 1_000;
+
 /** Starts an entry host; rejects if an address is already in use. */
 export async function startEntry(
   settings: EntrySettings,
@@ -142,6 +155,8 @@
     clock: stallTolerantClock,
     getDigest: getNameDigest,
     isAlive: (address) => peers.membership.isUsable(address),
+    getUnderservedMemoryMs: () =>
+      isFullMesh(getAlive().length) ? 0 : UNDERSERVED_MEMORY_MS,
     getStatedCapacity: () =>
       platformView.tryGetRoutes()?.config.tokensPerSecond ?? 0,
     getLearned: () =>
--- a/src/load/load_reporter.ts
+++ b/src/load/load_reporter.ts
@@ -94,6 +94,11 @@
   readonly receivedMs: number;
 }
 
+/** Whether the hosts of a fleet of this size report directly to each other. */
+export function isFullMesh(hosts: number): boolean {
+  return hosts <= MAX_FULL_MESH_HOSTS;
+}
+
 /** Creates the reporter of a host that has received no reports. */
 export function createLoadReporter(host: LoadReporterHost): LoadReporter {
   const { clock, self } = host;
@@ -105,10 +110,6 @@
   let sequence = 0;
   let wasIdle = false;
 
-  function isFullMesh(): boolean {
-    return host.getHosts().length <= MAX_FULL_MESH_HOSTS;
-  }
-
   function getOwnDataCentreHosts(): readonly LoadPeer[] {
     return host.getHosts()
       .filter((each) => each.dataCentre === self.dataCentre);
@@ -206,7 +207,7 @@
 
   return {
     createReports() {
-      if (isFullMesh()) return createFullMeshReports();
+      if (isFullMesh(host.getHosts().length)) return createFullMeshReports();
       const own = createOwnReport();
       const aggregator = getAggregator(host.getHosts(), self.dataCentre);
       if (aggregator === self.peerAddress) return createAggregates(own);
@@ -216,14 +217,16 @@
       const received = { report, receivedMs: clock.monotonicMs() };
       if (report.scope === "data-centre") {
         dataCentreReports.set(report.dataCentre, received);
-      } else if (isFullMesh()) {
+      } else if (isFullMesh(host.getHosts().length)) {
         if (report.scope === "host") host.onOthersLoad(report);
       } else if (report.scope === "host") {
         hostReports.set(report.from, received);
       } else applyFleetReport(report);
     },
     getPeriodMs() {
-      const perHost = isFullMesh() ? 0 : PERIOD_MS_PER_HOST;
+      const perHost = isFullMesh(host.getHosts().length)
+        ? 0
+        : PERIOD_MS_PER_HOST;
       return Math.max(MIN_PERIOD_MS, getOwnDataCentreHosts().length * perHost);
     },
   };
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -41,6 +41,7 @@
   from: string,
   clock = createManualClock(1_000),
   viewClock: Clock = clock,
+  underservedMemoryMs = 0,
 ) {
   const view = createLoadView({
     clock: viewClock,
@@ -48,6 +49,7 @@
     isAlive: () => true,
     getStatedCapacity: () => 100,
     getLearned: () => [],
+    getUnderservedMemoryMs: () => underservedMemoryMs,
   });
   let sequence = 0;
   /** Creates the report that this host sends to the others in a small fleet. */
@@ -143,6 +145,21 @@
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
 });
 
+test("an upstream stays awaited for a while after an underserved team's prompt was refused", () => {
+  // Guards against overserved teams that take the room between two prompts.
+  const a = createView("a", undefined, undefined, 1_000);
+  const b = createView("b", a.clock);
+  a.view.setUnderserved(new Map([["engine-1", 2]]));
+  a.clock.advance(900);
+  a.view.setUnderserved(new Map());
+  b.view.receive(a.createReport());
+  strictEqual(b.view.getUnderservedElsewhere("engine-1"), 2);
+  a.clock.advance(100);
+  a.view.setUnderserved(new Map());
+  b.view.receive(a.createReport());
+  strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
+});
+
 test("prompts that waited at a host that was killed hold up no others", () => {
   const a = createView("a");
   const b = createView("b", a.clock);
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -46,6 +46,11 @@
   getStatedCapacity(): number;
   /** What this host has learned about the upstreams, by service. */
   getLearned(): readonly LearnedOfService[];
+  /**
+   * Time in ms for which an upstream still counts as awaited after the last
+   * prompt of an underserved team has waited for it; 0 if absent.
+   */
+  getUnderservedMemoryMs?(): number;
 }
 
 /** The load of the fleet, as known to this host. */
@@ -84,7 +89,9 @@
   /** Whether the team gets far less than others although it asks for more. */
   isUnderserved(team: string): boolean;
   /**
-   * Sets the waiting prompts of underserved teams at this host, by upstream.
+   * Sets the waiting prompts of underserved teams at this host, by upstream. An
+   * upstream for which none waits any more keeps its number for the time that
+   * `getUnderservedMemoryMs` returns.
    */
   setUnderserved(waiting: ReadonlyMap<string, number>): void;
   /** Prompts of underserved teams that wait for the upstream at other hosts. */
@@ -139,6 +146,8 @@
   const reports = new Map<string, ReceivedReport>();
   const othersUse = new Map<number, UseTotals>();
   const othersLearned = new Map<number, PacingStats>();
+  /** When a prompt of an underserved team last waited, by upstream. */
+  const underservedMs = new Map<string, number>();
   const serviceRate = createDecayingRate(HALF_LIFE_MS);
   const workRate = createDecayingRate(HALF_LIFE_MS);
   let lastEvictionMs = -Infinity;
@@ -295,8 +304,15 @@
       return begun < due * UNDERSERVED_SHARE;
     },
     setUnderserved(waiting) {
-      for (const use of uses.values()) use.underserved = 0;
+      const nowMs = clock.monotonicMs();
+      const memoryMs = host.getUnderservedMemoryMs?.() ?? 0;
+      for (const [upstream, awaitedMs] of underservedMs) {
+        if (nowMs - awaitedMs < memoryMs) continue;
+        underservedMs.delete(upstream);
+        getUse(upstream).underserved = 0;
+      }
       for (const [upstream, prompts] of waiting) {
+        underservedMs.set(upstream, nowMs);
         getUse(upstream).underserved = prompts;
       }
     },
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -43,7 +43,7 @@
 
 import { getOrCreate } from "../core/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
-import { NEGLIGIBLE_PREFILL_TOKENS } from "../placement/mod.ts";
+import { MAX_COPIES, NEGLIGIBLE_PREFILL_TOKENS } from "../placement/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import type {
   NewPrompt,
@@ -203,13 +203,17 @@
       );
       if (withRoom.length > 0) return getLeastBusy(withRoom, getLoad);
     }
-    const copy = upstreams.find((each) =>
+    const copy = upstreams.slice(0, MAX_COPIES).find((each) =>
       each.fetch?.reason === "copy" && fitsUpstream(each)
     );
     if (copy !== undefined) return copy;
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
-    return upstreams.find((each) => !similar.includes(each) && isIdle(each));
+    return upstreams.find((each) =>
+      !similar.includes(each) && isIdle(each) &&
+      // The idle upstream is about to start the prompt that waits for it.
+      !(yieldsToUnderserved && getLoad(each.upstream).underservedElsewhere > 0)
+    );
   }
 
   /**
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -208,6 +208,22 @@
   deepStrictEqual(fixture.log, ["flood-1 to a"]);
 });
 
+test("an overserved team takes no idle upstream for which an underserved team waits", () => {
+  // Guards against a flood that prefills its prefixes again at every upstream
+  // that becomes idle.
+  const fixture = createFixture();
+  fixture.overserved.add("flood");
+  fixture.getUse("a").inFlight = 48;
+  fixture.underserved.set("b", 1);
+  const spilled = { readingTokens: 9_000, ranked: ["a", "b"] };
+  fixture.add({ team: "flood", ...spilled });
+  fixture.advance(450);
+  deepStrictEqual(fixture.log, []);
+  fixture.underserved.clear();
+  fixture.queue.tick();
+  deepStrictEqual(fixture.log, ["flood-1 to b"]);
+});
+
 test("no prompt is started for a caller that has disconnected", () => {
   // Guards against upstreams that work for disconnected callers.
   const fixture = createFixture();
