--- a/src/peers/mod.ts
+++ b/src/peers/mod.ts
@@ -13,3 +13,4 @@
 export * from "./peer_server.ts";
 export * from "./load_codec.ts";
 export * from "./upstream_stats_codec.ts";
+export * from "./placement_codec.ts";
