Send prompts to the upstreams that hold their prefix

Cause: the second and third upstream of the ranking get a prompt for which the first has no room, with a fetch from the first, which often holds nothing. A prefix that had to be prefilled was counted as cached, so that upstreams got more work than the limit allows.

Change: where prefixes are fetched (kv_bytes, link_mbps, 16 ready upstreams), holders of the prefix come first, in the order of the ranking; then others with a fetch from the first sound holder whose placement is at least 300 ms old, up to three copies. An unknown prefix waits for the first upstream alone and is counted in full. A new holder changes the ranking by holders at once, without another rendezvous ranking. Elsewhere the ranking is as before.

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -177,10 +177,16 @@
     /** The part of `readingTokens` that a fetch was expected to cost. */
     readonly fetchTokens: number | undefined;
     /**
-     * `copy`: the upstream is the second or third for the prefix. `spillover`:
-     * it was idle, and the prompt would have been refused soon.
+     * `copy`: fewer than three upstreams held the prefix. `spillover`: this one
+     * was idle, and the prompt would have been refused soon.
      */
     readonly fetchReason: "copy" | "spillover" | undefined;
+    /**
+     * How the upstream gets the shared prefix: it was sent a prompt with it
+     * before, fetches it, or reads (prefills) it. Absent if the prefix is short,
+     * or if the service's upstreams do not fetch prefixes.
+     */
+    readonly prefix: "held" | "fetched" | "read" | undefined;
     readonly inputs: Inputs;
   }
   | {
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -25,7 +25,7 @@
         }; ${decision.inFlight} other requests of this ` +
         `host were in flight there${formatPrefill(decision.readingTokens)}${
           formatFetch(decision)
-        }; ${formatInputs(decision.inputs)}`;
+        }${formatPrefix(decision.prefix)}; ${formatInputs(decision.inputs)}`;
     case "attempt-failed":
       return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
         `"${decision.reason}"${
@@ -284,6 +284,17 @@
   return `, of which ${fetchTokens} for a shared prefix from ${fetchFrom}`;
 }
 
+const prefixTexts = {
+  held: ", with the shared prefix cached",
+  // Named by `formatFetch`.
+  fetched: "",
+  read: ", with the shared prefix to prefill",
+};
+
+function formatPrefix(prefix: keyof typeof prefixTexts | undefined): string {
+  return prefix === undefined ? "" : prefixTexts[prefix];
+}
+
 function formatRetry(retryAfterMs: number | undefined): string {
   if (retryAfterMs === undefined) return "";
   return `; the caller may retry in ${Math.round(retryAfterMs)} ms`;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -25,6 +25,7 @@
 import { createLoadView, createUpstreamStatsReporter } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
+import { createPrefixPlacements } from "../prefixes/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import {
   createStreamVersions,
@@ -46,6 +47,7 @@
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
+import { openPrefixExchange } from "./prefix_exchange.ts";
 import { createHostRegistration } from "./host_registration.ts";
 import {
   createMetricsListener,
@@ -176,6 +178,13 @@
     getOthersStats: upstreamStats.getOthersStats,
     log,
   });
+  const prefixes = createPrefixPlacements({
+    clock,
+    self,
+    getHosts: getAlive,
+    getDigest: getNameDigest,
+    onRecorded: (source) => metrics.observePlacement(source),
+  });
   const queue = createPromptQueue({
     nowMs: clock.monotonicMs,
     getLoad(upstream) {
@@ -272,6 +281,7 @@
     getReadingLimits: upstreamPacings.getLimits,
     getUpstreamWeights: upstreamPacings.getWeights,
     countHandoffs: () => handoff.countOpen(),
+    countPrefixes: prefixes.count,
     isReady,
   });
   const peers = await openPeers(settings, {
@@ -311,6 +321,7 @@
     getPacing: upstreamPacings.getRecorder,
     getPrefillMsPerToken: (service) => pacings.get(service).getMsPerToken(),
     getWeight: upstreamPacings.getWeight,
+    prefixes,
     health,
     backoffs: createBackoffWatch(clock),
     crashes,
@@ -447,6 +458,10 @@
     reporter: upstreamStats,
     onRound: upstreamPacings.update,
   });
+  const prefixExchange = await openPrefixExchange({
+    peerAddress,
+    announcer: prefixes.announcer,
+  });
   const tasks = [
     loadExchange.run,
     upstreamStatsExchange.run,
@@ -483,6 +498,7 @@
       agent.destroy();
       await loadExchange[Symbol.asyncDispose]();
       await upstreamStatsExchange[Symbol.asyncDispose]();
+      await prefixExchange[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
     },
   };
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -9,6 +9,7 @@
 import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
 import type { AttemptOutcome, ReceivedOutcome } from "../handoff/mod.ts";
+import type { PlacementSource } from "../prefixes/mod.ts";
 import type { FetchOutcome } from "./platform_view.ts";
 
 /** Values that are read when the metrics are collected. */
@@ -26,6 +27,8 @@
   getUpstreamWeights(): readonly UpstreamWeight[];
   /** Open handoffs of this host as the origin. */
   countHandoffs(): number;
+  /** Shared prefixes with an upstream that is known to hold them. */
+  countPrefixes(): number;
   isReady(): boolean;
 }
 
@@ -61,6 +64,8 @@
   observeHandoff(outcome: AttemptOutcome): void;
   /** Counts a connection that another host handed off. */
   observeReceived(outcome: ReceivedOutcome): void;
+  /** Counts a prompt with a shared prefix that was sent to an upstream. */
+  observePlacement(source: PlacementSource): void;
   render(): Promise<string>;
 }
 
@@ -251,6 +256,17 @@
     labelNames: ["framing", "connection"],
     registers,
   });
+  addGauge(
+    "azurestile_prefixes_known",
+    "Shared prefixes of which an upstream is known to hold them",
+    () => host.countPrefixes(),
+  );
+  const prefixPlacements = new Counter({
+    name: "azurestile_prefix_placements_total",
+    help: "Prompts with a shared prefix: sent by this host, told of by others",
+    labelNames: ["source"],
+    registers,
+  });
   // The families that grow with the number of routes or of upstreams come last,
   // since a scrape may be cut at some length.
   const ended = new Counter({
@@ -352,6 +368,7 @@
     observeAsked: (result) => asked.inc({ result }),
     observeHandoff: (outcome) => handoffs.inc({ outcome }),
     observeReceived: (outcome) => received.inc({ outcome }),
+    observePlacement: (source) => prefixPlacements.inc({ source }),
     render: () => registry.metrics(),
   };
 }
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -23,6 +23,7 @@
     getReadingLimits: () => [],
     getUpstreamWeights: () => [],
     countHandoffs: () => 0,
+    countPrefixes: () => 0,
     isReady: () => true,
     ...changes,
   });
@@ -227,8 +228,10 @@
   metrics.observeDecision(fetch);
   // No source was left for this one.
   metrics.observeDecision({ ...fetch, fetchFrom: undefined } as Decision);
+  metrics.observePlacement("peer");
   const text = await metrics.render();
   ok(text.includes('azurestile_prefix_fetches_total{reason="copy"} 1\n'));
+  ok(text.includes('prefix_placements_total{source="peer"} 1\n'));
 });
 
 test("limits and weights of upstreams that no longer differ disappear", async () => {
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -72,6 +72,7 @@
     fetchFrom: picked.fetch?.source?.id,
     fetchTokens: picked.fetch?.tokens,
     fetchReason: picked.fetch?.reason,
+    prefix: picked.prefix,
     inputs: host.getInputs(),
   });
 }
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -24,6 +24,7 @@
 import type { LoadView } from "../load/mod.ts";
 import type { Distance, PrefixFetchReason } from "../placement/mod.ts";
 import type { PacingRecorder } from "../pacing/mod.ts";
+import type { PrefixPlacements } from "../prefixes/mod.ts";
 import type { PromptQueue } from "../queue/mod.ts";
 import type { Route, RouteTable } from "../routing/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
@@ -60,6 +61,11 @@
    * differ.
    */
   getWeight(upstream: UpstreamEntry): number;
+  /** Which upstreams hold which shared prefixes. */
+  readonly prefixes: Pick<
+    PrefixPlacements,
+    "getPrefix" | "getHolders" | "getRevision" | "record"
+  >;
   readonly health: HealthWatch;
   readonly backoffs: BackoffWatch;
   readonly crashes: CrashWatch;
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -10,8 +10,11 @@
 import {
   getAffinityKey,
   getPrefillTokens,
+  hasPrefixCopies,
+  NEGLIGIBLE_PREFILL_TOKENS,
   type PrefixFetch,
-  type PrefixFetchTerms,
+  type PrefixTerms,
+  type PrefixUse,
   rankByAffinity,
   rankByLoad,
   rankForPrompt,
@@ -57,6 +60,11 @@
    * prefix.
    */
   readonly fetch: PickedFetch | undefined;
+  /**
+   * How the upstream gets the prompt's shared prefix; `undefined` if it is
+   * short, or if the hosts do not keep track of it.
+   */
+  readonly prefix: PrefixUse | undefined;
   /** Removes the prompt's tokens from the upstream's load, once. */
   endPrefill(): void;
 }
@@ -105,6 +113,7 @@
     readingTokens: undefined,
     queuedTokens: undefined,
     fetch: undefined,
+    prefix: undefined,
     endPrefill: () => {},
   });
 }
@@ -116,6 +125,8 @@
 ): Effect.Effect<PickedUpstream, Rejected> {
   const serviceTokens = getServiceTokens(prompt);
   const workTokens = getWorkTokens(prompt);
+  const affinityKey = getAffinityKey(prompt.model, prompt.parts);
+  const prefix = host.prefixes.getPrefix(affinityKey);
   if (!call.progress.isDemandRecorded) {
     call.progress.isDemandRecorded = true;
     recordDemand(host, call.team ?? "", prompt);
@@ -133,11 +144,19 @@
       serviceTokens,
       workTokens,
       isBegun: call.progress.origin !== undefined,
-      getUpstreams: createRankingCache(host, call, prompt),
+      getUpstreams: createRankingCache(host, call, {
+        prompt,
+        affinityKey,
+        prefix,
+      }),
       isCallerConnected: () => !hasDisconnected(call.res),
-      start(id, { readingTokens, queuedTokens, fetch }) {
+      start(id, { readingTokens, queuedTokens, fetch, prefix: use }) {
         const upstream = tryGetReady(host, call, id)!;
         countWarmUp(host, call, upstream);
+        if (use !== undefined) host.prefixes.record(prefix, upstream);
+        const pickedFetch = fetch && resolveFetch(host, call, fetch);
+        const isFetchLost = fetch !== undefined &&
+          pickedFetch?.source === undefined;
         let isPrefilling = true;
         function endPrefill(): void {
           if (isPrefilling) host.load.endPrefill(id, readingTokens);
@@ -148,7 +167,8 @@
           upstream,
           readingTokens,
           queuedTokens,
-          fetch: fetch && resolveFetch(host, call, fetch),
+          fetch: pickedFetch,
+          prefix: isFetchLost ? "read" : use,
           endPrefill,
         }));
       },
@@ -195,19 +215,36 @@
   host.load.recordWork(serviceTokens, getWorkTokens(prompt));
 }
 
+/** A prompt with the key of its shared prefix. */
+interface KeyedPrompt {
+  readonly prompt: Prompt;
+  readonly affinityKey: string;
+  /** Digest of the key. */
+  readonly prefix: number;
+}
+
+/** The upstreams that a prompt may use, by affinity. */
+interface Candidates {
+  readonly byId: ReadonlyMap<string, UpstreamEntry>;
+  readonly ranked: readonly string[];
+}
+
 /**
  * Returns a function that caches the ranking until it expires or until the
  * ready upstreams, the configuration, the evacuations or the stream's origin
- * change.
+ * change. When the prefix has another holder, as after the first of many prompts
+ * with it has started, only the ranking by holders is computed again.
  */
 function createRankingCache(
   host: ForwardHost,
   call: Call,
-  prompt: Prompt,
+  keyed: KeyedPrompt,
 ): () => readonly RankedUpstream[] {
+  let candidates: Candidates = { byId: new Map(), ranked: [] };
   let ranking: readonly RankedUpstream[] = [];
   let basis: readonly unknown[] = [];
   let rankedAtMs = -Infinity;
+  let revision = 0;
   return () => {
     const nowMs = host.clock.monotonicMs();
     const nowBasis = [
@@ -216,63 +253,92 @@
       host.getEvacuated(),
       call.progress.origin,
     ];
+    const nowRevision = host.prefixes.getRevision(keyed.prefix);
     const isChanged = nowBasis.some((each, at) => each !== basis[at]);
-    if (isChanged || nowMs - rankedAtMs > RANKING_TTL_MS) {
-      ranking = rankUpstreams(host, call, prompt);
+    const isExpired = isChanged || nowMs - rankedAtMs > RANKING_TTL_MS;
+    if (isExpired) {
+      candidates = getCandidates(host, call, keyed);
       basis = nowBasis;
       rankedAtMs = nowMs;
     }
+    if (isExpired || nowRevision !== revision) {
+      ranking = rankUpstreams(host, call, { keyed, candidates });
+      revision = nowRevision;
+    }
     return ranking;
   };
 }
 
+function getCandidates(
+  host: ForwardHost,
+  call: Call,
+  { affinityKey }: KeyedPrompt,
+): Candidates {
+  const eligible = getEligible(host, call);
+  return {
+    byId: new Map(eligible.map((each) => [each.id, each])),
+    ranked: rankByAffinity(affinityKey, eligible, host.getWeight),
+  };
+}
+
 /** Ranks the upstreams that the prompt may use now. */
 function rankUpstreams(
   host: ForwardHost,
   call: Call,
-  prompt: Prompt,
+  { keyed, candidates }: {
+    readonly keyed: KeyedPrompt;
+    readonly candidates: Candidates;
+  },
 ): readonly RankedUpstream[] {
-  const candidates = new Map(
-    getEligible(host, call).map((each) => [each.id, each]),
-  );
-  const key = getAffinityKey(prompt.model, prompt.parts);
+  const { prompt, prefix } = keyed;
+  const { byId, ranked } = candidates;
+  const unsharedTokens = getUnsharedPrefillTokens(prompt);
+  const totalTokens = getPrefillTokens(prompt.promptTokens, 0);
+  const isPrefixLong = totalTokens - unsharedTokens > NEGLIGIBLE_PREFILL_TOKENS;
   return rankForPrompt({
-    ranked: rankByAffinity(key, [...candidates.values()], host.getWeight),
-    unsharedTokens: getUnsharedPrefillTokens(prompt),
-    totalTokens: getPrefillTokens(prompt.promptTokens, 0),
+    ranked,
+    unsharedTokens,
+    totalTokens,
     isNear: (id) =>
-      host.getDistance(candidates.get(id)!.dataCentre) !== "other-region",
-    isColdAndDue: (id) =>
-      host.warmUps.getAllowance(candidates.get(id)!) === "now",
-    fetch: tryGetFetchTerms(host, call, prompt, candidates),
+      host.getDistance(byId.get(id)!.dataCentre) !== "other-region",
+    isColdAndDue: (id) => host.warmUps.getAllowance(byId.get(id)!) === "now",
+    prefix: isPrefixLong
+      ? tryGetPrefixTerms(host, call, { prompt, prefix, byId })
+      : undefined,
   });
 }
 
 /**
- * Returns how the upstreams of a service fetch the prompt's shared prefix from
- * each other; `undefined` if they do not.
+ * Returns where the prompt's shared prefix is, and how the service's upstreams
+ * fetch it from each other; `undefined` if they never do.
  */
-function tryGetFetchTerms(
+function tryGetPrefixTerms(
   host: ForwardHost,
   call: Call,
-  prompt: Prompt,
-  candidates: ReadonlyMap<string, UpstreamEntry>,
-): PrefixFetchTerms | undefined {
+  { prompt, prefix, byId }: {
+    readonly prompt: Prompt;
+    readonly prefix: number;
+    readonly byId: Candidates["byId"];
+  },
+): PrefixTerms | undefined {
   const { service } = call;
-  const transfer = host.tryGetRoutes()?.tryGetMemoryTransfer(service);
-  if (transfer === undefined) return undefined;
+  const ready = host.directory.getReady(service);
+  const condition = {
+    transfer: host.tryGetRoutes()?.tryGetMemoryTransfer(service),
+    readyUpstreams: ready.length,
+  };
+  if (!hasPrefixCopies(condition)) return undefined;
   const prefixTokens = prompt.promptTokens - getOwnTokens(prompt);
-  const tokens = tryGetFetchTokens({
-    transfer,
-    readyUpstreams: host.directory.getReady(service).length,
-    prefixTokens,
-    prefixPrefillTokens: getPrefillTokens(prefixTokens, 0),
-    msPerPrefillToken: host.getPrefillMsPerToken(service),
-  });
-  if (tokens === undefined) return undefined;
-  const mayBeSource = (id: string) =>
-    mayFetchFrom(host, call, candidates.get(id)!);
-  return { tokens, mayBeSource };
+  return {
+    holders: host.prefixes.getHolders(prefix, ready),
+    fetchTokens: tryGetFetchTokens({
+      ...condition,
+      prefixTokens,
+      prefixPrefillTokens: getPrefillTokens(prefixTokens, 0),
+      msPerPrefillToken: host.getPrefillMsPerToken(service),
+    }),
+    mayBeSource: (id) => mayFetchFrom(host, call, byId.get(id)!),
+  };
 }
 
 /**
--- a/src/placement/prefix_fetch.ts
+++ b/src/placement/prefix_fetch.ts
@@ -13,15 +13,16 @@
  * - Copies of many prefixes at many upstreams evict each other. A fetch
  *   therefore has a cost, and few upstreams get copies.
  *
- * All hosts compute the same ranking, so that they choose the same upstreams
- * for the copies without communication.
+ * Which upstreams hold a prefix is known from the placements of all hosts
+ * (`prefixes/`). All hosts compute the same ranking, so that they choose the
+ * same further upstreams for the copies.
  *
  * @module
  */
 
 import type { MemoryTransfer } from "../routing/mod.ts";
 
-/** Why an upstream other than the first of the ranking gets the prompt. */
+/** Why an upstream that does not hold the prefix gets the prompt. */
 export type PrefixFetchReason = "copy" | "spillover";
 
 /** The fetch of a shared prefix by the upstream that gets the prompt. */
@@ -37,17 +38,27 @@
   readonly reason: PrefixFetchReason;
 }
 
+/** An upstream that was sent a prompt with a prefix. */
+export interface PrefixHolder {
+  readonly upstream: string;
+  /** Time since the first such prompt that is known, in ms. */
+  readonly ageMs: number;
+}
+
 /**
  * Ready upstreams that a service must have for its prefixes to be copied. With
  * fewer, three copies of each hot prefix would evict the other prefixes.
  */
 export const MIN_UPSTREAMS_FOR_COPIES = 16;
 
+/** Upstreams that may hold a deliberate copy of a prefix, the first included. */
+export const MAX_COPIES = 3;
+
 /**
- * Upstreams that may hold a deliberate copy of a prefix, the first of the
- * ranking included.
+ * Least time since the first prompt with the prefix after which a holder may be
+ * fetched from, in ms. Before, it has probably not prefilled the prefix yet.
  */
-export const MAX_COPIES = 3;
+export const MIN_SOURCE_AGE_MS = 300;
 
 /**
  * A fetch may take up to this share of the time that prefilling the prefix
@@ -57,12 +68,16 @@
 
 const BITS_PER_BYTE = 8;
 
-/** What decides whether a shared prefix is fetched. */
-export interface FetchCostInput {
-  /** `undefined` if the configuration does not state how it is fetched. */
+/** What decides whether upstreams of a service fetch from each other at all. */
+export interface FetchCondition {
+  /** `undefined` if the configuration does not state how a prefix is fetched. */
   readonly transfer: MemoryTransfer | undefined;
   /** Number of ready upstreams of the service. */
   readonly readyUpstreams: number;
+}
+
+/** What decides whether a shared prefix is fetched. */
+export interface FetchCostInput extends FetchCondition {
   /** Length of the shared prefix, in tokens. */
   readonly prefixTokens: number;
   /** The same in prefill tokens, which are weighted by attention cost. */
@@ -71,6 +86,16 @@
   readonly msPerPrefillToken: number;
 }
 
+/**
+ * Whether the service's shared prefixes are copied between its upstreams, and
+ * whether the hosts therefore keep track of which upstreams hold them.
+ */
+export function hasPrefixCopies(
+  { transfer, readyUpstreams }: FetchCondition,
+): boolean {
+  return transfer !== undefined && readyUpstreams >= MIN_UPSTREAMS_FOR_COPIES;
+}
+
 /** Returns the time to transfer the KV cache of the tokens, in ms. */
 export function getTransferMs(
   tokens: number,
@@ -85,9 +110,8 @@
  * prefix must not be fetched.
  */
 export function tryGetFetchTokens(input: FetchCostInput): number | undefined {
-  const { transfer, readyUpstreams, prefixTokens, prefixPrefillTokens } = input;
-  if (transfer === undefined) return undefined;
-  if (readyUpstreams < MIN_UPSTREAMS_FOR_COPIES) return undefined;
+  const { transfer, prefixTokens, prefixPrefillTokens } = input;
+  if (transfer === undefined || !hasPrefixCopies(input)) return undefined;
   const fetchTokens = getTransferMs(prefixTokens, transfer) /
     input.msPerPrefillToken;
   // False as well if a count of tokens in the request was no number.
@@ -95,30 +119,30 @@
   return isWorthwhile ? Math.ceil(fetchTokens) : undefined;
 }
 
-/** Ranked upstreams, and which of them may be fetched from. */
+/** The upstreams that hold a prefix, and the terms of a fetch from them. */
 export interface FetchSourcesInput {
-  /** Ids of the upstreams by affinity, the preferred one first. */
-  readonly ranked: readonly string[];
-  /** Cost of a fetch, in prefill tokens. */
-  readonly fetchTokens: number;
+  /** The holders by affinity, the preferred one first. */
+  readonly holders: readonly PrefixHolder[];
+  /** Cost of a fetch, in prefill tokens; `undefined` if it is not worthwhile. */
+  readonly fetchTokens: number | undefined;
   /** Whether the upstream is ready, healthy, warm and not in back-off. */
   mayBeSource(id: string): boolean;
 }
 
 /**
- * Returns a function that decides the fetch of the upstream at a position of the
- * ranking; `undefined` if it prefills the prefix itself. The first is expected
- * to have the prefix cached.
+ * Returns a function that decides the fetch of an upstream by its position among
+ * those that do not hold the prefix; `undefined` if it prefills the prefix
+ * itself.
  */
 export function createFetchDecision(
-  { ranked, fetchTokens, mayBeSource }: FetchSourcesInput,
+  { holders, fetchTokens: tokens, mayBeSource }: FetchSourcesInput,
 ): (at: number) => PrefixFetch | undefined {
-  const sources = ranked.slice(0, MAX_COPIES).filter(mayBeSource);
-  return (at) => {
-    if (at === 0) return undefined;
-    const source = sources.find((each) => each !== ranked[at]);
-    if (source === undefined) return undefined;
-    const reason = at < MAX_COPIES ? "copy" : "spillover";
-    return { source, tokens: fetchTokens, reason };
-  };
+  const sound = holders.filter((each) => mayBeSource(each.upstream));
+  const source = sound.find((each) => each.ageMs >= MIN_SOURCE_AGE_MS)
+    ?.upstream;
+  if (source === undefined || tokens === undefined) return () => undefined;
+  const copies = MAX_COPIES - sound.length;
+  const copy: PrefixFetch = { source, tokens, reason: "copy" };
+  const spillover: PrefixFetch = { source, tokens, reason: "spillover" };
+  return (at) => at < copies ? copy : spillover;
 }
--- a/src/placement/prompt_ranking.ts
+++ b/src/placement/prompt_ranking.ts
@@ -6,7 +6,10 @@
  * data centre's upstreams have just started.
  *
  * Failures prevented:
- * - A long shared prefix is prefilled again at one upstream after the other.
+ * - A long shared prefix is prefilled again at one upstream after the other, or
+ *   at the first of the ranking although another one holds it.
+ * - An upstream that has to prefill a shared prefix is counted as if it had it
+ *   cached, and gets more work than its limit allows.
  * - Responses to prompts with a short one cross the link between regions, event
  *   by event, although each region could cache the prefix.
  * - Few hosts may use a cold upstream, and their prompts are spread over all
@@ -17,7 +20,11 @@
  */
 
 import { NEGLIGIBLE_PREFILL_TOKENS, putFirst } from "./prefix_affinity.ts";
-import { createFetchDecision, type PrefixFetch } from "./prefix_fetch.ts";
+import {
+  createFetchDecision,
+  type PrefixFetch,
+  type PrefixHolder,
+} from "./prefix_fetch.ts";
 
 /** A prompt and the upstreams that it may use. */
 export interface PromptRankingInput {
@@ -31,20 +38,28 @@
   /** Whether the upstream is cold and a request of this host is due there. */
   isColdAndDue(id: string): boolean;
   /**
-   * How upstreams fetch the shared prefix from each other; `undefined` if they
-   * do not.
+   * Which upstreams hold the shared prefix; `undefined` if the hosts do not keep
+   * track of it.
    */
-  readonly fetch?: PrefixFetchTerms | undefined;
+  readonly prefix?: PrefixTerms | undefined;
 }
 
-/** How upstreams may fetch a shared prefix from each other. */
-export interface PrefixFetchTerms {
-  /** Cost of a fetch, in prefill tokens. */
-  readonly tokens: number;
+/** Where a shared prefix is, and how upstreams fetch it from each other. */
+export interface PrefixTerms {
+  /** The holders among the upstreams, in any order. */
+  readonly holders: readonly PrefixHolder[];
+  /** Cost of a fetch, in prefill tokens; `undefined` if it is not worthwhile. */
+  readonly fetchTokens: number | undefined;
   /** Whether the upstream is ready, healthy, warm and not in back-off. */
   mayBeSource(id: string): boolean;
 }
 
+/**
+ * How an upstream gets a shared prefix: it has it cached, fetches it, or reads
+ * (prefills) it.
+ */
+export type PrefixUse = "held" | "fetched" | "read";
+
 /** An upstream with the tokens that it would have to prefill. */
 export interface UpstreamForPrompt {
   readonly upstream: string;
@@ -54,6 +69,11 @@
    * is included in `readingTokens`.
    */
   readonly fetch?: PrefixFetch | undefined;
+  /**
+   * Absent if the shared prefix is short, or if the hosts do not keep track of
+   * it.
+   */
+  readonly prefix?: PrefixUse;
 }
 
 /** Returns the upstreams, the best first. */
@@ -64,7 +84,9 @@
   const isSharedPrefixSmall =
     totalTokens - unsharedTokens <= NEGLIGIBLE_PREFILL_TOKENS;
   if (!isSharedPrefixSmall) {
-    return addFetches(addTokens(ranked, input), input);
+    return input.prefix === undefined
+      ? addTokens(ranked, input)
+      : rankByHolders(input, input.prefix);
   }
   const cold = ranked.filter(input.isColdAndDue);
   const warm = ranked.filter((id) => !input.isColdAndDue(id));
@@ -88,17 +110,40 @@
   }));
 }
 
-/** Lets upstreams fetch the prefix instead of prefilling it. */
-function addFetches(
-  upstreams: readonly UpstreamForPrompt[],
-  { ranked, unsharedTokens, fetch: terms }: PromptRankingInput,
+/**
+ * Puts the upstreams that hold the prefix first. The others fetch it from one of
+ * them if they may, and otherwise prefill it.
+ */
+function rankByHolders(
+  { ranked, unsharedTokens, totalTokens }: PromptRankingInput,
+  { holders, fetchTokens, mayBeSource }: PrefixTerms,
 ): readonly UpstreamForPrompt[] {
-  if (terms === undefined) return upstreams;
-  const { tokens: fetchTokens, mayBeSource } = terms;
-  const tryGetFetch = createFetchDecision({ ranked, fetchTokens, mayBeSource });
-  return upstreams.map((each, at) => {
-    const fetch = tryGetFetch(at);
-    if (fetch === undefined) return each;
-    return { ...each, readingTokens: unsharedTokens + fetch.tokens, fetch };
+  const byId = new Map(holders.map((each) => [each.upstream, each]));
+  const held = ranked.filter((id) => byId.has(id));
+  const others = ranked.filter((id) => !byId.has(id));
+  const tryGetFetch = createFetchDecision({
+    holders: held.map((id) => byId.get(id)!),
+    fetchTokens,
+    mayBeSource,
   });
+  const createForOther = (upstream: string, at: number): UpstreamForPrompt => {
+    const fetch = tryGetFetch(at);
+    return fetch === undefined
+      ? { upstream, readingTokens: totalTokens, fetch, prefix: "read" }
+      : {
+        upstream,
+        readingTokens: unsharedTokens + fetch.tokens,
+        fetch,
+        prefix: "fetched",
+      };
+  };
+  return [
+    ...held.map((upstream): UpstreamForPrompt => ({
+      upstream,
+      readingTokens: unsharedTokens,
+      fetch: undefined,
+      prefix: "held",
+    })),
+    ...others.map(createForOther),
+  ];
 }
--- a/src/prefixes/mod.ts
+++ b/src/prefixes/mod.ts
@@ -7,4 +7,5 @@
 
 export * from "./placement_announcer.ts";
 export * from "./prefix_directory.ts";
+export * from "./prefix_placements.ts";
 export * from "./types.ts";
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -35,8 +35,8 @@
  *   other prompts there. A prompt therefore leaves the upstreams chosen by its
  *   prefix only for an idle one.
  * - Prompts with a hot prefix wait for one upstream while others have room. Where
- *   upstreams can fetch the prefix from each other, two further ones therefore
- *   get the prompts for which the first has no room.
+ *   upstreams can fetch the prefix from each other, further ones therefore get
+ *   the prompts for which those that hold it have no room.
  *
  * @module
  */
@@ -191,14 +191,11 @@
     const upstreams = prompt.getUpstreams();
     const [first] = upstreams;
     if (first === undefined) return undefined;
-    const similar = upstreams.slice(0, MAX_SIMILAR).filter((each) =>
-      // The first is preferred to one that would have to fetch the prefix, even
-      // over a fast link.
-      each.fetch === undefined &&
-      each.readingTokens - first.readingTokens <= options.negligibleTokens
-    );
-    for (let at = 0; at < similar.length; at += SIMILAR_GROUP_SIZE) {
-      const withRoom = similar.slice(at, at + SIMILAR_GROUP_SIZE).filter(
+    const preferred = getPreferred(upstreams, options.negligibleTokens);
+    // Balanced over its holders, a prefix would stay in use at all of them.
+    const groupSize = first.prefix === undefined ? SIMILAR_GROUP_SIZE : 1;
+    for (let at = 0; at < preferred.length; at += groupSize) {
+      const withRoom = preferred.slice(at, at + groupSize).filter(
         fitsUpstream,
       );
       if (withRoom.length > 0) return getLeastBusy(withRoom, getLoad);
@@ -209,7 +206,7 @@
     if (copy !== undefined) return copy;
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
-    return upstreams.find((each) => !similar.includes(each) && isIdle(each));
+    return upstreams.find((each) => !preferred.includes(each) && isIdle(each));
   }
 
   /**
@@ -230,11 +227,11 @@
 
   function start(prompt: WaitingPrompt, chosen: RankedUpstream): void {
     removeWaiting(prompt, true);
-    const { upstream, readingTokens, fetch } = chosen;
+    const { upstream, readingTokens, fetch, prefix } = chosen;
     const queuedTokens = getLoad(upstream).readingTokens + readingTokens;
     host.onStart(prompt, upstream, readingTokens);
     loadCache.delete(upstream);
-    prompt.start(upstream, { readingTokens, queuedTokens, fetch });
+    prompt.start(upstream, { readingTokens, queuedTokens, fetch, prefix });
   }
 
   /**
@@ -374,6 +371,27 @@
   };
 }
 
+/**
+ * Returns the upstreams that a prompt waits for: those that hold its shared
+ * prefix, or the first alone if none is known to. Where the hosts do not keep
+ * track of the prefix, those that would have to prefill about as little as the
+ * first.
+ */
+function getPreferred(
+  upstreams: readonly RankedUpstream[],
+  negligibleTokens: number,
+): readonly RankedUpstream[] {
+  const [first] = upstreams;
+  if (first === undefined) return [];
+  if (first.prefix !== undefined && first.prefix !== "held") return [first];
+  const best = upstreams.slice(0, MAX_SIMILAR);
+  return first.prefix === "held"
+    ? best.filter((each) => each.prefix === "held")
+    : best.filter((each) =>
+      each.readingTokens - first.readingTokens <= negligibleTokens
+    );
+}
+
 function getLeastBusy(
   upstreams: readonly RankedUpstream[],
   getLoad: (upstream: string) => UpstreamLoad,
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -10,7 +10,7 @@
  */
 
 import type { QueueInputs } from "../diagnostics/mod.ts";
-import type { PrefixFetch } from "../placement/mod.ts";
+import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
 
 /** A prompt that waits to be sent to an upstream. */
 export interface WaitingPrompt {
@@ -64,6 +64,11 @@
    * above. `undefined` if it needs none.
    */
   readonly fetch: PrefixFetch | undefined;
+  /**
+   * How the upstream gets the shared prefix; `undefined` if it is short, or if
+   * the hosts do not keep track of it.
+   */
+  readonly prefix: PrefixUse | undefined;
 }
 
 /** An upstream to which a prompt may be sent. */
@@ -79,6 +84,11 @@
    * `readingTokens`. Absent if it needs none.
    */
   readonly fetch?: PrefixFetch | undefined;
+  /**
+   * How the upstream gets the shared prefix; absent if it is short, or if the
+   * hosts do not keep track of it. Upstreams that hold it come first.
+   */
+  readonly prefix?: PrefixUse;
 }
 
 /** Why a prompt is refused, and when its caller should retry. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -9,7 +9,7 @@
 import * as Effect from "effect/Effect";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { createRetryBudget } from "../admission/mod.ts";
-import { systemClock } from "../core/mod.ts";
+import { type Clock, systemClock } from "../core/mod.ts";
 import { type CrashWatch, createCrashWatch } from "../crashes/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
@@ -28,6 +28,10 @@
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import type { PacingRecorder } from "../pacing/mod.ts";
+import {
+  createPrefixPlacements,
+  type PrefixPlacements,
+} from "../prefixes/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import {
   createRouteTable,
@@ -160,6 +164,8 @@
   readonly softwareVersions?: readonly string[];
   /** How upstreams fetch prefixes from each other; they do not if left out. */
   readonly memoryTransfer?: MemoryTransfer;
+  /** What the host knows of placements; those of a lone host if left out. */
+  readonly prefixes?: PrefixPlacements;
 }
 
 /** Bytes that the responses of the host may take, unless a test says else. */
@@ -175,6 +181,7 @@
     responseMemoryBytes = RESPONSE_MEMORY_BYTES,
     softwareVersions = [],
     memoryTransfer,
+    prefixes = createLonePlacements(),
   }: FixtureOptions = {},
 ): Promise<ForwardFixture> {
   const arrivals: string[] = [];
@@ -254,6 +261,7 @@
     begun,
     crashes,
     log: writeLog,
+    prefixes,
     tryGetRoutes: () => routes,
     responseMemory: createResponseMemory(responseMemoryBytes),
   });
@@ -322,7 +330,10 @@
 function createHost(
   directory: ForwardHost["directory"],
   parts:
-    & Pick<ForwardHost, "log" | "tryGetRoutes" | "crashes" | "responseMemory">
+    & Pick<
+      ForwardHost,
+      "log" | "tryGetRoutes" | "crashes" | "responseMemory" | "prefixes"
+    >
     & {
       readonly controls: Controls;
       readonly recordedPacing: RecordedPacing;
@@ -347,6 +358,7 @@
   return {
     log: parts.log,
     tryGetRoutes: parts.tryGetRoutes,
+    prefixes: parts.prefixes,
     responseMemory: parts.responseMemory,
     clock,
     startedMs: clock.monotonicMs(),
@@ -419,6 +431,20 @@
   };
 }
 
+/** Creates the placements of a fleet of one host. */
+export function createLonePlacements(
+  clock: Clock = systemClock,
+): PrefixPlacements {
+  const self = { peerAddress: "lone", dataCentre: "lagos-ikeja" };
+  return createPrefixPlacements({
+    clock,
+    self,
+    getHosts: () => [self],
+    getDigest: getNameDigest,
+    onRecorded: () => {},
+  });
+}
+
 /** Creates the crash watch of a fleet of one host. */
 function createLoneCrashWatch(log: (decision: Decision) => void): CrashWatch {
   return createCrashWatch({
