--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -29,6 +29,7 @@
 } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
+import { createPrefixPlacements } from "../prefixes/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
 import {
   createStreamVersions,
@@ -50,6 +51,7 @@
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
+import { openPrefixExchange } from "./prefix_exchange.ts";
 import { createHostRegistration } from "./host_registration.ts";
 import {
   createMetricsListener,
@@ -191,6 +193,13 @@
     getOthersStats: upstreamStats.getOthersStats,
     log,
   });
+  const prefixes = createPrefixPlacements({
+    clock,
+    self,
+    getHosts: getAlive,
+    getDigest: getNameDigest,
+    onRecorded: (source) => metrics.observePlacement(source),
+  });
   const queue = createPromptQueue({
     nowMs: clock.monotonicMs,
     getLoad(upstream) {
@@ -287,6 +296,7 @@
     getReadingLimits: upstreamPacings.getLimits,
     getUpstreamWeights: upstreamPacings.getWeights,
     countHandoffs: () => handoff.countOpen(),
+    countPrefixes: prefixes.count,
     isReady,
   });
   const peers = await openPeers(settings, {
@@ -326,6 +336,7 @@
     getPacing: upstreamPacings.getRecorder,
     getPrefillMsPerToken: (service) => pacings.get(service).getMsPerToken(),
     getWeight: upstreamPacings.getWeight,
+    prefixes,
     health,
     backoffs: createBackoffWatch(clock),
     crashes,
@@ -462,6 +473,10 @@
     reporter: upstreamStats,
     onRound: upstreamPacings.update,
   });
+  const prefixExchange = await openPrefixExchange({
+    peerAddress,
+    announcer: prefixes.announcer,
+  });
   const tasks = [
     loadExchange.run,
     upstreamStatsExchange.run,
@@ -498,6 +513,7 @@
       agent.destroy();
       await loadExchange[Symbol.asyncDispose]();
       await upstreamStatsExchange[Symbol.asyncDispose]();
+      await prefixExchange[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
     },
   };
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -27,6 +27,8 @@
   readonly isBegun?: boolean;
   /** Cost of a fetch of the shared prefix; it is not fetched if left out. */
   readonly fetchTokens?: number;
+  /** Upstreams that hold the shared prefix; the first if left out. */
+  readonly holders?: readonly string[];
   readonly targetMs?: number;
 }
 
@@ -111,7 +113,12 @@
             totalTokens: readingTokens + sharedTokens,
             isNear: () => true,
             isColdAndDue: () => false,
-            fetch: { tokens: fetchTokens, mayBeSource: () => true },
+            prefix: {
+              holders: (options.holders ?? ranked.slice(0, 1))
+                .map((upstream) => ({ upstream, ageMs: 1_000 })),
+              fetchTokens,
+              mayBeSource: () => true,
+            },
           })
           : ranked.map((upstream, at) => ({
             upstream,
@@ -622,3 +629,31 @@
   deepStrictEqual(fixture.log, ["calm-1 to d"]);
   strictEqual(fixture.getUse("d").readingTokens, 7_000);
 });
+
+test("a prompt with an unknown prefix goes to the first of three with room, and in the end to an idle one", () => {
+  // Guards against prompts that wait for one upstream though any would prefill
+  // as much, and against a prefix that is prefilled at many upstreams.
+  const fixture = createFixture();
+  const ranked = ["a", "b", "c", "d", "e"];
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ ranked, holders: [], fetchTokens: 1_000 });
+  deepStrictEqual(fixture.log, ["calm-1 to b"]);
+  for (const id of ["b", "c"]) fixture.getUse(id).inFlight = 48;
+  fixture.getUse("d").inFlight = 1;
+  fixture.add({ ranked, holders: [], fetchTokens: 1_000 });
+  deepStrictEqual(fixture.log, ["calm-1 to b"]);
+  fixture.advance(450);
+  deepStrictEqual(fixture.log.slice(1), ["calm-2 to e"]);
+  strictEqual(fixture.getUse("e").readingTokens, 24_000);
+});
+
+test("a prompt goes to the first holder with room, though another one is less busy", () => {
+  // Guards against copies that stay in use at all holders after a burst.
+  const fixture = createFixture();
+  const options = { ranked: ["a", "b", "c"], fetchTokens: 1_000 };
+  fixture.getUse("b").inFlight = 5;
+  fixture.add({ ...options, holders: ["c", "b"] });
+  fixture.getUse("b").inFlight = 48;
+  fixture.add({ ...options, holders: ["c", "b"] });
+  deepStrictEqual(fixture.log, ["calm-1 to b", "calm-2 to c"]);
+});
