Close the connections of an overloaded host's callers after their responses

Change: while the host is overloaded (above the threshold of the policy, not draining, at least four hosts alive in the data centre) its responses say "Connection: close". The rule for early refusals and for pipelined requests moves from handoff_server.ts to last_responses.ts and now holds for both. Tested: dist/handoff/*_test.js. Without the call of isOverloaded the new test of responses does not end, because the connection stays open.

--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -18,6 +18,7 @@
 import { createHandoffPolicy } from "./handoff_policy.ts";
 import { createHandoffReport } from "./handoff_report.ts";
 import { createHandoffServer } from "./handoff_server.ts";
+import { createLastResponses } from "./last_responses.ts";
 import {
   type AttemptOutcome,
   getHandoffAddress,
@@ -35,8 +36,10 @@
    */
   offer(caller: Socket): void;
   /**
-   * Must be called for each request. Returns `false` if the request must not
-   * run, since its connection is about to be closed.
+   * Must be called for each request. Its response closes the connection if the
+   * connection was handed off to this host, or while this host is overloaded.
+   * Returns `false` if the request must not run, since its connection is about
+   * to be closed.
    */
   acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
   /** Called by a timer, many times per second. */
@@ -132,10 +135,19 @@
     },
   });
 
+  const lastResponses = createLastResponses();
+
   return {
     listen: () => server.listen(getHandoffAddress(self)),
     offer: origin.offer,
-    acceptRequest: server.acceptRequest,
+    acceptRequest(req, res) {
+      const isTaken = server.recordRequest(req);
+      return lastResponses.acceptRequest(
+        req,
+        res,
+        isTaken || policy.isOverloaded(),
+      );
+    },
     tick() {
       utilization.tick();
       asked.tick();
--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -14,6 +14,11 @@
 
 /** The decisions of an origin and the state that they depend on. */
 export interface HandoffPolicy {
+  /**
+   * Whether this host should get rid of callers: its utilization is above the
+   * limit and enough neighbouring hosts are alive.
+   */
+  isOverloaded(): boolean;
   /** Whether a connection that arrives now should be handed off. */
   mayHandOff(): boolean;
   /**
@@ -90,10 +95,12 @@
     return candidates.splice(index, 1)[0];
   }
 
+  const isBusy = () =>
+    host.getUtilization() > MIN_ORIGIN_UTILIZATION && !host.isDraining();
+
   return {
-    mayHandOff: () =>
-      host.getUtilization() > MIN_ORIGIN_UTILIZATION && !host.isDraining() &&
-      open < host.maxOpen,
+    isOverloaded: () => isBusy() && host.getAliveHosts().length >= MIN_HOSTS,
+    mayHandOff: () => isBusy() && open < host.maxOpen,
     tryBegin() {
       dropEndedBackoffs();
       const alive = host.getAliveHosts();
--- a/src/handoff/handoff_policy_test.ts
+++ b/src/handoff/handoff_policy_test.ts
@@ -38,6 +38,18 @@
   strictEqual(policy.mayHandOff(), false);
 });
 
+test("a host closes connections only while it is overloaded and has neighbours", () => {
+  // Guards against small data centres whose callers connect for each request.
+  const { policy, state } = createFixture({ hosts: 4 });
+  strictEqual(policy.isOverloaded(), true);
+  state.utilization = 0.8;
+  strictEqual(policy.isOverloaded(), false);
+  state.utilization = 1;
+  state.isDraining = true;
+  strictEqual(policy.isOverloaded(), false);
+  strictEqual(createFixture({ hosts: 3 }).policy.isOverloaded(), false);
+});
+
 test("a flood is spread over idle neighbours, up to the limit", () => {
   // Guards against a flood that uses up the file descriptors, or that overloads
   // one neighbour after the other.
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -8,7 +8,7 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { createServer, type Socket } from "node:net";
 import { startTimeout } from "../core/mod.ts";
 import {
@@ -24,11 +24,10 @@
   /** Listens on the address; rejects if it is already in use. */
   listen(address: string): Promise<void>;
   /**
-   * Must be called for each request. Returns `false` for a pipelined request
-   * behind the last response of its connection: it must not run, since nothing
-   * could be sent to its caller.
+   * Must be called for each request. Returns whether it arrived on a taken
+   * connection, which is to be closed after its response.
    */
-  acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
+  recordRequest(req: IncomingMessage): boolean;
   /** The taken connections that are open. */
   countOpen(): number;
   /** Those of them on which no request has arrived yet. */
@@ -48,12 +47,12 @@
 /** Creates a server that does not listen yet. */
 export function createHandoffServer(host: HandoffServerHost): HandoffServer {
   const sockets = new Set<Socket>();
-  /** The latest response on each taken connection. */
-  const latest = new Map<Socket, ServerResponse | undefined>();
+  /** The taken connections, and whether a request has arrived on them. */
+  const taken = new Map<Socket, { hasRequest: boolean }>();
 
   function take(socket: Socket): void {
-    latest.set(socket, undefined);
-    socket.on("close", () => latest.delete(socket));
+    taken.set(socket, { hasRequest: false });
+    socket.on("close", () => taken.delete(socket));
     socket.write(Buffer.of(ACCEPTED));
     host.serve(socket);
   }
@@ -84,23 +83,14 @@
         server.once("error", reject);
         server.listen({ host: ip, port: Number(port) }, () => resolve());
       }),
-    acceptRequest(req, res) {
-      if (!latest.has(req.socket)) return true;
-      const earlier = latest.get(req.socket);
-      if (earlier !== undefined) {
-        markLast(earlier);
-        if (isLast(earlier)) return false;
-      }
-      latest.set(req.socket, res);
-      // An early refusal keeps the connection open: closing it while the body
-      // arrives would reset it, and the caller might not read the refusal.
-      if (hasBody(req)) req.on("end", () => markLast(res));
-      else markLast(res);
-      return true;
+    recordRequest({ socket }) {
+      const connection = taken.get(socket);
+      if (connection !== undefined) connection.hasRequest = true;
+      return connection !== undefined;
     },
-    countOpen: () => latest.size,
+    countOpen: () => taken.size,
     countWaiting: () =>
-      [...latest.values()].filter((res) => res === undefined).length,
+      [...taken.values()].filter((each) => !each.hasRequest).length,
     async [Symbol.asyncDispose]() {
       if (!server.listening) return;
       const closed = new Promise((resolve) => server.close(resolve));
@@ -146,16 +136,3 @@
   socket.on("error", close);
   socket.on("close", close);
 }
-
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers["transfer-encoding"] !== undefined ||
-    Number(headers["content-length"] ?? 0) > 0;
-}
-
-function markLast(res: ServerResponse): void {
-  if (!res.headersSent) res.setHeader("connection", "close");
-}
-
-function isLast(res: ServerResponse): boolean {
-  return res.getHeader("connection") === "close";
-}
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -235,6 +235,45 @@
   deepStrictEqual(pair.target.served, ["/1", "/2"]);
 });
 
+test("responses of an overloaded host close the connections of its own callers", async () => {
+  // Guards against requests on connections that are kept open, which use up the
+  // processor time for handing connections off.
+  await using host = await startHandoffHost((_, res) => void res.end("here"));
+  const kept = openCaller(host.callerAddress, createGet("/1"));
+  await once(kept.socket, "data");
+  host.state.isBusy = true;
+  host.pass();
+  kept.socket.write(createGet("/2") + createGet("/behind"));
+  match(
+    (await kept.read).text,
+    /\r\nConnection: keep-alive\r\n(.*\r\n)*\r\nhere(.*\r\n)*connection: close\r\n/,
+  );
+  deepStrictEqual(host.served, ["/1", "/2"]);
+  host.state.isDraining = true;
+  const other = openCaller(host.callerAddress, createGet("/3"));
+  const [bytes] = await once(other.socket, "data");
+  match(String(bytes), /\r\nConnection: keep-alive\r\n/);
+  other.socket.destroy();
+});
+
+test("an overloaded host that refuses before the body is read leaves the connection open", async () => {
+  // Guards against a reset that costs the caller the refusal.
+  await using host = await startHandoffHost((_, res) => {
+    res.writeHead(503, { "content-length": 0 }).end();
+  });
+  host.state.isBusy = true;
+  host.pass();
+  const caller = openCaller(
+    host.callerAddress,
+    `POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: ${BODY.length}\r\n\r\n`,
+  );
+  const [bytes] = await once(caller.socket, "data");
+  match(String(bytes), /^HTTP\/1.1 503 (.*\r\n)*Connection: keep-alive\r\n/);
+  caller.socket.write(BODY + createGet("/2"));
+  strictEqual((await caller.read).isReset, false);
+  deepStrictEqual(host.served, ["/1", "/2"]);
+});
+
 test("a pipelined request behind the last response does not run", async () => {
   // Guards against a run whose response can't be sent.
   await using pair = await startPair((res) =>
--- /dev/null
+++ b/src/handoff/last_responses.ts
@@ -0,0 +1,61 @@
+/**
+ * Marks responses as the last ones of their connections, so that the next
+ * request of a caller arrives on a new connection, which can be handed off.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** The responses that close their connections. */
+export interface LastResponses {
+  /**
+   * Must be called for each request. If `isLast`, the response closes the
+   * connection, where this can't cost the caller the response. Returns `false`
+   * for a pipelined request behind the last response of its connection: it must
+   * not run, since nothing could be sent to its caller.
+   */
+  acceptRequest(
+    req: IncomingMessage,
+    res: ServerResponse,
+    isLast: boolean,
+  ): boolean;
+}
+
+/** Creates the state of a host without connections. */
+export function createLastResponses(): LastResponses {
+  /** The latest response on each connection that was to be closed after it. */
+  const latest = new WeakMap<Socket, ServerResponse>();
+
+  return {
+    acceptRequest(req, res, isLast) {
+      const earlier = latest.get(req.socket);
+      if (earlier !== undefined) {
+        markLast(earlier);
+        if (isMarkedLast(earlier)) return false;
+        latest.delete(req.socket);
+      }
+      if (!isLast) return true;
+      latest.set(req.socket, res);
+      // An early refusal keeps the connection open: closing it while the body
+      // arrives would reset it, and the caller might not read the refusal.
+      if (hasBody(req)) req.on("end", () => markLast(res));
+      else markLast(res);
+      return true;
+    },
+  };
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
+
+function markLast(res: ServerResponse): void {
+  if (!res.headersSent) res.setHeader("connection", "close");
+}
+
+function isMarkedLast(res: ServerResponse): boolean {
+  return res.getHeader("connection") === "close";
+}
