--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -346,6 +346,7 @@
     self: peerAddress,
     maxFds: settings.maxFds,
     random: host.random,
+    getUnreadMs: loopMonitor.getUnreadMs,
     readLoopTimes: host.readLoopTimes ?? performance.eventLoopUtilization,
     getAliveHosts: () =>
       getAlive()
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -61,6 +61,8 @@
   readonly maxFds: number;
   random(): number;
   readLoopTimes(): LoopTimes;
+  /** How long input that is read now may have waited unread, in ms. */
+  getUnreadMs(): number;
   /** The hosts alive in this data centre, including this one. */
   getAliveHosts(): readonly string[];
   isFull(host: string): boolean;
@@ -114,6 +116,7 @@
   const origin = createHandoffOrigin({
     policy,
     serve: host.serve,
+    getUnreadMs: host.getUnreadMs,
     onAsked(target, outcome) {
       asked.count(target, outcome);
       host.onAsked(outcome);
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -13,14 +13,18 @@
 import { startTimeout } from "../core/mod.ts";
 import { askTarget } from "./handoff_client.ts";
 import type { HandoffPolicy } from "./handoff_policy.ts";
-import { type AttemptOutcome, HANDOFF_TIMEOUT_MS } from "./protocol.ts";
+import {
+  type AttemptOutcome,
+  CALLER_PATIENCE_MS,
+  HANDOFF_TIMEOUT_MS,
+} from "./protocol.ts";
 import { relayConnection, reset } from "./relay_connection.ts";
 
 /** The handoffs of one origin. Disposal resets all connections. */
 export interface HandoffOrigin extends Disposable {
   /**
    * Hands off the connection, from which nothing was read, or has it served by
-   * this host.
+   * this host. Closes it if it may have waited for longer than callers do.
    */
   offer(caller: Socket): void;
 }
@@ -30,6 +34,11 @@
   readonly policy: HandoffPolicy;
   /** Serves the connection at this host. */
   serve(caller: Socket): void;
+  /**
+   * How long a connection that is accepted now may have waited because of long
+   * event-loop iterations, in ms.
+   */
+  getUnreadMs(): number;
   /** Called for each host that was asked. */
   onAsked(target: string, outcome: AttemptOutcome): void;
 }
@@ -111,8 +120,14 @@
   return {
     offer(caller) {
       const target = tryBegin();
-      if (target === undefined) host.serve(caller);
-      else negotiate(caller, target);
+      if (target === undefined) return host.serve(caller);
+      if (host.getUnreadMs() < CALLER_PATIENCE_MS) {
+        return negotiate(caller, target);
+      }
+      // The target can't see how long the connection has waited here, and would
+      // serve a caller that has left.
+      policy.end(target);
+      reset(caller);
     },
     [Symbol.dispose]() {
       isDisposed = true;
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -274,6 +274,37 @@
   deepStrictEqual(host.served, ["/1", "/2"]);
 });
 
+test("a caller that left while its connection waited is not served by the target", async () => {
+  // Guards against upstreams that work for nobody: the target reads the request
+  // before the end that follows it.
+  await using pair = await startPair((res) => void res.end());
+  const { origin, target } = pair;
+  for (let call = 0; call < 20; call++) {
+    const { socket } = openCaller(origin.callerAddress, "");
+    socket.write(createGet("/left"), () => socket.destroy());
+  }
+  await until(() => {
+    origin.pass();
+    return origin.decisions.length > 0;
+  });
+  await until(() => origin.handoff.countOpen() === 0);
+  deepStrictEqual([origin.served, target.served], [[], []]);
+});
+
+test("a connection that may have waited longer than callers do is closed, not handed off", async () => {
+  // Guards against requests of callers that have left: the target can't see how
+  // long the connection waited at the origin.
+  await using pair = await startPair((res) => void res.end());
+  const { origin, target } = pair;
+  origin.state.unreadMs = 1_000;
+  const late = openCaller(origin.callerAddress, createGet("/late"));
+  deepStrictEqual((await late.read).text, "");
+  strictEqual(origin.handoff.countOpen(), 0);
+  origin.state.unreadMs = 999;
+  await openCaller(origin.callerAddress, createGet("/")).read;
+  deepStrictEqual([origin.served, target.served], [[], ["/"]]);
+});
+
 test("a pipelined request behind the last response does not run", async () => {
   // Guards against a run whose response can't be sent.
   await using pair = await startPair((res) =>
--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -30,6 +30,9 @@
  */
 export const HANDOFF_TIMEOUT_MS = 250;
 
+/** Time after which callers abandon a connection on which nothing is read. */
+export const CALLER_PATIENCE_MS = 1_000;
+
 /** Distance of the port for handoffs from the peer port. */
 const PORT_OFFSET = 2;
 
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -6,15 +6,19 @@
  * host only passes on. Failures prevented: a response that breaks off at the
  * target and is ended in order at the caller would look complete; a caller that
  * disconnects unnoticed would occupy an upstream; a slow caller would let the
- * response pile up in the memory of this host.
+ * response pile up in the memory of this host; a request of a caller that left
+ * while its connection waited here would be run by the target, which reads the
+ * caller's end only later.
  *
- * The relay holds no bytes besides the buffers of the two sockets, since each
- * is read only while the other accepts data, and it has no timers: the target
- * applies the time-outs of callers.
+ * Apart from what is read from the caller in the first two event-loop
+ * iterations, the relay holds no bytes besides the buffers of the two sockets,
+ * since each is read only while the other accepts data. It has no timers: the
+ * target applies the time-outs of callers.
  *
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 
 /** The two connections of a relay. Both allow half-open connections. */
@@ -54,6 +58,7 @@
   // connection, which must not cut off the end of the response.
   target.on("end", () => {
     if (isResetRead(target)) return reset(caller);
+    stopHolding();
     caller.unpipe(target);
     caller.resume();
     target.destroy();
@@ -61,16 +66,41 @@
     else caller.once("finish", () => caller.destroy());
   });
 
-  // A pipe waits for its destination to drain, and ends it after its source.
-  caller.pipe(target);
+  // The end of a caller that has left is read one iteration after its request.
+  const held: Buffer[] = [];
+  let iteration: NodeJS.Immediate | undefined;
+
+  function hold(bytes: Buffer): void {
+    held.push(bytes);
+    iteration ??= setImmediate(() => iteration = setImmediate(passOn));
+  }
+
+  function stopHolding(): void {
+    clearImmediate(iteration);
+    caller.off("data", hold);
+    caller.off("end", resetBoth);
+  }
+
+  function passOn(): void {
+    stopHolding();
+    if (caller.destroyed || target.destroyed) return;
+    caller.pause();
+    caller.unshift(Buffer.concat(held));
+    // A pipe waits for its destination to drain, and ends it after its source.
+    caller.pipe(target);
+  }
+
+  function resetBoth(): void {
+    reset(caller);
+    reset(target);
+  }
+
+  caller.on("data", hold);
+  caller.on("end", resetBoth);
+  caller.resume();
   target.pipe(caller);
 
-  return {
-    [Symbol.dispose]() {
-      reset(caller);
-      reset(target);
-    },
-  };
+  return { [Symbol.dispose]: resetBoth };
 }
 
 /**
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -21,7 +21,7 @@
   readonly decisions: readonly Decision[];
   /** URLs of the requests that it was given. */
   readonly served: readonly string[];
-  readonly state: { isBusy: boolean; isDraining: boolean };
+  readonly state: { isBusy: boolean; isDraining: boolean; unreadMs: number };
   /** Lets seconds pass with the event loop as busy as `state` says. */
   pass(): void;
 }
@@ -44,7 +44,7 @@
   const callerAddress = peerAddress.replace(":7300", ":7380");
   const decisions: Decision[] = [];
   const served: string[] = [];
-  const state = { isBusy: targets.length > 0, isDraining: false };
+  const state = { isBusy: targets.length > 0, isDraining: false, unreadMs: 0 };
   const times = { active: 0, idle: 0 };
   const handoff = createHandoff({
     clock,
@@ -52,6 +52,7 @@
     maxFds: 64,
     random: Math.random,
     readLoopTimes: () => ({ ...times }),
+    getUnreadMs: () => state.unreadMs,
     getAliveHosts: () => [
       peerAddress,
       ...targets,
