End relays whose caller has left and whose target is frozen

Cause: a frozen target doesn't close its connection, so a relay stayed open after its caller had left, counted towards the limit and held the drain. Change: both sockets are reset if the target's end isn't read within 1 s after the caller's end was passed on. Tested: dist/handoff/handoff_test.js.

--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -1,4 +1,5 @@
 import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { createServer, type Socket } from "node:net";
@@ -305,6 +306,34 @@
   deepStrictEqual([origin.served, target.served], [[], ["/"]]);
 });
 
+test("a relay ends after its caller has left, although its target is frozen", async () => {
+  // Guards against relays that use up the limit of handoffs and hold the drain.
+  const peer = drawPeerAddress();
+  const [ip, port] = getHandoffAddress(peer).split(":");
+  const taken: Socket[] = [];
+  const frozen = createServer({ allowHalfOpen: true }, (socket) => {
+    taken.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(Buffer.of(1));
+      socket.pause();
+    });
+  });
+  frozen.listen(Number(port), ip);
+  await once(frozen, "listening");
+  const origin = await startHandoffHost((_, res) => void res.end(), [peer]);
+  const caller = openCaller(origin.callerAddress, createGet("/a"));
+  await until(() => taken.length === 1);
+  await sleep(100);
+  caller.socket.destroy();
+  await sleep(3_000);
+  const open = origin.handoff.countOpen();
+  for (const each of taken) each.destroy();
+  frozen.close();
+  await origin[Symbol.asyncDispose]();
+  strictEqual(open, 0);
+});
+
 test("a pipelined request behind the last response does not run", async () => {
   // Guards against a run whose response can't be sent.
   await using pair = await startPair((res) =>
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -12,14 +12,22 @@
  *
  * Apart from what is read from the caller in the first two event-loop
  * iterations, the relay holds no bytes besides the buffers of the two sockets,
- * since each is read only while the other accepts data. It has no timers: the
- * target applies the time-outs of callers.
+ * since each is read only while the other accepts data. Its only timer runs
+ * after the caller's end: the target applies the time-outs of callers.
  *
  * @module
  */
 
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { startTimeout } from "../core/mod.ts";
+
+/**
+ * Time for a target to close its connection after the caller's end was passed
+ * on, in ms. A target that is not frozen does so at once, since a caller that
+ * ends its connection has left.
+ */
+const TARGET_CLOSE_TIMEOUT_MS = 1_000;
 
 /** The two connections of a relay. Both allow half-open connections. */
 export interface RelayedSockets {
@@ -49,6 +57,7 @@
     countClosed();
   });
   target.on("close", () => {
+    closeTimeout?.[Symbol.dispose]();
     if (!target.readableEnded) reset(caller);
     countClosed();
   });
@@ -56,7 +65,9 @@
   // An HTTP server closes its connection in both directions at once. Bytes that
   // the caller sends after that would make the target's kernel reset the
   // connection, which must not cut off the end of the response.
+  let closeTimeout: Disposable | undefined;
   target.on("end", () => {
+    closeTimeout?.[Symbol.dispose]();
     if (isResetRead(target)) return reset(caller);
     stopHolding();
     caller.unpipe(target);
@@ -88,6 +99,10 @@
     caller.unshift(Buffer.concat(held));
     // A pipe waits for its destination to drain, and ends it after its source.
     caller.pipe(target);
+    caller.on("end", () => {
+      if (target.readableEnded || target.destroyed) return;
+      closeTimeout = startTimeout(TARGET_CLOSE_TIMEOUT_MS, resetBoth);
+    });
   }
 
   function resetBoth(): void {
