Let handed-off connections without a request not hold the drain

Cause: a connection that was handed off counted as in flight at both hosts until its first request, or until the header time-out of the target closed it, up to 35 s later. Change: the origin counts a relay only once it has read a byte from the caller, the target a connection without a request only for its first second. Negotiations, which last 250 ms at most, still count at the origin. Tested: dist/handoff/handoff_test.js. Before, the new test does not end, since the origin counts the silent connection.

--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -48,7 +48,9 @@
   countOpen(): number;
   /**
    * Connections that are in flight without a response of this host: those that
-   * it relays, and those that it has taken and on which no request has arrived.
+   * it offers to others, those that it relays and whose callers have sent
+   * something, and those that it has just taken and on which no request has
+   * arrived.
    */
   countInFlight(): number;
 }
@@ -123,6 +125,7 @@
     },
   });
   const server = createHandoffServer({
+    clock,
     serve: host.serve,
     mayTake: () =>
       mayTakeConnection({
@@ -157,7 +160,7 @@
       received.tick();
     },
     countOpen: policy.countOpen,
-    countInFlight: () => policy.countOpen() + server.countWaiting(),
+    countInFlight: () => origin.countInFlight() + server.countWaiting(),
     async [Symbol.asyncDispose]() {
       origin[Symbol.dispose]();
       await server[Symbol.asyncDispose]();
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -22,6 +22,11 @@
 
 /** The handoffs of one origin. Disposal resets all connections. */
 export interface HandoffOrigin extends Disposable {
+  /**
+   * Connections that are being offered to a target, and relays on which the
+   * caller has sent something.
+   */
+  countInFlight(): number;
   /**
    * Hands off the connection, from which nothing was read, or has it served by
    * this host. Closes it if it may have waited for longer than callers do.
@@ -49,7 +54,8 @@
 /** Creates an origin without open handoffs. */
 export function createHandoffOrigin(host: HandoffOriginHost): HandoffOrigin {
   const { policy } = host;
-  const running = new Set<Disposable>();
+  /** Ends each negotiation and relay; with the caller of a relay. */
+  const running = new Map<Disposable, Socket | undefined>();
   let isDisposed = false;
 
   function tryBegin(): string | undefined {
@@ -62,7 +68,7 @@
       running.delete(relayed);
       policy.end(name);
     });
-    running.add(relayed);
+    running.set(relayed, caller);
   }
 
   function negotiate(caller: Socket, firstTarget: string): void {
@@ -113,11 +119,15 @@
         reset(caller);
       },
     };
-    running.add(negotiation);
+    running.set(negotiation, undefined);
     ask(firstTarget);
   }
 
   return {
+    countInFlight: () =>
+      [...running.values()]
+        .filter((caller) => caller === undefined || caller.bytesRead > 0)
+        .length,
     offer(caller) {
       const target = tryBegin();
       if (target === undefined) return host.serve(caller);
@@ -131,7 +141,7 @@
     },
     [Symbol.dispose]() {
       isDisposed = true;
-      for (const each of [...running]) each[Symbol.dispose]();
+      for (const each of [...running.keys()]) each[Symbol.dispose]();
     },
   };
 }
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -10,9 +10,10 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { createServer, type Socket } from "node:net";
-import { startTimeout } from "../core/mod.ts";
+import { type Clock, startTimeout } from "../core/mod.ts";
 import {
   ACCEPTED,
+  CALLER_PATIENCE_MS,
   HANDOFF_TIMEOUT_MS,
   PREFACE,
   type ReceivedOutcome,
@@ -30,12 +31,23 @@
   recordRequest(req: IncomingMessage): boolean;
   /** The taken connections that are open. */
   countOpen(): number;
-  /** Those of them on which no request has arrived yet. */
+  /**
+   * Those of them that were taken a short time ago and on which no request has
+   * arrived yet.
+   */
   countWaiting(): number;
 }
 
+/**
+ * Time for which a taken connection without a request counts as waiting, in ms:
+ * that of the callers' patience. Callers may connect long before they send a
+ * request, and the drain must not wait for these.
+ */
+const MAX_WAITING_MS = CALLER_PATIENCE_MS;
+
 /** Dependencies of the server. */
 export interface HandoffServerHost {
+  readonly clock: Clock;
   /** Whether this host takes another connection now. */
   mayTake(): boolean;
   /** Serves the connection, from which nothing but the preface was read. */
@@ -48,10 +60,16 @@
 export function createHandoffServer(host: HandoffServerHost): HandoffServer {
   const sockets = new Set<Socket>();
   /** The taken connections, and whether a request has arrived on them. */
-  const taken = new Map<Socket, { hasRequest: boolean }>();
+  const taken = new Map<
+    Socket,
+    { readonly takenMs: number; hasRequest: boolean }
+  >();
 
   function take(socket: Socket): void {
-    taken.set(socket, { hasRequest: false });
+    taken.set(socket, {
+      takenMs: host.clock.monotonicMs(),
+      hasRequest: false,
+    });
     socket.on("close", () => taken.delete(socket));
     socket.write(Buffer.of(ACCEPTED));
     host.serve(socket);
@@ -89,8 +107,12 @@
       return connection !== undefined;
     },
     countOpen: () => taken.size,
-    countWaiting: () =>
-      [...taken.values()].filter((each) => !each.hasRequest).length,
+    countWaiting() {
+      const minTakenMs = host.clock.monotonicMs() - MAX_WAITING_MS;
+      return [...taken.values()]
+        .filter((each) => !each.hasRequest && each.takenMs > minTakenMs)
+        .length;
+    },
     async [Symbol.asyncDispose]() {
       if (!server.listening) return;
       const closed = new Promise((resolve) => server.close(resolve));
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -190,6 +190,22 @@
   await until(() => pair.target.handoff.countInFlight() === 0);
 });
 
+test("a handed-off connection without a byte holds the drain of neither host", async () => {
+  // Guards against a drain that waits up to 35 s for the header time-out.
+  await using pair = await startPair((res) => void res.end());
+  const { origin, target } = pair;
+  const silent = openCaller(origin.callerAddress, "");
+  await until(() => target.handoff.countInFlight() === 1);
+  await until(() => origin.handoff.countInFlight() === 0);
+  strictEqual(origin.handoff.countOpen(), 1);
+  target.pass();
+  strictEqual(target.handoff.countInFlight(), 0);
+  silent.socket.write("GET /slow HTTP/1.1\r\n");
+  await until(() => origin.handoff.countInFlight() === 1);
+  silent.socket.destroy();
+  await until(() => origin.handoff.countInFlight() === 0);
+});
+
 test("a slow caller holds back the target", async () => {
   // Guards against responses that pile up in the memory of the origin.
   const chunk = new Uint8Array(1_000_000);
