Keep the list of neighbouring hosts for 100 ms

Cause: an overloaded host mapped and filtered all members for each connection, and since its responses close connections, for each request as well. Change: the policy reads the hosts alive every 100 ms, draws first and tests back-off and fullness of those drawn only. Tested: dist/handoff/*_test.js.

--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -67,12 +67,20 @@
  */
 export const BACKOFF_MS = 500;
 
+/**
+ * Time for which the list of neighbouring hosts is kept, in ms. Going through
+ * all members for each connection would cost an overloaded host the most.
+ */
+export const NEIGHBOURS_MAX_AGE_MS = 100;
+
 /** Creates the policy of an origin without open handoffs. */
 export function createHandoffPolicy(host: HandoffPolicyHost): HandoffPolicy {
   const { clock, self } = host;
   const openByTarget = new Map<string, number>();
   const backoffUntilMs = new Map<string, number>();
   let open = 0;
+  let neighbours: string[] = [];
+  let neighboursReadMs = -Infinity;
 
   const getOpen = (target: string) => openByTarget.get(target) ?? 0;
 
@@ -83,34 +91,56 @@
     else openByTarget.set(target, count);
   }
 
-  function dropEndedBackoffs(): void {
-    const nowMs = clock.monotonicMs();
+  function dropEndedBackoffs(nowMs: number): void {
     for (const [target, untilMs] of backoffUntilMs) {
       if (untilMs <= nowMs) backoffUntilMs.delete(target);
     }
   }
 
-  function draw(candidates: string[]): string | undefined {
-    const index = Math.floor(host.random() * candidates.length);
-    return candidates.splice(index, 1)[0];
+  /** Returns the other hosts alive, in any order; a list that may be changed. */
+  function getNeighbours(): string[] {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - neighboursReadMs < NEIGHBOURS_MAX_AGE_MS) return neighbours;
+    neighboursReadMs = nowMs;
+    neighbours = host.getAliveHosts().filter((each) => each !== self);
+    dropEndedBackoffs(nowMs);
+    return neighbours;
+  }
+
+  const hasEnoughHosts = () => getNeighbours().length >= MIN_HOSTS - 1;
+
+  function mayAsk(target: string): boolean {
+    const untilMs = backoffUntilMs.get(target) ?? -Infinity;
+    return untilMs <= clock.monotonicMs() && !host.isFull(target);
+  }
+
+  /**
+   * Draws hosts without replacement until two that may be asked are found, by
+   * moving those drawn to the front of the list.
+   */
+  function drawTwo(): string[] {
+    const hosts = getNeighbours();
+    const drawn: string[] = [];
+    for (let at = 0; at < hosts.length && drawn.length < 2; at++) {
+      const from = at + Math.floor(host.random() * (hosts.length - at));
+      const target = hosts[from]!;
+      hosts[from] = hosts[at]!;
+      hosts[at] = target;
+      if (mayAsk(target)) drawn.push(target);
+    }
+    return drawn;
   }
 
   const isBusy = () =>
     host.getUtilization() > MIN_ORIGIN_UTILIZATION && !host.isDraining();
 
   return {
-    isOverloaded: () => isBusy() && host.getAliveHosts().length >= MIN_HOSTS,
+    isOverloaded: () => isBusy() && hasEnoughHosts(),
     mayHandOff: () => isBusy() && open < host.maxOpen,
     tryBegin() {
-      dropEndedBackoffs();
-      const alive = host.getAliveHosts();
-      if (alive.length < MIN_HOSTS) return undefined;
-      const candidates = alive.filter((each) =>
-        each !== self && !backoffUntilMs.has(each) && !host.isFull(each)
-      );
-      const first = draw(candidates);
-      if (first === undefined) return undefined;
-      const second = draw(candidates) ?? first;
+      if (!hasEnoughHosts()) return undefined;
+      const [first, second = first] = drawTwo();
+      if (first === undefined || second === undefined) return undefined;
       const target = getOpen(second) < getOpen(first) ? second : first;
       changeOpen(target, 1);
       return target;
