Log errors of listening servers instead of ending the process

Cause: the listener that rejects a failed start stayed registered, so the first later error of a server was swallowed and a second one ended the process. Change: startListening of core/ serves src/entry and src/handoff; it removes the listener and passes later errors on, which an entry host logs as task-failed. The unused parameter backlog of listen is gone.

--- /dev/null
+++ b/src/core/listen.ts
@@ -0,0 +1,37 @@
+/**
+ * Starts servers.
+ *
+ * @module
+ */
+
+import type { Server } from "node:net";
+
+/** Where and how a server listens. */
+export interface ListenOptions {
+  /** An IP address and a port. */
+  readonly address: string;
+  /** Length of the accept queue; Node's default if absent. */
+  readonly backlog?: number;
+  /**
+   * Called for each error after the server has begun to listen, such as a lack
+   * of file descriptors for a new connection. Without a listener, such an error
+   * would end the process and all requests that it serves.
+   */
+  onError(reason: string): void;
+}
+
+/** Starts to listen; rejects if the address is already in use. */
+export function startListening(
+  server: Server,
+  { address, backlog, onError }: ListenOptions,
+): Promise<void> {
+  const [host, port] = address.split(":");
+  return new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port: Number(port), backlog }, () => {
+      server.off("error", reject);
+      server.on("error", (err) => onError(String(err)));
+      resolve();
+    });
+  });
+}
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -8,11 +8,8 @@
 
 import type { RequestListener, Server } from "node:http";
 import { createServer, type Socket } from "node:net";
-import {
-  createHttpServer,
-  type ListeningServer,
-  startListening,
-} from "./servers.ts";
+import { startListening } from "../core/mod.ts";
+import { createHttpServer, type ListeningServer } from "./servers.ts";
 
 /** The server for callers. */
 export interface CallerServer extends ListeningServer {
@@ -29,6 +26,8 @@
   onConnection(socket: Socket): void;
   /** Length of the accept queue. */
   readonly backlog: number;
+  /** Called for each error after the server has begun to listen. */
+  onError(reason: string): void;
   /**
    * Interval at which connections with late headers are closed, in ms; Node's
    * default, 30 s, if absent.
@@ -49,7 +48,11 @@
     noDelay: true,
     pauseOnConnect: true,
   }, onConnection);
-  await startListening(acceptor, address, backlog);
+  await startListening(acceptor, {
+    address,
+    backlog,
+    onError: options.onError,
+  });
   // The HTTP server tracks its connections for time-outs and for closing them
   // only from this event on.
   server.emit("listening");
--- a/src/entry/caller_server_test.ts
+++ b/src/entry/caller_server_test.ts
@@ -21,6 +21,9 @@
       server.serve(socket);
     },
     backlog: 8,
+    onError: (reason) => {
+      throw new Error(reason);
+    },
     headerCheckIntervalMs: 20,
   });
   return { address, accepted, server };
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -360,6 +360,8 @@
     onReceived: metrics.observeReceived,
     log,
   });
+  const logServerError = (reason: string) =>
+    log({ event: "task-failed", task: "server", reason });
   const callers = await listenForCallers(settings.callerAddress, {
     onRequest(req, res) {
       if (!handoff.acceptRequest(req, res)) return;
@@ -368,11 +370,13 @@
     },
     onConnection: handoff.offer,
     backlog: getBacklog(settings.processorShare),
+    onError: logServerError,
   });
   await handoff.listen();
   const readiness = await listen(
     settings.readinessAddress,
     createReadinessListener(protocol, isReady),
+    logServerError,
   );
   const resolve = await listen(
     settings.resolveAddress,
@@ -388,6 +392,7 @@
             ?.getAllowedRegionsOfHostName(query.hostName),
         }),
     }),
+    logServerError,
   );
   function isFull(member: Member): boolean {
     return member.peerAddress === peerAddress
@@ -403,6 +408,7 @@
       await listen(
         `${ip}:${port}`,
         createMetricsListener(path, metrics.render),
+        logServerError,
       ),
     );
   }
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -13,7 +13,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Server as NetServer } from "node:net";
+import process from "node:process";
+import { startListening } from "../core/mod.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import type { EntryProtocol, ResolveQuery } from "./types.ts";
 
@@ -99,35 +100,17 @@
   }, onRequest);
 }
 
-/**
- * Starts to listen on the address, an IP and a port; rejects if it is already in
- * use.
- */
-export function startListening(
-  server: NetServer,
-  address: string,
-  backlog: number,
-): Promise<void> {
-  const [host, port] = address.split(":");
-  return new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(
-      { host, port: Number(port), backlog },
-      () => resolve(),
-    );
-  });
-}
-
 /**
  * Serves HTTP on the address, an IP and a port; rejects if it is already in use.
+ * Later errors are passed to `onError`, or are warnings of the process.
  */
 export async function listen(
   address: string,
   onRequest: RequestListener,
-  backlog: number = DEFAULT_BACKLOG,
+  onError: (reason: string) => void = (reason) => process.emitWarning(reason),
 ): Promise<ListeningServer> {
   const server = createHttpServer(onRequest);
-  await startListening(server, address, backlog);
+  await startListening(server, { address, backlog: DEFAULT_BACKLOG, onError });
   return {
     server,
     async [Symbol.asyncDispose]() {
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -135,6 +135,8 @@
         open: server.countOpen(),
         maxOpen,
       }),
+    onError: (reason) =>
+      host.log({ event: "task-failed", task: "handoff server", reason }),
     onAnswered(from, outcome) {
       received.count(from, outcome);
       host.onReceived(outcome);
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -10,7 +10,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { createServer, type Socket } from "node:net";
-import { type Clock, startTimeout } from "../core/mod.ts";
+import { type Clock, startListening, startTimeout } from "../core/mod.ts";
 import {
   ACCEPTED,
   CALLER_PATIENCE_MS,
@@ -52,6 +52,8 @@
   mayTake(): boolean;
   /** Serves the connection, from which nothing but the preface was read. */
   serve(socket: Socket): void;
+  /** Called for each error after the server has begun to listen. */
+  onError(reason: string): void;
   /** Called for each answer with the IP address of the origin. */
   onAnswered(origin: string, outcome: ReceivedOutcome): void;
 }
@@ -96,11 +98,7 @@
 
   return {
     listen: (address) =>
-      new Promise((resolve, reject) => {
-        const [ip, port] = address.split(":");
-        server.once("error", reject);
-        server.listen({ host: ip, port: Number(port) }, () => resolve());
-      }),
+      startListening(server, { address, onError: host.onError }),
     recordRequest({ socket }) {
       const connection = taken.get(socket);
       if (connection !== undefined) connection.hasRequest = true;
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -76,6 +76,9 @@
     },
     onConnection: handoff.offer,
     backlog: 16,
+    onError: (reason) => {
+      throw new Error(reason);
+    },
   });
   await handoff.listen();
 
