--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -372,6 +372,7 @@
     self: peerAddress,
     maxFds: settings.maxFds,
     random: host.random,
+    getUnreadMs: loopMonitor.getUnreadMs,
     readLoopTimes: host.readLoopTimes ?? performance.eventLoopUtilization,
     getAliveHosts: () =>
       getAlive()
@@ -385,6 +386,8 @@
     onReceived: metrics.observeReceived,
     log,
   });
+  const logServerError = (reason: string) =>
+    log({ event: "task-failed", task: "server", reason });
   const callers = await listenForCallers(settings.callerAddress, {
     onRequest(req, res) {
       if (!handoff.acceptRequest(req, res)) return;
@@ -393,11 +396,13 @@
     },
     onConnection: handoff.offer,
     backlog: getBacklog(settings.processorShare),
+    onError: logServerError,
   });
   await handoff.listen();
   const readiness = await listen(
     settings.readinessAddress,
     createReadinessListener(protocol, isReady),
+    logServerError,
   );
   const resolve = await listen(
     settings.resolveAddress,
@@ -413,6 +418,7 @@
             ?.getAllowedRegionsOfHostName(query.hostName),
         }),
     }),
+    logServerError,
   );
   function isFull(member: Member): boolean {
     return member.peerAddress === peerAddress
@@ -428,6 +434,7 @@
       await listen(
         `${ip}:${port}`,
         createMetricsListener(path, metrics.render),
+        logServerError,
       ),
     );
   }
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -18,6 +18,7 @@
 import { createHandoffPolicy } from "./handoff_policy.ts";
 import { createHandoffReport } from "./handoff_report.ts";
 import { createHandoffServer } from "./handoff_server.ts";
+import { createLastResponses } from "./last_responses.ts";
 import {
   type AttemptOutcome,
   getHandoffAddress,
@@ -35,8 +36,10 @@
    */
   offer(caller: Socket): void;
   /**
-   * Must be called for each request. Returns `false` if the request must not
-   * run, since its connection is about to be closed.
+   * Must be called for each request. Its response closes the connection if the
+   * connection was handed off to this host, or while this host is overloaded.
+   * Returns `false` if the request must not run, since its connection is about
+   * to be closed.
    */
   acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
   /** Called by a timer, many times per second. */
@@ -45,7 +48,9 @@
   countOpen(): number;
   /**
    * Connections that are in flight without a response of this host: those that
-   * it relays, and those that it has taken and on which no request has arrived.
+   * it offers to others, those that it relays and whose callers have sent
+   * something, and those that it has just taken and on which no request has
+   * arrived.
    */
   countInFlight(): number;
 }
@@ -58,6 +63,8 @@
   readonly maxFds: number;
   random(): number;
   readLoopTimes(): LoopTimes;
+  /** How long input that is read now may have waited unread, in ms. */
+  getUnreadMs(): number;
   /** The hosts alive in this data centre, including this one. */
   getAliveHosts(): readonly string[];
   isFull(host: string): boolean;
@@ -111,12 +118,14 @@
   const origin = createHandoffOrigin({
     policy,
     serve: host.serve,
+    getUnreadMs: host.getUnreadMs,
     onAsked(target, outcome) {
       asked.count(target, outcome);
       host.onAsked(outcome);
     },
   });
   const server = createHandoffServer({
+    clock,
     serve: host.serve,
     mayTake: () =>
       mayTakeConnection({
@@ -126,23 +135,34 @@
         open: server.countOpen(),
         maxOpen,
       }),
+    onError: (reason) =>
+      host.log({ event: "task-failed", task: "handoff server", reason }),
     onAnswered(from, outcome) {
       received.count(from, outcome);
       host.onReceived(outcome);
     },
   });
 
+  const lastResponses = createLastResponses();
+
   return {
     listen: () => server.listen(getHandoffAddress(self)),
     offer: origin.offer,
-    acceptRequest: server.acceptRequest,
+    acceptRequest(req, res) {
+      const isTaken = server.recordRequest(req);
+      return lastResponses.acceptRequest(
+        req,
+        res,
+        isTaken || policy.isOverloaded(),
+      );
+    },
     tick() {
       utilization.tick();
       asked.tick();
       received.tick();
     },
     countOpen: policy.countOpen,
-    countInFlight: () => policy.countOpen() + server.countWaiting(),
+    countInFlight: () => origin.countInFlight() + server.countWaiting(),
     async [Symbol.asyncDispose]() {
       origin[Symbol.dispose]();
       await server[Symbol.asyncDispose]();
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -8,11 +8,12 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { createServer, type Socket } from "node:net";
-import { startTimeout } from "../core/mod.ts";
+import { type Clock, startListening, startTimeout } from "../core/mod.ts";
 import {
   ACCEPTED,
+  CALLER_PATIENCE_MS,
   HANDOFF_TIMEOUT_MS,
   PREFACE,
   type ReceivedOutcome,
@@ -24,23 +25,35 @@
   /** Listens on the address; rejects if it is already in use. */
   listen(address: string): Promise<void>;
   /**
-   * Must be called for each request. Returns `false` for a pipelined request
-   * behind the last response of its connection: it must not run, since nothing
-   * could be sent to its caller.
+   * Must be called for each request. Returns whether it arrived on a taken
+   * connection, which is to be closed after its response.
    */
-  acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
+  recordRequest(req: IncomingMessage): boolean;
   /** The taken connections that are open. */
   countOpen(): number;
-  /** Those of them on which no request has arrived yet. */
+  /**
+   * Those of them that were taken a short time ago and on which no request has
+   * arrived yet.
+   */
   countWaiting(): number;
 }
 
+/**
+ * Time for which a taken connection without a request counts as waiting, in ms:
+ * that of the callers' patience. Callers may connect long before they send a
+ * request, and the drain must not wait for these.
+ */
+const MAX_WAITING_MS = CALLER_PATIENCE_MS;
+
 /** Dependencies of the server. */
 export interface HandoffServerHost {
+  readonly clock: Clock;
   /** Whether this host takes another connection now. */
   mayTake(): boolean;
   /** Serves the connection, from which nothing but the preface was read. */
   serve(socket: Socket): void;
+  /** Called for each error after the server has begun to listen. */
+  onError(reason: string): void;
   /** Called for each answer with the IP address of the origin. */
   onAnswered(origin: string, outcome: ReceivedOutcome): void;
 }
@@ -48,12 +61,18 @@
 /** Creates a server that does not listen yet. */
 export function createHandoffServer(host: HandoffServerHost): HandoffServer {
   const sockets = new Set<Socket>();
-  /** The latest response on each taken connection. */
-  const latest = new Map<Socket, ServerResponse | undefined>();
+  /** The taken connections, and whether a request has arrived on them. */
+  const taken = new Map<
+    Socket,
+    { readonly takenMs: number; hasRequest: boolean }
+  >();
 
   function take(socket: Socket): void {
-    latest.set(socket, undefined);
-    socket.on("close", () => latest.delete(socket));
+    taken.set(socket, {
+      takenMs: host.clock.monotonicMs(),
+      hasRequest: false,
+    });
+    socket.on("close", () => taken.delete(socket));
     socket.write(Buffer.of(ACCEPTED));
     host.serve(socket);
   }
@@ -79,28 +98,19 @@
 
   return {
     listen: (address) =>
-      new Promise((resolve, reject) => {
-        const [ip, port] = address.split(":");
-        server.once("error", reject);
-        server.listen({ host: ip, port: Number(port) }, () => resolve());
-      }),
-    acceptRequest(req, res) {
-      if (!latest.has(req.socket)) return true;
-      const earlier = latest.get(req.socket);
-      if (earlier !== undefined) {
-        markLast(earlier);
-        if (isLast(earlier)) return false;
-      }
-      latest.set(req.socket, res);
-      // An early refusal keeps the connection open: closing it while the body
-      // arrives would reset it, and the caller might not read the refusal.
-      if (hasBody(req)) req.on("end", () => markLast(res));
-      else markLast(res);
-      return true;
+      startListening(server, { address, onError: host.onError }),
+    recordRequest({ socket }) {
+      const connection = taken.get(socket);
+      if (connection !== undefined) connection.hasRequest = true;
+      return connection !== undefined;
+    },
+    countOpen: () => taken.size,
+    countWaiting() {
+      const minTakenMs = host.clock.monotonicMs() - MAX_WAITING_MS;
+      return [...taken.values()]
+        .filter((each) => !each.hasRequest && each.takenMs > minTakenMs)
+        .length;
     },
-    countOpen: () => latest.size,
-    countWaiting: () =>
-      [...latest.values()].filter((res) => res === undefined).length,
     async [Symbol.asyncDispose]() {
       if (!server.listening) return;
       const closed = new Promise((resolve) => server.close(resolve));
@@ -146,16 +156,3 @@
   socket.on("error", close);
   socket.on("close", close);
 }
-
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers["transfer-encoding"] !== undefined ||
-    Number(headers["content-length"] ?? 0) > 0;
-}
-
-function markLast(res: ServerResponse): void {
-  if (!res.headersSent) res.setHeader("connection", "close");
-}
-
-function isLast(res: ServerResponse): boolean {
-  return res.getHeader("connection") === "close";
-}
