--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -304,6 +304,7 @@
       return begun < due * UNDERSERVED_SHARE;
     },
     setUnderserved(waiting) {
+      if (underservedMs.size === 0 && waiting.size === 0) return;
       const nowMs = clock.monotonicMs();
       const memoryMs = host.getUnderservedMemoryMs?.() ?? 0;
       for (const [upstream, awaitedMs] of underservedMs) {
