Copy prefixes only to upstreams with capacity to spare

A copy now goes only to an upstream that prefills nothing and has at most 30% of its slots in use. Upstreams of the own region first, and the second and third for an unknown prefix, are taken back.

--- a/src/placement/prompt_ranking.ts
+++ b/src/placement/prompt_ranking.ts
@@ -111,19 +111,16 @@
 }
 
 /**
- * Puts the upstreams that hold the prefix first, and of those and of the others
- * the ones in this host's region: prompts and responses cross no link between
- * regions as long as these have room. The others fetch the prefix from a holder
- * if they may, and otherwise prefill it.
+ * Puts the upstreams that hold the prefix first. The others fetch it from one of
+ * them if they may, and otherwise prefill it.
  */
 function rankByHolders(
-  { ranked, unsharedTokens, totalTokens, isNear }: PromptRankingInput,
+  { ranked, unsharedTokens, totalTokens }: PromptRankingInput,
   { holders, fetchTokens, mayBeSource }: PrefixTerms,
 ): readonly UpstreamForPrompt[] {
   const byId = new Map(holders.map((each) => [each.upstream, each]));
-  const nearFirst = putFirst(ranked, isNear);
-  const held = nearFirst.filter((id) => byId.has(id));
-  const others = nearFirst.filter((id) => !byId.has(id));
+  const held = ranked.filter((id) => byId.has(id));
+  const others = ranked.filter((id) => !byId.has(id));
   const tryGetFetch = createFetchDecision({
     holders: held.map((id) => byId.get(id)!),
     fetchTokens,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -43,7 +43,7 @@
 
 import { getOrCreate } from "../core/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
-import { MAX_COPIES, NEGLIGIBLE_PREFILL_TOKENS } from "../placement/mod.ts";
+import { NEGLIGIBLE_PREFILL_TOKENS } from "../placement/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import type {
   NewPrompt,
@@ -122,6 +122,9 @@
  */
 const MAX_SIMILAR = 8;
 
+/** Share of its slots that an upstream may have in use when it gets a copy. */
+const MAX_COPY_SLOT_SHARE = 0.3;
+
 /**
  * Retry times are spread over this share of their mean. Callers that were
  * refused together would otherwise return together as another burst.
@@ -201,7 +204,8 @@
       if (withRoom.length > 0) return getLeastBusy(withRoom, getLoad);
     }
     const copy = upstreams.slice(0, MAX_SIMILAR).find((each) =>
-      each.fetch?.reason === "copy" && fitsUpstream(each)
+      each.fetch?.reason === "copy" && hasCapacityForCopy(each) &&
+      fitsUpstream(each)
     );
     if (copy !== undefined) return copy;
     const waitedMs = nowMs - prompt.arrivedMs;
@@ -213,6 +217,15 @@
     );
   }
 
+  /**
+   * Whether the upstream has capacity to spare. While all are busy, a copy only
+   * moves the load of the first to upstreams that answer other prompts in time.
+   */
+  function hasCapacityForCopy({ upstream }: RankedUpstream): boolean {
+    const { inFlight, readingTokens, slots } = getLoad(upstream);
+    return readingTokens <= 0 && inFlight <= slots * MAX_COPY_SLOT_SHARE;
+  }
+
   /**
    * Whether the upstream has no work, so that prefilling a shared prefix there
    * again delays no other request.
@@ -377,9 +390,9 @@
 
 /**
  * Returns the upstreams that a prompt waits for: those that hold its shared
- * prefix, or the first few, which may hold it later, if none is known to. Where
- * the hosts do not keep track of the prefix, those that would have to prefill
- * about as little as the first.
+ * prefix, or the first alone if none is known to. Where the hosts do not keep
+ * track of the prefix, those that would have to prefill about as little as the
+ * first.
  */
 function getPreferred(
   upstreams: readonly RankedUpstream[],
@@ -387,9 +400,7 @@
 ): readonly RankedUpstream[] {
   const [first] = upstreams;
   if (first === undefined) return [];
-  if (first.prefix !== undefined && first.prefix !== "held") {
-    return upstreams.slice(0, MAX_COPIES);
-  }
+  if (first.prefix !== undefined && first.prefix !== "held") return [first];
   const best = upstreams.slice(0, MAX_SIMILAR);
   return first.prefix === "held"
     ? best.filter((each) => each.prefix === "held")
