Let a throttled host say that it is full by its utilization

A host is full as well while its event loop has less than 5% of idle time, in data centres with enough hosts for handoffs. Others are served as before.

Test: "a throttled host without idle time becomes full though its iterations are short".

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -144,6 +144,7 @@
   const intake = createIntake({
     clock,
     mayBeFull: () => fullHosts.mayBeFull(getAlive()),
+    getUtilization: () => handoff.getUtilization(),
     onDecision({ isFull, meanTurnMs }) {
       peers.membership.broadcastFact(fullHosts.createFact(isFull));
       log({
--- a/src/entry/intake.ts
+++ b/src/entry/intake.ts
@@ -28,6 +28,11 @@
   readonly clock: Clock;
   /** Whether enough other hosts in the data centre take callers. */
   mayBeFull(): boolean;
+  /**
+   * Utilization of the event loop, from 0 to 1; 0 in a data centre with too few
+   * hosts for handoffs.
+   */
+  getUtilization(): number;
   /** Called on each change, and in each window while the host is full. */
   onDecision(state: IntakeState): void;
 }
@@ -52,6 +57,13 @@
  */
 const MAX_MEAN_TURN_MS = 25;
 
+/**
+ * A host becomes full as well if its event loop is busy for more than this share
+ * of the time. A host that is throttled runs many short iterations between two
+ * pauses, so that their mean length does not show that it can't keep up.
+ */
+const MAX_UTILIZATION = 0.95;
+
 /**
  * A full host becomes available again if its mean iteration is no longer than
  * this, in ms.
@@ -73,6 +85,7 @@
 
   function decide(meanTurnMs: number): boolean {
     if (!host.mayBeFull()) return false;
+    if (host.getUtilization() > MAX_UTILIZATION) return true;
     if (fullSinceMs === undefined) return meanTurnMs > MAX_MEAN_TURN_MS;
     const isHeldFull = clock.monotonicMs() - fullSinceMs < MIN_FULL_MS;
     return isHeldFull || meanTurnMs > RECOVERED_MEAN_TURN_MS;
--- a/src/entry/intake_test.ts
+++ b/src/entry/intake_test.ts
@@ -9,15 +9,18 @@
   const clock = createManualClock(1_000);
   const states: IntakeState[] = [];
   let mayBeFull = true;
+  let utilization = 0;
   const intake = createIntake({
     clock,
     mayBeFull: () => mayBeFull,
+    getUtilization: () => utilization,
     onDecision: (state) => void states.push(state),
   });
   return {
     intake,
     states,
     forbidFull: () => void (mayBeFull = false),
+    setUtilization: (value: number) => void (utilization = value),
     /** Runs event-loop iterations of `turnMs` each for `forMs`. */
     run(turnMs: number, forMs: number): void {
       for (let atMs = 0; atMs < forMs; atMs += turnMs) {
@@ -38,6 +41,17 @@
   strictEqual(fixture.intake.isFull(), true);
 });
 
+test("a throttled host without idle time becomes full though its iterations are short", () => {
+  // Guards against callers without a connection at a host that reports ready.
+  const fixture = createFixture();
+  fixture.setUtilization(0.96);
+  fixture.run(11, 2_000);
+  strictEqual(fixture.intake.isFull(), true);
+  fixture.setUtilization(0.5);
+  fixture.run(11, 4_500);
+  strictEqual(fixture.intake.isFull(), false);
+});
+
 test("a single long event-loop iteration does not make a host full", () => {
   const fixture = createFixture();
   fixture.run(400, 400);
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -44,6 +44,11 @@
   acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
   /** Called by a timer, many times per second. */
   tick(): void;
+  /**
+   * Utilization of this host's event loop, from 0 to 1; 0 while too few hosts
+   * are alive in the data centre for handoffs.
+   */
+  getUtilization(): number;
   /** Open handoffs of this host as the origin. */
   countOpen(): number;
   /**
@@ -161,6 +166,7 @@
       asked.tick();
       received.tick();
     },
+    getUtilization: () => policy.hasEnoughHosts() ? utilization.get() : 0,
     countOpen: policy.countOpen,
     countInFlight: () => origin.countInFlight() + server.countWaiting(),
     async [Symbol.asyncDispose]() {
--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -19,6 +19,8 @@
    * limit and enough neighbouring hosts are alive.
    */
   isOverloaded(): boolean;
+  /** Whether enough hosts are alive in the data centre for handoffs. */
+  hasEnoughHosts(): boolean;
   /** Whether a connection that arrives now should be handed off. */
   mayHandOff(): boolean;
   /**
@@ -136,6 +138,7 @@
 
   return {
     isOverloaded: () => isBusy() && hasEnoughHosts(),
+    hasEnoughHosts,
     mayHandOff: () => isBusy() && open < host.maxOpen,
     tryBegin() {
       if (!hasEnoughHosts()) return undefined;
