Start prompts of large fleets by grants of upstream owners

Cause: hosts decide on load reports that are 200 ms old, while a prefill takes 100 ms. They leave upstreams idle or start several prompts there at once.

Without grants the queue behaves as before.

--- /dev/null
+++ b/src/grants/types.ts
@@ -0,0 +1,61 @@
+/**
+ * Types of the messages about prefill grants. A host that has prompts to start
+ * is an asker; the host that admits prompts to an upstream is its owner.
+ *
+ * @module
+ */
+
+import type { YieldLevel } from "../queue/types.ts";
+
+/** A request for a grant to start one prompt at one upstream. */
+export interface GrantRequest {
+  /** Unique at the asker in one session. */
+  readonly number: number;
+  /** Tokens that the upstream has to prefill for it. */
+  readonly tokens: number;
+  /** Service counted against the team's fair share, in tokens. */
+  readonly serviceTokens: number;
+  /** Digest of the upstream's id and incarnation. */
+  readonly upstream: number;
+  /** Digest of the team's name. */
+  readonly team: number;
+  readonly yields: YieldLevel;
+  /** Whether its team is over its share or overserved, and so goes last. */
+  readonly isDeprioritised: boolean;
+  /** Time since the prompt's arrival, in ms. */
+  readonly ageMs: number;
+  /** Time until the prompt is refused, in ms. */
+  readonly remainingMs: number;
+}
+
+/** A prompt that an asker has started without a grant. */
+export type UngrantedStart = Pick<
+  GrantRequest,
+  "upstream" | "tokens" | "serviceTokens" | "team"
+>;
+
+/** What an asker tells an owner. */
+export type AskerItem =
+  | { readonly kind: "request"; readonly request: GrantRequest }
+  | { readonly kind: "start"; readonly start: UngrantedStart }
+  /** The request is cancelled, or its grant is returned. */
+  | { readonly kind: "release"; readonly number: number };
+
+/** What an owner tells an asker. */
+export type OwnerItem =
+  | { readonly kind: "grant"; readonly number: number }
+  /** The request has arrived and waits. */
+  | { readonly kind: "waiting"; readonly number: number };
+
+/** A part of a message. */
+export type GrantItem = AskerItem | OwnerItem;
+
+/** A message in either direction. */
+export interface GrantMessage {
+  /**
+   * Session of the asker, which identifies a run of its process. Without it, an
+   * answer to the former process could start a prompt of the present one.
+   */
+  readonly session: number;
+  readonly items: readonly GrantItem[];
+}
--- a/src/pacing/upstream_pacing.ts
+++ b/src/pacing/upstream_pacing.ts
@@ -39,6 +39,8 @@
    */
   getHighestLimitTokens(): number;
   getWeight(): number;
+  /** Returns the prefill speed relative to the mean of the service. */
+  getSpeed(): number;
   /** Moves limit and weight; called once in each period of the exchange. */
   update(): void;
   /** Returns the statistics of this host, for the other hosts. */
@@ -177,6 +179,7 @@
         ? host.initialTokens
         : getLimitTokens(longestTarget.ms),
     getWeight: weight.getWeight,
+    getSpeed: () => speed,
     update() {
       const total = getTotal();
       speed = getRelativeSpeed(total);
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -37,6 +37,9 @@
  * - Prompts with a hot prefix wait for one upstream while others have room. Where
  *   upstreams can fetch the prefix from each other, further ones therefore get
  *   the prompts for which those that hold it have no room.
+ * - Load reports of a large fleet are older than a prefill takes. There, a prompt
+ *   with more than a few tokens to prefill waits for a grant of the upstream's
+ *   owner (`grants/`) instead of room, unless the owner does not answer.
  *
  * @module
  */
@@ -47,6 +50,7 @@
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import type {
   NewPrompt,
+  PromptGrants,
   PromptQueue,
   PromptQueueHost,
   PromptQueueOptions,
@@ -54,6 +58,7 @@
   RankedUpstream,
   UpstreamLoad,
   WaitingPrompt,
+  YieldLevel,
 } from "./types.ts";
 
 /**
@@ -131,7 +136,7 @@
 /** A waiting prompt with its priority in the present pass. */
 interface PrioritisedPrompt {
   readonly prompt: WaitingPrompt;
-  readonly yields: 0 | 1 | 2;
+  readonly yields: YieldLevel;
   /** Whether its team is over its share or overserved, and so goes last. */
   readonly isDeprioritised: boolean;
 }
@@ -159,6 +164,10 @@
   const getLoad = (upstream: string) =>
     getOrCreate(loadCache, upstream, () => host.getLoad(upstream));
 
+  function tryGetGrants(): PromptGrants | undefined {
+    return host.grants?.isEnabled() ? host.grants : undefined;
+  }
+
   function getLimitTokens(prompt: WaitingPrompt, upstream: string): number {
     const { service, targetMs } = prompt;
     const byTarget = getOrCreate(limitCache, upstream, () => new Map());
@@ -173,11 +182,17 @@
     { prompt, yields, isDeprioritised }: PrioritisedPrompt,
     nowMs: number,
   ): RankedUpstream | undefined {
+    const grants = tryGetGrants();
     const limit = limits[yields];
     const yieldsToUnderserved = options.yieldsToUnderserved &&
       isDeprioritised &&
       !host.isUnderserved(prompt.team);
-    function fitsUpstream({ upstream, readingTokens }: RankedUpstream) {
+    /** Whether this host may decide by itself. */
+    const isFree = (each: RankedUpstream) =>
+      grants === undefined || !needsGrant(grants, each);
+    function fitsUpstream(each: RankedUpstream) {
+      if (!isFree(each)) return false;
+      const { upstream, readingTokens } = each;
       const limitTokens = getLimitTokens(prompt, upstream);
       const maxCountedTokens = limitTokens * options.maxCountedShare;
       return hasRoom(getLoad(upstream), {
@@ -207,12 +222,61 @@
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
     return upstreams.find((each) =>
-      !preferred.includes(each) && isIdle(each) &&
+      !preferred.includes(each) && isIdle(each) && isFree(each) &&
       // The idle upstream is about to start the prompt that waits for it.
       !(yieldsToUnderserved && getLoad(each.upstream).underservedElsewhere > 0)
     );
   }
 
+  /** Whether the prompt starts there only with a grant of the owner. */
+  function needsGrant(
+    grants: PromptGrants,
+    { upstream, readingTokens }: RankedUpstream,
+  ): boolean {
+    return readingTokens > options.negligibleTokens &&
+      grants.needsGrant(upstream);
+  }
+
+  /** Asks for grants to start a prompt for which there is no free room. */
+  function askForGrants(
+    grants: PromptGrants,
+    { prompt, yields, isDeprioritised }: PrioritisedPrompt,
+  ): void {
+    const maxWaitMs = prompt.targetMs * options.maxWaitShare;
+    const terms = { yields, isDeprioritised, maxWaitMs };
+    if (grants.isAskDue(prompt)) {
+      grants.ask(prompt, getAskable(grants, prompt.getUpstreams()), terms);
+    }
+    const waitedMs = host.nowMs() - prompt.arrivedMs;
+    if (waitedMs < prompt.targetMs * options.spilloverShare) return;
+    if (grants.hasAskedForIdle(prompt)) return;
+    const upstreams = prompt.getUpstreams();
+    const preferred = getPreferred(upstreams, options.negligibleTokens);
+    const idle = upstreams.find((each) =>
+      !preferred.includes(each) && isIdle(each) && needsGrant(grants, each)
+    );
+    if (idle !== undefined) grants.askForIdle(prompt, idle, terms);
+  }
+
+  /** Returns the upstreams to ask for, the preferred one first. */
+  function getAskable(
+    grants: PromptGrants,
+    upstreams: readonly RankedUpstream[],
+  ): readonly RankedUpstream[] {
+    const preferred = getPreferred(upstreams, options.negligibleTokens);
+    const copies = upstreams.slice(0, MAX_SIMILAR).filter((each) =>
+      each.fetch?.reason === "copy" && !preferred.includes(each)
+    );
+    const askable = [...preferred, ...copies].filter((each) =>
+      needsGrant(grants, each) && !getLoad(each.upstream).isWarmUpSpent
+    );
+    const [first, second] = askable;
+    const isSecondLessBusy = first?.prefix === undefined &&
+      second !== undefined &&
+      getLeastBusy([first!, second], getLoad) === second;
+    return isSecondLessBusy ? [second, first!, ...askable.slice(2)] : askable;
+  }
+
   /**
    * Whether the upstream has no work, so that prefilling a shared prefix there
    * again delays no other request.
@@ -223,19 +287,57 @@
   }
 
   /** Removes a prompt; false when it was no longer in the queue. */
-  function removeWaiting(prompt: WaitingPrompt, isStarted: boolean): boolean {
+  function removeWaiting(
+    prompt: WaitingPrompt,
+    end: "started" | "refused" | "left",
+  ): boolean {
     if (!waiting.delete(prompt)) return false;
-    backlogTracker.recordRemoved(prompt, isStarted);
+    host.grants?.end(prompt, end === "refused" ? "expired" : "cancelled");
+    backlogTracker.recordRemoved(prompt, end === "started");
     return true;
   }
 
-  function start(prompt: WaitingPrompt, chosen: RankedUpstream): void {
-    removeWaiting(prompt, true);
+  function start(
+    prompt: WaitingPrompt,
+    chosen: RankedUpstream,
+    grantMs?: number,
+  ): void {
+    removeWaiting(prompt, "started");
     const { upstream, readingTokens, fetch, prefix } = chosen;
     const queuedTokens = getLoad(upstream).readingTokens + readingTokens;
     host.onStart(prompt, upstream, readingTokens);
     loadCache.delete(upstream);
-    prompt.start(upstream, { readingTokens, queuedTokens, fetch, prefix });
+    if (grantMs === undefined) {
+      tryGetGrants()?.recordStart(prompt, upstream, readingTokens);
+    }
+    const tokens = { readingTokens, queuedTokens, fetch, prefix };
+    prompt.start(
+      upstream,
+      grantMs === undefined ? tokens : { ...tokens, grantMs },
+    );
+  }
+
+  function startGranted(
+    prompt: WaitingPrompt,
+    upstream: string,
+    grantMs: number,
+  ): boolean {
+    const isStartable = waiting.has(prompt) && prompt.isCallerConnected() &&
+      !isLate(prompt, host.nowMs());
+    if (!isStartable) return false;
+    const chosen = prompt.getUpstreams().find((each) =>
+      each.upstream === upstream
+    );
+    // The load as of the last pass does not include what has started since.
+    loadCache.delete(upstream);
+    if (chosen === undefined || getLoad(upstream).isWarmUpSpent) return false;
+    start(prompt, chosen, grantMs);
+    return true;
+  }
+
+  function isLate(prompt: WaitingPrompt, nowMs: number): boolean {
+    const maxWaitMs = prompt.targetMs * options.maxWaitShare;
+    return nowMs - prompt.arrivedMs >= maxWaitMs;
   }
 
   /**
@@ -243,19 +345,20 @@
    * prompt, which yields to those of level 0, and 2 for a prompt of a team over
    * its share, which yields to all others.
    */
-  function getYieldLevel(prompt: WaitingPrompt): 0 | 1 | 2 {
+  function getYieldLevel(prompt: WaitingPrompt): YieldLevel {
     if (host.getShareUsed(prompt.team) > 1) return 2;
     return isInefficient(prompt, host.getMeanEfficiency()) ? 1 : 0;
   }
 
+  function prioritise(prompt: WaitingPrompt): PrioritisedPrompt {
+    const yields = getYieldLevel(prompt);
+    const isDeprioritised = yields === 2 || host.isOverserved(prompt.team);
+    return { prompt, yields, isDeprioritised };
+  }
+
   /** Sorts the waiting prompts by priority, the highest first. */
   function getInPriorityOrder(): readonly PrioritisedPrompt[] {
-    const prompts = [...waiting].map((prompt) => {
-      const yields = getYieldLevel(prompt);
-      const isDeprioritised = yields === 2 || host.isOverserved(prompt.team);
-      return { prompt, yields, isDeprioritised };
-    });
-    return prompts.sort((a, b) =>
+    return [...waiting].map(prioritise).sort((a, b) =>
       Number(a.isDeprioritised) - Number(b.isDeprioritised) ||
       a.yields - b.yields ||
       Number(b.prompt.isBegun) - Number(a.prompt.isBegun) ||
@@ -265,12 +368,14 @@
 
   function startWaiting(): void {
     const nowMs = host.nowMs();
+    const grants = tryGetGrants();
     loadCache.clear();
     limitCache.clear();
     for (const next of getInPriorityOrder()) {
       if (!next.prompt.isCallerConnected()) continue;
       const chosen = tryChooseUpstream(next, nowMs);
       if (chosen !== undefined) start(next.prompt, chosen);
+      else if (grants !== undefined) askForGrants(grants, next);
     }
   }
 
@@ -305,7 +410,7 @@
 
   function refuse(prompt: WaitingPrompt, reason: PromptRefusal["reason"]) {
     const inputs = getRefusalInputs(prompt);
-    removeWaiting(prompt, false);
+    removeWaiting(prompt, "refused");
     prompt.refuse({ reason, retryAfterMs: getRetryAfterMs(), inputs });
   }
 
@@ -346,9 +451,8 @@
   function refuseLate(): void {
     const nowMs = host.nowMs();
     for (const prompt of [...waiting]) {
-      const maxWaitMs = prompt.targetMs * options.maxWaitShare;
       if (prompt.getUpstreams().length === 0) refuse(prompt, "no-upstream");
-      else if (nowMs - prompt.arrivedMs >= maxWaitMs) refuse(prompt, "late");
+      else if (isLate(prompt, nowMs)) refuse(prompt, "late");
     }
   }
 
@@ -359,12 +463,17 @@
       waiting.add(prompt);
       backlogTracker.recordAdded(prompt);
       if (wasEmpty) startWaiting();
+      else {
+        const grants = tryGetGrants();
+        if (grants !== undefined) askForGrants(grants, prioritise(prompt));
+      }
       // No upstream can serve the prompt, so waiting would gain nothing.
       if (waiting.has(prompt) && prompt.getUpstreams().length === 0) {
         refuse(prompt, "no-upstream");
       }
     },
-    remove: (prompt) => removeWaiting(prompt, false),
+    remove: (prompt) => removeWaiting(prompt, "left"),
+    startGranted,
     tryRefuseEarly,
     tick() {
       refuseLate();
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -12,6 +12,12 @@
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
 
+/**
+ * 0: yields to no other prompts. 1: an inefficient prompt. 2: a prompt of a team
+ * over its share.
+ */
+export type YieldLevel = 0 | 1 | 2;
+
 /** A prompt that waits to be sent to an upstream. */
 export interface WaitingPrompt {
   readonly request: string;
@@ -69,6 +75,11 @@
    * the hosts do not keep track of it.
    */
   readonly prefix: PrefixUse | undefined;
+  /**
+   * Time from the first request for a grant to the grant, in ms; absent for a
+   * prompt that was started without one.
+   */
+  readonly grantMs?: number | undefined;
 }
 
 /** An upstream to which a prompt may be sent. */
@@ -138,6 +149,47 @@
   random(): number;
   /** Called when a prompt starts, to count it in the load of its upstream. */
   onStart(prompt: WaitingPrompt, upstream: string, readingTokens: number): void;
+  /** Absent where prompts start by the rules of this host only. */
+  readonly grants?: PromptGrants;
+}
+
+/** What the owner of an upstream orders and limits a prompt by. */
+export interface GrantTerms {
+  readonly yields: YieldLevel;
+  /** Whether its team is over its share or overserved, and so goes last. */
+  readonly isDeprioritised: boolean;
+  /** Time from its arrival after which the prompt is refused, in ms. */
+  readonly maxWaitMs: number;
+}
+
+/** Grants by the owners of upstreams, for which prompts wait. */
+export interface PromptGrants {
+  /** Whether prompts need grants at present. */
+  isEnabled(): boolean;
+  /**
+   * Whether prompts need a grant for the upstream; false while its owner is
+   * unknown or does not answer.
+   */
+  needsGrant(upstream: string): boolean;
+  /** Whether it is time to ask for a further upstream. */
+  isAskDue(prompt: WaitingPrompt): boolean;
+  /** Asks for the first of the candidates that it has not asked for. */
+  ask(
+    prompt: WaitingPrompt,
+    candidates: readonly RankedUpstream[],
+    terms: GrantTerms,
+  ): void;
+  /** Asks for an idle upstream, once for each prompt. */
+  askForIdle(
+    prompt: WaitingPrompt,
+    idle: RankedUpstream,
+    terms: GrantTerms,
+  ): void;
+  hasAskedForIdle(prompt: WaitingPrompt): boolean;
+  /** Cancels the requests for a prompt that no longer waits. */
+  end(prompt: WaitingPrompt, outcome: "expired" | "cancelled"): void;
+  /** Tells the owner of a prompt that has started without a grant. */
+  recordStart(prompt: WaitingPrompt, upstream: string, tokens: number): void;
 }
 
 /** Current load of an upstream. */
@@ -219,6 +271,15 @@
    * in the queue.
    */
   remove(prompt: WaitingPrompt): boolean;
+  /**
+   * Starts a prompt that the owner of the upstream has granted, at once. False
+   * if it no longer waits, is too late or can no longer use the upstream.
+   */
+  startGranted(
+    prompt: WaitingPrompt,
+    upstream: string,
+    grantMs: number,
+  ): boolean;
   /**
    * Returns the refusal of a prompt that could not start in time, before it is
    * added; `undefined` for a prompt that may be added.
