--- a/src/grants/grant_owner.ts
+++ b/src/grants/grant_owner.ts
@@ -77,6 +77,14 @@
  */
 const LOAD_VIEW_LAG_MS = 300;
 
+/**
+ * Prefill of prompts whose first event has not arrived, by the load view and the
+ * learned speed, above which nothing is granted, in ms: the bound on the
+ * expected end and the decoding steps of a first event. More shows that the
+ * upstream is slower than learned, and its queue would grow without end.
+ */
+const MAX_UNANSWERED_MS = 600;
+
 /** Time for which a grant can be returned, in ms. */
 const RETURN_TTL_MS = 1_000;
 
@@ -210,7 +218,7 @@
     ) {
       const owned = host.tryGetUpstream(state.upstream);
       const next = owned && tryChoose(state, owned);
-      if (next === undefined) return;
+      if (next === undefined || isBehind(owned!)) return;
       state.usedMs = host.nowMs();
       state.waiting.delete(next.key);
       const { msPerToken } = owned!;
@@ -327,6 +335,11 @@
   };
 }
 
+/** Whether the upstream prefills more slowly than learned. */
+function isBehind({ readingTokens, msPerToken }: OwnedUpstream): boolean {
+  return readingTokens * msPerToken > MAX_UNANSWERED_MS;
+}
+
 function getKey({ address, session }: Asker, number: number): string {
   return `${address}/${session}/${number}`;
 }
