Bound what owners grant by the learned limit of the upstream

Nothing is granted while the load view shows more than twice the learned limit.

Test: "an upstream that is slower than learned gets no grants until it has caught up".

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -210,6 +210,7 @@
     getInFlight: load.getInFlight,
     getReadingTokens: load.getReadingTokens,
     getMsPerToken: upstreamPacings.getMsPerToken,
+    getUpstreamLimitTokens: upstreamPacings.getUpstreamLimitTokens,
   });
   const owners = createGrantOwners({
     nowMs: clock.monotonicMs,
--- a/src/entry/grant_exchange_test.ts
+++ b/src/entry/grant_exchange_test.ts
@@ -38,7 +38,13 @@
       tryGetDigest: () => DIGEST,
       tryGet: (digest) =>
         digest === DIGEST
-          ? { slots: 48, msPerToken: 0.02, inFlight: 0, readingTokens: 0 }
+          ? {
+            slots: 48,
+            msPerToken: 0.02,
+            inFlight: 0,
+            readingTokens: 0,
+            limitTokens: 14_000,
+          }
           : undefined,
     },
     getDigest: getNameDigest,
--- a/src/entry/grant_upstreams.ts
+++ b/src/entry/grant_upstreams.ts
@@ -15,6 +15,8 @@
   getInFlight(upstream: string): number;
   /** Tokens being prefilled at the upstream, for all hosts. */
   getReadingTokens(upstream: string): number;
+  /** Returns the learned limit on the tokens being prefilled there. */
+  getUpstreamLimitTokens(upstream: UpstreamEntry): number;
   /** Returns the learned time to prefill a token at the upstream, in ms. */
   getMsPerToken(upstream: UpstreamEntry): number;
 }
@@ -59,6 +61,7 @@
         msPerToken: host.getMsPerToken(entry),
         inFlight: host.getInFlight(entry.id),
         readingTokens: host.getReadingTokens(entry.id),
+        limitTokens: host.getUpstreamLimitTokens(entry),
       };
     },
   };
--- a/src/entry/upstream_pacings.ts
+++ b/src/entry/upstream_pacings.ts
@@ -54,6 +54,11 @@
     upstream: string | undefined,
     targetMs: number,
   ): number;
+  /**
+   * Returns the limit of the upstream for the longest target for which it was
+   * asked recently.
+   */
+  getUpstreamLimitTokens(upstream: UpstreamEntry): number;
   /** Returns the weight in the ranking of prompts. */
   getWeight(upstream: UpstreamEntry): number;
   /** Returns the learned time to prefill a token at the upstream, in ms. */
@@ -218,6 +223,9 @@
       return pacing?.getLimitTokens(targetMs) ??
         services.getLimitTokens(service);
     },
+    getUpstreamLimitTokens: (upstream) =>
+      tryGet(upstream)?.getHighestLimitTokens() ??
+        services.getLimitTokens(upstream.service),
     getWeight: (upstream) => tryGet(upstream)?.getWeight() ?? 1,
     getMsPerToken: (upstream) =>
       services.get(upstream.service).getMsPerToken() /
--- a/src/grants/grant_owner.ts
+++ b/src/grants/grant_owner.ts
@@ -41,6 +41,8 @@
   readonly inFlight: number;
   /** Tokens being prefilled there, by the load view. */
   readonly readingTokens: number;
+  /** Learned limit on the tokens being prefilled there. */
+  readonly limitTokens: number;
 }
 
 /** Dependencies of the owner. */
@@ -78,12 +80,12 @@
 const LOAD_VIEW_LAG_MS = 300;
 
 /**
- * Prefill of prompts whose first event has not arrived, by the load view and the
- * learned speed, above which nothing is granted, in ms: the bound on the
- * expected end and the decoding steps of a first event. More shows that the
- * upstream is slower than learned, and its queue would grow without end.
+ * Nothing is granted while the load view shows more than this multiple of the
+ * learned limit. It counts a prompt until its first event, about twice as long
+ * as its prefill takes. More shows that the upstream is slower than learned or
+ * that its responses pause too long, and its queue would grow without end.
  */
-const MAX_UNANSWERED_MS = 600;
+const MAX_LIMIT_MULTIPLE = 2;
 
 /** Time for which a grant can be returned, in ms. */
 const RETURN_TTL_MS = 1_000;
@@ -336,8 +338,8 @@
 }
 
 /** Whether the upstream prefills more slowly than learned. */
-function isBehind({ readingTokens, msPerToken }: OwnedUpstream): boolean {
-  return readingTokens * msPerToken > MAX_UNANSWERED_MS;
+function isBehind({ readingTokens, limitTokens }: OwnedUpstream): boolean {
+  return readingTokens > limitTokens * MAX_LIMIT_MULTIPLE;
 }
 
 function getKey({ address, session }: Asker, number: number): string {
--- a/src/grants/grant_owner_test.ts
+++ b/src/grants/grant_owner_test.ts
@@ -12,6 +12,7 @@
   const scheduler = createVirtualScheduler();
   const { clock } = scheduler;
   const sent: OwnerItem[] = [];
+  let readingTokens = 0;
   const owner = createGrantOwner({
     nowMs: clock.monotonicMs,
     getSlotShare: (yields) => yields === 0 ? 0.6 : 0.45,
@@ -19,7 +20,8 @@
       slots: 100,
       msPerToken: MS_PER_TOKEN,
       inFlight,
-      readingTokens: 0,
+      readingTokens,
+      limitTokens: 14_000,
     }),
     send: (_to, item) => void sent.push(item),
   });
@@ -30,6 +32,7 @@
     owner,
     sent,
     receive,
+    setReadingTokens: (tokens: number) => void (readingTokens = tokens),
     getGranted: () =>
       sent.flatMap((each) => each.kind === "grant" ? [each.number] : []),
     getAheadMs: () => (owner.tryGetEndMs(UPSTREAM) ?? 0) - clock.monotonicMs(),
@@ -106,6 +109,17 @@
   deepStrictEqual(getGranted(), [1, 3]);
 });
 
+test("an upstream that is slower than learned gets no grants until it has caught up", () => {
+  // Guards against a queue in the upstream that grows as long as the load lasts.
+  const fixture = createFixture();
+  fixture.setReadingTokens(30_000);
+  fixture.receive(createRequest(1));
+  deepStrictEqual(fixture.getGranted(), []);
+  fixture.setReadingTokens(20_000);
+  fixture.scheduler.runUntil(10);
+  deepStrictEqual(fixture.getGranted(), [1]);
+});
+
 test("requests expire, and a returned grant frees its time once", () => {
   // Guards against grants for prompts that were refused, and against a returned
   // grant that leaves the upstream idle or is counted off twice.
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -89,6 +89,7 @@
         msPerToken: MS_PER_TOKEN,
         inFlight: 0,
         readingTokens: 0,
+        limitTokens: 14_000,
       }),
       send: ({ address: to }, item: OwnerItem) =>
         scheduler.after(
--- a/src/pacing/pacing.ts
+++ b/src/pacing/pacing.ts
@@ -75,7 +75,7 @@
  * Changes of the limit by at least this factor are reported; smaller ones occur
  * twice a second.
  */
-export const REPORT_FACTOR = 1.25;
+const REPORT_FACTOR = 1.25;
 
 /**
  * Share of the target within which a first event is expected at an upstream
--- a/src/pacing/upstream_pacing.ts
+++ b/src/pacing/upstream_pacing.ts
@@ -15,7 +15,7 @@
  */
 
 import { createPauseLimit, MIN_TOKENS } from "./pause_limit.ts";
-import { type PacingChange, REPORT_FACTOR } from "./pacing.ts";
+import type { PacingChange } from "./pacing.ts";
 import { createSpeedSamples, getRelativeSpeed } from "./relative_speed.ts";
 import {
   addUpstreamStats,
@@ -86,6 +86,12 @@
  */
 const TARGET_MEMORY_MS = 10_000;
 
+/**
+ * Changes of the limit by at least this factor are reported. Each host reports
+ * the limits of all upstreams.
+ */
+const REPORT_FACTOR = 2;
+
 /** Creates the pacing of an upstream without samples. */
 export function createUpstreamPacing(host: UpstreamPacingHost): UpstreamPacing {
   const { nowMs } = host;
