--- a/src/grants/grant_owner_test.ts
+++ b/src/grants/grant_owner_test.ts
@@ -112,12 +112,14 @@
 test("an upstream that is slower than learned gets no grants until it has caught up", () => {
   // Guards against a queue in the upstream that grows as long as the load lasts.
   const fixture = createFixture();
-  fixture.setReadingTokens(30_000);
   fixture.receive(createRequest(1));
-  deepStrictEqual(fixture.getGranted(), []);
-  fixture.setReadingTokens(20_000);
-  fixture.scheduler.runUntil(10);
+  fixture.setReadingTokens(30_000);
+  fixture.receive(createRequest(2));
+  fixture.scheduler.runUntil(200);
   deepStrictEqual(fixture.getGranted(), [1]);
+  fixture.setReadingTokens(20_000);
+  fixture.scheduler.runUntil(220);
+  deepStrictEqual(fixture.getGranted(), [1, 2]);
 });
 
 test("requests expire, and a returned grant frees its time once", () => {
