Lengthen the accept queue only where hosts hand off connections

The longer queue also held in data centres without handoff, where accepted connections have to be served and what waits longer is late.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -7,7 +7,7 @@
  */
 
 import type { RequestListener, Server } from "node:http";
-import { createServer, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { startListening } from "../core/mod.ts";
 import { createHttpServer, type ListeningServer } from "./servers.ts";
 
@@ -17,6 +17,11 @@
   readonly server: Server;
   /** Serves a connection, from which no byte of a request was read. */
   serve(socket: Socket): void;
+  /**
+   * Makes the accept queue at least this long, by listening anew. Connections
+   * that wait in the queue meanwhile are reset.
+   */
+  lengthenBacklog(backlog: number): void;
 }
 
 /** What a server for callers does. */
@@ -53,6 +58,12 @@
     backlog,
     onError: options.onError,
   });
+  const { address: host, port } = acceptor.address() as AddressInfo;
+  const listenAddress = { host, port };
+  let currentBacklog = backlog;
+  let isListeningAnew = false;
+  // The next call tries again.
+  acceptor.on("error", () => void (isListeningAnew = false));
   // The HTTP server tracks its connections for time-outs and for closing them
   // only from this event on.
   server.emit("listening");
@@ -62,6 +73,15 @@
       server.emit("connection", socket);
       socket.resume();
     },
+    lengthenBacklog(minBacklog) {
+      if (minBacklog <= currentBacklog || isListeningAnew) return;
+      isListeningAnew = true;
+      if (acceptor.listening) acceptor.close();
+      acceptor.listen({ ...listenAddress, backlog: minBacklog }, () => {
+        currentBacklog = minBacklog;
+        isListeningAnew = false;
+      });
+    },
     async [Symbol.asyncDispose]() {
       server.closeIdleConnections();
       const closed = new Promise((resolve) => acceptor.close(resolve));
--- a/src/entry/caller_server_test.ts
+++ b/src/entry/caller_server_test.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createGet, openCaller } from "../testing/handoff_hosts.ts";
 import { type CallerServer, listenForCallers } from "./caller_server.ts";
 import { setCallerLimits } from "./servers.ts";
@@ -43,6 +44,27 @@
   socket.destroy();
 });
 
+test("a longer accept queue takes new connections and keeps the open ones", async () => {
+  // Guards against a host that is deaf, or cuts off its callers, once it knows
+  // its neighbours.
+  const { address, accepted, server } = await startServer((_, res) => {
+    res.end("here");
+  });
+  await using _server = server;
+  const { socket: before } = openCaller(address, createGet("/1"));
+  await once(before, "data");
+  server.lengthenBacklog(64);
+  server.lengthenBacklog(64);
+  await sleep(50);
+  const { socket: after } = openCaller(address, createGet("/2"));
+  await once(after, "data");
+  before.write(createGet("/3"));
+  await once(before, "data");
+  strictEqual(accepted.length, 2);
+  before.destroy();
+  after.destroy();
+});
+
 test("nothing is read from a connection that has not been given to the HTTP server", async () => {
   // Guards against bytes that a handed-off connection would lack at the target.
   const { address, accepted, server } = await startServer(() => {});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -61,6 +61,7 @@
   createReadinessListener,
   createResolveListener,
   getBacklog,
+  getHandoffBacklog,
   listen,
   setCallerLimits,
 } from "./servers.ts";
@@ -419,6 +420,7 @@
   });
   const logServerError = (reason: string) =>
     log({ event: "task-failed", task: "server", reason });
+  const handoffBacklog = getHandoffBacklog(settings.processorShare);
   const callers = await listenForCallers(settings.callerAddress, {
     onRequest(req, res) {
       if (!handoff.acceptRequest(req, res)) return;
@@ -489,6 +491,8 @@
     streamVersions.tick();
     const limits = platformView.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
+    // Before the other hosts are known it is not known whether there are any.
+    if (handoff.hasEnoughHosts()) callers.lengthenBacklog(handoffBacklog);
   }
 
   const registration = createHostRegistration({
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -46,10 +46,11 @@
 const DEFAULT_BACKLOG = 128;
 
 /**
- * Number of new connections that a full core hands off per second. An
- * overloaded host with a quarter of a core handed off up to 83 per second
- * beside the requests that it served itself.
+ * Number of requests on new connections that a full core processes per second.
  */
+const SERVED_PER_CORE_SECOND = 100;
+
+/** Number of new connections that a full core hands off per second. */
 const HANDED_OFF_PER_CORE_SECOND = 300;
 
 /**
@@ -59,29 +60,42 @@
 const MAX_ACCEPT_WAIT_S = 0.5;
 
 /**
- * Minimum length of the accept queue. Queues of 12 to 17 places overflowed while
- * a host was throttled for tens of ms.
+ * Minimum length of the accept queue, so that the smallest host can take a few
+ * callers as well.
  */
-const MIN_BACKLOG = 64;
+const MIN_BACKLOG = 8;
+
+/**
+ * The same for a host that hands off connections. Shorter queues overflow while
+ * the host is throttled for tens of ms.
+ */
+const MIN_HANDOFF_BACKLOG = 64;
 
 /**
  * The length of the accept queue for callers: the connections that the host
- * hands off in half a second, since callers abandon a connection if nothing is
- * read from it for a second. The number of hosts is not known when the queue is
- * created, so hosts in data centres without handoff have the same length.
+ * accepts in half a second, since callers abandon a connection if nothing is
+ * read from it for a second.
  *
  * Load: a burst of new connections at a host with an eighth of a core. Failure
  * prevented: with a queue of 1,000, each connection was accepted 20 s late, the
  * callers had abandoned all requests on them, and hardly any other caller was
  * served while the burst lasted (2 of 100 requests of a team within its share).
- * With a queue for the connections that the host serves, some 2,100 callers
- * found no connection on one day, although accepted ones were only handed off.
  */
 export function getBacklog(processorShare: number): number {
-  const perSecond = processorShare * HANDED_OFF_PER_CORE_SECOND;
+  const perSecond = processorShare * SERVED_PER_CORE_SECOND;
   return Math.max(MIN_BACKLOG, Math.ceil(perSecond * MAX_ACCEPT_WAIT_S));
 }
 
+/**
+ * The same for a host that hands off what it can't serve, which costs it less
+ * than serving.
+ */
+export function getHandoffBacklog(processorShare: number): number {
+  const perSecond = processorShare * HANDED_OFF_PER_CORE_SECOND;
+  const backlog = Math.ceil(perSecond * MAX_ACCEPT_WAIT_S);
+  return Math.max(MIN_HANDOFF_BACKLOG, backlog);
+}
+
 /**
  * Creates an HTTP server that is not listening. Connections with late headers
  * are closed at this interval, in ms; Node's default is 30 s.
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -49,6 +49,8 @@
    * are alive in the data centre for handoffs.
    */
   getUtilization(): number;
+  /** Whether enough hosts are alive in the data centre for handoffs. */
+  hasEnoughHosts(): boolean;
   /** Open handoffs of this host as the origin. */
   countOpen(): number;
   /**
@@ -166,6 +168,7 @@
       asked.tick();
       received.tick();
     },
+    hasEnoughHosts: policy.hasEnoughHosts,
     getUtilization: () => policy.hasEnoughHosts() ? utilization.get() : 0,
     countOpen: policy.countOpen,
     countInFlight: () => origin.countInFlight() + server.countWaiting(),
