--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -21,6 +21,7 @@
   tryConnect,
 } from "../forwarding/mod.ts";
 import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
+import { createGrantOwners } from "../grants/mod.ts";
 import { createHandoff } from "../handoff/mod.ts";
 import {
   createLoadView,
@@ -42,6 +43,8 @@
 import { openLoadExchange } from "./load_exchange.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
+import { createGrantExchange } from "./grant_exchange.ts";
+import { createGrantUpstreams } from "./grant_upstreams.ts";
 import { createHealthDecision } from "./health_decision.ts";
 import { createHostWarmUps } from "./host_warm_ups.ts";
 import { createIntake } from "./intake.ts";
@@ -58,6 +61,7 @@
   createReadinessListener,
   createResolveListener,
   getBacklog,
+  getHandoffBacklog,
   listen,
   setCallerLimits,
 } from "./servers.ts";
@@ -144,6 +148,7 @@
   const intake = createIntake({
     clock,
     mayBeFull: () => fullHosts.mayBeFull(getAlive()),
+    getUtilization: () => handoff.getUtilization(),
     onDecision({ isFull, meanTurnMs }) {
       peers.membership.broadcastFact(fullHosts.createFact(isFull));
       log({
@@ -200,7 +205,32 @@
     getDigest: getNameDigest,
     onRecorded: (source) => metrics.observePlacement(source),
   });
+  const grantUpstreams = createGrantUpstreams({
+    getDigest: getNameDigest,
+    tryGet: (id) => platformView.directory.tryGet(id),
+    getInFlight: load.getInFlight,
+    getReadingTokens: load.getReadingTokens,
+    getMsPerToken: upstreamPacings.getMsPerToken,
+    getUpstreamLimitTokens: upstreamPacings.getUpstreamLimitTokens,
+  });
+  const owners = createGrantOwners({
+    nowMs: clock.monotonicMs,
+    getHosts: getAlive,
+    isFull,
+    tryGetDataCentre: grantUpstreams.tryGetDataCentre,
+  });
+  const grants = createGrantExchange({
+    nowMs: clock.monotonicMs,
+    peerAddress,
+    session: incarnation >>> 0,
+    owners,
+    upstreams: grantUpstreams,
+    getDigest: getNameDigest,
+    start: (...granted) => queue.startGranted(...granted),
+    onEnded: (outcome) => metrics.observeGrant(outcome),
+  });
   const queue = createPromptQueue({
+    grants: grants.client,
     nowMs: clock.monotonicMs,
     getLoad(upstream) {
       const entry = platformView.directory.tryGet(upstream);
@@ -264,6 +294,7 @@
     onUpstreamAdded: (upstream) => crashes.recordRunning(upstream),
     onUpstreamRows(rows) {
       cold.update(rows);
+      grantUpstreams.update(rows.map((each) => each.value));
       streamVersions.updateRows(rows.map((each) => each.value));
     },
     onEvacuationEnded: cold.recordEvacuationEnded,
@@ -297,6 +328,7 @@
     getUpstreamWeights: upstreamPacings.getWeights,
     countHandoffs: () => handoff.countOpen(),
     countPrefixes: prefixes.count,
+    countGrantRequests: grants.countWaiting,
     isReady,
   });
   const peers = await openPeers(settings, {
@@ -372,6 +404,7 @@
     self: peerAddress,
     maxFds: settings.maxFds,
     random: host.random,
+    getUnreadMs: loopMonitor.getUnreadMs,
     readLoopTimes: host.readLoopTimes ?? performance.eventLoopUtilization,
     getAliveHosts: () =>
       getAlive()
@@ -385,6 +418,9 @@
     onReceived: metrics.observeReceived,
     log,
   });
+  const logServerError = (reason: string) =>
+    log({ event: "task-failed", task: "server", reason });
+  const handoffBacklog = getHandoffBacklog(settings.processorShare);
   const callers = await listenForCallers(settings.callerAddress, {
     onRequest(req, res) {
       if (!handoff.acceptRequest(req, res)) return;
@@ -393,11 +429,13 @@
     },
     onConnection: handoff.offer,
     backlog: getBacklog(settings.processorShare),
+    onError: logServerError,
   });
   await handoff.listen();
   const readiness = await listen(
     settings.readinessAddress,
     createReadinessListener(protocol, isReady),
+    logServerError,
   );
   const resolve = await listen(
     settings.resolveAddress,
@@ -413,6 +451,7 @@
             ?.getAllowedRegionsOfHostName(query.hostName),
         }),
     }),
+    logServerError,
   );
   function isFull(member: Member): boolean {
     return member.peerAddress === peerAddress
@@ -428,6 +467,7 @@
       await listen(
         `${ip}:${port}`,
         createMetricsListener(path, metrics.render),
+        logServerError,
       ),
     );
   }
@@ -445,11 +485,14 @@
    * too.
    */
   function decide(): void {
+    grants.tick();
     queue.tick();
     crashes.tick();
     streamVersions.tick();
     const limits = platformView.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
+    // Before the other hosts are known it is not known whether there are any.
+    if (handoff.hasEnoughHosts()) callers.lengthenBacklog(handoffBacklog);
   }
 
   const registration = createHostRegistration({
@@ -477,6 +520,7 @@
     peerAddress,
     announcer: prefixes.announcer,
   });
+  await grants.open();
   const tasks = [
     loadExchange.run,
     upstreamStatsExchange.run,
@@ -514,6 +558,7 @@
       await loadExchange[Symbol.asyncDispose]();
       await upstreamStatsExchange[Symbol.asyncDispose]();
       await prefixExchange[Symbol.asyncDispose]();
+      await grants[Symbol.asyncDispose]();
       await peers[Symbol.asyncDispose]();
     },
   };
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -13,7 +13,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Server as NetServer } from "node:net";
+import process from "node:process";
+import { startListening } from "../core/mod.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import type { EntryProtocol, ResolveQuery } from "./types.ts";
 
@@ -47,7 +48,10 @@
 /**
  * Number of requests on new connections that a full core processes per second.
  */
-const ACCEPTED_PER_CORE_SECOND = 100;
+const SERVED_PER_CORE_SECOND = 100;
+
+/** Number of new connections that a full core hands off per second. */
+const HANDED_OFF_PER_CORE_SECOND = 300;
 
 /**
  * Maximum time for which a connection should wait to be accepted, in s: half of
@@ -61,6 +65,12 @@
  */
 const MIN_BACKLOG = 8;
 
+/**
+ * The same for a host that hands off connections. Shorter queues overflow while
+ * the host is throttled for tens of ms.
+ */
+const MIN_HANDOFF_BACKLOG = 64;
+
 /**
  * The length of the accept queue for callers: the connections that the host
  * accepts in half a second, since callers abandon a connection if nothing is
@@ -72,10 +82,20 @@
  * served while the burst lasted (2 of 100 requests of a team within its share).
  */
 export function getBacklog(processorShare: number): number {
-  const perSecond = processorShare * ACCEPTED_PER_CORE_SECOND;
+  const perSecond = processorShare * SERVED_PER_CORE_SECOND;
   return Math.max(MIN_BACKLOG, Math.ceil(perSecond * MAX_ACCEPT_WAIT_S));
 }
 
+/**
+ * The same for a host that hands off what it can't serve, which costs it less
+ * than serving.
+ */
+export function getHandoffBacklog(processorShare: number): number {
+  const perSecond = processorShare * HANDED_OFF_PER_CORE_SECOND;
+  const backlog = Math.ceil(perSecond * MAX_ACCEPT_WAIT_S);
+  return Math.max(MIN_HANDOFF_BACKLOG, backlog);
+}
+
 /**
  * Creates an HTTP server that is not listening. Connections with late headers
  * are closed at this interval, in ms; Node's default is 30 s.
@@ -94,35 +114,17 @@
   }, onRequest);
 }
 
-/**
- * Starts to listen on the address, an IP and a port; rejects if it is already in
- * use.
- */
-export function startListening(
-  server: NetServer,
-  address: string,
-  backlog: number,
-): Promise<void> {
-  const [host, port] = address.split(":");
-  return new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(
-      { host, port: Number(port), backlog },
-      () => resolve(),
-    );
-  });
-}
-
 /**
  * Serves HTTP on the address, an IP and a port; rejects if it is already in use.
+ * Later errors are passed to `onError`, or are warnings of the process.
  */
 export async function listen(
   address: string,
   onRequest: RequestListener,
-  backlog: number = DEFAULT_BACKLOG,
+  onError: (reason: string) => void = (reason) => process.emitWarning(reason),
 ): Promise<ListeningServer> {
   const server = createHttpServer(onRequest);
-  await startListening(server, address, backlog);
+  await startListening(server, { address, backlog: DEFAULT_BACKLOG, onError });
   return {
     server,
     async [Symbol.asyncDispose]() {
--- a/src/entry/upstream_pacings.ts
+++ b/src/entry/upstream_pacings.ts
@@ -54,8 +54,15 @@
     upstream: string | undefined,
     targetMs: number,
   ): number;
+  /**
+   * Returns the limit of the upstream for the longest target for which it was
+   * asked recently.
+   */
+  getUpstreamLimitTokens(upstream: UpstreamEntry): number;
   /** Returns the weight in the ranking of prompts. */
   getWeight(upstream: UpstreamEntry): number;
+  /** Returns the learned time to prefill a token at the upstream, in ms. */
+  getMsPerToken(upstream: UpstreamEntry): number;
   /**
    * Moves limits and weights, and drops upstreams that are gone; called once
    * per second.
@@ -216,7 +223,13 @@
       return pacing?.getLimitTokens(targetMs) ??
         services.getLimitTokens(service);
     },
+    getUpstreamLimitTokens: (upstream) =>
+      tryGet(upstream)?.getHighestLimitTokens() ??
+        services.getLimitTokens(upstream.service),
     getWeight: (upstream) => tryGet(upstream)?.getWeight() ?? 1,
+    getMsPerToken: (upstream) =>
+      services.get(upstream.service).getMsPerToken() /
+      (tryGet(upstream)?.getSpeed() ?? 1),
     update() {
       isEnabled = host.countHosts() > MAX_FULL_MESH_HOSTS;
       if (!isEnabled) return known.clear();
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -13,14 +13,23 @@
 import { startTimeout } from "../core/mod.ts";
 import { askTarget } from "./handoff_client.ts";
 import type { HandoffPolicy } from "./handoff_policy.ts";
-import { type AttemptOutcome, HANDOFF_TIMEOUT_MS } from "./protocol.ts";
+import {
+  type AttemptOutcome,
+  CALLER_PATIENCE_MS,
+  HANDOFF_TIMEOUT_MS,
+} from "./protocol.ts";
 import { relayConnection, reset } from "./relay_connection.ts";
 
 /** The handoffs of one origin. Disposal resets all connections. */
 export interface HandoffOrigin extends Disposable {
+  /**
+   * Connections that are being offered to a target, and relays on which the
+   * caller has sent something.
+   */
+  countInFlight(): number;
   /**
    * Hands off the connection, from which nothing was read, or has it served by
-   * this host.
+   * this host. Closes it if it may have waited for longer than callers do.
    */
   offer(caller: Socket): void;
 }
@@ -30,6 +39,11 @@
   readonly policy: HandoffPolicy;
   /** Serves the connection at this host. */
   serve(caller: Socket): void;
+  /**
+   * How long a connection that is accepted now may have waited because of long
+   * event-loop iterations, in ms.
+   */
+  getUnreadMs(): number;
   /** Called for each host that was asked. */
   onAsked(target: string, outcome: AttemptOutcome): void;
 }
@@ -40,7 +54,8 @@
 /** Creates an origin without open handoffs. */
 export function createHandoffOrigin(host: HandoffOriginHost): HandoffOrigin {
   const { policy } = host;
-  const running = new Set<Disposable>();
+  /** Ends each negotiation and relay; with the caller of a relay. */
+  const running = new Map<Disposable, Socket | undefined>();
   let isDisposed = false;
 
   function tryBegin(): string | undefined {
@@ -53,7 +68,7 @@
       running.delete(relayed);
       policy.end(name);
     });
-    running.add(relayed);
+    running.set(relayed, caller);
   }
 
   function negotiate(caller: Socket, firstTarget: string): void {
@@ -104,19 +119,29 @@
         reset(caller);
       },
     };
-    running.add(negotiation);
+    running.set(negotiation, undefined);
     ask(firstTarget);
   }
 
   return {
+    countInFlight: () =>
+      [...running.values()]
+        .filter((caller) => caller === undefined || caller.bytesRead > 0)
+        .length,
     offer(caller) {
       const target = tryBegin();
-      if (target === undefined) host.serve(caller);
-      else negotiate(caller, target);
+      if (target === undefined) return host.serve(caller);
+      if (host.getUnreadMs() < CALLER_PATIENCE_MS) {
+        return negotiate(caller, target);
+      }
+      // The target can't see how long the connection has waited here, and would
+      // serve a caller that has left.
+      policy.end(target);
+      reset(caller);
     },
     [Symbol.dispose]() {
       isDisposed = true;
-      for (const each of [...running]) each[Symbol.dispose]();
+      for (const each of [...running.keys()]) each[Symbol.dispose]();
     },
   };
 }
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -1,4 +1,5 @@
 import { deepStrictEqual, match, ok, strictEqual } from "node:assert";
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { createServer, type Socket } from "node:net";
@@ -189,6 +190,22 @@
   await until(() => pair.target.handoff.countInFlight() === 0);
 });
 
+test("a handed-off connection without a byte holds the drain of neither host", async () => {
+  // Guards against a drain that waits up to 35 s for the header time-out.
+  await using pair = await startPair((res) => void res.end());
+  const { origin, target } = pair;
+  const silent = openCaller(origin.callerAddress, "");
+  await until(() => target.handoff.countInFlight() === 1);
+  await until(() => origin.handoff.countInFlight() === 0);
+  strictEqual(origin.handoff.countOpen(), 1);
+  target.pass();
+  strictEqual(target.handoff.countInFlight(), 0);
+  silent.socket.write("GET /slow HTTP/1.1\r\n");
+  await until(() => origin.handoff.countInFlight() === 1);
+  silent.socket.destroy();
+  await until(() => origin.handoff.countInFlight() === 0);
+});
+
 test("a slow caller holds back the target", async () => {
   // Guards against responses that pile up in the memory of the origin.
   const chunk = new Uint8Array(1_000_000);
@@ -235,6 +252,104 @@
   deepStrictEqual(pair.target.served, ["/1", "/2"]);
 });
 
+test("responses of an overloaded host close the connections of its own callers", async () => {
+  // Guards against requests on connections that are kept open, which use up the
+  // processor time for handing connections off.
+  await using host = await startHandoffHost((_, res) => void res.end("here"));
+  const kept = openCaller(host.callerAddress, createGet("/1"));
+  await once(kept.socket, "data");
+  host.state.isBusy = true;
+  host.pass();
+  kept.socket.write(createGet("/2") + createGet("/behind"));
+  match(
+    (await kept.read).text,
+    /\r\nConnection: keep-alive\r\n(.*\r\n)*\r\nhere(.*\r\n)*connection: close\r\n/,
+  );
+  deepStrictEqual(host.served, ["/1", "/2"]);
+  host.state.isDraining = true;
+  const other = openCaller(host.callerAddress, createGet("/3"));
+  const [bytes] = await once(other.socket, "data");
+  match(String(bytes), /\r\nConnection: keep-alive\r\n/);
+  other.socket.destroy();
+});
+
+test("an overloaded host that refuses before the body is read leaves the connection open", async () => {
+  // Guards against a reset that costs the caller the refusal.
+  await using host = await startHandoffHost((_, res) => {
+    res.writeHead(503, { "content-length": 0 }).end();
+  });
+  host.state.isBusy = true;
+  host.pass();
+  const caller = openCaller(
+    host.callerAddress,
+    `POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: ${BODY.length}\r\n\r\n`,
+  );
+  const [bytes] = await once(caller.socket, "data");
+  match(String(bytes), /^HTTP\/1.1 503 (.*\r\n)*Connection: keep-alive\r\n/);
+  caller.socket.write(BODY + createGet("/2"));
+  strictEqual((await caller.read).isReset, false);
+  deepStrictEqual(host.served, ["/1", "/2"]);
+});
+
+test("a caller that left while its connection waited is not served by the target", async () => {
+  // Guards against upstreams that work for nobody: the target reads the request
+  // before the end that follows it.
+  await using pair = await startPair((res) => void res.end());
+  const { origin, target } = pair;
+  for (let call = 0; call < 4; call++) {
+    const { socket } = openCaller(origin.callerAddress, "");
+    socket.write(createGet("/left"), () => socket.destroy());
+  }
+  await until(() => {
+    origin.pass();
+    return origin.decisions.length > 0;
+  });
+  await until(() => origin.handoff.countOpen() === 0);
+  deepStrictEqual([origin.served, target.served], [[], []]);
+});
+
+test("a connection that may have waited longer than callers do is closed, not handed off", async () => {
+  // Guards against requests of callers that have left: the target can't see how
+  // long the connection waited at the origin.
+  await using pair = await startPair((res) => void res.end());
+  const { origin, target } = pair;
+  origin.state.unreadMs = 1_000;
+  const late = openCaller(origin.callerAddress, createGet("/late"));
+  deepStrictEqual((await late.read).text, "");
+  strictEqual(origin.handoff.countOpen(), 0);
+  origin.state.unreadMs = 999;
+  await openCaller(origin.callerAddress, createGet("/")).read;
+  deepStrictEqual([origin.served, target.served], [[], ["/"]]);
+});
+
+test("a relay ends after its caller has left, although its target is frozen", async () => {
+  // Guards against relays that use up the limit of handoffs and hold the drain.
+  const peer = drawPeerAddress();
+  const [ip, port] = getHandoffAddress(peer).split(":");
+  const taken: Socket[] = [];
+  const frozen = createServer({ allowHalfOpen: true }, (socket) => {
+    taken.push(socket);
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(Buffer.of(1));
+      socket.pause();
+    });
+  });
+  frozen.listen(Number(port), ip);
+  await once(frozen, "listening");
+  const origin = await startHandoffHost((_, res) => void res.end(), [peer]);
+  const caller = openCaller(origin.callerAddress, createGet("/a"));
+  await until(() => taken.length === 1);
+  await sleep(100);
+  caller.socket.destroy();
+  await sleep(3_000);
+  const open = origin.handoff.countOpen();
+  for (const each of taken) each.destroy();
+  frozen.close();
+  await origin[Symbol.asyncDispose]();
+  strictEqual(open, 0);
+});
+
 test("a pipelined request behind the last response does not run", async () => {
   // Guards against a run whose response can't be sent.
   await using pair = await startPair((res) =>
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -6,16 +6,28 @@
  * host only passes on. Failures prevented: a response that breaks off at the
  * target and is ended in order at the caller would look complete; a caller that
  * disconnects unnoticed would occupy an upstream; a slow caller would let the
- * response pile up in the memory of this host.
+ * response pile up in the memory of this host; a request of a caller that left
+ * while its connection waited here would be run by the target, which reads the
+ * caller's end only later.
  *
- * The relay holds no bytes besides the buffers of the two sockets, since each
- * is read only while the other accepts data, and it has no timers: the target
- * applies the time-outs of callers.
+ * Apart from what is read from the caller in the first two event-loop
+ * iterations, the relay holds no bytes besides the buffers of the two sockets,
+ * since each is read only while the other accepts data. Its only timer runs
+ * after the caller's end: the target applies the time-outs of callers.
  *
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
+import { startTimeout } from "../core/mod.ts";
+
+/**
+ * Time for a target to close its connection after the caller's end was passed
+ * on, in ms. A target that is not frozen does so at once, since a caller that
+ * ends its connection has left.
+ */
+const TARGET_CLOSE_TIMEOUT_MS = 1_000;
 
 /** The two connections of a relay. Both allow half-open connections. */
 export interface RelayedSockets {
@@ -45,6 +57,7 @@
     countClosed();
   });
   target.on("close", () => {
+    closeTimeout?.[Symbol.dispose]();
     if (!target.readableEnded) reset(caller);
     countClosed();
   });
@@ -52,8 +65,11 @@
   // An HTTP server closes its connection in both directions at once. Bytes that
   // the caller sends after that would make the target's kernel reset the
   // connection, which must not cut off the end of the response.
+  let closeTimeout: Disposable | undefined;
   target.on("end", () => {
+    closeTimeout?.[Symbol.dispose]();
     if (isResetRead(target)) return reset(caller);
+    stopHolding();
     caller.unpipe(target);
     caller.resume();
     target.destroy();
@@ -61,16 +77,45 @@
     else caller.once("finish", () => caller.destroy());
   });
 
-  // A pipe waits for its destination to drain, and ends it after its source.
-  caller.pipe(target);
+  // The end of a caller that has left is read one iteration after its request.
+  const held: Buffer[] = [];
+  let iteration: NodeJS.Immediate | undefined;
+
+  function hold(bytes: Buffer): void {
+    held.push(bytes);
+    iteration ??= setImmediate(() => iteration = setImmediate(passOn));
+  }
+
+  function stopHolding(): void {
+    clearImmediate(iteration);
+    caller.off("data", hold);
+    caller.off("end", resetBoth);
+  }
+
+  function passOn(): void {
+    stopHolding();
+    if (caller.destroyed || target.destroyed) return;
+    caller.pause();
+    caller.unshift(Buffer.concat(held));
+    // A pipe waits for its destination to drain, and ends it after its source.
+    caller.pipe(target);
+    caller.on("end", () => {
+      if (target.readableEnded || target.destroyed) return;
+      closeTimeout = startTimeout(TARGET_CLOSE_TIMEOUT_MS, resetBoth);
+    });
+  }
+
+  function resetBoth(): void {
+    reset(caller);
+    reset(target);
+  }
+
+  caller.on("data", hold);
+  caller.on("end", resetBoth);
+  caller.resume();
   target.pipe(caller);
 
-  return {
-    [Symbol.dispose]() {
-      reset(caller);
-      reset(target);
-    },
-  };
+  return { [Symbol.dispose]: resetBoth };
 }
 
 /**
