--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -228,6 +228,7 @@
     getDigest: getNameDigest,
     start: (...granted) => queue.startGranted(...granted),
     onEnded: (outcome) => metrics.observeGrant(outcome),
+    onFailed: (reason) => log({ event: "task-failed", task: "grants", reason }),
   });
   const queue = createPromptQueue({
     grants: grants.client,
--- a/src/entry/grant_exchange.ts
+++ b/src/entry/grant_exchange.ts
@@ -32,6 +32,8 @@
 /** Dependencies of the exchange. */
 export interface GrantExchangeHost
   extends Pick<GrantClientHost, "nowMs" | "getDigest" | "start" | "onEnded"> {
+  /** Called with the reason if a message could not be sent or processed. */
+  onFailed(reason: string): void;
   readonly peerAddress: string;
   /** Identifies this run of the process; 32 bits. */
   readonly session: number;
@@ -111,8 +113,13 @@
   function flush(): void {
     pendingFlush = undefined;
     for (const { to, message } of outbox.takeMessages()) {
-      if (to === peerAddress) receive(to, message);
-      else socket?.send(shiftPort(to, PORT_OFFSET), message);
+      try {
+        if (to === peerAddress) receive(to, message);
+        else socket?.send(shiftPort(to, PORT_OFFSET), message);
+      } catch (err) {
+        // An uncaught exception would end the process and all its requests.
+        host.onFailed(String(err));
+      }
     }
   }
 
--- a/src/entry/grant_exchange_test.ts
+++ b/src/entry/grant_exchange_test.ts
@@ -29,9 +29,11 @@
 /** Starts a host that asks the owner for one upstream. */
 async function startHost(peerAddress: string, owner: string) {
   const started: string[] = [];
+  const failures: string[] = [];
   const exchange = createGrantExchange({
     nowMs: systemClock.monotonicMs,
     peerAddress,
+    onFailed: (reason) => void failures.push(reason),
     session: 0xffff_ffff,
     owners: { isEnabled: () => true, tryGetOwner: () => owner },
     upstreams: {
@@ -57,6 +59,9 @@
   await exchange.open();
   return {
     started,
+    failures,
+    recordStart: (serviceTokens: number) =>
+      exchange.client.recordStart({ ...PROMPT, serviceTokens }, "up-1", 900),
     ask: () =>
       exchange.client.ask(
         PROMPT,
@@ -84,6 +89,13 @@
   }
 });
 
+test("a message that can't be encoded is dropped and reported", async () => {
+  // Guards against an uncaught error that ends the process.
+  await using host = await startHost(drawPeerAddress(), drawPeerAddress());
+  host.recordStart(6e9);
+  while (host.failures.length === 0) await sleep(1);
+});
+
 test("messages are decoded as they were, and fit into a datagram", () => {
   const largest = 0xffff_ffff;
   const codec = createGrantCodec("secret");
