Let prompts not wait for lost grants and owners that know nothing of them

Found by a review, by scripts against the modules: - A prompt waited until it was refused for an owner that answers others but does not know the upstream. After one repetition the local rules decide. - An acknowledged request was never sent again, so that a lost grant or a restarted owner cost the prompt. It is repeated every 150 ms; a grant that therefore comes twice is not returned. - The expected end of the prefill had no bound: after 30 s of starts at 1.2 times the learned speed an idle upstream granted 3 of 17 requests. The load view and the latest admissions bound it. - A returned grant still counted as service of its team.

Tests for the first three; the last was read, not run. The simulation gives owners the load view that hosts have, 200 ms old; its bounds hold unchanged.

--- a/src/grants/grant_client.ts
+++ b/src/grants/grant_client.ts
@@ -14,6 +14,7 @@
  * @module
  */
 
+import { dropOldest } from "../core/mod.ts";
 import type {
   GrantTerms,
   PromptGrants,
@@ -62,14 +63,25 @@
 /** Time within which an owner answers, in ms. */
 const ANSWER_TIMEOUT_MS = 100;
 
+/**
+ * Time after which an answered request is sent again, in ms. The grant may be
+ * lost, and an owner that has restarted does not know the request any more.
+ */
+const REPEAT_MS = 150;
+
 /** Time for which an upstream whose owner does not answer is not asked for. */
 const UNAVAILABLE_MS = 1_000;
 
+/** Number of used grants that are kept: those of the last seconds. */
+const MAX_USED = 1_000;
+
 interface Ask {
   number: number;
   owner: string;
   sentMs: number;
   isAnswered: boolean;
+  /** Whether it was sent again since the owner's latest answer to it. */
+  isRepeated: boolean;
   readonly asking: Asking;
   readonly upstream: string;
   readonly terms: GrantTerms;
@@ -92,6 +104,11 @@
   const askings = new Map<WaitingPrompt, Asking>();
   const asks = new Map<number, Ask>();
   const answeredMs = new Map<string, number>();
+  /**
+   * Grants that were used. A repeated request can bring one twice, and the
+   * second must not be returned.
+   */
+  const used = new Set<number>();
   const unavailableUntilMs = new Map<string, number>();
   let lastNumber = 0;
 
@@ -149,6 +166,7 @@
       owner: host.tryGetOwner(upstream)!,
       sentMs: 0,
       isAnswered: false,
+      isRepeated: false,
       asking,
       upstream,
       terms,
@@ -192,6 +210,10 @@
       ask.upstream,
       host.nowMs() - firstMs,
     );
+    if (isStarted) {
+      used.add(number);
+      dropOldest(used, MAX_USED);
+    }
     ask.asking.asked.delete(ask.upstream);
     remove(ask, isStarted ? "granted" : "cancelled");
     return isStarted;
@@ -210,11 +232,18 @@
   }
 
   function checkAnswer(ask: Ask): void {
-    if (ask.isAnswered || host.nowMs() - ask.sentMs < ANSWER_TIMEOUT_MS) return;
+    const sinceMs = host.nowMs() - ask.sentMs;
+    if (ask.isAnswered) {
+      if (sinceMs >= REPEAT_MS) send(ask);
+      return;
+    }
+    if (sinceMs < ANSWER_TIMEOUT_MS) return;
     const hasAnswered = (answeredMs.get(ask.owner) ?? -Infinity) >= ask.sentMs;
-    // A single datagram was lost if the owner has answered others.
-    if (hasAnswered) send(ask);
-    else markUnavailable(ask.upstream);
+    // A single datagram was lost if the owner has answered others. An owner that
+    // does not know the upstream never answers.
+    if (!hasAnswered || ask.isRepeated) return markUnavailable(ask.upstream);
+    ask.isRepeated = true;
+    send(ask);
   }
 
   /** Asks the new owner after a change of the hosts. */
@@ -240,13 +269,12 @@
     },
     ask(prompt, candidates, terms) {
       const known = askings.get(prompt);
+      if (known !== undefined) known.lastMs = host.nowMs();
       const next = candidates.find((each) =>
         !known?.asked.has(each.upstream) && needsGrant(each.upstream)
       );
       if (next === undefined) return;
-      const asking = known ?? createAsking(prompt);
-      asking.lastMs = host.nowMs();
-      askFor(asking, next, terms);
+      askFor(known ?? createAsking(prompt), next, terms);
     },
     askForIdle(prompt, idle, terms) {
       const asking = askings.get(prompt) ?? createAsking(prompt);
@@ -275,8 +303,10 @@
       for (const item of items) {
         if (item.kind === "waiting") {
           const ask = asks.get(item.number);
-          if (ask !== undefined) ask.isAnswered = true;
-        } else if (!useGrant(owner, item.number)) {
+          if (ask === undefined) continue;
+          ask.isAnswered = true;
+          ask.isRepeated = false;
+        } else if (!used.has(item.number) && !useGrant(owner, item.number)) {
           host.send(owner, { kind: "release", number: item.number });
         }
       }
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -127,12 +127,11 @@
   // Guards against an upstream that waits for prompts that never come.
   const fixture = createFixture();
   fixture.queue.add(fixture.prompt);
-  fixture.acknowledge("a", 1);
-  fixture.run(100);
-  fixture.acknowledge("b", 2);
-  fixture.run(100);
-  fixture.acknowledge("c", 3);
-  fixture.run(280);
+  // The owners keep all requests waiting, also the repeated ones.
+  for (let at = 0; at < 48; at++) {
+    ["a", "b", "c"].forEach((id, index) => fixture.acknowledge(id, index + 1));
+    fixture.run(10);
+  }
   deepStrictEqual(fixture.log, ["late"]);
   fixture.takeSent();
   fixture.grant("a", 1);
@@ -168,6 +167,38 @@
   ]);
 });
 
+test("an owner that answers others but not this request leads to the local rules", () => {
+  // Guards against prompts that wait for an owner that does not know the
+  // upstream.
+  const { queue, prompt, log, run, acknowledge } = createFixture();
+  queue.add(prompt);
+  for (let at = 0; at < 4; at++) {
+    run(50);
+    acknowledge("a", 99);
+  }
+  deepStrictEqual(log, ["a after undefined"]);
+});
+
+test("an acknowledged request is repeated, and so a restarted owner learns of it", () => {
+  // Guards against prompts that are refused since a grant was lost.
+  const fixture = createFixture();
+  fixture.queue.add(fixture.prompt);
+  fixture.acknowledge("a", 1);
+  fixture.takeSent();
+  fixture.run(150);
+  ok(fixture.takeSent().includes("request 1 to owner-a"));
+});
+
+test("a grant that arrives twice is not returned", () => {
+  // Guards against an owner that grants the time of a started prompt again.
+  const fixture = createFixture();
+  fixture.queue.add(fixture.prompt);
+  fixture.grant("a", 1);
+  fixture.takeSent();
+  fixture.grant("a", 1);
+  deepStrictEqual(fixture.takeSent(), []);
+});
+
 test("few tokens, and few hosts, need no grant", () => {
   const small = createFixture();
   small.controls.tokens = 1_400;
--- a/src/grants/grant_owner.ts
+++ b/src/grants/grant_owner.ts
@@ -113,6 +113,8 @@
 interface Admission {
   readonly admittedMs: number;
   readonly prefillMs: number;
+  readonly team: number;
+  readonly serviceTokens: number;
   /** Absent for a prompt that was started without a grant. */
   readonly key?: string;
 }
@@ -163,7 +165,7 @@
     const nowMs = host.nowMs();
     const prefillMs = tokens * msPerToken;
     state.endMs = Math.max(state.endMs, nowMs) + prefillMs;
-    const admission = { admittedMs: nowMs, prefillMs };
+    const admission = { admittedMs: nowMs, prefillMs, team, serviceTokens };
     state.admissions.unshift(
       key === undefined ? admission : { ...admission, key },
     );
@@ -171,6 +173,24 @@
       .add(serviceTokens, nowMs);
   }
 
+  /**
+   * Bounds the expected end by the load view. Where the real speed is higher
+   * than the learned one, or started prompts have failed, the end would move
+   * ahead of the upstream until nothing is granted.
+   */
+  function limitEnd(
+    state: UpstreamState,
+    { readingTokens, msPerToken }: OwnedUpstream,
+  ): void {
+    const nowMs = host.nowMs();
+    const recentMs = state.admissions
+      .filter((each) => nowMs - each.admittedMs < LOAD_VIEW_LAG_MS)
+      .reduce((sum, each) => sum + each.prefillMs, 0);
+    const reportedMs = Math.max(0, readingTokens) * msPerToken;
+    const latestMs = nowMs + reportedMs + recentMs + MAX_AHEAD_MS;
+    state.endMs = Math.min(state.endMs, latestMs);
+  }
+
   function countInFlight(state: UpstreamState, inFlight: number): number {
     const sinceMs = host.nowMs() - LOAD_VIEW_LAG_MS;
     const at = state.admissions.findIndex((each) => each.admittedMs < sinceMs);
@@ -215,15 +235,17 @@
 
   function grantDue(state: UpstreamState): void {
     removeExpired(state);
+    const owned = host.tryGetUpstream(state.upstream);
+    if (owned === undefined || isBehind(owned)) return;
+    limitEnd(state, owned);
     while (
       state.waiting.size > 0 && state.endMs - host.nowMs() < MAX_AHEAD_MS
     ) {
-      const owned = host.tryGetUpstream(state.upstream);
-      const next = owned && tryChoose(state, owned);
-      if (next === undefined || isBehind(owned!)) return;
+      const next = tryChoose(state, owned);
+      if (next === undefined) return;
       state.usedMs = host.nowMs();
       state.waiting.delete(next.key);
-      const { msPerToken } = owned!;
+      const { msPerToken } = owned;
       admit(state, next.request, { msPerToken, key: next.key });
       host.send(next.from, { kind: "grant", number: next.request.number });
     }
@@ -271,8 +293,14 @@
     forget(state, key);
     const at = state.admissions.findIndex((each) => each.key === key);
     if (at < 0) return undefined;
-    const [admission] = state.admissions.splice(at, 1);
-    state.endMs -= admission!.prefillMs;
+    const [{ prefillMs, team, serviceTokens }] = state.admissions.splice(
+      at,
+      1,
+    ) as [
+      Admission,
+    ];
+    state.endMs -= prefillMs;
+    teams.get(team)?.add(-serviceTokens, host.nowMs());
     return state;
   }
 
--- a/src/grants/grant_owner_test.ts
+++ b/src/grants/grant_owner_test.ts
@@ -122,6 +122,19 @@
   deepStrictEqual(fixture.getGranted(), [1, 2]);
 });
 
+test("the expected end does not run ahead of what the load view shows", () => {
+  // Guards against refusals at an idle upstream that is faster than learned.
+  const fixture = createFixture();
+  const { upstream, tokens, serviceTokens, team } =
+    (createRequest(0) as Extract<AskerItem, { kind: "request" }>).request;
+  const start = { upstream, tokens, serviceTokens, team };
+  for (let at = 0; at < 200; at++) fixture.receive({ kind: "start", start });
+  fixture.scheduler.runUntil(400);
+  fixture.receive(createRequest(1));
+  fixture.scheduler.runUntil(600);
+  deepStrictEqual(fixture.getGranted(), [1]);
+});
+
 test("requests expire, and a returned grant frees its time once", () => {
   // Guards against grants for prompts that were refused, and against a returned
   // grant that leaves the upstream idle or is counted off twice.
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -84,11 +84,11 @@
     const owner = createGrantOwner({
       nowMs,
       getSlotShare: () => 0.6,
-      tryGetUpstream: () => ({
+      tryGetUpstream: (digest) => ({
         slots: 1_000,
         msPerToken: MS_PER_TOKEN,
         inFlight: 0,
-        readingTokens: 0,
+        readingTokens: reported.get(String.fromCharCode(digest)) ?? 0,
         limitTokens: 14_000,
       }),
       send: ({ address: to }, item: OwnerItem) =>
