Ask for grants of copies only where there is capacity for them

Owners were asked for a copy at the second and third upstream also where these were busy, which the local rules no longer do. Overserved teams ask for no idle upstream for which an underserved team waits; in fleets without grants the spillover is as it was before this work. Listening anew for a longer accept queue is tried once per second if it fails.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -40,6 +40,9 @@
   readonly headerCheckIntervalMs?: number;
 }
 
+/** Time after which listening anew is tried again if it failed, in ms. */
+const LISTEN_RETRY_MS = 1_000;
+
 /** Listens on the address, an IP and a port; rejects if it is in use. */
 export async function listenForCallers(
   address: string,
@@ -61,9 +64,7 @@
   const { address: host, port } = acceptor.address() as AddressInfo;
   const listenAddress = { host, port };
   let currentBacklog = backlog;
-  let isListeningAnew = false;
-  // The next call tries again.
-  acceptor.on("error", () => void (isListeningAnew = false));
+  let retryAtMs = 0;
   // The HTTP server tracks its connections for time-outs and for closing them
   // only from this event on.
   server.emit("listening");
@@ -74,12 +75,12 @@
       socket.resume();
     },
     lengthenBacklog(minBacklog) {
-      if (minBacklog <= currentBacklog || isListeningAnew) return;
-      isListeningAnew = true;
+      const nowMs = performance.now();
+      if (minBacklog <= currentBacklog || nowMs < retryAtMs) return;
+      retryAtMs = nowMs + LISTEN_RETRY_MS;
       if (acceptor.listening) acceptor.close();
       acceptor.listen({ ...listenAddress, backlog: minBacklog }, () => {
         currentBacklog = minBacklog;
-        isListeningAnew = false;
       });
     },
     async [Symbol.asyncDispose]() {
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -187,9 +187,7 @@
   ): RankedUpstream | undefined {
     const grants = tryGetGrants();
     const limit = limits[yields];
-    const yieldsToUnderserved = options.yieldsToUnderserved &&
-      isDeprioritised &&
-      !host.isUnderserved(prompt.team);
+    const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
     /** Whether this host may decide by itself. */
     const isFree = (each: RankedUpstream) =>
       grants === undefined || !needsGrant(grants, each);
@@ -227,11 +225,24 @@
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
     return upstreams.find((each) =>
       !preferred.includes(each) && isIdle(each) && isFree(each) &&
-      // The idle upstream is about to start the prompt that waits for it.
-      !(yieldsToUnderserved && getLoad(each.upstream).underservedElsewhere > 0)
+      !(grants !== undefined && yieldsToUnderserved && isAwaited(each))
     );
   }
 
+  /** Whether the prompt leaves room to those of underserved teams. */
+  function isYielding(
+    prompt: WaitingPrompt,
+    isDeprioritised: boolean,
+  ): boolean {
+    return options.yieldsToUnderserved && isDeprioritised &&
+      !host.isUnderserved(prompt.team);
+  }
+
+  /** Whether a prompt of an underserved team waits for it at another host. */
+  function isAwaited({ upstream }: RankedUpstream): boolean {
+    return getLoad(upstream).underservedElsewhere > 0;
+  }
+
   /** Whether the prompt starts there only with a grant of the owner. */
   function needsGrant(
     grants: PromptGrants,
@@ -256,8 +267,10 @@
     if (grants.hasAskedForIdle(prompt)) return;
     const upstreams = prompt.getUpstreams();
     const preferred = getPreferred(upstreams, options.negligibleTokens);
+    const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
     const idle = upstreams.find((each) =>
-      !preferred.includes(each) && isIdle(each) && needsGrant(grants, each)
+      isIdle(each) && !preferred.includes(each) && needsGrant(grants, each) &&
+      !(yieldsToUnderserved && isAwaited(each))
     );
     if (idle !== undefined) grants.askForIdle(prompt, idle, terms);
   }
@@ -269,7 +282,8 @@
   ): readonly RankedUpstream[] {
     const preferred = getPreferred(upstreams, options.negligibleTokens);
     const copies = upstreams.slice(0, MAX_SIMILAR).filter((each) =>
-      each.fetch?.reason === "copy" && !preferred.includes(each)
+      each.fetch?.reason === "copy" && !preferred.includes(each) &&
+      hasCapacityForCopy(each)
     );
     const askable = [...preferred, ...copies].filter((each) =>
       needsGrant(grants, each) && !getLoad(each.upstream).isWarmUpSpent
