--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -60,8 +60,8 @@
         `are prefilled in time; a share of ${decision.lateShare} of the ` +
         `responses paused too long`;
     case "upstream-weight-changed":
-      return `${decision.upstream} gets ${decision.weight} times the share of ` +
-        `prefixes: its speed is ${decision.speed} of the mean by ` +
+      return `${decision.upstream} has the weight ${decision.weight} in the ` +
+        `ranking of prompts: its speed is ${decision.speed} of the mean, by ` +
         `${decision.samples} first events`;
     case "intake-changed":
       return `${decision.isFull ? "Accepts no" : "Accepts"} new callers: an ` +
--- a/src/discovery/leaving_instances.ts
+++ b/src/discovery/leaving_instances.ts
@@ -45,3 +45,8 @@
 function getKey({ id, incarnation }: UpstreamInstance): string {
   return `${incarnation}/${id}`;
 }
+
+/** The name by which hosts identify one run of an upstream in messages. */
+export function getInstanceName({ id, incarnation }: UpstreamInstance): string {
+  return `${id}/${incarnation}`;
+}
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -8,7 +8,7 @@
 
 import type { RequestListener, Server } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { startListening } from "../core/mod.ts";
+import { startListening, startTimeout } from "../core/mod.ts";
 import { createHttpServer, type ListeningServer } from "./servers.ts";
 
 /** The server for callers. */
@@ -63,8 +63,20 @@
   });
   const { address: host, port } = acceptor.address() as AddressInfo;
   const listenAddress = { host, port };
-  let currentBacklog = backlog;
-  let retryAtMs = 0;
+  let wantedBacklog = backlog;
+  let isDisposed = false;
+  // A host that could not listen anew would take no callers any more.
+  acceptor.on("error", () => {
+    if (acceptor.listening) return;
+    startTimeout(LISTEN_RETRY_MS, () => {
+      if (!isDisposed) listenAnew();
+    });
+  });
+
+  function listenAnew(): void {
+    acceptor.listen({ ...listenAddress, backlog: wantedBacklog });
+  }
+
   // The HTTP server tracks its connections for time-outs and for closing them
   // only from this event on.
   server.emit("listening");
@@ -75,15 +87,13 @@
       socket.resume();
     },
     lengthenBacklog(minBacklog) {
-      const nowMs = performance.now();
-      if (minBacklog <= currentBacklog || nowMs < retryAtMs) return;
-      retryAtMs = nowMs + LISTEN_RETRY_MS;
-      if (acceptor.listening) acceptor.close();
-      acceptor.listen({ ...listenAddress, backlog: minBacklog }, () => {
-        currentBacklog = minBacklog;
-      });
+      if (minBacklog <= wantedBacklog) return;
+      wantedBacklog = minBacklog;
+      acceptor.close();
+      listenAnew();
     },
     async [Symbol.asyncDispose]() {
+      isDisposed = true;
       server.closeIdleConnections();
       const closed = new Promise((resolve) => acceptor.close(resolve));
       server.closeAllConnections();
--- a/src/entry/caller_server_test.ts
+++ b/src/entry/caller_server_test.ts
@@ -45,8 +45,8 @@
 });
 
 test("a longer accept queue takes new connections and keeps the open ones", async () => {
-  // Guards against a host that is deaf, or cuts off its callers, once it knows
-  // its neighbours.
+  // Guards against a host that stops accepting, or closes open connections, when
+  // its accept queue is lengthened.
   const { address, accepted, server } = await startServer((_, res) => {
     res.end("here");
   });
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -93,13 +93,11 @@
 const QUEUE_TICK_MS = 10;
 
 /**
- * Time for which an upstream counts as awaited by underserved teams after one of
- * their prompts has waited for it, in ms, in a fleet that aggregates its load
- * reports. These take up to a third of a second to other hosts, and a prompt
- * waits for little longer: without this, the room that it was refused for would
- * be given to overserved teams again before the team's next prompt arrives.
+ * Time for which an upstream counts as awaited after a prompt of an underserved
+ * team has waited for it, in ms. Without it, overserved teams would take the room
+ * before the team's next prompt arrives.
  */
-const UNDERSERVED_MEMORY_MS = 1_000;
+const UNDERSERVED_RETENTION_MS = 1_000;
 
 /** Starts an entry host; rejects if an address is already in use. */
 export async function startEntry(
@@ -162,8 +160,8 @@
     clock: stallTolerantClock,
     getDigest: getNameDigest,
     isAlive: (address) => peers.membership.isUsable(address),
-    getUnderservedMemoryMs: () =>
-      isFullMesh(getAlive().length) ? 0 : UNDERSERVED_MEMORY_MS,
+    getUnderservedRetentionMs: () =>
+      isFullMesh(getAlive().length) ? 0 : UNDERSERVED_RETENTION_MS,
     getStatedCapacity: () =>
       platformView.tryGetRoutes()?.config.tokensPerSecond ?? 0,
     getLearned: () =>
--- a/src/entry/grant_exchange.ts
+++ b/src/entry/grant_exchange.ts
@@ -2,14 +2,15 @@
  * Connects this host's requests for grants and its grants as an owner to those
  * of the other hosts, by datagrams.
  *
- * Load: 1,200 prompts per second at 59 hosts, each with up to four requests and
- * as many answers and cancellations. Failure prevented: a datagram for each of
- * these would take a tenth of a slow core. What one event-loop iteration has for
- * a host goes in one datagram, and this host's own messages use none.
+ * Load: thousands of requests and answers per second over the fleet. Failure
+ * prevented: a datagram for each would use up much of a slow core. All items for
+ * a host from one event-loop iteration share a datagram; this host's own need
+ * none.
  *
  * @module
  */
 
+import { offsetPort, PORT_OFFSETS } from "../core/mod.ts";
 import {
   createGrantClient,
   createGrantOutbox,
@@ -19,7 +20,7 @@
   type GrantMessage,
   type GrantOwners,
 } from "../grants/mod.ts";
-import type { AskerItem, OwnerItem } from "../grants/types.ts";
+import type { OwnerItem, RequesterItem } from "../grants/types.ts";
 import {
   createGrantCodec,
   type DatagramSocket,
@@ -41,7 +42,7 @@
   readonly upstreams: Pick<GrantUpstreams, "tryGet" | "tryGetDigest">;
 }
 
-/** The grants of one host, as an asker and as an owner. */
+/** The grants of one host, as a requester and as an owner. */
 export interface GrantExchange extends AsyncDisposable {
   /** For the queue of this host. */
   readonly client: PromptGrants;
@@ -53,15 +54,6 @@
   countWaiting(): number;
 }
 
-/** Distance of the port from that of the membership protocol. */
-const PORT_OFFSET = 5;
-
-/** Moves the port of an address. */
-function shiftPort(address: string, by: number): string {
-  const [ip, port] = address.split(":");
-  return `${ip}:${Number(port) + by}`;
-}
-
 function isOwnerItem(item: GrantItem): item is OwnerItem {
   return item.kind === "grant" || item.kind === "waiting";
 }
@@ -99,7 +91,7 @@
   });
 
   function receive(from: string, message: GrantMessage): void {
-    const forOwner = message.items.filter((each): each is AskerItem =>
+    const forOwner = message.items.filter((each): each is RequesterItem =>
       !isOwnerItem(each)
     );
     if (forOwner.length > 0) {
@@ -115,7 +107,7 @@
     for (const { to, message } of outbox.takeMessages()) {
       try {
         if (to === peerAddress) receive(to, message);
-        else socket?.send(shiftPort(to, PORT_OFFSET), message);
+        else socket?.send(offsetPort(to, PORT_OFFSETS.grants), message);
       } catch (err) {
         // An uncaught exception would end the process and all its requests.
         host.onFailed(String(err));
@@ -127,11 +119,11 @@
     client,
     async open() {
       socket = await openDatagrams<GrantMessage>(
-        shiftPort(peerAddress, PORT_OFFSET),
+        offsetPort(peerAddress, PORT_OFFSETS.grants),
         {
           codec: createGrantCodec(FLEET_NAME),
           onMessage: (message, sender) =>
-            receive(shiftPort(sender, -PORT_OFFSET), message),
+            receive(offsetPort(sender, -PORT_OFFSETS.grants), message),
         },
       );
     },
--- a/src/entry/grant_upstreams.ts
+++ b/src/entry/grant_upstreams.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { UpstreamEntry } from "../discovery/mod.ts";
+import { getInstanceName, type UpstreamEntry } from "../discovery/mod.ts";
 import type { OwnedUpstream } from "../grants/mod.ts";
 
 /** Dependencies of the upstreams. */
@@ -36,8 +36,8 @@
 export function createGrantUpstreams(host: GrantUpstreamsHost): GrantUpstreams {
   let ids: ReadonlyMap<number, string> = new Map();
 
-  function getDigest({ id, incarnation }: UpstreamEntry): number {
-    return host.getDigest(`${id}/${incarnation}`);
+  function getDigest(entry: UpstreamEntry): number {
+    return host.getDigest(getInstanceName(entry));
   }
 
   function tryGetDigest(id: string): number | undefined {
--- a/src/entry/load_exchange.ts
+++ b/src/entry/load_exchange.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { offsetPort, PORT_OFFSETS } from "../core/mod.ts";
 import * as Effect from "effect/Effect";
 import {
   createLoadReporter,
@@ -31,10 +32,8 @@
   readonly run: Effect.Effect<never>;
 }
 
-/** Load reports use the port after that of the membership protocol. */
 function getLoadAddress(peerAddress: string): string {
-  const [ip, port] = peerAddress.split(":");
-  return `${ip}:${Number(port) + 1}`;
+  return offsetPort(peerAddress, PORT_OFFSETS.loadReports);
 }
 
 /** Opens the socket; reports received from other hosts go to the load view. */
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -268,7 +268,7 @@
   );
   const prefixPlacements = new Counter({
     name: "azurestile_prefix_placements_total",
-    help: "Prompts with a shared prefix: sent by this host, told of by others",
+    help: "Placements of shared prefixes that became known, by source",
     labelNames: ["source"],
     registers,
   });
--- a/src/entry/prefix_exchange.ts
+++ b/src/entry/prefix_exchange.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { offsetPort, PORT_OFFSETS } from "../core/mod.ts";
 import { createPlacementCodec, openDatagrams } from "../peers/mod.ts";
 import {
   ANNOUNCEMENT_ROUND_MS,
@@ -21,12 +22,8 @@
   readonly announcer: PlacementAnnouncer;
 }
 
-/** Distance of the port from that of the membership protocol. */
-const PORT_OFFSET = 4;
-
 function getPlacementAddress(peerAddress: string): string {
-  const [ip, port] = peerAddress.split(":");
-  return `${ip}:${Number(port) + PORT_OFFSET}`;
+  return offsetPort(peerAddress, PORT_OFFSETS.placements);
 }
 
 /** Opens the socket and runs rounds until disposed of. */
--- a/src/entry/upstream_pacings.ts
+++ b/src/entry/upstream_pacings.ts
@@ -15,8 +15,12 @@
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import type { UpstreamDirectory, UpstreamEntry } from "../discovery/mod.ts";
-import { MAX_FULL_MESH_HOSTS, type StatsByUpstream } from "../load/mod.ts";
+import {
+  getInstanceName,
+  type UpstreamDirectory,
+  type UpstreamEntry,
+} from "../discovery/mod.ts";
+import { isFullMesh, type StatsByUpstream } from "../load/mod.ts";
 import {
   createUpstreamPacing,
   hasSamples,
@@ -118,8 +122,8 @@
   }
 
   /** A restarted upstream has another incarnation, and thus another digest. */
-  function getDigest({ id, incarnation }: UpstreamEntry): number {
-    return host.getDigest(`${id}/${incarnation}`);
+  function getDigest(entry: UpstreamEntry): number {
+    return host.getDigest(getInstanceName(entry));
   }
 
   function create(entry: UpstreamEntry): KnownUpstream {
@@ -231,7 +235,7 @@
       services.get(upstream.service).getMsPerToken() /
       (tryGet(upstream)?.getSpeed() ?? 1),
     update() {
-      isEnabled = host.countHosts() > MAX_FULL_MESH_HOSTS;
+      isEnabled = !isFullMesh(host.countHosts());
       if (!isEnabled) return known.clear();
       removeGone();
       for (const { service } of services.getLimits()) {
--- a/src/entry/upstream_stats_exchange.ts
+++ b/src/entry/upstream_stats_exchange.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { offsetPort, PORT_OFFSETS } from "../core/mod.ts";
 import * as Effect from "effect/Effect";
 import {
   STATS_PERIOD_MS,
@@ -28,12 +29,8 @@
   readonly run: Effect.Effect<never>;
 }
 
-/** Distance of the port from that of the membership protocol. */
-const PORT_OFFSET = 3;
-
 function getStatsAddress(peerAddress: string): string {
-  const [ip, port] = peerAddress.split(":");
-  return `${ip}:${Number(port) + PORT_OFFSET}`;
+  return offsetPort(peerAddress, PORT_OFFSETS.upstreamStats);
 }
 
 /** Opens the socket; statistics from other hosts go to the reporter. */
--- a/src/forwarding/dark_streams_test.ts
+++ b/src/forwarding/dark_streams_test.ts
@@ -16,7 +16,7 @@
 const darkness: Silence = { before: "next-event", lasts: "ever" };
 
 /** Time without an event after which a caller abandons a stream, in ms. */
-const CALLER_PATIENCE_MS = 2_000;
+const CALLER_ABANDON_MS = 2_000;
 
 /** Longer than the time after which an upstream without a byte is avoided, in ms. */
 const SLOW_BEGIN_MS = 3_000;
@@ -35,7 +35,7 @@
   ]);
   const res = await fixture.call();
   assertWholeStream(res);
-  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+  ok(res.longestWaitMs < CALLER_ABANDON_MS, `Waited ${res.longestWaitMs} ms`);
 });
 
 test("a caller does not abandon a stream whose upstream is dark before the head", async () => {
@@ -46,7 +46,7 @@
   ]);
   const res = await fixture.call();
   assertWholeStream(res);
-  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+  ok(res.longestWaitMs < CALLER_ABANDON_MS, `Waited ${res.longestWaitMs} ms`);
 });
 
 test("a silent upstream does not work on a stream that another one has taken over", async () => {
@@ -100,5 +100,5 @@
   void fixture.call({ id: "slow" }).catch(() => {});
   const res = await call;
   assertWholeStream(res);
-  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+  ok(res.longestWaitMs < CALLER_ABANDON_MS, `Waited ${res.longestWaitMs} ms`);
 });
--- a/src/forwarding/silent_rivals_test.ts
+++ b/src/forwarding/silent_rivals_test.ts
@@ -28,7 +28,7 @@
 const LONG_SILENCE_MS = 1_950;
 
 /** Time without an event after which a caller abandons a stream, in ms. */
-const CALLER_PATIENCE_MS = 2_000;
+const CALLER_ABANDON_MS = 2_000;
 
 /** Answers with this status after a time, in ms. */
 function answers(
@@ -125,5 +125,5 @@
     createEventTexts(1, 2, 3),
     false,
   ]);
-  ok(res.longestWaitMs < CALLER_PATIENCE_MS, `Waited ${res.longestWaitMs} ms`);
+  ok(res.longestWaitMs < CALLER_ABANDON_MS, `Waited ${res.longestWaitMs} ms`);
 });
--- a/src/grants/grant_client.ts
+++ b/src/grants/grant_client.ts
@@ -21,7 +21,7 @@
   RankedUpstream,
   WaitingPrompt,
 } from "../queue/types.ts";
-import type { AskerItem, OwnerItem } from "./types.ts";
+import type { OwnerItem, RequesterItem } from "./types.ts";
 
 /** How a request for a grant ended. */
 export type GrantOutcome = "granted" | "expired" | "cancelled" | "unavailable";
@@ -35,7 +35,7 @@
   /** Returns the digest of the upstream's id and incarnation. */
   tryGetUpstreamDigest(upstream: string): number | undefined;
   getDigest(name: string): number;
-  send(to: string, item: AskerItem): void;
+  send(to: string, item: RequesterItem): void;
   /**
    * Starts a granted prompt; false if it no longer waits, or can no longer use
    * the upstream. `grantMs` is the time since its first request.
@@ -75,34 +75,34 @@
 /** Number of used grants that are kept: those of the last seconds. */
 const MAX_USED = 1_000;
 
-interface Ask {
+interface PendingRequest {
   number: number;
   owner: string;
   sentMs: number;
   isAnswered: boolean;
   /** Whether it was sent again since the owner's latest answer to it. */
   isRepeated: boolean;
-  readonly asking: Asking;
+  readonly requests: PromptRequests;
   readonly upstream: string;
   readonly terms: GrantTerms;
   readonly tokens: number;
 }
 
 /** The requests for one prompt. */
-interface Asking {
+interface PromptRequests {
   readonly prompt: WaitingPrompt;
-  readonly firstMs: number;
-  lastMs: number;
+  readonly firstRequestMs: number;
+  lastRequestMs: number;
   /** Upstreams that were asked for and may still be granted. */
   readonly asked: Set<string>;
-  hasSpillover: boolean;
-  readonly open: Set<Ask>;
+  hasRequestedIdle: boolean;
+  readonly open: Set<PendingRequest>;
 }
 
 /** Creates a client without requests. */
 export function createGrantClient(host: GrantClientHost): GrantClient {
-  const askings = new Map<WaitingPrompt, Asking>();
-  const asks = new Map<number, Ask>();
+  const requestsByPrompt = new Map<WaitingPrompt, PromptRequests>();
+  const requestsByNumber = new Map<number, PendingRequest>();
   const answeredMs = new Map<string, number>();
   /**
    * Grants that were used. A repeated request can bring one twice, and the
@@ -120,102 +120,102 @@
       host.tryGetUpstreamDigest(upstream) !== undefined;
   }
 
-  function send(ask: Ask): void {
-    const { prompt } = ask.asking;
+  function send(pending: PendingRequest): void {
+    const { prompt } = pending.requests;
     const nowMs = host.nowMs();
-    ask.sentMs = nowMs;
-    ask.isAnswered = false;
+    pending.sentMs = nowMs;
+    pending.isAnswered = false;
     const ageMs = nowMs - prompt.arrivedMs;
-    host.send(ask.owner, {
+    host.send(pending.owner, {
       kind: "request",
       request: {
-        number: ask.number,
-        tokens: Math.round(ask.tokens),
+        number: pending.number,
+        tokens: Math.round(pending.tokens),
         serviceTokens: Math.round(prompt.serviceTokens),
-        upstream: host.tryGetUpstreamDigest(ask.upstream) ?? 0,
+        upstream: host.tryGetUpstreamDigest(pending.upstream) ?? 0,
         team: host.getDigest(prompt.team),
-        yields: ask.terms.yields,
-        isDeprioritised: ask.terms.isDeprioritised,
+        yields: pending.terms.yields,
+        isDeprioritised: pending.terms.isDeprioritised,
         ageMs: Math.max(0, Math.round(ageMs)),
-        remainingMs: Math.max(0, Math.round(ask.terms.maxWaitMs - ageMs)),
+        remainingMs: Math.max(0, Math.round(pending.terms.maxWaitMs - ageMs)),
       },
     });
   }
 
-  function createAsking(prompt: WaitingPrompt): Asking {
+  function createPromptRequests(prompt: WaitingPrompt): PromptRequests {
     const nowMs = host.nowMs();
-    const asking = {
+    const requests = {
       prompt,
-      firstMs: nowMs,
-      lastMs: nowMs,
+      firstRequestMs: nowMs,
+      lastRequestMs: nowMs,
       asked: new Set<string>(),
-      hasSpillover: false,
-      open: new Set<Ask>(),
+      hasRequestedIdle: false,
+      open: new Set<PendingRequest>(),
     };
-    askings.set(prompt, asking);
-    return asking;
+    requestsByPrompt.set(prompt, requests);
+    return requests;
   }
 
-  function askFor(
-    asking: Asking,
+  function sendRequest(
+    requests: PromptRequests,
     { upstream, readingTokens }: RankedUpstream,
     terms: GrantTerms,
   ): void {
-    const ask: Ask = {
+    const pending: PendingRequest = {
       number: ++lastNumber,
       owner: host.tryGetOwner(upstream)!,
       sentMs: 0,
       isAnswered: false,
       isRepeated: false,
-      asking,
+      requests,
       upstream,
       terms,
       tokens: readingTokens,
     };
-    asking.asked.add(upstream);
-    asking.open.add(ask);
-    asks.set(ask.number, ask);
-    send(ask);
+    requests.asked.add(upstream);
+    requests.open.add(pending);
+    requestsByNumber.set(pending.number, pending);
+    send(pending);
   }
 
-  function remove(ask: Ask, outcome: GrantOutcome): void {
-    asks.delete(ask.number);
-    ask.asking.open.delete(ask);
+  function remove(pending: PendingRequest, outcome: GrantOutcome): void {
+    requestsByNumber.delete(pending.number);
+    pending.requests.open.delete(pending);
     host.onEnded(outcome);
   }
 
-  function release({ owner, number }: Ask): void {
+  function release({ owner, number }: PendingRequest): void {
     host.send(owner, { kind: "release", number });
   }
 
   function end(prompt: WaitingPrompt, outcome: "expired" | "cancelled"): void {
-    const asking = askings.get(prompt);
-    if (asking === undefined) return;
-    askings.delete(prompt);
-    for (const ask of asking.open) {
-      release(ask);
-      remove(ask, outcome);
+    const requests = requestsByPrompt.get(prompt);
+    if (requests === undefined) return;
+    requestsByPrompt.delete(prompt);
+    for (const pending of requests.open) {
+      release(pending);
+      remove(pending, outcome);
     }
   }
 
   /** Starts the prompt; false if the grant has to be returned. */
   function useGrant(owner: string, number: number): boolean {
-    const ask = asks.get(number);
-    if (ask === undefined || ask.owner !== owner) return false;
-    const { prompt, firstMs, open } = ask.asking;
+    const pending = requestsByNumber.get(number);
+    if (pending === undefined || pending.owner !== owner) return false;
+    const { prompt, firstRequestMs, open } = pending.requests;
     // The start cancels the other requests, but not this one.
-    open.delete(ask);
+    open.delete(pending);
     const isStarted = host.start(
       prompt,
-      ask.upstream,
-      host.nowMs() - firstMs,
+      pending.upstream,
+      host.nowMs() - firstRequestMs,
     );
     if (isStarted) {
       used.add(number);
       dropOldest(used, MAX_USED);
     }
-    ask.asking.asked.delete(ask.upstream);
-    remove(ask, isStarted ? "granted" : "cancelled");
+    pending.requests.asked.delete(pending.upstream);
+    remove(pending, isStarted ? "granted" : "cancelled");
     return isStarted;
   }
 
@@ -223,66 +223,73 @@
   function markUnavailable(upstream: string): void {
     const untilMs = host.nowMs() + UNAVAILABLE_MS;
     unavailableUntilMs.set(upstream, untilMs);
-    for (const ask of [...asks.values()]) {
-      if (ask.upstream !== upstream) continue;
-      release(ask);
-      ask.asking.asked.delete(upstream);
-      remove(ask, "unavailable");
+    for (const pending of [...requestsByNumber.values()]) {
+      if (pending.upstream !== upstream) continue;
+      release(pending);
+      pending.requests.asked.delete(upstream);
+      remove(pending, "unavailable");
     }
   }
 
-  function checkAnswer(ask: Ask): void {
-    const sinceMs = host.nowMs() - ask.sentMs;
-    if (ask.isAnswered) {
-      if (sinceMs >= REPEAT_MS) send(ask);
+  function checkAnswer(pending: PendingRequest): void {
+    const sinceMs = host.nowMs() - pending.sentMs;
+    if (pending.isAnswered) {
+      if (sinceMs >= REPEAT_MS) send(pending);
       return;
     }
     if (sinceMs < ANSWER_TIMEOUT_MS) return;
-    const hasAnswered = (answeredMs.get(ask.owner) ?? -Infinity) >= ask.sentMs;
+    const hasAnswered =
+      (answeredMs.get(pending.owner) ?? -Infinity) >= pending.sentMs;
     // A single datagram was lost if the owner has answered others. An owner that
     // does not know the upstream never answers.
-    if (!hasAnswered || ask.isRepeated) return markUnavailable(ask.upstream);
-    ask.isRepeated = true;
-    send(ask);
+    if (!hasAnswered || pending.isRepeated) {
+      return markUnavailable(pending.upstream);
+    }
+    pending.isRepeated = true;
+    send(pending);
   }
 
   /** Asks the new owner after a change of the hosts. */
-  function checkOwner(ask: Ask): void {
-    const owner = host.tryGetOwner(ask.upstream);
-    if (owner === ask.owner || owner === undefined) return;
-    release(ask);
-    asks.delete(ask.number);
-    ask.number = ++lastNumber;
-    ask.owner = owner;
-    asks.set(ask.number, ask);
-    send(ask);
+  function checkOwner(pending: PendingRequest): void {
+    const owner = host.tryGetOwner(pending.upstream);
+    if (owner === pending.owner) return;
+    if (owner === undefined) return markUnavailable(pending.upstream);
+    release(pending);
+    requestsByNumber.delete(pending.number);
+    pending.isRepeated = false;
+    pending.number = ++lastNumber;
+    pending.owner = owner;
+    requestsByNumber.set(pending.number, pending);
+    send(pending);
   }
 
   return {
     isEnabled: host.isEnabled,
     needsGrant,
-    isAskDue(prompt) {
-      const asking = askings.get(prompt);
-      if (asking === undefined) return true;
-      return asking.asked.size < MAX_OWNERS &&
-        host.nowMs() - asking.lastMs >= NEXT_OWNER_MS;
+    isRequestDue(prompt) {
+      const requests = requestsByPrompt.get(prompt);
+      if (requests === undefined) return true;
+      return requests.asked.size < MAX_OWNERS &&
+        host.nowMs() - requests.lastRequestMs >= NEXT_OWNER_MS;
     },
     ask(prompt, candidates, terms) {
-      const known = askings.get(prompt);
-      if (known !== undefined) known.lastMs = host.nowMs();
+      const known = requestsByPrompt.get(prompt);
+      if (known !== undefined) known.lastRequestMs = host.nowMs();
       const next = candidates.find((each) =>
         !known?.asked.has(each.upstream) && needsGrant(each.upstream)
       );
       if (next === undefined) return;
-      askFor(known ?? createAsking(prompt), next, terms);
+      sendRequest(known ?? createPromptRequests(prompt), next, terms);
     },
-    askForIdle(prompt, idle, terms) {
-      const asking = askings.get(prompt) ?? createAsking(prompt);
-      asking.hasSpillover = true;
-      if (asking.asked.has(idle.upstream)) return;
-      askFor(asking, idle, terms);
+    requestIdle(prompt, idle, terms) {
+      const requests = requestsByPrompt.get(prompt) ??
+        createPromptRequests(prompt);
+      requests.hasRequestedIdle = true;
+      if (requests.asked.has(idle.upstream)) return;
+      sendRequest(requests, idle, terms);
     },
-    hasAskedForIdle: (prompt) => askings.get(prompt)?.hasSpillover ?? false,
+    hasRequestedIdle: (prompt) =>
+      requestsByPrompt.get(prompt)?.hasRequestedIdle ?? false,
     end,
     recordStart(prompt, upstream, tokens) {
       const owner = host.tryGetOwner(upstream);
@@ -302,25 +309,28 @@
       answeredMs.set(owner, host.nowMs());
       for (const item of items) {
         if (item.kind === "waiting") {
-          const ask = asks.get(item.number);
-          if (ask === undefined) continue;
-          ask.isAnswered = true;
-          ask.isRepeated = false;
+          const pending = requestsByNumber.get(item.number);
+          if (pending === undefined) continue;
+          pending.isAnswered = true;
+          pending.isRepeated = false;
         } else if (!used.has(item.number) && !useGrant(owner, item.number)) {
           host.send(owner, { kind: "release", number: item.number });
         }
       }
     },
     tick() {
-      for (const ask of [...asks.values()]) {
+      for (const pending of [...requestsByNumber.values()]) {
         // An earlier check may have ended it.
-        if (asks.get(ask.number) !== ask) continue;
-        checkOwner(ask);
-        checkAnswer(ask);
+        if (requestsByNumber.get(pending.number) !== pending) continue;
+        checkOwner(pending);
+        checkAnswer(pending);
       }
-      if (asks.size > 0) return;
+      const nowMs = host.nowMs();
       for (const [upstream, untilMs] of unavailableUntilMs) {
-        if (untilMs <= host.nowMs()) unavailableUntilMs.delete(upstream);
+        if (untilMs <= nowMs) unavailableUntilMs.delete(upstream);
+      }
+      for (const [owner, atMs] of answeredMs) {
+        if (nowMs - atMs > UNAVAILABLE_MS) answeredMs.delete(owner);
       }
     },
   };
--- a/src/grants/grant_outbox.ts
+++ b/src/grants/grant_outbox.ts
@@ -1,5 +1,5 @@
 /**
- * Collects what a host has to tell other hosts about grants, and combines it to
+ * Batches the items of grants by receiver, and combines it to
  * messages that fit into a datagram.
  *
  * @module
@@ -16,7 +16,7 @@
 
 /** Items that have not been sent. */
 export interface GrantOutbox {
-  /** Adds an item in the session of the asker, which is either side. */
+  /** Adds an item in the session of the requester, which is either side. */
   add(to: string, session: number, item: GrantItem): void;
   /** Removes all items and returns them as messages. */
   takeMessages(): readonly OutgoingGrantMessage[];
--- a/src/grants/grant_owner.ts
+++ b/src/grants/grant_owner.ts
@@ -3,8 +3,7 @@
  * after the other, so that each prefills without a break and never has more
  * than a tenth of a second of work ahead.
  *
- * Load: 1,200 prompts per second for 98 upstreams, several times what they can
- * prefill.
+ * Load: several times more prompts than the upstreams can prefill.
  *
  * Failure prevented: load reports are 200 ms old, and the end of a prefill is
  * seen 200 ms late, while a prefill takes 100 ms. Hosts that decide by these
@@ -20,14 +19,14 @@
 import { createDecayingRate, type DecayingRate } from "../load/mod.ts";
 import type { YieldLevel } from "../queue/types.ts";
 import type {
-  AskerItem,
   GrantRequest,
   OwnerItem,
+  RequesterItem,
   UngrantedStart,
 } from "./types.ts";
 
 /** The process that asks, by its peer address and its session. */
-export interface Asker {
+export interface Requester {
   readonly address: string;
   readonly session: number;
 }
@@ -52,12 +51,12 @@
   getSlotShare(yields: YieldLevel): number;
   /** Returns the upstream with this digest; `undefined` if it is unknown. */
   tryGetUpstream(digest: number): OwnedUpstream | undefined;
-  send(to: Asker, item: OwnerItem): void;
+  send(to: Requester, item: OwnerItem): void;
 }
 
 /** The grants of this host as an owner. */
 export interface GrantOwner {
-  receive(from: Asker, items: readonly AskerItem[]): void;
+  receive(from: Requester, items: readonly RequesterItem[]): void;
   /** Grants what is due by now; called a hundred times per second. */
   tick(): void;
   /** Number of requests that wait. */
@@ -71,7 +70,7 @@
  * far ahead, in ms. The grant and the prompt reach the upstream within that
  * time, so that it does not idle meanwhile.
  */
-export const MAX_AHEAD_MS = 100;
+export const MAX_PREFILL_AHEAD_MS = 100;
 
 /**
  * Time after which a granted prompt is part of the load view, in ms: three hops
@@ -91,7 +90,7 @@
 const RETURN_TTL_MS = 1_000;
 
 /**
- * Time after which an upstream that nobody has asked for is forgotten, in ms.
+ * Time after which an upstream that nobody has requested is dropped, in ms.
  * Another host may have owned it meanwhile; the load view then knows more.
  */
 const UPSTREAM_TTL_MS = 1_000;
@@ -99,12 +98,12 @@
 /** Half-life of the tokens admitted by team, in ms; that of the fair shares. */
 const TEAM_HALF_LIFE_MS = 1_400;
 
-/** Below this rate, in tokens per second, a team is forgotten. */
+/** Below this rate, in tokens per second, a team is dropped. */
 const MIN_TEAM_RATE = 1;
 
 interface WaitingRequest {
   readonly key: string;
-  readonly from: Asker;
+  readonly from: Requester;
   readonly request: GrantRequest;
   readonly arrivedMs: number;
   readonly expiresMs: number;
@@ -122,7 +121,7 @@
 interface UpstreamState {
   readonly upstream: number;
   /** When the prefill of all admitted prompts is expected to end, in ms. */
-  endMs: number;
+  prefillEndMs: number;
   usedMs: number;
   readonly waiting: Map<string, WaitingRequest>;
   /** The latest first. */
@@ -144,7 +143,7 @@
     const nowMs = host.nowMs();
     const state = getOrCreate(states, upstream, () => ({
       upstream,
-      endMs: nowMs + Math.max(0, readingTokens) * msPerToken,
+      prefillEndMs: nowMs + Math.max(0, readingTokens) * msPerToken,
       usedMs: nowMs,
       waiting: new Map(),
       admissions: [],
@@ -164,7 +163,7 @@
   ): void {
     const nowMs = host.nowMs();
     const prefillMs = tokens * msPerToken;
-    state.endMs = Math.max(state.endMs, nowMs) + prefillMs;
+    state.prefillEndMs = Math.max(state.prefillEndMs, nowMs) + prefillMs;
     const admission = { admittedMs: nowMs, prefillMs, team, serviceTokens };
     state.admissions.unshift(
       key === undefined ? admission : { ...admission, key },
@@ -187,8 +186,8 @@
       .filter((each) => nowMs - each.admittedMs < LOAD_VIEW_LAG_MS)
       .reduce((sum, each) => sum + each.prefillMs, 0);
     const reportedMs = Math.max(0, readingTokens) * msPerToken;
-    const latestMs = nowMs + reportedMs + recentMs + MAX_AHEAD_MS;
-    state.endMs = Math.min(state.endMs, latestMs);
+    const latestMs = nowMs + reportedMs + recentMs + MAX_PREFILL_AHEAD_MS;
+    state.prefillEndMs = Math.min(state.prefillEndMs, latestMs);
   }
 
   function countInFlight(state: UpstreamState, inFlight: number): number {
@@ -221,7 +220,7 @@
     return first;
   }
 
-  function forget(state: UpstreamState, key: string): void {
+  function removeEntry(state: UpstreamState, key: string): void {
     state.waiting.delete(key);
     upstreams.delete(key);
   }
@@ -229,7 +228,7 @@
   function removeExpired(state: UpstreamState): void {
     const nowMs = host.nowMs();
     for (const { key, expiresMs } of state.waiting.values()) {
-      if (expiresMs <= nowMs) forget(state, key);
+      if (expiresMs <= nowMs) removeEntry(state, key);
     }
   }
 
@@ -239,7 +238,8 @@
     if (owned === undefined || isBehind(owned)) return;
     limitEnd(state, owned);
     while (
-      state.waiting.size > 0 && state.endMs - host.nowMs() < MAX_AHEAD_MS
+      state.waiting.size > 0 &&
+      state.prefillEndMs - host.nowMs() < MAX_PREFILL_AHEAD_MS
     ) {
       const next = tryChoose(state, owned);
       if (next === undefined) return;
@@ -253,7 +253,7 @@
 
   /** Returns the state of the upstream, if the request waits there now. */
   function addRequest(
-    from: Asker,
+    from: Requester,
     request: GrantRequest,
   ): UpstreamState | undefined {
     const key = getKey(from, request.number);
@@ -265,7 +265,7 @@
       return undefined;
     }
     const owned = host.tryGetUpstream(request.upstream);
-    // Without an answer the asker decides by itself.
+    // Without an answer the requester decides by itself.
     if (owned === undefined) return undefined;
     const state = getState(request.upstream, owned);
     const nowMs = host.nowMs();
@@ -290,7 +290,7 @@
   function release(key: string): UpstreamState | undefined {
     const state = upstreams.get(key);
     if (state === undefined) return undefined;
-    forget(state, key);
+    removeEntry(state, key);
     const at = state.admissions.findIndex((each) => each.key === key);
     if (at < 0) return undefined;
     const [{ prefillMs, team, serviceTokens }] = state.admissions.splice(
@@ -299,7 +299,7 @@
     ) as [
       Admission,
     ];
-    state.endMs -= prefillMs;
+    state.prefillEndMs -= prefillMs;
     teams.get(team)?.add(-serviceTokens, host.nowMs());
     return state;
   }
@@ -312,7 +312,7 @@
       if (!isKept(each) && each.key !== undefined) upstreams.delete(each.key);
     }
     state.admissions = state.admissions.filter(isKept);
-    const isUsed = state.waiting.size > 0 || state.endMs > nowMs ||
+    const isUsed = state.waiting.size > 0 || state.prefillEndMs > nowMs ||
       state.admissions.length > 0 || nowMs - state.usedMs < UPSTREAM_TTL_MS;
     if (!isUsed) states.delete(state.upstream);
   }
@@ -361,7 +361,7 @@
       for (const state of states.values()) waiting += state.waiting.size;
       return waiting;
     },
-    tryGetEndMs: (upstream) => states.get(upstream)?.endMs,
+    tryGetEndMs: (upstream) => states.get(upstream)?.prefillEndMs,
   };
 }
 
@@ -370,6 +370,6 @@
   return readingTokens > limitTokens * MAX_LIMIT_MULTIPLE;
 }
 
-function getKey({ address, session }: Asker, number: number): string {
+function getKey({ address, session }: Requester, number: number): string {
   return `${address}/${session}/${number}`;
 }
--- a/src/grants/grant_owner_test.ts
+++ b/src/grants/grant_owner_test.ts
@@ -1,8 +1,8 @@
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { createVirtualScheduler } from "../measure/virtual_scheduler.ts";
-import { createGrantOwner, MAX_AHEAD_MS } from "./grant_owner.ts";
-import type { AskerItem, GrantRequest, OwnerItem } from "./types.ts";
+import { createGrantOwner, MAX_PREFILL_AHEAD_MS } from "./grant_owner.ts";
+import type { GrantRequest, OwnerItem, RequesterItem } from "./types.ts";
 
 const UPSTREAM = 7;
 const MS_PER_TOKEN = 0.02;
@@ -26,7 +26,7 @@
     send: (_to, item) => void sent.push(item),
   });
   scheduler.every(10, owner.tick);
-  const receive = (...items: AskerItem[]) => owner.receive(FROM, items);
+  const receive = (...items: RequesterItem[]) => owner.receive(FROM, items);
   return {
     scheduler,
     owner,
@@ -42,7 +42,7 @@
 function createRequest(
   number: number,
   changes: Partial<GrantRequest> = {},
-): AskerItem {
+): RequesterItem {
   const request: GrantRequest = {
     number,
     upstream: UPSTREAM,
@@ -66,7 +66,7 @@
   // Prefills of 100 ms each; the first one is admitted at the first request.
   scheduler.every(100 / 3, () => receive(createRequest(++number)));
   scheduler.every(1, () => {
-    ok(getAheadMs() < MAX_AHEAD_MS + 5_000 * MS_PER_TOKEN);
+    ok(getAheadMs() < MAX_PREFILL_AHEAD_MS + 5_000 * MS_PER_TOKEN);
     if (owner.countWaiting() > 0) ok(getAheadMs() > 0, "idle");
   });
   scheduler.runUntil(20_000);
@@ -126,7 +126,7 @@
   // Guards against refusals at an idle upstream that is faster than learned.
   const fixture = createFixture();
   const { upstream, tokens, serviceTokens, team } =
-    (createRequest(0) as Extract<AskerItem, { kind: "request" }>).request;
+    (createRequest(0) as Extract<RequesterItem, { kind: "request" }>).request;
   const start = { upstream, tokens, serviceTokens, team };
   for (let at = 0; at < 200; at++) fixture.receive({ kind: "start", start });
   fixture.scheduler.runUntil(400);
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -10,7 +10,7 @@
 } from "../queue/mod.ts";
 import { createGrantClient, type GrantClient } from "./grant_client.ts";
 import { createGrantOwner, type GrantOwner } from "./grant_owner.ts";
-import type { AskerItem, OwnerItem } from "./types.ts";
+import type { OwnerItem, RequesterItem } from "./types.ts";
 
 const HOSTS = 59;
 const UPSTREAMS = ["a", "b", "c", "d", "e", "f", "g", "h"];
@@ -103,7 +103,7 @@
       tryGetOwner: getOwner,
       tryGetUpstreamDigest: (id) => id.charCodeAt(0),
       getDigest: (name) => name.length,
-      send: (to, item: AskerItem) =>
+      send: (to, item: RequesterItem) =>
         scheduler.after(
           getLagMs(),
           () => owners[Number(to)]!.receive({ address, session: 1 }, [item]),
--- a/src/grants/owners.ts
+++ b/src/grants/owners.ts
@@ -1,10 +1,9 @@
 /**
  * Chooses the owner of each upstream: the host that admits prompts to it.
  *
- * Load: 98 upstreams and 59 hosts, of which each asks for owners a few hundred
- * times per second. Failure prevented: a choice among all hosts for each of
- * these would take milliseconds per second on a slow core. Choices are kept for
- * a tenth of a second.
+ * Load: hosts with a fraction of a core that look owners up hundreds of times
+ * per second. Failure prevented: a choice among all hosts for each lookup would
+ * be costly there. Choices are kept for a tenth of a second.
  *
  * @module
  */
--- a/src/grants/types.ts
+++ b/src/grants/types.ts
@@ -1,6 +1,6 @@
 /**
  * Types of the messages about prefill grants. A host that has prompts to start
- * is an asker; the host that admits prompts to an upstream is its owner.
+ * is a requester; the host that admits prompts to an upstream is its owner.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 
 /** A request for a grant to start one prompt at one upstream. */
 export interface GrantRequest {
-  /** Unique at the asker in one session. */
+  /** Unique at the requester in one session. */
   readonly number: number;
   /** Tokens that the upstream has to prefill for it. */
   readonly tokens: number;
@@ -28,32 +28,32 @@
   readonly remainingMs: number;
 }
 
-/** A prompt that an asker has started without a grant. */
+/** A prompt that a requester has started without a grant. */
 export type UngrantedStart = Pick<
   GrantRequest,
   "upstream" | "tokens" | "serviceTokens" | "team"
 >;
 
-/** What an asker tells an owner. */
-export type AskerItem =
+/** An item that a requester sends to an owner. */
+export type RequesterItem =
   | { readonly kind: "request"; readonly request: GrantRequest }
   | { readonly kind: "start"; readonly start: UngrantedStart }
   /** The request is cancelled, or its grant is returned. */
   | { readonly kind: "release"; readonly number: number };
 
-/** What an owner tells an asker. */
+/** An item that an owner sends to a requester. */
 export type OwnerItem =
   | { readonly kind: "grant"; readonly number: number }
   /** The request has arrived and waits. */
   | { readonly kind: "waiting"; readonly number: number };
 
 /** A part of a message. */
-export type GrantItem = AskerItem | OwnerItem;
+export type GrantItem = RequesterItem | OwnerItem;
 
 /** A message in either direction. */
 export interface GrantMessage {
   /**
-   * Session of the asker, which identifies a run of its process. Without it, an
+   * Session of the requester, which identifies a run of its process. Without it, an
    * answer to the former process could start a prompt of the present one.
    */
   readonly session: number;
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -4,7 +4,7 @@
  * others back to be served here.
  *
  * Nothing is read from the caller before a target has taken its connection, so
- * a request that no target takes is run here, and once.
+ * a request that no target takes runs here exactly once.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 import type { HandoffPolicy } from "./handoff_policy.ts";
 import {
   type AttemptOutcome,
-  CALLER_PATIENCE_MS,
+  CALLER_ABANDON_MS,
   HANDOFF_TIMEOUT_MS,
 } from "./protocol.ts";
 import { relayConnection, reset } from "./relay_connection.ts";
@@ -131,7 +131,7 @@
     offer(caller) {
       const target = tryBegin();
       if (target === undefined) return host.serve(caller);
-      if (host.getUnreadMs() < CALLER_PATIENCE_MS) {
+      if (host.getUnreadMs() < CALLER_ABANDON_MS) {
         return negotiate(caller, target);
       }
       // The target can't see how long the connection has waited here, and would
--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -15,7 +15,7 @@
 /** The decisions of an origin and the state that they depend on. */
 export interface HandoffPolicy {
   /**
-   * Whether this host should get rid of callers: its utilization is above the
+   * Whether this host should close its callers' connections: its utilization is above the
    * limit and enough neighbouring hosts are alive.
    */
   isOverloaded(): boolean;
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -13,7 +13,7 @@
 import { type Clock, startListening, startTimeout } from "../core/mod.ts";
 import {
   ACCEPTED,
-  CALLER_PATIENCE_MS,
+  CALLER_ABANDON_MS,
   HANDOFF_TIMEOUT_MS,
   PREFACE,
   type ReceivedOutcome,
@@ -39,11 +39,11 @@
 }
 
 /**
- * Time for which a taken connection without a request counts as waiting, in ms:
- * that of the callers' patience. Callers may connect long before they send a
- * request, and the drain must not wait for these.
+ * Time for which a taken connection without a request counts as waiting, in ms.
+ * Callers may connect long before they send a request, and the drain must not
+ * wait for these.
  */
-const MAX_WAITING_MS = CALLER_PATIENCE_MS;
+const MAX_WAITING_MS = CALLER_ABANDON_MS;
 
 /** Dependencies of the server. */
 export interface HandoffServerHost {
--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { offsetPort, PORT_OFFSETS } from "../core/mod.ts";
 import { Buffer } from "node:buffer";
 
 /** How a target answered: it took the connection, refused it, or neither. */
@@ -31,10 +32,7 @@
 export const HANDOFF_TIMEOUT_MS = 250;
 
 /** Time after which callers abandon a connection on which nothing is read. */
-export const CALLER_PATIENCE_MS = 1_000;
-
-/** Distance of the port for handoffs from the peer port. */
-const PORT_OFFSET = 2;
+export const CALLER_ABANDON_MS = 1_000;
 
 /** File descriptors of one relay: the caller's and the target's connection. */
 const FDS_PER_RELAY = 2;
@@ -44,8 +42,7 @@
 
 /** Returns the address for handoffs of the host with this peer address. */
 export function getHandoffAddress(peerAddress: string): string {
-  const [ip, port] = peerAddress.split(":");
-  return `${ip}:${Number(port) + PORT_OFFSET}`;
+  return offsetPort(peerAddress, PORT_OFFSETS.handoffs);
 }
 
 /**
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -3,12 +3,10 @@
  * response back, unchanged.
  *
  * Load: thousands of responses, some long and read slowly, that an overloaded
- * host only passes on. Failures prevented: a response that breaks off at the
- * target and is ended in order at the caller would look complete; a caller that
- * disconnects unnoticed would occupy an upstream; a slow caller would let the
- * response pile up in the memory of this host; a request of a caller that left
- * while its connection waited here would be run by the target, which reads the
- * caller's end only later.
+ * host only passes on. Failures prevented: a truncated response that looks
+ * complete; a disconnect that the target does not see; a response that
+ * accumulates in memory while its caller reads slowly; a request of a caller that
+ * has already left.
  *
  * Apart from what is read from the caller in the first two event-loop
  * iterations, the relay holds no bytes besides the buffers of the two sockets,
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -41,7 +41,7 @@
   from: string,
   clock = createManualClock(1_000),
   viewClock: Clock = clock,
-  underservedMemoryMs = 0,
+  underservedRetentionMs = 0,
 ) {
   const view = createLoadView({
     clock: viewClock,
@@ -49,7 +49,7 @@
     isAlive: () => true,
     getStatedCapacity: () => 100,
     getLearned: () => [],
-    getUnderservedMemoryMs: () => underservedMemoryMs,
+    getUnderservedRetentionMs: () => underservedRetentionMs,
   });
   let sequence = 0;
   /** Creates the report that this host sends to the others in a small fleet. */
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -50,7 +50,7 @@
    * Time in ms for which an upstream still counts as awaited after the last
    * prompt of an underserved team has waited for it; 0 if absent.
    */
-  getUnderservedMemoryMs?(): number;
+  getUnderservedRetentionMs?(): number;
 }
 
 /** The load of the fleet, as known to this host. */
@@ -91,7 +91,7 @@
   /**
    * Sets the waiting prompts of underserved teams at this host, by upstream. An
    * upstream for which none waits any more keeps its number for the time that
-   * `getUnderservedMemoryMs` returns.
+   * `getUnderservedRetentionMs` returns.
    */
   setUnderserved(waiting: ReadonlyMap<string, number>): void;
   /** Prompts of underserved teams that wait for the upstream at other hosts. */
@@ -306,7 +306,7 @@
     setUnderserved(waiting) {
       if (underservedMs.size === 0 && waiting.size === 0) return;
       const nowMs = clock.monotonicMs();
-      const memoryMs = host.getUnderservedMemoryMs?.() ?? 0;
+      const memoryMs = host.getUnderservedRetentionMs?.() ?? 0;
       for (const [upstream, awaitedMs] of underservedMs) {
         if (nowMs - awaitedMs < memoryMs) continue;
         underservedMs.delete(upstream);
--- a/src/load/upstream_stats_reporter.ts
+++ b/src/load/upstream_stats_reporter.ts
@@ -8,8 +8,8 @@
  * billed by volume.
  *
  * Failure prevented: a host alone has less than one sample per upstream and
- * second. Ten times per second, as in the load reports, the statistics would
- * take 36 kB/s per pair of data centres and direction at 100 upstreams.
+ * second. At the rate of the load reports, the statistics would multiply the
+ * traffic between data centres.
  *
  * A lost datagram is replaced by that of the next round. The sum that a host
  * receives names the round of its own report in it, so that the host subtracts
@@ -24,8 +24,8 @@
 import {
   getAggregator,
   getDataCentres,
+  isFullMesh,
   type LoadPeer,
-  MAX_FULL_MESH_HOSTS,
 } from "./load_reporter.ts";
 import type { LoadScope } from "./types.ts";
 import {
@@ -175,6 +175,12 @@
 
   function receiveFromHost(report: UpstreamStatsReport): void {
     const { from, part, parts, upstreams } = report;
+    const latest = Math.max(
+      pendingReports.get(from)?.sequence ?? -1,
+      hostReports.get(from)?.sequence ?? -1,
+    );
+    // Datagrams may arrive out of order.
+    if (report.sequence < latest) return;
     let pending = pendingReports.get(from);
     if (pending?.sequence !== report.sequence) {
       pending = { sequence: report.sequence, parts: new Map() };
@@ -268,7 +274,7 @@
   return {
     createReports() {
       const hosts = host.getHosts();
-      if (hosts.length <= MAX_FULL_MESH_HOSTS) {
+      if (isFullMesh(hosts.length)) {
         clear();
         return [];
       }
--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -164,8 +164,10 @@
   }
 
   function decrease(ceilingTokens: number): void {
-    const inForce = keepsCeiling ? tokens : Math.min(tokens, ceilingTokens);
-    tokens = inForce * DECREASE_FACTOR;
+    const effectiveTokens = keepsCeiling
+      ? tokens
+      : Math.min(tokens, ceilingTokens);
+    tokens = effectiveTokens * DECREASE_FACTOR;
     scale(COUNTS_AFTER_DECREASE_FACTOR);
   }
 
--- a/src/pacing/relative_speed.ts
+++ b/src/pacing/relative_speed.ts
@@ -2,8 +2,8 @@
  * The speed of one upstream relative to the other upstreams of its service, by
  * the times to its first events.
  *
- * Load: upstreams of one service that prefill at 0.7 to 1.7 times the mean
- * speed, and each at 0.4 times its own speed for 600 ms at a time.
+ * Load: upstreams of one service that differ in speed by a factor of two and
+ * more, and that slow down for less than a second at a time.
  *
  * Failure prevented: with one speed for all, slow upstreams get more tokens than
  * they can prefill in time, and fast ones are idle for a part of the time.
@@ -31,7 +31,7 @@
 }
 
 /**
- * Half-life of the sums, in ms: many times the 600 ms of a slow period, which
+ * Half-life of the sums, in ms: much longer than a temporary slowdown, which
  * ends before it is known.
  */
 const HALF_LIFE_MS = 10_000;
--- a/src/pacing/upstream_pacing.ts
+++ b/src/pacing/upstream_pacing.ts
@@ -2,11 +2,11 @@
  * Adapts the limit on the tokens that one upstream may have to prefill at once,
  * and its weight in the ranking of prompts, to its own speed.
  *
- * Load: upstreams of one service of which a third pause 30 to 60% of their
- * responses for too long, and the others almost none.
+ * Load: a service of which some upstreams pause many of their responses for too
+ * long, and the others almost none.
  *
  * Failure prevented: the slow upstreams reduce the limit of their service to its
- * minimum, and the fast ones prefill at half of their speed.
+ * minimum, and the fast ones are partly idle.
  *
  * Hosts learn together, as for a service (`pacing.ts`): alone, a host has less
  * than one sample per upstream and second.
@@ -84,7 +84,7 @@
  * by pauses. Without a bound it would increase for as long as no response is
  * late.
  */
-const TARGET_MEMORY_MS = 10_000;
+const TARGET_RETENTION_MS = 10_000;
 
 /**
  * Changes of the limit by at least this factor are reported. Each host reports
@@ -129,10 +129,10 @@
     return host.getInTimeTokens(targetMs) * speed;
   }
 
-  function rememberTarget(targetMs: number): void {
+  function recordTarget(targetMs: number): void {
     const askedAtMs = nowMs();
-    const isForgotten = askedAtMs - longestTarget.askedAtMs > TARGET_MEMORY_MS;
-    if (targetMs < longestTarget.ms && !isForgotten) return;
+    const isExpired = askedAtMs - longestTarget.askedAtMs > TARGET_RETENTION_MS;
+    if (targetMs < longestTarget.ms && !isExpired) return;
     longestTarget = { ms: targetMs, askedAtMs };
   }
 
@@ -177,7 +177,7 @@
     recordPause: pauses.addSample,
     hasSamples: () => hasSamples(getTotal()),
     getLimitTokens(targetMs) {
-      rememberTarget(targetMs);
+      recordTarget(targetMs);
       return getLimitTokens(targetMs);
     },
     getHighestLimitTokens: () =>
--- a/src/pacing/weight_step.ts
+++ b/src/pacing/weight_step.ts
@@ -2,7 +2,7 @@
  * Chooses the weight of an upstream in the ranking of prompts from its relative
  * speed, in few steps and with hysteresis.
  *
- * Load: speeds that differ by a factor of up to 2.4 between upstreams, measured
+ * Load: speeds that differ between upstreams by a factor of two and more, known
  * from tens of first events.
  *
  * Failure prevented: each change of a weight moves shared prefixes to upstreams
@@ -72,10 +72,10 @@
     const ownSamples = input.samples - input.otherSamples;
     // This host's own step counts as well. Without it, two hosts with half of
     // the samples each would take each other's step again and again.
-    const usual = Math.round(
+    const meanStep = Math.round(
       (input.otherSteps + step * ownSamples) / input.samples,
     );
-    if (canAdopt && isNear(usual)) return usual;
+    if (canAdopt && isNear(meanStep)) return meanStep;
     if (input.samples < MIN_SAMPLES || isNear(step)) return step;
     return Math.round(position);
   }
--- a/src/peers/upstream_stats_codec.ts
+++ b/src/peers/upstream_stats_codec.ts
@@ -5,8 +5,8 @@
  * Load: an aggregator that sends 65 hosts the statistics of 600 upstreams, in
  * datagrams that differ only in the round of the receiver's own report.
  *
- * Failure prevented: encoding the same lists for each host blocked the event
- * loop for 79 ms. They are encoded once, and the other fields for each host.
+ * Failure prevented: encoding the same lists for each host would block the
+ * event loop. They are encoded once per round, and the other fields per host.
  * Two encoded messages of Protocol Buffers joined are one with the fields of
  * both.
  *
--- a/src/placement/prefix_fetch.ts
+++ b/src/placement/prefix_fetch.ts
@@ -137,11 +137,11 @@
 export function createFetchDecision(
   { holders, fetchTokens: tokens, mayBeSource }: FetchSourcesInput,
 ): (at: number) => PrefixFetch | undefined {
-  const sound = holders.filter((each) => mayBeSource(each.upstream));
-  const source = sound.find((each) => each.ageMs >= MIN_SOURCE_AGE_MS)
+  const usable = holders.filter((each) => mayBeSource(each.upstream));
+  const source = usable.find((each) => each.ageMs >= MIN_SOURCE_AGE_MS)
     ?.upstream;
   if (source === undefined || tokens === undefined) return () => undefined;
-  const copies = MAX_COPIES - sound.length;
+  const copies = MAX_COPIES - usable.length;
   const copy: PrefixFetch = { source, tokens, reason: "copy" };
   const spillover: PrefixFetch = { source, tokens, reason: "spillover" };
   return (at) => at < copies ? copy : spillover;
--- a/src/prefixes/placement_announcer.ts
+++ b/src/prefixes/placement_announcer.ts
@@ -25,8 +25,8 @@
 import {
   getAggregator,
   getDataCentres,
+  isFullMesh,
   type LoadPeer,
-  MAX_FULL_MESH_HOSTS,
 } from "../load/mod.ts";
 import type { Placement, PlacementReport } from "./types.ts";
 
@@ -91,16 +91,16 @@
     const ownHosts = getOthers(hosts, self)
       .filter((each) => each.dataCentre === self.dataCentre)
       .map((each) => each.peerAddress);
-    const news = [...own, ...local];
+    const newPlacements = [...own, ...local];
     return [
-      ...createDatagrams("data-centre", news, aggregators),
-      ...createDatagrams("fleet", [...news, ...remote], ownHosts),
+      ...createDatagrams("data-centre", newPlacements, aggregators),
+      ...createDatagrams("fleet", [...newPlacements, ...remote], ownHosts),
     ];
   }
 
   function createRound(): readonly OutgoingPlacements[] {
     const hosts = host.getHosts();
-    if (hosts.length <= MAX_FULL_MESH_HOSTS) {
+    if (isFullMesh(hosts.length)) {
       const others = getOthers(hosts, self).map((each) => each.peerAddress);
       return createDatagrams("host", own, others);
     }
--- a/src/prefixes/prefix_directory.ts
+++ b/src/prefixes/prefix_directory.ts
@@ -7,8 +7,7 @@
  *
  * Failures prevented:
  * - A prompt whose prefix is cached at the second upstream of its ranking goes
- *   to the first one, which prefills the prefix again. In logs of a day, 12 of
- *   60 million prefilled tokens were such prefixes.
+ *   to the first one, which prefills the prefix again.
  * - An upstream that holds nothing is counted, or named as a source, as if it
  *   had the prefix cached.
  * - Each start of a prompt with a hot prefix is announced to all hosts.
--- a/src/prefixes/prefix_placements.ts
+++ b/src/prefixes/prefix_placements.ts
@@ -13,7 +13,7 @@
  */
 
 import type { Clock } from "../core/mod.ts";
-import type { UpstreamEntry } from "../discovery/mod.ts";
+import { getInstanceName, type UpstreamEntry } from "../discovery/mod.ts";
 import type { LoadPeer } from "../load/mod.ts";
 import type { PrefixHolder } from "../placement/mod.ts";
 import {
@@ -80,8 +80,8 @@
     ReadonlyMap<number, string>
   >();
 
-  const getDigest = ({ id, incarnation }: UpstreamEntry) =>
-    host.getDigest(`${id}/${incarnation}`);
+  const getDigest = (entry: UpstreamEntry) =>
+    host.getDigest(getInstanceName(entry));
 
   function getIds(
     upstreams: readonly UpstreamEntry[],
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -189,10 +189,10 @@
     const limit = limits[yields];
     const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
     /** Whether this host may decide by itself. */
-    const isFree = (each: RankedUpstream) =>
+    const mayStartWithoutGrant = (each: RankedUpstream) =>
       grants === undefined || !needsGrant(grants, each);
     function fitsUpstream(each: RankedUpstream) {
-      if (!isFree(each)) return false;
+      if (!mayStartWithoutGrant(each)) return false;
       const { upstream, readingTokens } = each;
       const limitTokens = getLimitTokens(prompt, upstream);
       const maxCountedTokens = limitTokens * options.maxCountedShare;
@@ -224,7 +224,7 @@
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
     return upstreams.find((each) =>
-      !preferred.includes(each) && isIdle(each) && isFree(each) &&
+      !preferred.includes(each) && isIdle(each) && mayStartWithoutGrant(each) &&
       !(grants !== undefined && yieldsToUnderserved && isAwaited(each))
     );
   }
@@ -259,12 +259,12 @@
   ): void {
     const maxWaitMs = prompt.targetMs * options.maxWaitShare;
     const terms = { yields, isDeprioritised, maxWaitMs };
-    if (grants.isAskDue(prompt)) {
+    if (grants.isRequestDue(prompt)) {
       grants.ask(prompt, getAskable(grants, prompt.getUpstreams()), terms);
     }
     const waitedMs = host.nowMs() - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return;
-    if (grants.hasAskedForIdle(prompt)) return;
+    if (grants.hasRequestedIdle(prompt)) return;
     const upstreams = prompt.getUpstreams();
     const preferred = getPreferred(upstreams, options.negligibleTokens);
     const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
@@ -272,7 +272,7 @@
       isIdle(each) && !preferred.includes(each) && needsGrant(grants, each) &&
       !(yieldsToUnderserved && isAwaited(each))
     );
-    if (idle !== undefined) grants.askForIdle(prompt, idle, terms);
+    if (idle !== undefined) grants.requestIdle(prompt, idle, terms);
   }
 
   /** Returns the upstreams to ask for, the preferred one first. */
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -36,10 +36,10 @@
 const allowingGrants: PromptGrants = {
   isEnabled: () => true,
   needsGrant: () => false,
-  isAskDue: () => false,
+  isRequestDue: () => false,
   ask() {},
-  askForIdle() {},
-  hasAskedForIdle: () => false,
+  requestIdle() {},
+  hasRequestedIdle: () => false,
   end() {},
   recordStart() {},
 };
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -172,7 +172,7 @@
    */
   needsGrant(upstream: string): boolean;
   /** Whether it is time to ask for a further upstream. */
-  isAskDue(prompt: WaitingPrompt): boolean;
+  isRequestDue(prompt: WaitingPrompt): boolean;
   /** Asks for the first of the candidates that it has not asked for. */
   ask(
     prompt: WaitingPrompt,
@@ -180,12 +180,12 @@
     terms: GrantTerms,
   ): void;
   /** Asks for an idle upstream, once for each prompt. */
-  askForIdle(
+  requestIdle(
     prompt: WaitingPrompt,
     idle: RankedUpstream,
     terms: GrantTerms,
   ): void;
-  hasAskedForIdle(prompt: WaitingPrompt): boolean;
+  hasRequestedIdle(prompt: WaitingPrompt): boolean;
   /** Cancels the requests for a prompt that no longer waits. */
   end(prompt: WaitingPrompt, outcome: "expired" | "cancelled"): void;
   /** Tells the owner of a prompt that has started without a grant. */
