Split the room of an upstream and the preferred upstreams from the queue

What an upstream has room for, and which upstreams a prompt waits for, are pure decisions of their own and stand in modules of their own. No logic is changed; the tests differ by one import.

--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -48,6 +48,12 @@
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { NEGLIGIBLE_PREFILL_TOKENS } from "../placement/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
+import {
+  getLeastBusy,
+  getPreferred,
+  MAX_SIMILAR,
+} from "./preferred_upstreams.ts";
+import { hasRoom } from "./room.ts";
 import type {
   NewPrompt,
   PromptGrants,
@@ -121,12 +127,6 @@
  */
 const SIMILAR_GROUP_SIZE = 2;
 
-/**
- * Upstreams considered for a prompt with a short shared prefix; considering
- * sixty costs seven times as much.
- */
-const MAX_SIMILAR = 8;
-
 /** Share of its slots that an upstream may have in use when it gets a copy. */
 const MAX_COPY_SLOT_SHARE = 0.3;
 
@@ -511,39 +511,6 @@
   };
 }
 
-/**
- * Returns the upstreams that a prompt waits for: those that hold its shared
- * prefix, or the first alone if none is known to. Where the hosts do not keep
- * track of the prefix, those that would have to prefill about as little as the
- * first.
- */
-function getPreferred(
-  upstreams: readonly RankedUpstream[],
-  negligibleTokens: number,
-): readonly RankedUpstream[] {
-  const [first] = upstreams;
-  if (first === undefined) return [];
-  if (first.prefix !== undefined && first.prefix !== "held") return [first];
-  const best = upstreams.slice(0, MAX_SIMILAR);
-  return first.prefix === "held"
-    ? best.filter((each) => each.prefix === "held")
-    : best.filter((each) =>
-      each.readingTokens - first.readingTokens <= negligibleTokens
-    );
-}
-
-function getLeastBusy(
-  upstreams: readonly RankedUpstream[],
-  getLoad: (upstream: string) => UpstreamLoad,
-): RankedUpstream {
-  const getInFlight = ({ upstream }: RankedUpstream) =>
-    getLoad(upstream).inFlight;
-  // The first of equally busy upstreams, so that shared prefixes stay in place.
-  return upstreams.reduce((least, each) =>
-    getInFlight(each) < getInFlight(least) ? each : least
-  );
-}
-
 /**
  * Whether a prompt yields far less service for an upstream's time than the
  * mean, such as a short prompt with a long answer, which occupies a slot for
@@ -558,35 +525,3 @@
   return prompt.serviceTokens / prompt.workTokens <
     meanEfficiency * INEFFICIENT_SHARE;
 }
-
-/**
- * The room that a prompt needs at an upstream, and the limits that apply to it.
- */
-export interface RoomRequest {
-  /** Tokens for which the prompt counts. */
-  readonly readingTokens: number;
-  /** Share of the upstream's slots that may be in use. */
-  readonly slotShare: number;
-  /** Tokens that the upstream may be prefilling, with this prompt. */
-  readonly limitTokens: number;
-  /** The value of `limitTokens` for prompts that yield to no others. */
-  readonly fullLimitTokens: number;
-  /**
-   * Whether the prompt leaves the last room to prompts of underserved teams.
-   */
-  readonly yieldsToUnderserved: boolean;
-}
-
-/** Whether an upstream has room for a prompt. */
-export function hasRoom(load: UpstreamLoad, request: RoomRequest): boolean {
-  if (load.isWarmUpSpent) return false;
-  if (load.inFlight >= load.slots * request.slotShare) return false;
-  const readingTokens = load.readingTokens + request.readingTokens;
-  const isWithinLimit = readingTokens <= request.limitTokens;
-  // A prompt above the limit may start only where nothing is being prefilled.
-  if (!isWithinLimit && load.readingTokens > 0) return false;
-  const leavesRoomForNext =
-    readingTokens + request.readingTokens <= request.fullLimitTokens;
-  return leavesRoomForNext || !request.yieldsToUnderserved ||
-    load.underservedElsewhere === 0;
-}
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -6,8 +6,8 @@
 import {
   createPromptQueue,
   defaultPromptQueueOptions,
-  hasRoom,
 } from "./prompt_queue.ts";
+import { hasRoom } from "./room.ts";
 import type { PromptGrants, PromptQueueHost, WaitingPrompt } from "./types.ts";
 
 const { overShareLimit, inefficientLimit } = defaultPromptQueueOptions;
