Make grants and pacing per upstream an option that is off by default

Handoff, directory, copies where there is capacity and the fixes stay.

Digests of upstreams are kept for each entry of the table, as they are looked up for each waiting prompt in each pass.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -119,6 +119,11 @@
       .filter((each) => each.state === "alive");
   }
 
+  /** The hosts that are alive; none unless owners admit prompts. */
+  function getGrantingHosts(): readonly Member[] {
+    return host.grantsPrompts ? getAlive() : [];
+  }
+
   function getAliveAddresses(): readonly string[] {
     return getAlive().map((each) => each.peerAddress);
   }
@@ -146,7 +151,9 @@
   const intake = createIntake({
     clock,
     mayBeFull: () => fullHosts.mayBeFull(getAlive()),
-    getUtilization: () => handoff.getUtilization(),
+    // What a full host sends elsewhere competes for the upstreams, which only
+    // owners share out fairly among hosts.
+    getUtilization: () => host.grantsPrompts ? handoff.getUtilization() : 0,
     onDecision({ isFull, meanTurnMs }) {
       peers.membership.broadcastFact(fullHosts.createFact(isFull));
       log({
@@ -181,7 +188,7 @@
   const upstreamStats = createUpstreamStatsReporter({
     clock: stallTolerantClock,
     self,
-    getHosts: getAlive,
+    getHosts: getGrantingHosts,
     createOwnStats: () => upstreamPacings.getStats(),
   });
   const upstreamPacings = createUpstreamPacings({
@@ -191,7 +198,7 @@
       tryGet: (id) => platformView.directory.tryGet(id),
       getReady: (service) => platformView.directory.getReady(service),
     },
-    countHosts: () => getAlive().length,
+    countHosts: () => getGrantingHosts().length,
     getDigest: getNameDigest,
     getOthersStats: upstreamStats.getOthersStats,
     log,
@@ -213,7 +220,7 @@
   });
   const owners = createGrantOwners({
     nowMs: clock.monotonicMs,
-    getHosts: getAlive,
+    getHosts: getGrantingHosts,
     isFull,
     tryGetDataCentre: grantUpstreams.tryGetDataCentre,
   });
--- a/src/entry/grant_upstreams.ts
+++ b/src/entry/grant_upstreams.ts
@@ -35,9 +35,15 @@
 /** Creates the upstreams of a host that knows no rows. */
 export function createGrantUpstreams(host: GrantUpstreamsHost): GrantUpstreams {
   let ids: ReadonlyMap<number, string> = new Map();
+  /** Looked up for each waiting prompt in each pass. */
+  const digests = new WeakMap<UpstreamEntry, number>();
 
   function getDigest(entry: UpstreamEntry): number {
-    return host.getDigest(getInstanceName(entry));
+    const known = digests.get(entry);
+    if (known !== undefined) return known;
+    const digest = host.getDigest(getInstanceName(entry));
+    digests.set(entry, digest);
+    return digest;
   }
 
   function tryGetDigest(id: string): number | undefined {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -74,6 +74,12 @@
   readonly log: DecisionLog;
   /** Port and path of the metrics endpoint; absent to disable it. */
   readonly metrics?: { readonly port: number; readonly path: string };
+  /**
+   * Whether owners of upstreams admit the prompts of a large fleet, by limits
+   * and speeds learned for each upstream; not if absent. All hosts of a fleet
+   * must agree. It costs processor time at each host.
+   */
+  readonly grantsPrompts?: boolean;
   random(): number;
   /**
    * Reads the accumulated times of the event loop; those of this process if
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -224,7 +224,7 @@
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
     return upstreams.find((each) =>
-      !preferred.includes(each) && isIdle(each) && mayStartWithoutGrant(each) &&
+      isIdle(each) && !preferred.includes(each) && mayStartWithoutGrant(each) &&
       !(grants !== undefined && yieldsToUnderserved && isAwaited(each))
     );
   }
