--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -406,6 +406,16 @@
     return host;
   }
 
+  // However the script ends, its hosts end with it.
+  process.on("exit", () => {
+    for (const { child, exit } of hosts) {
+      if (exit === undefined) child.kill("SIGKILL");
+    }
+  });
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.once(signal, () => process.exit(2));
+  }
+
   for (let at = 0; at < count; at++) await start(at);
   return {
     hosts,
