--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -381,6 +381,7 @@
       events: [],
       exit: undefined,
     };
+    record?.add(`${name}: process ${child.pid} started`);
     let rest = "";
     child.stdout.on("data", (bytes) => {
       rest += bytes;
@@ -398,7 +399,9 @@
     host.ended = new Promise((resolve) =>
       child.on("exit", (code, signal) => {
         host.exit = { code, signal, atMs: now() };
-        record?.add(`${name}: process ended, code ${code}, signal ${signal}`);
+        record?.add(
+          `${name}: process ${child.pid} ended, code ${code}, signal ${signal}`,
+        );
         resolve();
       })
     );
