--- a/src/core/ports.ts
+++ b/src/core/ports.ts
@@ -1,10 +1,13 @@
 /**
- * The ports on which the hosts of a fleet talk to each other, relative to the
- * port of the membership protocol.
+ * Addresses, each an IP and a port: which texts are such, and the ports on which
+ * the hosts of a fleet talk to each other, relative to the port of the
+ * membership protocol.
  *
  * @module
  */
 
+import { isIPv4 } from "node:net";
+
 /** Distance of each protocol's port from that of the membership protocol. */
 export const PORT_OFFSETS = {
   loadReports: 1,
@@ -19,3 +22,12 @@
   const [ip, port] = address.split(":");
   return `${ip}:${Number(port) + by}`;
 }
+
+const MAX_PORT = 65_535;
+
+/** Whether the text is an IPv4 address and a port to which one can connect. */
+export function isAddress(text: string): boolean {
+  const [ip = "", port = "", ...rest] = text.split(":");
+  const isPort = /^[1-9]\d{0,4}$/.test(port) && Number(port) <= MAX_PORT;
+  return rest.length === 0 && isIPv4(ip) && isPort;
+}
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -26,7 +26,8 @@
 
 /**
  * Sends the request. Succeeds only with a response that belongs to this request
- * and may be passed on to the caller.
+ * and may be passed on to the caller. An exception on the way ends this attempt
+ * only: another upstream may serve the request.
  */
 export function sendAttempt(
   host: ForwardHost,
@@ -63,6 +64,12 @@
       },
     });
   }).pipe(
+    Effect.catchDefect((defect) =>
+      fail(
+        attempt.isSent ? "broken" : "unsendable",
+        `Internal error: ${defect}`,
+      )
+    ),
     Effect.flatMap((response) => {
       attempt.bodyTrace = response.trace;
       return validateResponse(host, call, upstream, response);
--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createHeldUpstream, waitUntil } from "../testing/held_upstream.ts";
 import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
-import { INTERNAL_ERROR_ID } from "../testing/call_codec.ts";
+import { INTERNAL_ERROR_ID, UNSENDABLE_ID } from "../testing/call_codec.ts";
 import {
   type Behaviour,
   createForwardFixture,
@@ -102,6 +102,25 @@
   deepStrictEqual(fixture.arrivals, ["up-0", "up-1"]);
 });
 
+test("a request that an upstream's address does not admit is served by another one", async () => {
+  // Guards against an exception of one attempt that ends the request, and that
+  // leaves the upstream the least loaded of all.
+  await using fixture = await createForwardFixture([answers], once, {
+    preferredAddresses: ["127.0.0.1:80800"],
+  });
+  strictEqual((await fixture.call()).status, 200);
+  strictEqual(fixture.health.isUnhealthy("preferred-0"), true);
+});
+
+test("a request that can't be written for any upstream ends as not run", async () => {
+  // Guards against a 502 for what never left this host, and against an upstream
+  // that counts as unreachable for it.
+  await using fixture = await createForwardFixture([answers], once);
+  strictEqual((await fixture.call({ id: UNSENDABLE_ID })).status, 503);
+  strictEqual(fixture.health.isUnhealthy("up-0"), false);
+  deepStrictEqual(fixture.arrivals, []);
+});
+
 test("a booking whose response is lost is not sent again and ends with 502", async () => {
   const loses: Behaviour = (socket) => socket.resetAndDestroy();
   await using fixture = await createForwardFixture([loses, answers], once);
--- a/src/forwarding/running_attempt.ts
+++ b/src/forwarding/running_attempt.ts
@@ -166,7 +166,7 @@
   err: AttemptFailed,
 ): void {
   const { upstream } = attempt;
-  if (err.kind === "unwanted") return;
+  if (err.kind === "unwanted" || err.kind === "unsendable") return;
   if (err.kind === "not-sent") {
     host.health.recordFailure(upstream.id, "unreachable");
     const isRefused = err.reason === REFUSED_CODE;
--- a/src/forwarding/try_connect.ts
+++ b/src/forwarding/try_connect.ts
@@ -5,6 +5,7 @@
  */
 
 import { connect } from "node:net";
+import { isAddress } from "../core/mod.ts";
 import type { ConnectResult } from "../crashes/mod.ts";
 
 /**
@@ -31,8 +32,12 @@
 /** Code of the error of a connection to where nothing listens. */
 export const REFUSED_CODE = "ECONNREFUSED";
 
-/** Tries to connect to the address, and closes the connection at once. */
+/**
+ * Tries to connect to the address, and closes the connection at once. "failed"
+ * also for a text that is no address.
+ */
 export function tryConnect(address: string): Promise<ConnectResult> {
+  if (!isAddress(address)) return Promise.resolve("failed");
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) });
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -136,6 +136,7 @@
 export type AttemptFailure =
   | "not-sent"
   | "unwanted"
+  | "unsendable"
   | "not-run"
   | "broken"
   | "cut-off"
@@ -154,6 +155,9 @@
  * - `unwanted`: not sent either; while the connection was being made, the
  *   upstream stated that it is leaving or asked for a back-off, or the content
  *   was blocked.
+ * - `unsendable`: not sent either; the request can't be written, for example
+ *   since a header holds a character that HTTP does not admit. Says nothing of
+ *   the upstream.
  * - `not-run`: the upstream states that it has not run the request and never
  *   will.
  * - `broken`: the request was sent and may have run; the answer is unusable.
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -13,7 +13,7 @@
   request as sendRequest,
 } from "node:http";
 import * as Effect from "effect/Effect";
-import { startTimeout } from "../core/mod.ts";
+import { isAddress, startTimeout } from "../core/mod.ts";
 import type { ConnectResult } from "../crashes/mod.ts";
 import { getBodyFraming } from "../upstreams/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
@@ -70,6 +70,10 @@
 export function openCall(
   call: UpstreamCall,
 ): Effect.Effect<UpstreamResponse, AttemptFailed> {
+  if (!isAddress(call.address)) {
+    const reason = `"${call.address}" is not an IP address and a port`;
+    return Effect.fail(new AttemptFailed({ kind: "not-sent", reason }));
+  }
   return Effect.callback<UpstreamResponse, AttemptFailed>((resume) => {
     const [host, port] = call.address.split(":");
     let isSent = false;
--- a/src/testing/call_codec.ts
+++ b/src/testing/call_codec.ts
@@ -9,6 +9,9 @@
 /** Parsing a request with this id throws, as on a fault of the program. */
 export const INTERNAL_ERROR_ID = "faulty";
 
+/** A request with this id gets a header that Node's HTTP client rejects. */
+export const UNSENDABLE_ID = "unsendable";
+
 /** A codec with short header names for tests. */
 export function createTestCodec(): CallCodec {
   return {
@@ -37,6 +40,7 @@
       const headers = [...rawHeaders];
       if (lastEventId !== undefined) headers.push("x-last-event", lastEventId);
       if (fetchFrom !== undefined) headers.push("x-fetch", fetchFrom);
+      if (rawHeaders.includes(UNSENDABLE_ID)) headers.push("x-team", "\u0107");
       return headers;
     },
     readResponseHeaders: (status, headers) => ({
