--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -412,6 +412,14 @@
     readonly from: string;
     readonly platformEra?: number | undefined;
     readonly platformVersion: number;
+    /** Why an entry that has vanished is kept for a while. */
+    readonly outage?: {
+      /** The host whose read of the platform failed last. */
+      readonly host: string | undefined;
+      readonly failedMsAgo: number;
+      /** Time since any host last read the table, in ms. */
+      readonly unconfirmedMs: number;
+    };
   }
   | {
     /** An upstream signalled its state in a response. */
--- a/src/discovery/table_distribution.ts
+++ b/src/discovery/table_distribution.ts
@@ -69,6 +69,13 @@
   fetch(table: TableName, peerAddress: string): void;
 }
 
+/** The latest failed read that a host knows of. */
+export interface LastFailure {
+  /** Peer address of the host whose read failed; `undefined` before any. */
+  readonly host: string | undefined;
+  readonly msAgo: number;
+}
+
 /** Sends this host's reports and evaluates those of other hosts. */
 export interface TableDistribution {
   /**
@@ -88,6 +95,8 @@
   getUnconfirmedMs(table: TableName): number;
   /** Whether any host's read failed within the last `ms` milliseconds. */
   hadOutageWithin(ms: number): boolean;
+  /** The latest failed read of any host. */
+  getLastFailure(): LastFailure;
 }
 
 /**
@@ -141,6 +150,7 @@
     upstreams: createTableReadState(),
   };
   let lastOutageMs = -Infinity;
+  let lastFailedHost: string | undefined;
   let reportVersion = 0;
 
   function createTableReport(table: TableName): TableReport {
@@ -189,7 +199,9 @@
     sinceMs: number,
   ): void {
     states[table].lastFailureMs.set(peerAddress, sinceMs);
-    lastOutageMs = Math.max(lastOutageMs, sinceMs);
+    if (sinceMs < lastOutageMs) return;
+    lastOutageMs = sinceMs;
+    lastFailedHost = peerAddress;
   }
 
   function receiveTableReport(
@@ -228,6 +240,7 @@
     },
     recordFailure(table) {
       lastOutageMs = clock.monotonicMs();
+      lastFailedHost = host.peerAddress;
       // A host must exclude itself for no longer than the other hosts exclude
       // it. If it counted from its last failure, which it reports to nobody,
       // all other hosts would leave the table to the hosts that rank first, and
@@ -249,6 +262,10 @@
     getUnconfirmedMs: (table) =>
       clock.monotonicMs() - states[table].confirmedMs,
     hadOutageWithin: (ms) => clock.monotonicMs() - lastOutageMs < ms,
+    getLastFailure: () => ({
+      host: lastFailedHost,
+      msAgo: clock.monotonicMs() - lastOutageMs,
+    }),
   };
 }
 
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -145,10 +145,20 @@
         from,
         platformEra: upstreams.getPosition().era,
         platformVersion: upstreams.getPosition().version,
+        ...(change === "kept" ? { outage: describeOutage() } : {}),
       });
     },
   });
 
+  function describeOutage() {
+    const { host, msAgo } = distribution.getLastFailure();
+    return {
+      host,
+      failedMsAgo: roundMs(msAgo),
+      unconfirmedMs: roundMs(distribution.getUnconfirmedMs("upstreams")),
+    };
+  }
+
   const evacuations = createEvacuations({
     clock: host.clock,
     onChange(dataCentre, change) {
