Count as an outage only what no host could read through, and keep until its end

Cause: an entry that vanished was kept if the read of any one host had failed within 4 s, whatever the others had read since, and for 2.3 s from when this host heard of the removal. With the readers lost, that is up to 1.5 s later.

Ruled out: the readers' loss alone, the cut alone, the fetch between hosts (no table-not-fetched line), the age of the table.

Change: an outage is a time of 2.4 s or more in which nobody read the table, though two hosts tried; it ends with the first read of any host. Entries that vanish are kept until 2.3 s after that end or after a restore, and no longer from the news on. The read is recorded before its change is put in force.

Why it holds: while any host reads, there is no outage, so that a removal counts when it is heard. Replacing lost readers takes less than 2.4 s.

One assertion of table_distribution_test.ts said that a failed read of one host is an outage, which is the fault; two tests take its place: one failed host or 2 s are none, two hosts and 4 s are one. The fake of fetches now times out if the peer is cut off meanwhile (2,070 ms to learn).

--- a/src/diagnostics/decisions.ts
+++ b/src/diagnostics/decisions.ts
@@ -412,14 +412,8 @@
     readonly from: string;
     readonly platformEra?: number | undefined;
     readonly platformVersion: number;
-    /** Why an entry that has vanished is kept for a while. */
-    readonly outage?: {
-      /** The host whose read of the platform failed last. */
-      readonly host: string | undefined;
-      readonly failedMsAgo: number;
-      /** Time since any host last read the table, in ms. */
-      readonly unconfirmedMs: number;
-    };
+    /** For an entry that is kept: time since the platform's return, in ms. */
+    readonly platformReturnMsAgo?: number;
   }
   | {
     /** An upstream signalled its state in a response. */
@@ -470,6 +464,15 @@
     /** Time since the last reported successful read of the table, in ms. */
     readonly unconfirmedMs: number;
   }
+  | {
+    /** A table was read again, after a time in which no host could read it. */
+    readonly event: "platform-outage-ended";
+    readonly table: string;
+    /** Time between the two reads, in ms. */
+    readonly lastedMs: number;
+    /** Hosts that are known to have tried. */
+    readonly failedHosts: number;
+  }
   | {
     /** Another host had a newer version of a table and did not send it. */
     readonly event: "table-not-fetched";
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -109,6 +109,9 @@
     case "table-not-fetched":
       return `${decision.peer} did not send its newer ${decision.table} ` +
         `within ${decision.tookMs} ms`;
+    case "platform-outage-ended":
+      return `${decision.table} was read again after ` +
+        `${decision.lastedMs} ms in which ${decision.failedHosts} hosts failed`;
     case "platform-lost":
     case "platform-regained":
       return `${decision.event} for ${decision.table}: "${decision.reason}"`;
--- a/src/discovery/table_distribution.ts
+++ b/src/discovery/table_distribution.ts
@@ -65,15 +65,19 @@
   getPosition(table: TableName): TablePosition;
   /** The position of the newest change in this host's replica. */
   getChangedPosition(table: TableName): TablePosition;
+  /** Called with the first read of a table after an outage. */
+  onOutageEnded(outage: TableOutage): void;
   /** Fetches a newer copy of the table from the reader at the address. */
   fetch(table: TableName, peerAddress: string): void;
 }
 
-/** The latest failed read that a host knows of. */
-export interface LastFailure {
-  /** Peer address of the host whose read failed; `undefined` before any. */
-  readonly host: string | undefined;
-  readonly msAgo: number;
+/** An outage of a table that has ended: no host could read it. */
+export interface TableOutage {
+  readonly table: TableName;
+  /** Time between the last read before it and the first one after it, in ms. */
+  readonly lastedMs: number;
+  /** Number of hosts that are known to have tried. */
+  readonly failedHosts: number;
 }
 
 /** Sends this host's reports and evaluates those of other hosts. */
@@ -93,10 +97,11 @@
    * platform, in ms.
    */
   getUnconfirmedMs(table: TableName): number;
-  /** Whether any host's read failed within the last `ms` milliseconds. */
-  hadOutageWithin(ms: number): boolean;
-  /** The latest failed read of any host. */
-  getLastFailure(): LastFailure;
+  /**
+   * Monotonic time in ms at which the last outage of the table ended, as known
+   * here; `-Infinity` without any.
+   */
+  getOutageEndMs(table: TableName): number;
 }
 
 /**
@@ -119,6 +124,19 @@
  */
 const MAX_DIRECT_HOSTS = 100;
 
+/**
+ * Without a read by any host for this time, in ms, the platform may have been
+ * away. Shorter outages let no entry of an upstream expire, since that takes
+ * three missed heartbeats, and hosts replace lost readers sooner.
+ */
+const MIN_OUTAGE_MS = 2_400;
+
+/**
+ * Number of hosts whose reads must have failed meanwhile. A single host may be
+ * cut off from the platform while all readers are lost.
+ */
+const MIN_OUTAGE_HOSTS = 2;
+
 /**
  * What this host knows about the reads of one table; times are monotonic ms.
  */
@@ -134,6 +152,8 @@
   readMs: number;
   /** The value of `readMs` that was last reported to the other hosts. */
   reportedMs: number;
+  /** End of the last outage. */
+  outageEndMs: number;
   /**
    * Time of each host's last failed read by peer address, including this host.
    */
@@ -149,8 +169,6 @@
     config: createTableReadState(),
     upstreams: createTableReadState(),
   };
-  let lastOutageMs = -Infinity;
-  let lastFailedHost: string | undefined;
   let reportVersion = 0;
 
   function createTableReport(table: TableName): TableReport {
@@ -193,15 +211,18 @@
     else host.gossip(fact);
   }
 
-  function setLastFailure(
-    table: TableName,
-    peerAddress: string,
-    sinceMs: number,
-  ): void {
-    states[table].lastFailureMs.set(peerAddress, sinceMs);
-    if (sinceMs < lastOutageMs) return;
-    lastOutageMs = sinceMs;
-    lastFailedHost = peerAddress;
+  /** Records that some host read the table at that time. */
+  function confirm(table: TableName, atMs: number): void {
+    const state = states[table];
+    if (atMs <= state.confirmedMs) return;
+    const lastedMs = atMs - state.confirmedMs;
+    const failedHosts = countFailedSince(state, state.confirmedMs);
+    state.confirmedMs = atMs;
+    const minHosts = Math.min(MIN_OUTAGE_HOSTS, host.countHosts());
+    const isLong = lastedMs >= MIN_OUTAGE_MS && lastedMs < Infinity;
+    if (!isLong || failedHosts < minHosts) return;
+    state.outageEndMs = atMs;
+    host.onOutageEnded({ table, lastedMs, failedHosts });
   }
 
   function receiveTableReport(
@@ -212,11 +233,10 @@
     const { readMsAgo, turnedAwayMsAgo } = report;
     const state = states[table];
     const nowMs = clock.monotonicMs();
+    // A host that reads again no longer reports that it had failed.
+    if (readMsAgo !== undefined) confirm(table, nowMs - readMsAgo);
     if (turnedAwayMsAgo === undefined) state.lastFailureMs.delete(peerAddress);
-    else setLastFailure(table, peerAddress, nowMs - turnedAwayMsAgo);
-    if (readMsAgo !== undefined) {
-      state.confirmedMs = Math.max(state.confirmedMs, nowMs - readMsAgo);
-    }
+    else state.lastFailureMs.set(peerAddress, nowMs - turnedAwayMsAgo);
     if (isNewer(report, host.getPosition(table))) {
       host.fetch(table, peerAddress);
     }
@@ -232,15 +252,13 @@
     recordRead(table, changed) {
       const state = states[table];
       const nowMs = clock.monotonicMs();
-      state.confirmedMs = nowMs;
+      confirm(table, nowMs);
       state.readMs = nowMs;
       const hadFailed = state.lastFailureMs.delete(host.peerAddress);
       const isUrgent = changed || hadFailed;
       if (isUrgent || nowMs - state.reportedMs >= CONFIRM_MS) publish(isUrgent);
     },
     recordFailure(table) {
-      lastOutageMs = clock.monotonicMs();
-      lastFailedHost = host.peerAddress;
       // A host must exclude itself for no longer than the other hosts exclude
       // it. If it counted from its last failure, which it reports to nobody,
       // all other hosts would leave the table to the hosts that rank first, and
@@ -248,8 +266,9 @@
       if (hasRecentFailure(table, host.peerAddress)) return;
       // The first failure is urgent because the other hosts replace this reader
       // at once. A repeated failure is not.
-      const isUrgent = !states[table].lastFailureMs.has(host.peerAddress);
-      setLastFailure(table, host.peerAddress, lastOutageMs);
+      const { lastFailureMs } = states[table];
+      const isUrgent = !lastFailureMs.has(host.peerAddress);
+      lastFailureMs.set(host.peerAddress, clock.monotonicMs());
       publish(isUrgent);
     },
     receive(fact) {
@@ -261,11 +280,7 @@
     hasRecentFailure,
     getUnconfirmedMs: (table) =>
       clock.monotonicMs() - states[table].confirmedMs,
-    hadOutageWithin: (ms) => clock.monotonicMs() - lastOutageMs < ms,
-    getLastFailure: () => ({
-      host: lastFailedHost,
-      msAgo: clock.monotonicMs() - lastOutageMs,
-    }),
+    getOutageEndMs: (table) => states[table].outageEndMs,
   };
 }
 
@@ -274,6 +289,15 @@
     confirmedMs: -Infinity,
     readMs: -Infinity,
     reportedMs: -Infinity,
+    outageEndMs: -Infinity,
     lastFailureMs: new Map(),
   };
 }
+
+/** Number of hosts whose last read failed after the time given. */
+function countFailedSince(
+  { lastFailureMs }: TableReadState,
+  sinceMs: number,
+): number {
+  return [...lastFailureMs.values()].filter((atMs) => atMs > sinceMs).length;
+}
--- a/src/discovery/table_distribution_test.ts
+++ b/src/discovery/table_distribution_test.ts
@@ -5,6 +5,7 @@
 import {
   createTableDistribution,
   type TableName,
+  type TableOutage,
 } from "./table_distribution.ts";
 
 function createHost(peerAddress: string, clock = createManualClock(5_000)) {
@@ -12,6 +13,7 @@
   const platform: { era: number | undefined } = { era: undefined };
   const sent: Fact[] = [];
   const fetched: string[] = [];
+  const outages: TableOutage[] = [];
   const reports = createTableDistribution({
     clock,
     peerAddress,
@@ -21,9 +23,10 @@
     countHosts: () => 9,
     getPosition: (table) => ({ ...platform, version: versions[table] }),
     getChangedPosition: (table) => ({ ...platform, version: versions[table] }),
+    onOutageEnded: (outage) => outages.push(outage),
     fetch: (table, peer) => fetched.push(`${table} from ${peer}`),
   });
-  return { clock, reports, versions, platform, sent, fetched };
+  return { clock, reports, versions, platform, sent, fetched, outages };
 }
 
 test("a host that lacks a version fetches it from the reader that reports it", () => {
@@ -131,7 +134,6 @@
   strictEqual(reader.sent.length, 1);
   other.reports.receive(reader.sent[0]!);
   strictEqual(other.reports.hasRecentFailure("config", "a:1"), true);
-  strictEqual(other.reports.hadOutageWithin(1_000), true);
   reader.reports.recordRead("config", false);
   other.reports.receive(reader.sent[1]!);
   strictEqual(other.reports.hasRecentFailure("config", "a:1"), false);
@@ -152,3 +154,52 @@
   deepStrictEqual(other.fetched, ["config from a:1", "upstreams from a:1"]);
   deepStrictEqual(reader.fetched, []);
 });
+
+/**
+ * Hosts of which the first reads a table, the others fail, and all hear of it;
+ * then nobody reads it for a while.
+ */
+function createFailedHosts(count: number, { ms }: { readonly ms: number }) {
+  const clock = createManualClock(5_000);
+  const reader = createHost("a:1", clock);
+  const failed = Array.from(
+    { length: count },
+    (_, at) => createHost(`f${at}:1`, clock),
+  );
+  const all = [reader, ...failed];
+  const spread = (from: ReturnType<typeof createHost>) => {
+    const others = all.filter((each) => each !== from);
+    for (const each of others) each.reports.receive(from.sent.at(-1)!);
+  };
+  reader.reports.recordRead("upstreams", true);
+  spread(reader);
+  clock.advance(100);
+  for (const each of failed) {
+    each.reports.recordFailure("upstreams");
+    spread(each);
+  }
+  clock.advance(ms - 100);
+  reader.reports.recordRead("upstreams", false);
+  spread(reader);
+  return { clock, all };
+}
+
+test("an outage of the platform ends with the first read of any host", () => {
+  const { clock, all } = createFailedHosts(2, { ms: 4_000 });
+  for (const { reports, outages } of all) {
+    deepStrictEqual(outages, [
+      { table: "upstreams", lastedMs: 4_000, failedHosts: 2 },
+    ]);
+    strictEqual(reports.getOutageEndMs("upstreams"), clock.monotonicMs());
+    strictEqual(reports.getOutageEndMs("config"), -Infinity);
+  }
+});
+
+test("neither one host's failed reads nor a short time without reads is an outage", () => {
+  // Guards against entries of removed upstreams that are kept for such a failure.
+  for (const [failed, ms] of [[1, 4_000], [2, 2_000], [0, 9_000]] as const) {
+    for (const { outages } of createFailedHosts(failed, { ms }).all) {
+      deepStrictEqual(outages, []);
+    }
+  }
+});
--- a/src/discovery/upstream_directory.ts
+++ b/src/discovery/upstream_directory.ts
@@ -9,10 +9,11 @@
  *
  * There is one exception. Entries that expire during an outage of the platform
  * come back within about two seconds after it if their upstreams are running.
- * Dropping them immediately would refuse every request in those seconds, so an
- * entry that vanishes right after an outage is kept for that time. If such an
- * upstream is in fact dead, its connections are refused and requests go
- * elsewhere.
+ * Dropping them immediately would refuse every request in those seconds, so
+ * entries that vanish by then are kept until then. If such an upstream is in
+ * fact dead, its connections are refused and requests go elsewhere. The time
+ * counts from the end of the outage, not from when this host learns that the
+ * entry is gone, and only an outage that no host could read through counts.
  *
  * @module
  */
@@ -49,8 +50,11 @@
 /** Dependencies of an upstream directory. */
 export interface UpstreamDirectoryHost {
   readonly clock: Clock;
-  /** Whether the platform was unavailable within the last `ms` milliseconds. */
-  hadOutageWithin(ms: number): boolean;
+  /**
+   * Monotonic time in ms at which the platform last came back, from an outage or
+   * from a backup; `-Infinity` if it was never away.
+   */
+  getPlatformReturnMs(): number;
   /**
    * Called when an upstream was added or removed, is leaving, is kept after an
    * outage, or names another software version without a restart.
@@ -80,14 +84,12 @@
   | "other-version";
 
 /**
- * How long an entry that vanished after an outage is kept, in ms: the 2 s
- * within which it may return, plus 300 ms for the change to reach this host.
+ * Until when after the platform's return an entry that has vanished is kept, in
+ * ms: the 2 s within which it may be back, plus 300 ms for the change to reach
+ * this host.
  */
 export const LAPSE_GRACE_MS = 2_300;
 
-/** An outage counts as recent for this time, in ms: three missed heartbeats. */
-const RECENT_OUTAGE_MS = 4_000;
-
 /** Creates an empty directory. */
 export function createUpstreamDirectory(
   host: UpstreamDirectoryHost,
@@ -150,16 +152,16 @@
   }
 
   function keepOrRemove(row: TableRow<UpstreamEntry>): boolean {
+    const untilMs = host.getPlatformReturnMs() + LAPSE_GRACE_MS;
     const mayReturn = acceptsWork(row.value) &&
-      host.hadOutageWithin(RECENT_OUTAGE_MS);
+      host.clock.monotonicMs() < untilMs;
     if (!mayReturn) {
       remove(row);
       return false;
     }
-    if (!retainedUntilMs.has(row.key)) {
-      retainedUntilMs.set(row.key, host.clock.monotonicMs() + LAPSE_GRACE_MS);
-      host.onChange(row.value, "kept", "table");
-    }
+    const isKept = retainedUntilMs.has(row.key);
+    retainedUntilMs.set(row.key, untilMs);
+    if (!isKept) host.onChange(row.value, "kept", "table");
     return true;
   }
 
--- a/src/discovery/upstream_directory_test.ts
+++ b/src/discovery/upstream_directory_test.ts
@@ -10,11 +10,11 @@
 
 function createFixture() {
   const clock = createManualClock(10_000);
-  let isOutage = false;
+  let returnMs = -Infinity;
   const changes: string[] = [];
   const directory = createUpstreamDirectory({
     clock,
-    hadOutageWithin: () => isOutage,
+    getPlatformReturnMs: () => returnMs,
     onChange: (entry, change) => changes.push(`${entry.id} ${change}`),
   });
   /**
@@ -37,7 +37,7 @@
     clock,
     directory,
     changes,
-    setOutage: (value: boolean) => isOutage = value,
+    endOutage: () => returnMs = clock.monotonicMs(),
     leave: (entry: UpstreamEntry) => directory.markLeaving(entry, "answer"),
     update: (...entries: readonly UpstreamEntry[]) =>
       updateIn({ era: 1, rowVersion: 1 }, entries),
@@ -87,7 +87,7 @@
   // request in those seconds.
   const fixture = createFixture();
   fixture.update(one, two);
-  fixture.setOutage(true);
+  fixture.endOutage();
   fixture.update();
   deepStrictEqual(fixture.getReadyIds(), ["one", "two"]);
   fixture.clock.advance(1_900);
@@ -100,7 +100,7 @@
 test("an upstream that was leaving before the outage is not kept", () => {
   const fixture = createFixture();
   fixture.update(one, { ...two, state: "leaving" });
-  fixture.setOutage(true);
+  fixture.endOutage();
   fixture.update(one);
   fixture.update(one);
   deepStrictEqual(fixture.getReadyIds(), ["one"]);
@@ -150,7 +150,7 @@
   const fixture = createFixture();
   fixture.update(one, two);
   fixture.leave(one);
-  fixture.setOutage(true);
+  fixture.endOutage();
   fixture.update();
   fixture.update(one);
   deepStrictEqual(fixture.getReadyIds(), ["two"]);
@@ -161,7 +161,7 @@
   const fixture = createFixture();
   fixture.updateIn({ era: 1, rowVersion: 4 }, [one, two]);
   fixture.updateIn({ era: 1, rowVersion: 4 }, [two]);
-  fixture.setOutage(true);
+  fixture.endOutage();
   fixture.updateIn({ era: 2, rowVersion: 3 }, [one, two]);
   deepStrictEqual(fixture.getReadyIds(), ["two"]);
   deepStrictEqual(fixture.changes.at(-1), "one removed");
@@ -174,7 +174,7 @@
   // removed in the earlier era.
   const fixture = createFixture();
   fixture.updateIn({ era: 1, rowVersion: 4 }, [one, two]);
-  fixture.setOutage(true);
+  fixture.endOutage();
   fixture.updateIn({ era: 2, rowVersion: 4 }, [two]);
   fixture.clock.advance(LAPSE_GRACE_MS);
   deepStrictEqual(fixture.getReadyIds(), ["two"]);
--- a/src/entry/era_tracker.ts
+++ b/src/entry/era_tracker.ts
@@ -28,8 +28,11 @@
    * source of the copy.
    */
   recordPosition(table: TableName, position: TablePosition, from: string): void;
-  /** Whether a restore was detected within the last `ms` milliseconds. */
-  hadRestoreWithin(ms: number): boolean;
+  /**
+   * Monotonic time in ms at which the last restore was detected; `-Infinity`
+   * without any.
+   */
+  getRestoredMs(): number;
 }
 
 export function createEraTracker(host: EraTrackerHost): EraTracker {
@@ -57,6 +60,6 @@
       restoredEra = era;
       host.onRestored();
     },
-    hadRestoreWithin: (ms) => host.clock.monotonicMs() - restoredMs < ms,
+    getRestoredMs: () => restoredMs,
   };
 }
--- a/src/entry/era_tracker_test.ts
+++ b/src/entry/era_tracker_test.ts
@@ -18,7 +18,7 @@
   const { clock, seen, eras } = createFixture();
   eras.recordPosition("config", { era: 1, version: 9 }, "platform");
   eras.recordPosition("upstreams", { era: 1, version: 9 }, "platform");
-  strictEqual(eras.hadRestoreWithin(60_000), false);
+  strictEqual(eras.getRestoredMs(), -Infinity);
   eras.recordPosition("upstreams", { era: 2, version: 4 }, "platform");
   eras.recordPosition("config", { era: 2, version: 5 }, "10.0.0.2:1");
   deepStrictEqual(seen, [
@@ -26,10 +26,9 @@
     "returned",
     "platform-era-changed",
   ]);
+  const restoredMs = clock.monotonicMs();
   clock.advance(3_000);
-  strictEqual(eras.hadRestoreWithin(4_000), true);
-  clock.advance(1_000);
-  strictEqual(eras.hadRestoreWithin(4_000), false);
+  strictEqual(eras.getRestoredMs(), restoredMs);
 });
 
 test("a restore is reported even if a table never read before shows its era first", () => {
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -127,12 +127,20 @@
     countHosts: () => host.getHosts().length,
     getPosition: (table) => tables[table].getPosition(),
     getChangedPosition: (table) => tables[table].getChangedPosition(),
+    onOutageEnded({ table, lastedMs, failedHosts }) {
+      const ms = Math.round(lastedMs);
+      host.log({
+        event: "platform-outage-ended",
+        table,
+        lastedMs: ms,
+        failedHosts,
+      });
+    },
     fetch: (table, peer) => void fetchTableFrom(table, peer),
   });
   const directory = createUpstreamDirectory({
     clock: host.clock,
-    hadOutageWithin: (ms) =>
-      distribution.hadOutageWithin(ms) || eras.hadRestoreWithin(ms),
+    getPlatformReturnMs,
     onChange(entry, change, from) {
       if (change === "added") host.onUpstreamAdded(entry);
       host.log({
@@ -145,18 +153,20 @@
         from,
         platformEra: upstreams.getPosition().era,
         platformVersion: upstreams.getPosition().version,
-        ...(change === "kept" ? { outage: describeOutage() } : {}),
+        ...(change === "kept" ? { platformReturnMsAgo: getReturnMsAgo() } : {}),
       });
     },
   });
 
-  function describeOutage() {
-    const { host, msAgo } = distribution.getLastFailure();
-    return {
-      host,
-      failedMsAgo: roundMs(msAgo),
-      unconfirmedMs: roundMs(distribution.getUnconfirmedMs("upstreams")),
-    };
+  function getPlatformReturnMs(): number {
+    return Math.max(
+      distribution.getOutageEndMs("upstreams"),
+      eras.getRestoredMs(),
+    );
+  }
+
+  function getReturnMsAgo(): number {
+    return roundMs(host.clock.monotonicMs() - getPlatformReturnMs());
   }
 
   const evacuations = createEvacuations({
@@ -285,8 +295,9 @@
           const reason = "The platform answers again";
           host.log({ event: "platform-regained", table: name, reason });
         }
-        if (changed) onChanged(name, "platform");
+        // Whether this read ends an outage decides what the change means.
         distribution.recordRead(name, changed);
+        if (changed) onChanged(name, "platform");
       },
       onFailure(err) {
         if (!unreachable.has(name)) {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -203,7 +203,7 @@
   ];
   const directory = createUpstreamDirectory({
     clock: systemClock,
-    hadOutageWithin: () => false,
+    getPlatformReturnMs: () => -Infinity,
     onChange: () => {},
   });
   let tableVersion = 0;
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -142,10 +142,12 @@
     name: string,
   ): Promise<Uint8Array | undefined> {
     return new Promise((resolve) => {
-      const answer = () =>
+      scheduler.after(FETCH_TIMEOUT_MS, () => resolve(undefined));
+      if (!isConnected(host, peer)) return;
+      scheduler.after(2 * LINK_LATENCY_MS, () => {
+        if (!isConnected(host, peer)) return;
         resolve(runningHosts.get(peer)?.view.tryGetTable(name));
-      if (isConnected(host, peer)) scheduler.after(2 * LINK_LATENCY_MS, answer);
-      else scheduler.after(FETCH_TIMEOUT_MS, () => resolve(undefined));
+      });
     });
   }
 
