Keep on record which software versions serve, for fleets that all start anew

What callers saw (reported from a system like this one, and seen here on loopback): two versions were in service, or the old one had just left, as all hosts were killed at once. Streams that were taken up when they were back got 200 and ran to the end, the first part from one version and the rest from the other.

Cause: a host that has run for less than 30 s may have missed a version and asks others; those said "single version" by their tables, however young they were themselves. Agreement of hosts that had all just started counted as proof, and the starts of upstreams, the only evidence beside, tell of a change for 30 s.

Ruled out: upstreams taken for those of the other version.

Change: the platform has a row for each version of a service, from when hosts see it until 30 s after its last upstream has gone; three hosts write it, one removes it, each host reads all as it starts. A host vouches for a single version, to itself and to others, only once it has run for 30 s or has read the record. In the place of two tests of the starts of upstreams stand stricter ones of the same hosts: whom they ask, and that young ones without the record vouch for nothing.

Why it holds: whatever served within 30 s before the start is known to each host before it decides alone, and a host that doesn't know it refuses.

--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -98,13 +98,28 @@
   remove(peerAddress: string): Effect.Effect<void, TableError>;
 }
 
+/** A software version of a service's upstreams. */
+export interface ServiceVersion {
+  /** Digest of the service. */
+  readonly service: string;
+  readonly version: string;
+}
+
 /**
- * The platform's tables that entry hosts read, and the host list that they
- * write.
+ * The platform's record of the software versions that serve, or have served of
+ * late. Hosts write it, and read it when they start.
  */
+export interface VersionDirectory {
+  read(): Effect.Effect<readonly ServiceVersion[], TableError>;
+  add(version: ServiceVersion): Effect.Effect<void, TableError>;
+  remove(version: ServiceVersion): Effect.Effect<void, TableError>;
+}
+
+/** The platform's tables that entry hosts read, and those that they write. */
 export interface EntryPlatform {
   /** The configuration and the evacuated data centres. */
   readonly config: TableSource<OperatorRow>;
   readonly upstreams: TableSource<UpstreamEntry>;
   readonly hosts: HostDirectory;
+  readonly versions: VersionDirectory;
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -284,6 +284,10 @@
     clock,
     self: peerAddress,
     getHosts: getAlive,
+    directory: host.platform.versions,
+    onRecordFailure: (reason) =>
+      log({ event: "platform-lost", table: "versions", reason }),
+    random: host.random,
     getTableAgeMs: () => platformView.getInputs().confirmedMsAgo,
     sendFacts: (facts, to) => peers.membership.sendFacts(facts, to),
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
@@ -304,7 +308,10 @@
       streamVersions.updateRows(rows.map((each) => each.value));
     },
     onEvacuationEnded: cold.recordEvacuationEnded,
-    onPlatformRestored: () => registration.refresh(),
+    onPlatformRestored() {
+      registration.refresh();
+      streamVersions.recordRestore();
+    },
     onFetched: (table, outcome) => metrics.observeFetch(table, outcome),
     getHosts: getAliveAddresses,
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
@@ -533,6 +540,7 @@
     peers.run,
     platformView.run,
     registration.run,
+    streamVersions.run,
   ]
     .map((task) => Effect.runFork(task));
   const ticker = startTicker(QUEUE_TICK_MS, {
--- a/src/stream_versions/decide_version.ts
+++ b/src/stream_versions/decide_version.ts
@@ -5,7 +5,7 @@
  * platform or other hosts can't be reached.
  *
  * Failures prevented: a host that knows one version only, because its table is
- * old or because it has just started, lets a stream go on that began at
+ * old or because it, or the whole fleet, has just started, lets a stream go on that began at
  * another; or it refuses streams although the service has had one version all
  * the time.
  *
@@ -20,11 +20,8 @@
   readonly versions: readonly string[];
   readonly tableAgeMs: number;
   readonly hostAgeMs: number;
-  /**
-   * Whether a version may have left before this host first read the table: some
-   * upstream has taken the place of another of late.
-   */
-  readonly mayHaveMissed: boolean;
+  /** Whether this host has read the record of versions on the platform. */
+  readonly hasReadRecord: boolean;
 }
 
 /** What this host knows before it asks any other. */
@@ -71,14 +68,13 @@
   const [first, ...others] = versions;
   if (first === undefined) return { kind: "none" };
   if (others.length > 0 && !namesRequest) return { kind: "unknown" };
-  const hasSeenAll = isTableCurrent(known) && known.hostAgeMs >= MEMORY_MS;
-  if (others.length > 0 || !hasSeenAll) return { kind: "ask" };
+  if (others.length > 0 || !knowsAllVersions(known)) return { kind: "ask" };
   return createSingle(first);
 }
 
 /**
  * Decides by what others have answered. Where this host knows one version, it
- * needs all of them to know no other, or evidence of its own.
+ * needs all of them to know no other, or to know all versions itself by now.
  */
 export function decideByAnswers(known: AskedKnowledge): DecidedVersion {
   const { answers, asked, versions } = known;
@@ -93,12 +89,27 @@
   );
   if (!agree) return { kind: "unknown" };
   const haveAllAnswered = asked > 0 && answers.length >= asked;
-  const hasSeenAll = isTableCurrent(known) && !known.mayHaveMissed;
-  return haveAllAnswered || hasSeenAll
+  return haveAllAnswered || knowsAllVersions(known)
     ? createSingle(single)
     : { kind: "unknown" };
 }
 
+/**
+ * Whether this host knows each version at which a stream may have begun that is
+ * taken up now: it has watched for as long as streams last, or has read what the
+ * hosts before it saw. Without that, hosts that have all just started agree on a
+ * single version although another has just gone.
+ */
+export function hasWatched(
+  { hostAgeMs, hasReadRecord }: Omit<VersionKnowledge, "versions">,
+): boolean {
+  return hostAgeMs >= MEMORY_MS || hasReadRecord;
+}
+
+function knowsAllVersions(known: VersionKnowledge): boolean {
+  return isTableCurrent(known) && hasWatched(known);
+}
+
 function isTableCurrent({ tableAgeMs }: VersionKnowledge): boolean {
   return tableAgeMs <= CURRENT_TABLE_MS;
 }
--- a/src/stream_versions/decide_version_test.ts
+++ b/src/stream_versions/decide_version_test.ts
@@ -13,7 +13,7 @@
   versions: ["v1"],
   tableAgeMs: 700,
   hostAgeMs: 60_000,
-  mayHaveMissed: false,
+  hasReadRecord: false,
   recorded: undefined,
   namesRequest: true,
 };
@@ -95,11 +95,19 @@
   strictEqual(asked([], { tableAgeMs: 10_000, asked: 0 }), "unknown");
 });
 
-test("a young host that nobody answers goes on only if it can't have missed a version", () => {
+test("a young host goes on by itself only if it has read the record of versions", () => {
+  // Guards against hosts that have all just started and agree on what is left.
   const young = { hostAgeMs: 2_000 };
-  strictEqual(asked([], young), "v1 by single-version");
-  strictEqual(asked([], { ...young, mayHaveMissed: true }), "unknown");
-  strictEqual(asked([notKnown], young), "unknown");
+  const informed = { ...young, hasReadRecord: true };
+  strictEqual(own(young), "ask");
+  strictEqual(own(informed), "v1 by single-version");
+  strictEqual(own({ ...informed, tableAgeMs: 3_001 }), "ask");
+  strictEqual(own({ ...informed, versions: ["v1", "v1.1"] }), "ask");
+  strictEqual(asked([], young), "unknown");
+  strictEqual(asked([single, single], young), "unknown");
+  strictEqual(asked([single, single, single], young), "v1 by single-version");
+  strictEqual(asked([], informed), "v1 by single-version");
+  strictEqual(asked([notKnown], informed), "unknown");
 });
 
 test("where several versions serve, only a version that somebody names is used", () => {
@@ -110,7 +118,7 @@
     }),
     tableAgeMs: fc.constantFrom(0, 3_001),
     hostAgeMs: fc.constantFrom(0, 30_000),
-    mayHaveMissed: fc.boolean(),
+    hasReadRecord: fc.boolean(),
     asked: fc.integer({ min: 0, max: 3 }),
     answers: fc.array(answer, { maxLength: 3 }),
   });
--- a/src/stream_versions/known_versions.ts
+++ b/src/stream_versions/known_versions.ts
@@ -11,6 +11,7 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
+import type { ServiceVersion } from "../discovery/mod.ts";
 import { MEMORY_MS } from "./types.ts";
 
 /** What an upstream's row says of its software. */
@@ -18,14 +19,6 @@
   /** Digest of the service. */
   readonly service: string;
   readonly softwareVersion: string | undefined;
-  /** Wall-clock start time of the upstream in ms. */
-  readonly incarnation: number;
-}
-
-/** A version of a service. */
-export interface ServiceVersion {
-  readonly service: string;
-  readonly version: string;
 }
 
 /** The versions as one host knows them. */
@@ -36,11 +29,8 @@
   record(seen: ServiceVersion): boolean;
   /** Versions of the service, now or within `MEMORY_MS`. */
   get(service: string): readonly string[];
-  /**
-   * Whether a version of the service may have left before the first rows came:
-   * it had upstreams then, and one that serves now has started of late.
-   */
-  mayHaveMissed(service: string): boolean;
+  /** Versions of all services, now or within `MEMORY_MS`. */
+  getAll(): readonly ServiceVersion[];
 }
 
 /** Limit on the versions of a service that are remembered. */
@@ -50,9 +40,7 @@
 export function createKnownVersions(clock: Clock): KnownVersions {
   /** Monotonic time in ms until which each version is known, by service. */
   const untilMs = new Map<string, Map<string, number>>();
-  const lastStartMs = new Map<string, number>();
   let present: ReadonlyMap<string, ReadonlySet<string>> = new Map();
-  let servicesAtStart: ReadonlySet<string> | undefined;
 
   /** Returns whether the version is new. */
   function extend({ service, version }: ServiceVersion): boolean {
@@ -74,32 +62,28 @@
     );
   }
 
-  function recordStart({ service, incarnation }: VersionRow): void {
-    const known = lastStartMs.get(service) ?? -Infinity;
-    lastStartMs.set(service, Math.max(known, incarnation));
+  function get(service: string): readonly string[] {
+    const nowMs = clock.monotonicMs();
+    const there = present.get(service) ?? [];
+    const late = [...untilMs.get(service) ?? []]
+      .flatMap(([version, until]) => isKnown(until, nowMs) ? [version] : []);
+    return [...new Set([...there, ...late])];
   }
 
   return {
     update(rows) {
       extendPresent();
       present = groupByService(rows);
-      servicesAtStart ??= new Set(present.keys());
-      rows.forEach(recordStart);
       return extendPresent();
     },
     record: (seen) =>
       extend(seen) && present.get(seen.service)?.has(seen.version) !== true,
-    get(service) {
-      const nowMs = clock.monotonicMs();
-      const there = present.get(service) ?? [];
-      const late = [...untilMs.get(service) ?? []]
-        .flatMap(([version, until]) => isKnown(until, nowMs) ? [version] : []);
-      return [...new Set([...there, ...late])];
-    },
-    mayHaveMissed(service) {
-      const startedMs = lastStartMs.get(service) ?? -Infinity;
-      const isRecent = clock.wallMs() - startedMs < MEMORY_MS;
-      return isRecent && servicesAtStart?.has(service) !== false;
+    get,
+    getAll() {
+      const services = new Set([...present.keys(), ...untilMs.keys()]);
+      return [...services].flatMap((service) =>
+        get(service).map((version) => ({ service, version }))
+      );
     },
   };
 }
--- a/src/stream_versions/known_versions_test.ts
+++ b/src/stream_versions/known_versions_test.ts
@@ -3,10 +3,9 @@
 import { createManualClock } from "../core/mod.ts";
 import { createKnownVersions, type VersionRow } from "./known_versions.ts";
 
-const row = (softwareVersion: string, incarnation = 0): VersionRow => ({
+const row = (softwareVersion: string): VersionRow => ({
   service: "s",
   softwareVersion,
-  incarnation,
 });
 
 test("a version counts for thirty seconds after its last upstream has gone", () => {
@@ -45,21 +44,17 @@
   deepStrictEqual(new Set(known.get("s")), new Set(["v1", "v1.1"]));
 });
 
-test("a version may have been missed only if an upstream has just replaced another", () => {
-  const clock = createManualClock(1_000_000);
+test("the versions of all services are listed, present or gone of late", () => {
+  // Guards against a record of versions that lacks one that has just gone.
+  const clock = createManualClock();
   const known = createKnownVersions(clock);
-  strictEqual(known.mayHaveMissed("s"), false);
-  known.update([row("v1", 900_000)]);
-  strictEqual(known.mayHaveMissed("s"), false);
-  known.update([row("v1", 900_000), row("v1", 990_000)]);
-  strictEqual(known.mayHaveMissed("s"), true);
-  clock.advance(20_000);
-  strictEqual(known.mayHaveMissed("s"), false);
-});
-
-test("a host that has seen a service begin has missed no version", () => {
-  const known = createKnownVersions(createManualClock(1_000_000));
-  known.update([]);
-  known.update([row("v1", 999_000)]);
-  strictEqual(known.mayHaveMissed("s"), false);
+  known.update([row("v1"), { service: "other", softwareVersion: "v7" }]);
+  known.update([row("v2")]);
+  deepStrictEqual(known.getAll(), [
+    { service: "s", version: "v2" },
+    { service: "s", version: "v1" },
+    { service: "other", version: "v7" },
+  ]);
+  clock.advance(30_000);
+  deepStrictEqual(known.getAll(), [{ service: "s", version: "v2" }]);
 });
--- a/src/stream_versions/stream_versions.ts
+++ b/src/stream_versions/stream_versions.ts
@@ -14,27 +14,26 @@
  * few others, chosen by the digest of the request. A host that is asked to take
  * a stream up asks these. While there is one version, nobody tells or asks;
  * each host remembers what it began, and tells that once a second one appears.
+ * The platform keeps a record of the versions, for hosts that start.
  *
  * @module
  */
 
 import * as Effect from "effect/Effect";
 import { getOrCreate } from "../core/mod.ts";
+import type { ServiceVersion } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 import { rankByRendezvous } from "../membership/mod.ts";
 import { type BegunStream, createBegunStreams } from "./begun_streams.ts";
 import {
   decideByAnswers,
   decideByOwn,
+  hasWatched,
   type VersionKnowledge,
 } from "./decide_version.ts";
 import { createFactsOutbox } from "./facts_outbox.ts";
 import { chooseKeepers } from "./keepers.ts";
-import {
-  createKnownVersions,
-  type ServiceVersion,
-  type VersionRow,
-} from "./known_versions.ts";
+import { createKnownVersions, type VersionRow } from "./known_versions.ts";
 import type {
   FoundVersion,
   KeeperAnswer,
@@ -49,6 +48,7 @@
   tryParseVersionFact,
 } from "./version_facts.ts";
 import { createVersionQueries } from "./version_queries.ts";
+import { createVersionRecord } from "./version_record.ts";
 
 /** The first event of a stream. */
 export interface FirstEvent {
@@ -78,6 +78,10 @@
   receiveDirectFact(fact: Fact): void;
   /** Asks, ends and forgets what is due; called many times per second. */
   tick(): void;
+  /** Writes the record of versions anew, as the platform has lost a part. */
+  recordRestore(): void;
+  /** Reads and writes the record of versions until interrupted. */
+  readonly run: Effect.Effect<never>;
 }
 
 /**
@@ -105,6 +109,17 @@
       send(peer, { kind: "ask", ...question, from: self }),
   });
 
+  const record = createVersionRecord({
+    clock,
+    directory: host.directory,
+    self,
+    getHosts: () => host.getHosts().map((each) => each.peerAddress),
+    getKnown: known.getAll,
+    onRead: (versions) => versions.forEach(recordVersion),
+    onFailure: host.onRecordFailure,
+    random: host.random,
+  });
+
   function send(peer: string, message: StreamMessage): void {
     outbox.add(peer, createStreamFact(message));
   }
@@ -129,6 +144,11 @@
     if (hasSeveral(service)) own.getAll(service).forEach(tell);
   }
 
+  /** Records a version that others have seen. */
+  function recordVersion(seen: ServiceVersion): void {
+    if (known.record(seen)) onVersionAdded(seen);
+  }
+
   /** A host whose table is older must know that it has to ask. */
   function publish(added: ServiceVersion): void {
     if (!hasSeveral(added.service)) return;
@@ -145,7 +165,7 @@
       versions: known.get(service),
       tableAgeMs: host.getTableAgeMs(),
       hostAgeMs: clock.monotonicMs() - startedMs,
-      mayHaveMissed: known.mayHaveMissed(service),
+      hasReadRecord: record.isRead(),
     };
   }
 
@@ -167,10 +187,12 @@
   function getAnswer(service: string, digest: string): KeeperAnswer {
     const recorded = tryGetRecorded(digest);
     if (recorded !== undefined) return { kind: "known", version: recorded };
-    const [single, ...others] = known.get(service);
-    return single === undefined || others.length > 0
-      ? { kind: "not-known" }
-      : { kind: "single-version", version: single };
+    const knowledge = getKnowledge(service);
+    const [single, ...others] = knowledge.versions;
+    const isSingle = single !== undefined && others.length === 0;
+    return isSingle && hasWatched(knowledge)
+      ? { kind: "single-version", version: single }
+      : { kind: "not-known" };
   }
 
   function receive(message: StreamMessage): void {
@@ -203,6 +225,7 @@
       );
       added.forEach(onVersionAdded);
       added.forEach(publish);
+      record.add(added);
     },
     recordBegun({ service: serviceName, request, version }) {
       const service = getShortDigest(serviceName);
@@ -228,7 +251,7 @@
       }),
     receiveFact(fact) {
       const seen = tryParseVersionFact(fact, clock.wallMs());
-      if (seen !== undefined && known.record(seen)) onVersionAdded(seen);
+      if (seen !== undefined) recordVersion(seen);
     },
     receiveDirectFact(fact) {
       const message = tryParseStreamFact(fact);
@@ -239,6 +262,8 @@
       own.expire();
       told.expire();
     },
+    recordRestore: record.rewrite,
+    run: record.run,
     [Symbol.dispose]: () => outbox[Symbol.dispose](),
   };
 }
--- a/src/stream_versions/stream_versions_test.ts
+++ b/src/stream_versions/stream_versions_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import { createManualClock } from "../core/mod.ts";
+import { createFakeVersionDirectory } from "../testing/fake_version_directory.ts";
 import type { Fact } from "../membership/mod.ts";
 import {
   createStreamVersions,
@@ -13,7 +14,10 @@
 
 const LONG_MS = 60_000;
 
-/** Hosts that reach each other at once, each in a data centre of its own. */
+/**
+ * Hosts that reach each other at once, each in a data centre of its own, and have
+ * not read the record of versions.
+ */
 function createFleet() {
   const clock = createManualClock(1_000_000);
   const lost = new Set<string>();
@@ -37,6 +41,9 @@
         self,
         getHosts: () =>
           NAMES.map((each) => ({ peerAddress: each, dataCentre: each })),
+        directory: createFakeVersionDirectory(),
+        onRecordFailure: () => {},
+        random: () => 0,
         getTableAgeMs: () => tableAgeMs.get(self) ?? 0,
         sendFacts(facts, to) {
           datagrams.push({ to, facts });
@@ -69,7 +76,6 @@
       const rows = versions.map((softwareVersion) => ({
         service: "model",
         softwareVersion,
-        incarnation: 0,
       }));
       for (const name of names) hosts.get(name)!.updateRows(rows);
     },
@@ -190,3 +196,12 @@
   fleet.update(["v1", "v1.1"]);
   ok(fleet.published.length > 0 && fleet.published.length <= 3);
 });
+
+test("hosts that have just started don't vouch for a single version", async () => {
+  // Guards against streams of a version that went before all hosts started.
+  const fleet = createFleet();
+  fleet.update(["v1.1"]);
+  strictEqual(getVersion(await fleet.find("a", "r")), "unknown");
+  fleet.clock.advance(LONG_MS);
+  strictEqual(getVersion(await fleet.find("a", "r")), "v1.1");
+});
--- a/src/stream_versions/types.ts
+++ b/src/stream_versions/types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock } from "../core/mod.ts";
+import type { VersionDirectory } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 
 /** A host that may be told of a stream, or asked about one. */
@@ -20,6 +21,12 @@
   readonly self: string;
   /** The hosts that are alive, including this one. */
   getHosts(): readonly KeeperHost[];
+  /** The platform's record of versions. */
+  readonly directory: VersionDirectory;
+  /** Called when the record could not be read or written. */
+  onRecordFailure(reason: string): void;
+  /** A random number in [0, 1). */
+  random(): number;
   /** Time since this host's table of upstreams was last confirmed, in ms. */
   getTableAgeMs(): number;
   /** Sends the facts to one host, which does not gossip them. */
@@ -55,9 +62,9 @@
 /** What another host answers about a stream. */
 export type KeeperAnswer =
   | { readonly kind: "known"; readonly version: string }
-  /** It knows a single version of the service. */
+  /** It knows a single version of the service, and has watched long enough. */
   | { readonly kind: "single-version"; readonly version: string }
-  /** It knows none or several versions of the service. */
+  /** It knows none or several versions, or can't tell whether there are more. */
   | { readonly kind: "not-known" };
 
 /** Time for which streams and versions are remembered, in ms. */
--- a/src/stream_versions/version_facts.ts
+++ b/src/stream_versions/version_facts.ts
@@ -8,7 +8,7 @@
 
 import { getDigest } from "../core/mod.ts";
 import type { Fact } from "../membership/mod.ts";
-import type { ServiceVersion } from "./known_versions.ts";
+import type { ServiceVersion } from "../discovery/mod.ts";
 import type { KeeperAnswer } from "./types.ts";
 
 /** Key prefix of the facts from one host to another. */
--- a/src/testing/fake_tables.ts
+++ b/src/testing/fake_tables.ts
@@ -232,6 +232,11 @@
         add: () => Effect.void,
         remove: () => Effect.void,
       },
+      versions: {
+        read: () => Effect.succeed([]),
+        add: () => Effect.void,
+        remove: () => Effect.void,
+      },
     }),
   };
 }
