Take a response without an id for an answer only where no other can be meant

What callers saw: a faulty upstream sent the bytes of a rejection without an id late behind a complete response. With the bytes of a 404, callers got that 404.

Cause: a response was refused if it named another request, and taken if it named none, whatever the connection had carried before. A "not run" among such bytes let an at-most-once request go to another upstream.

Evidence: three tests with a rejection, a 421 and a 404 behind a response, which failed before (200 from the second upstream, twice; 404). Ruled out: bytes that wait in an idle connection, which is closed.

Change: without an id, only the first response of a connection is an answer; otherwise the attempt may have run. Its signals are not believed either.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -90,8 +90,9 @@
 /**
  * Rejects responses that must not reach the caller:
  *
- * - A late response to an earlier request would be read as the response to this
- *   one.
+ * - A late response to an earlier request, or bytes that belong to no request,
+ *   would be read as the response to this one. If they say "not run", a request
+ *   that must not be repeated would run at a second upstream.
  * - A response that no upstream generated would be passed on as a success.
  * - A status that promises "not run" would be passed on for a request that may
  *   have run.
@@ -106,10 +107,10 @@
   const status = res.statusCode ?? 0;
   const headers = host.codec.readResponseHeaders(status, res.headers);
   const { requestId, isSealed, isNotRun } = headers;
+  if (!isOwnResponse(call, response, requestId)) {
+    return abortAndFail(response, "broken", "Request id mismatch");
+  }
   recordSignals(host, call, { upstream, status, headers });
-  const isForeign = requestId !== undefined &&
-    requestId !== call.headers.requestId;
-  if (isForeign) return abortAndFail(response, "broken", "Request id mismatch");
   if (isNotRun) {
     call.progress.possibleRuns--;
     drainBody(response, ({ reason, readBytes }) =>
@@ -150,6 +151,21 @@
   return Effect.succeed(response);
 }
 
+/**
+ * Whether the response belongs to the request. Upstreams name the request in
+ * their responses. One without an id may be additional bytes behind the response
+ * to an earlier request, unless the connection has carried none.
+ */
+function isOwnResponse(
+  call: Call,
+  { isFirstOnConnection }: UpstreamResponse,
+  requestId: string | undefined,
+): boolean {
+  return requestId === undefined
+    ? isFirstOnConnection
+    : requestId === call.headers.requestId;
+}
+
 function abortAndFail(
   response: UpstreamResponse,
   kind: AttemptFailed["kind"],
--- a/src/forwarding/further_bytes_test.ts
+++ b/src/forwarding/further_bytes_test.ts
@@ -1,6 +1,9 @@
-import { deepStrictEqual } from "node:assert";
+import { deepStrictEqual, strictEqual } from "node:assert";
 import { test } from "node:test";
-import { createForwardFixture } from "../testing/forward_fixture.ts";
+import {
+  type Behaviour,
+  createForwardFixture,
+} from "../testing/forward_fixture.ts";
 import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
 
 const once = { kind: "at-most-once", isResumable: false } as const;
@@ -48,3 +51,47 @@
   const res = await fixture.call();
   deepStrictEqual([res.status, res.body, res.isTruncated], [200, piece, false]);
 });
+
+/** Responses without the id of any request. */
+const namelessResponses: Readonly<Record<string, string>> = {
+  "a rejection":
+    "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+  "a refusal for another upstream":
+    "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n",
+  "a failure": "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+};
+
+/** Answers the first request; the second one runs, behind late bytes. */
+function createLateBytes(late: string): Behaviour {
+  let served = 0;
+  return (socket, { id }) => {
+    served++;
+    socket.write(served === 1 ? answer(id, "done") : late);
+  };
+}
+
+for (const [what, late] of Object.entries(namelessResponses)) {
+  test(`${what} without an id, late behind a response, is no answer to the next request`, async () => {
+    // Guards against a booking that runs at two upstreams, or whose caller gets
+    // what belongs to no request.
+    const sound: Behaviour = (socket, { id }) =>
+      socket.write(answer(id, "done"));
+    await using fixture = await createForwardFixture(
+      [createLateBytes(late), sound],
+      once,
+    );
+    strictEqual((await fixture.call({ id: "one" })).status, 200);
+    strictEqual((await fixture.call({ id: "two" })).status, 502);
+    deepStrictEqual(fixture.arrivals, ["up-0", "up-0"]);
+  });
+}
+
+test("a rejection without an id that is the first response of its connection is an answer", async () => {
+  // Guards against bookings that end with 502 although they have not run.
+  const refuses: Behaviour = (socket) =>
+    socket.write(namelessResponses["a rejection"]!);
+  const sound: Behaviour = (socket, { id }) => socket.write(answer(id, "done"));
+  await using fixture = await createForwardFixture([refuses, sound], once);
+  strictEqual((await fixture.call()).status, 200);
+  deepStrictEqual(fixture.arrivals, ["up-0", "up-1"]);
+});
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -53,6 +53,8 @@
   readonly res: IncomingMessage;
   /** What becomes of the body, for the log. */
   readonly trace: BodyTrace;
+  /** Whether the connection has carried no other request before. */
+  readonly isFirstOnConnection: boolean;
   /** Closes the connection, and drops what was received but not read. */
   abort(): void;
   /** A part of the body was read, or reading goes on after a pause. */
@@ -143,7 +145,15 @@
       }
       const onRead = () => call.trace?.onWaiting();
       const tryGetBreach = () => breach;
-      received = { res, trace, abort, onRead, bodyEnd, tryGetBreach };
+      received = {
+        res,
+        trace,
+        isFirstOnConnection: !req.reusedSocket,
+        abort,
+        onRead,
+        bodyEnd,
+        tryGetBreach,
+      };
       resume(Effect.succeed(received));
     });
     req.on("error", (err) => {
