Don't take an end that was read late for proven by who accepts now

Another upstream could have resumed them.

Cause: the end of such a body counts once the upstream's address has accepted a connection since. Read late, that is the next process. A frozen host, a blocked event loop and a relay that is paused for a slow caller all read late.

Ruled out as the way: the framing at the caller. The write behind the end, confirmed before its reset, is true as well, but a process that ends in order resets it too.

Change: the event loop's monitor tells when a stall began that has just ended, by the wall clock also one of a suspended machine; pauses of the relay are watched. An end that may have waited for a second or more proves nothing: a stream is resumed, a read sent again, the rest ends as cut.

Why it holds: a process is back after some seconds; within one second of its end only the process that wrote the body can accept.

Pauses and stalls of 200 ms stay complete.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -405,6 +405,7 @@
     isOverloaded: loopMonitor.isOverloaded,
     getTurnOverrunMs: loopMonitor.getTurnOverrunMs,
     getUnreadMs: loopMonitor.getUnreadMs,
+    getStalledMs: loopMonitor.getStalledMs,
     mayStartRequest: drain.mayStartRequest,
     getInputs: platformView.getInputs,
     log,
--- a/src/entry/event_loop_monitor.ts
+++ b/src/entry/event_loop_monitor.ts
@@ -33,6 +33,12 @@
    * in ms.
    */
   getUnreadMs(): number;
+  /**
+   * The same, but also for what is read in the iterations right after a stall,
+   * and for a machine that was suspended, whose monotonic clock stood still: time
+   * since the stall began, in ms. A step of the wall clock counts as a stall.
+   */
+  getStalledMs(): number;
 }
 
 /**
@@ -42,6 +48,12 @@
  */
 const MAX_TURN_MS = 200;
 
+/** Time between two ticks beyond the period that counts as a stall, in ms. */
+const MIN_STALL_MS = 200;
+
+/** Time after a stall in which all is read that arrived during it, in ms. */
+const CATCH_UP_MS = 200;
+
 /** Creates a monitor for a timer with the given period, in ms. */
 export function createEventLoopMonitor(
   clock: Clock,
@@ -50,19 +62,44 @@
   let turnStartMs = clock.monotonicMs();
   let previousTurnStartMs = turnStartMs;
 
+  let tickWallMs = clock.wallMs();
+  /** The last stall: its end in monotonic ms, and how long it lasted. */
+  let stallEndMs = -Infinity;
+  let stallMs = 0;
+
+  function recordStall(nowMs: number): void {
+    const wallMs = clock.wallMs();
+    const sinceTickMs = Math.max(nowMs - turnStartMs, wallMs - tickWallMs);
+    tickWallMs = wallMs;
+    if (sinceTickMs < periodMs + MIN_STALL_MS) return;
+    stallEndMs = nowMs;
+    stallMs = sinceTickMs;
+  }
+
   const getTurnOverrunMs = () =>
     Math.max(0, clock.monotonicMs() - turnStartMs - periodMs);
 
+  // Input that arrived during the previous iteration is read in the current
+  // one.
+  const getUnreadMs = () =>
+    Math.max(0, clock.monotonicMs() - previousTurnStartMs - 2 * periodMs);
+
   return {
     getTurnOverrunMs,
     tick() {
+      const nowMs = clock.monotonicMs();
+      recordStall(nowMs);
       previousTurnStartMs = turnStartMs;
-      turnStartMs = clock.monotonicMs();
+      turnStartMs = nowMs;
     },
     isOverloaded: () => getTurnOverrunMs() > MAX_TURN_MS,
-    // Input that arrived during the previous iteration is read in the current
-    // one.
-    getUnreadMs: () =>
-      Math.max(0, clock.monotonicMs() - previousTurnStartMs - 2 * periodMs),
+    getUnreadMs,
+    getStalledMs() {
+      const sinceMs = clock.monotonicMs() - stallEndMs;
+      const unreadMs = getUnreadMs();
+      return sinceMs > CATCH_UP_MS
+        ? unreadMs
+        : Math.max(unreadMs, sinceMs + stallMs);
+    },
   };
 }
--- a/src/entry/event_loop_monitor_test.ts
+++ b/src/entry/event_loop_monitor_test.ts
@@ -32,3 +32,35 @@
   clock.advance(300);
   strictEqual(monitor.getUnreadMs(), 990);
 });
+
+test("what is read right after a stall may have arrived when it began", () => {
+  // Guards against an end of a connection that counts as new, although another
+  // process may have taken the place of the upstream since.
+  const clock = createManualClock(1_000);
+  const monitor = createEventLoopMonitor(clock, PERIOD_MS);
+  monitor.tick();
+  clock.advance(2_600);
+  monitor.tick();
+  for (let tick = 0; tick < 10; tick++) {
+    clock.advance(PERIOD_MS);
+    monitor.tick();
+  }
+  strictEqual(monitor.getStalledMs(), 2_700);
+  clock.advance(101);
+  strictEqual(monitor.getStalledMs(), 91);
+});
+
+test("a suspended machine, whose monotonic clock stands still, was stalled", () => {
+  const clock = createManualClock(1_000);
+  const monitor = createEventLoopMonitor(clock, PERIOD_MS);
+  monitor.tick();
+  clock.stepWall(3_000);
+  clock.advance(PERIOD_MS);
+  monitor.tick();
+  strictEqual(monitor.getStalledMs(), 3_010);
+  strictEqual(monitor.getUnreadMs(), 0);
+  clock.stepWall(-3_000);
+  clock.advance(PERIOD_MS + 200);
+  monitor.tick();
+  strictEqual(monitor.getStalledMs(), 210);
+});
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -55,6 +55,7 @@
       headers,
       body: call.body,
       getRemainingMs: () => getRemainingMs(host, call),
+      getStalledMs: host.getStalledMs,
       trace: attempt.trace,
       mayStillSend: () =>
         !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
--- a/src/forwarding/body_end.ts
+++ b/src/forwarding/body_end.ts
@@ -8,6 +8,9 @@
  * connection since. One that answers no attempt to connect is not known to be
  * dead, and is asked until the deadline of the request.
  *
+ * That proves nothing if the end may have waited unread for long: the process
+ * that was killed may be back by then, and it is the next one that accepts.
+ *
  * @module
  */
 
@@ -27,8 +30,16 @@
     readonly connection: ConnectionEnd;
     /** Result of an attempt to connect after the body had ended. */
     readonly contact: ConnectResult;
+    /** Time for which the end may have waited unread, in ms. */
+    readonly unreadMs: number;
   };
 
+/**
+ * Time after its end, in ms, in which no process that was killed is back and
+ * accepts connections.
+ */
+const MIN_RESTART_MS = 1_000;
+
 /**
  * Returns the failure of a body that is not proven to be complete; `undefined`
  * if it is. An orderly end that lacks proof is no sign of a crash: an upstream
@@ -48,6 +59,13 @@
       `A connection to the upstream was "${end.contact}" behind a response body without a length`;
     return new AttemptFailed({ kind: "broken", reason, contact: end.contact });
   }
+  if (end.unreadMs >= MIN_RESTART_MS) {
+    const reason =
+      `The end of a response body without a length may have waited unread for ${
+        Math.round(end.unreadMs)
+      } ms`;
+    return new AttemptFailed({ kind: "broken", reason, contact: end.contact });
+  }
   return undefined;
 }
 
--- a/src/forwarding/body_end_test.ts
+++ b/src/forwarding/body_end_test.ts
@@ -26,7 +26,7 @@
   const complete = connections.flatMap((connection) =>
     contacts
       .filter((contact) =>
-        isComplete({ kind: "until-close", connection, contact })
+        isComplete({ kind: "until-close", connection, contact, unreadMs: 0 })
       )
       .map((contact) => [connection, contact])
   );
@@ -37,9 +37,21 @@
   // Guards against innocent content that is blocked while upstreams restart.
   const contact = "refused";
   const getKind = (connection: ConnectionEnd) =>
-    tryGetBodyFailure({ kind: "until-close", connection, contact })?.kind;
+    tryGetBodyFailure({ kind: "until-close", connection, contact, unreadMs: 0 })
+      ?.kind;
   deepStrictEqual([getKind("closed"), getKind("failed")], [
     "broken",
     "cut-off",
   ]);
 });
+
+test("an end that may have waited long proves nothing, though the upstream accepts", () => {
+  // Guards against the next process of a killed upstream that accepts in its place.
+  const end = {
+    kind: "until-close",
+    connection: "closed",
+    contact: "accepted",
+  } as const;
+  deepStrictEqual(isComplete({ ...end, unreadMs: 999 }), true);
+  deepStrictEqual(isComplete({ ...end, unreadMs: 1_000 }), false);
+});
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -100,6 +100,11 @@
    * in the socket while the event loop was busy.
    */
   getUnreadMs(): number;
+  /**
+   * Upper bound, in ms, of the time for which an end of a connection that is
+   * read now has waited, also while this process or its machine was suspended.
+   */
+  getStalledMs(): number;
   /** Whether a request of this duration can finish before the process exits. */
   mayStartRequest(expectedMs: number): boolean;
   getInputs(): Inputs;
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -67,6 +67,7 @@
     headers: ["Host", "model.example"],
     body: Buffer.from("{}"),
     getRemainingMs: () => 0,
+    getStalledMs: () => 0,
     mayStillSend: () => true,
     onSent: () => {},
   }));
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -162,6 +162,7 @@
     headers: ["Host", "model.example"],
     body: Buffer.alloc(0),
     getRemainingMs: () => 0,
+    getStalledMs: () => 0,
     mayStillSend: () => true,
     onSent: () => {},
   })));
@@ -184,6 +185,7 @@
     headers: ["Host", "model.example", "x-id", "part"],
     body: Buffer.alloc(0),
     getRemainingMs: () => 0,
+    getStalledMs: () => 0,
     trace,
     mayStillSend: () => true,
     onSent: () => {},
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -20,6 +20,7 @@
 import type { BodyEnd } from "./body_end.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
+import { watchReadingPauses } from "./reading_pauses.ts";
 import { watchOverhead } from "./overhead_watch.ts";
 import { CONNECT_TIMEOUT_MS, connectWithin } from "./try_connect.ts";
 import { AttemptFailed, type Silence } from "./types.ts";
@@ -37,6 +38,8 @@
   readonly body: Buffer;
   /** Returns the time until the deadline of the request, in ms. */
   getRemainingMs(): number;
+  /** Upper bound of the time for which an end read now has waited, in ms. */
+  getStalledMs(): number;
   /** Told of each sign of the upstream and of an abort, for the log. */
   readonly trace?: AttemptTrace | undefined;
   /**
@@ -179,7 +182,7 @@
 
 /** Watches for the end of the body. To be called with the head. */
 function watchBodyEnd(
-  { method, address, getRemainingMs }: UpstreamCall,
+  { method, address, getRemainingMs, getStalledMs }: UpstreamCall,
   res: IncomingMessage,
 ): Effect.Effect<BodyEnd> {
   if (getBodyFraming(res, method) !== "until-close") {
@@ -187,6 +190,11 @@
   }
   const { socket } = res;
   const connection = watchConnectionEnd(socket);
+  const pauses = watchReadingPauses(res);
+  let unreadMs = 0;
+  socket.once("end", () => {
+    unreadMs = Math.max(getStalledMs(), pauses.getPausedMs());
+  });
   const contact = new Promise<ConnectResult>((resolve) => {
     socket.once("end", () => resolve(connectWithin(address, getRemainingMs)));
     socket.once("close", () => resolve("failed"));
@@ -195,6 +203,7 @@
     kind: "until-close",
     connection: await connection,
     contact: await contact,
+    unreadMs,
   }));
 }
 
--- a/src/forwarding/upstream_call_test.ts
+++ b/src/forwarding/upstream_call_test.ts
@@ -28,6 +28,7 @@
       headers: ["Host", "model.example"],
       body: Buffer.from("{}"),
       getRemainingMs: () => 0,
+      getStalledMs: () => 0,
       mayStillSend: () => mayStillSend,
       onSent: () => sent++,
     });
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -123,6 +123,8 @@
 export interface Controls {
   isOverloaded: boolean;
   unreadMs: number;
+  /** Time since a stall of the host began that has just ended, in ms. */
+  stalledMs: number;
   /** Requests in flight at each upstream. */
   inFlight: number;
   /** Ids of upstreams without free slots. */
@@ -230,6 +232,7 @@
   const controls: Controls = {
     isOverloaded: false,
     unreadMs: 0,
+    stalledMs: 0,
     inFlight: 0,
     fullUpstreams: new Set(),
     coldUpstreams: new Set(),
@@ -420,6 +423,7 @@
     isOverloaded: () => parts.controls.isOverloaded,
     getTurnOverrunMs: () => 0,
     getUnreadMs: () => parts.controls.unreadMs,
+    getStalledMs: () => parts.controls.stalledMs,
     mayStartRequest: () => true,
     getInputs: () => ({
       configVersion: 1,
