Bound what all request bodies of a host take together

What callers saw: 130 callers sent bodies of 4 MB to one host at an even pace.

Cause: each body has a limit, and is held whole until its request has ended; nothing bounded their sum. Responses have such a bound since an earlier fault of the same class.

Ruled out: responses, and unread bytes.

Change: bodies may take an eighth of the host's memory together.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -13,6 +13,7 @@
 import { createStallTolerantClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
+  createRequestMemory,
   createResponseMemory,
   createUpstreamAgent,
   type ForwardHost,
@@ -393,6 +394,9 @@
         () => getServingHosts(peers.membership.getMembers()).length,
       ),
     ),
+    requestMemory: createRequestMemory(
+      getMaxHeldBytes(settings.memoryBytes),
+    ),
     responseMemory: createResponseMemory(
       getMaxHeldBytes(settings.memoryBytes),
     ),
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -15,43 +15,79 @@
   createDisconnected,
   onCallerDisconnected,
 } from "../requests/caller.ts";
-import { Rejected } from "./rejections.ts";
+import { createNotRunRejection, Rejected } from "./rejections.ts";
+import type { RequestMemory } from "./request_memory.ts";
 
 /** Time-out for reading a body, in ms. The request has not run by then. */
 const BODY_TIMEOUT_MS = 10_000;
 
+/**
+ * Retry delay of a request for whose body there is no room, in ms: a less busy
+ * host can take it.
+ */
+const NO_ROOM_RETRY_MS = 200;
+
+/** What limits the reading of a body. */
+export interface BodyReadLimits {
+  readonly maxBytes: number;
+  /** Counts the body, and may have it dropped. */
+  readonly memory: RequestMemory;
+}
+
+/** A body that was read whole. It counts as held until it is disposed of. */
+export interface ReadBody extends Disposable {
+  readonly bytes: Buffer;
+}
+
 /** A request and the response to it, as provided by Node's server. */
 export interface Exchange {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
 }
 
-/** Reads the body; rejects the request if the body exceeds `maxBytes`. */
+/**
+ * Reads the body; rejects the request if the body exceeds `maxBytes`, or if this
+ * host has no room for it.
+ */
 export function readBody(
   { req, res }: Exchange,
-  maxBytes: number,
-): Effect.Effect<Buffer, Rejected | CallerLost> {
-  return Effect.callback<Buffer, Rejected | CallerLost>((resume) => {
+  { maxBytes, memory }: BodyReadLimits,
+): Effect.Effect<ReadBody, Rejected | CallerLost> {
+  return Effect.callback<ReadBody, Rejected | CallerLost>((resume) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    const held = memory.hold(() => {
+      const reason =
+        `This host has no room for request bodies, of which this one held the most: ${size} bytes`;
+      fail(createNotRunRejection(reason, NO_ROOM_RETRY_MS));
+    });
 
-    function finish(result: Effect.Effect<Buffer, Rejected | CallerLost>) {
+    function fail(err: Rejected | CallerLost): void {
       stop();
-      resume(result);
+      held[Symbol.dispose]();
+      chunks.length = 0;
+      resume(Effect.fail(err));
     }
 
     function reject(status: 408 | 413, reason: string): void {
-      finish(Effect.fail(new Rejected({ status, reason })));
+      fail(new Rejected({ status, reason }));
     }
 
     function onData(chunk: Buffer): void {
       size += chunk.length;
-      if (size <= maxBytes) chunks.push(chunk);
-      else reject(413, `The request body is larger than ${maxBytes} bytes`);
+      if (size > maxBytes) {
+        const reason = `The request body is larger than ${maxBytes} bytes`;
+        return reject(413, reason);
+      }
+      chunks.push(chunk);
+      held.onRead(chunk.length);
     }
 
     function onEnd(): void {
-      finish(Effect.succeed(Buffer.concat(chunks)));
+      stop();
+      held.onComplete();
+      const bytes = Buffer.concat(chunks);
+      resume(Effect.succeed({ bytes, [Symbol.dispose]: held[Symbol.dispose] }));
     }
 
     function stop(): void {
@@ -73,8 +109,11 @@
     req.on("end", onEnd);
     const caller = onCallerDisconnected(
       res,
-      () => finish(Effect.fail(createDisconnected())),
+      () => fail(createDisconnected()),
     );
-    return Effect.sync(stop);
+    return Effect.sync(() => {
+      stop();
+      held[Symbol.dispose]();
+    });
   });
 }
--- a/src/forwarding/read_body_test.ts
+++ b/src/forwarding/read_body_test.ts
@@ -6,6 +6,7 @@
 import { chunk } from "../testing/raw_responses.ts";
 import { connectionEnds } from "../testing/raw_server.ts";
 import { readBody } from "./read_body.ts";
+import { createRequestMemory } from "./request_memory.ts";
 
 const MAX_BODY_BYTES = 1_000;
 
@@ -20,9 +21,13 @@
 ): Promise<ReadResult> {
   const { promise, resolve } = createDeferred<ReadResult>();
   await using host = await listen("127.0.0.1:0", (req, res) => {
-    const read = readBody({ req, res }, MAX_BODY_BYTES).pipe(
+    const read = readBody({ req, res }, {
+      maxBytes: MAX_BODY_BYTES,
+      memory: createRequestMemory(MAX_BODY_BYTES),
+    }).pipe(
       Effect.match({
-        onSuccess: (body) => resolve({ kind: "read", body: body.toString() }),
+        onSuccess: ({ bytes }) =>
+          resolve({ kind: "read", body: bytes.toString() }),
         onFailure: (err) => resolve({ kind: "failed", by: err._tag }),
       }),
     );
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -19,6 +19,8 @@
   route: Route | undefined;
   team: string | undefined;
   call: Call | undefined;
+  /** Held until the request ends, since it may be sent again. */
+  body: Disposable | undefined;
   /** Monotonic milliseconds; the earliest possible time of arrival. */
   readonly arrivedMs: number;
   /** Whether this host was overloaded when it read the request. */
--- a/src/forwarding/request_end_test.ts
+++ b/src/forwarding/request_end_test.ts
@@ -55,6 +55,7 @@
     route: undefined,
     team: undefined,
     call: undefined,
+    body: undefined,
     arrivedMs: 0,
     isHostOverloaded: false,
   };
--- a/src/forwarding/response_memory.ts
+++ b/src/forwarding/response_memory.ts
@@ -36,14 +36,18 @@
 }
 
 /**
- * The share of a host's memory that responses may take. The smallest hosts have
- * 250 MB, of which the process itself takes up to half.
+ * The share of a host's memory that responses may take, and request bodies as
+ * well. The smallest hosts have 250 MB, of which the process itself takes up to
+ * half.
  */
-const RESPONSE_SHARE = 1 / 8;
+const HELD_SHARE = 1 / 8;
 
-/** Returns the bytes that the responses of a host with this memory may take. */
+/**
+ * Returns the bytes that the responses of a host with this memory may take, or
+ * the bodies of its requests.
+ */
 export function getMaxHeldBytes(hostMemoryBytes: number): number {
-  return hostMemoryBytes * RESPONSE_SHARE;
+  return hostMemoryBytes * HELD_SHARE;
 }
 
 /** Creates the memory, which holds nothing yet. */
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -76,6 +76,7 @@
     route: undefined,
     team: undefined,
     call: undefined,
+    body: undefined,
     arrivedMs: host.clock.monotonicMs() - host.getUnreadMs(),
     isHostOverloaded: host.isOverloaded(),
   };
@@ -117,6 +118,7 @@
         endRejected(host, state, res, createInternalError(String(cause)))
       )
     ),
+    Effect.ensuring(Effect.sync(() => state.body?.[Symbol.dispose]())),
   );
 }
 
@@ -172,7 +174,11 @@
 ): Effect.Effect<Call, Rejected | CallerLost> {
   return Effect.gen(function* () {
     const { maxBodyBytes } = routes.config.callerLimits;
-    const body = yield* readBody({ req, res }, maxBodyBytes);
+    const body = yield* readBody({ req, res }, {
+      maxBytes: maxBodyBytes,
+      memory: host.requestMemory,
+    });
+    state.body = body;
     yield* awaitPendingClose(res);
     yield* checkOnTime(host, state, { res, headers });
     const callerTimeoutMs = headers.callerTimeoutMs ?? route.timeoutMs;
@@ -183,8 +189,8 @@
       route,
       team,
       service: pickService(route.services, host.random()),
-      body,
-      fingerprint: getFingerprint(req, team, body),
+      body: body.bytes,
+      fingerprint: getFingerprint(req, team, body.bytes),
       parts,
       arrivedMs: state.arrivedMs,
       deadlineMs: state.arrivedMs + Math.min(callerTimeoutMs, route.timeoutMs),
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -19,6 +19,7 @@
 import { listen } from "../entry/servers.ts";
 import { startTicker } from "../entry/ticker.ts";
 import {
+  createRequestMemory,
   createResponseMemory,
   createUpstreamAgent,
   type ForwardHost,
@@ -162,6 +163,8 @@
   readonly lastAddresses?: readonly string[];
   /** Bytes that the responses of the host may take. */
   readonly responseMemoryBytes?: number;
+  /** Bytes that the bodies of the host's requests may take. */
+  readonly requestMemoryBytes?: number;
   /** Software version of each upstream; that of the fixture's entries if left out. */
   readonly softwareVersions?: readonly string[];
   /** How upstreams fetch prefixes from each other; they do not if left out. */
@@ -170,8 +173,11 @@
   readonly prefixes?: PrefixPlacements;
 }
 
-/** Bytes that the responses of the host may take, unless a test says else. */
-const RESPONSE_MEMORY_BYTES = 30_000_000;
+/**
+ * Bytes that the responses of the host may take, or its request bodies, unless a
+ * test says else.
+ */
+const HELD_MEMORY_BYTES = 30_000_000;
 
 /** Starts an entry host with upstreams that behave as given. */
 export async function createForwardFixture(
@@ -180,7 +186,8 @@
   {
     preferredAddresses = [],
     lastAddresses = [],
-    responseMemoryBytes = RESPONSE_MEMORY_BYTES,
+    responseMemoryBytes = HELD_MEMORY_BYTES,
+    requestMemoryBytes = HELD_MEMORY_BYTES,
     softwareVersions = [],
     memoryTransfer,
     prefixes = createLonePlacements(),
@@ -266,6 +273,7 @@
     log: writeLog,
     prefixes,
     tryGetRoutes: () => routes,
+    requestMemory: createRequestMemory(requestMemoryBytes),
     responseMemory: createResponseMemory(responseMemoryBytes),
   });
   const responses: ServerResponse[] = [];
@@ -335,7 +343,12 @@
   parts:
     & Pick<
       ForwardHost,
-      "log" | "tryGetRoutes" | "crashes" | "responseMemory" | "prefixes"
+      | "log"
+      | "tryGetRoutes"
+      | "crashes"
+      | "requestMemory"
+      | "responseMemory"
+      | "prefixes"
     >
     & {
       readonly controls: Controls;
@@ -362,6 +375,7 @@
     log: parts.log,
     tryGetRoutes: parts.tryGetRoutes,
     prefixes: parts.prefixes,
+    requestMemory: parts.requestMemory,
     responseMemory: parts.responseMemory,
     clock,
     startedMs: clock.monotonicMs(),
