Remove no version from the record while the table is not current, and say so

Read, not seen: a host that can't read the table of upstreams for 30 s while the record answers would have removed versions that serve. It now removes only by a current table. Two tests, written with it: the next host removes what the first, lost, has left; nothing is removed without a current table.

--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -38,7 +38,10 @@
   readonly body: Buffer;
   /** Returns the time until the deadline of the request, in ms. */
   getRemainingMs(): number;
-  /** Upper bound of the time for which an end read now has waited, in ms. */
+  /**
+   * Upper bound, in ms, of the time for which an end of a connection that is
+   * read now has waited for this process.
+   */
   getStalledMs(): number;
   /** Told of each sign of the upstream and of an abort, for the log. */
   readonly trace?: AttemptTrace | undefined;
--- a/src/stream_versions/decide_version.ts
+++ b/src/stream_versions/decide_version.ts
@@ -5,9 +5,9 @@
  * platform or other hosts can't be reached.
  *
  * Failures prevented: a host that knows one version only, because its table is
- * old or because it, or the whole fleet, has just started, lets a stream go on that began at
- * another; or it refuses streams although the service has had one version all
- * the time.
+ * old or because it has just started, maybe with the whole fleet, lets a stream
+ * go on that began at another; or it refuses streams although the service has
+ * had one version all the time.
  *
  * @module
  */
@@ -101,16 +101,20 @@
  * single version although another has just gone.
  */
 export function hasWatched(
-  { hostAgeMs, hasReadRecord }: Omit<VersionKnowledge, "versions">,
+  { hostAgeMs, hasReadRecord }: Pick<
+    VersionKnowledge,
+    "hostAgeMs" | "hasReadRecord"
+  >,
 ): boolean {
   return hostAgeMs >= MEMORY_MS || hasReadRecord;
 }
 
 function knowsAllVersions(known: VersionKnowledge): boolean {
-  return isTableCurrent(known) && hasWatched(known);
+  return isTableCurrent(known.tableAgeMs) && hasWatched(known);
 }
 
-function isTableCurrent({ tableAgeMs }: VersionKnowledge): boolean {
+/** Whether a table of this age, in ms, shows what serves now. */
+export function isTableCurrent(tableAgeMs: number): boolean {
   return tableAgeMs <= CURRENT_TABLE_MS;
 }
 
--- a/src/stream_versions/stream_versions.ts
+++ b/src/stream_versions/stream_versions.ts
@@ -29,6 +29,7 @@
   decideByAnswers,
   decideByOwn,
   hasWatched,
+  isTableCurrent,
   type VersionKnowledge,
 } from "./decide_version.ts";
 import { createFactsOutbox } from "./facts_outbox.ts";
@@ -115,6 +116,7 @@
     self,
     getHosts: () => host.getHosts().map((each) => each.peerAddress),
     getKnown: known.getAll,
+    isTableCurrent: () => isTableCurrent(host.getTableAgeMs()),
     onRead: (versions) => versions.forEach(recordVersion),
     onFailure: host.onRecordFailure,
     random: host.random,
--- a/src/stream_versions/version_record.ts
+++ b/src/stream_versions/version_record.ts
@@ -36,6 +36,8 @@
   getHosts(): readonly string[];
   /** All versions that this host knows, now or within `MEMORY_MS`. */
   getKnown(): readonly ServiceVersion[];
+  /** Whether this host's table of upstreams is current. */
+  isTableCurrent(): boolean;
   /** Called with what the platform has on record as this host starts. */
   onRead(versions: readonly ServiceVersion[]): void;
   onFailure(reason: string): void;
@@ -115,8 +117,12 @@
     dropOldest(recorded, MAX_RECORDED);
   }
 
-  /** Hosts that rank behind keep what has gone, in case the first is lost. */
+  /**
+   * Hosts that rank behind keep what has gone, in case the first is lost. Without
+   * a current table, what serves is not known either.
+   */
   function removeGone(): Effect.Effect<void, TableError> {
+    if (!host.isTableCurrent()) return Effect.void;
     const known = new Set(host.getKnown().map(getKey));
     const gone = [...recorded.values()].filter((each) =>
       !known.has(getKey(each)) && getRank(each) === 0
--- a/src/stream_versions/version_record_test.ts
+++ b/src/stream_versions/version_record_test.ts
@@ -4,6 +4,7 @@
 import * as Effect from "effect/Effect";
 import * as TestClock from "effect/testing/TestClock";
 import { createManualClock } from "../core/mod.ts";
+import { rankByRendezvous } from "../membership/mod.ts";
 import {
   createFakeVersionDirectory,
   type FakeVersionDirectory,
@@ -29,6 +30,7 @@
 function createFleet(directory: FakeVersionDirectory) {
   const clock = createManualClock(0);
   const alive = new Set(NAMES);
+  let isTableCurrent = true;
 
   function startHost(self: string): Effect.Effect<Recorder> {
     return Effect.gen(function* () {
@@ -41,6 +43,7 @@
         self,
         getHosts: () => [...alive],
         getKnown: () => known.map(toRow),
+        isTableCurrent: () => isTableCurrent,
         onRead: (rows) => read.push(...rows.map((each) => each.version)),
         onFailure: () => {},
         random: () => 0,
@@ -67,6 +70,7 @@
 
   return {
     alive,
+    setTableCurrent: (value: boolean) => isTableCurrent = value,
     start: Effect.forEach(NAMES, startHost),
     run: (ms: number) => Effect.repeat(step, { times: ms / STEP_MS - 1 }),
   };
@@ -133,7 +137,8 @@
   }));
 });
 
-test("a write that fails is repeated, also by the next host if the first is lost", async () => {
+test("a write that fails is repeated", async () => {
+  // Guards against a version that is not on record since the platform was away.
   const directory = createFakeVersionDirectory();
   const fleet = createFleet(directory);
   await runInVirtualTime(Effect.gen(function* () {
@@ -149,6 +154,43 @@
   }));
 });
 
+test("what the first host has not removed is removed by the next one", async () => {
+  // Guards against rows that stay after the host that is to remove them is lost.
+  const directory = createFakeVersionDirectory();
+  const fleet = createFleet(directory);
+  await runInVirtualTime(Effect.gen(function* () {
+    const hosts = yield* fleet.start;
+    for (const each of hosts) each.setKnown(["v1"]);
+    yield* fleet.run(CHECKED_MS);
+    directory.setAway(true);
+    for (const each of hosts) each.setKnown([]);
+    yield* fleet.run(CHECKED_MS);
+    const [first] = rankByRendezvous("s/v1", NAMES);
+    fleet.alive.delete(first!);
+    directory.setAway(false);
+    yield* fleet.run(2 * CHECKED_MS);
+    deepStrictEqual(directory.getVersions(), []);
+  }));
+});
+
+test("no version is removed while the table of upstreams is not current", async () => {
+  // Guards against a record that is lost together with the table.
+  const directory = createFakeVersionDirectory();
+  const fleet = createFleet(directory);
+  await runInVirtualTime(Effect.gen(function* () {
+    const hosts = yield* fleet.start;
+    for (const each of hosts) each.setKnown(["v1"]);
+    yield* fleet.run(CHECKED_MS);
+    fleet.setTableCurrent(false);
+    for (const each of hosts) each.setKnown([]);
+    yield* fleet.run(2 * CHECKED_MS);
+    deepStrictEqual(directory.getVersions(), ["v1"]);
+    fleet.setTableCurrent(true);
+    yield* fleet.run(2 * CHECKED_MS);
+    deepStrictEqual(directory.getVersions(), []);
+  }));
+});
+
 test("a version that comes back after it was removed is written again", async () => {
   const directory = createFakeVersionDirectory();
   const fleet = createFleet(directory);
