Let request bodies and responses share the memory that drops the largest

The bound on request bodies was a second copy of the one on responses: a set of holders, their sum, the largest of them dropped until there is room. Now held_memory.ts is both (it was response_memory.ts); a holder may say that it can't be dropped now. request_memory.ts only says when a body can be, as unsent_answer.ts does for answers. No bound changes; the tests keep their assertions and pass.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -13,8 +13,7 @@
 import { createStallTolerantClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
-  createRequestMemory,
-  createResponseMemory,
+  createHeldMemory,
   createUpstreamAgent,
   type ForwardHost,
   getMaxHeldBytes,
@@ -394,10 +393,10 @@
         () => getServingHosts(peers.membership.getMembers()).length,
       ),
     ),
-    requestMemory: createRequestMemory(
+    requestMemory: createHeldMemory(
       getMaxHeldBytes(settings.memoryBytes),
     ),
-    responseMemory: createResponseMemory(
+    responseMemory: createHeldMemory(
       getMaxHeldBytes(settings.memoryBytes),
     ),
     tryGetRoutes: platformView.tryGetRoutes,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -32,8 +32,7 @@
 import type { WarmUps } from "../warmup/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyTrace } from "./body_trace.ts";
-import type { RequestMemory } from "./request_memory.ts";
-import type { ResponseMemory } from "./response_memory.ts";
+import type { HeldMemory } from "./held_memory.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
@@ -72,8 +71,8 @@
   readonly crashes: CrashWatch;
   readonly streamVersions: Pick<StreamVersions, "find" | "recordBegun">;
   readonly retryBudget: RetryBudget;
-  readonly requestMemory: RequestMemory;
-  readonly responseMemory: ResponseMemory;
+  readonly requestMemory: HeldMemory;
+  readonly responseMemory: HeldMemory;
   tryGetRoutes(): RouteTable | undefined;
   /** Returns the region of a data centre; `undefined` if it is not declared. */
   getRegion(dataCentre: string): string | undefined;
--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -15,7 +15,7 @@
 import { answer, unframedHead } from "../testing/raw_responses.ts";
 import { tryGetBodyFailure } from "./body_end.ts";
 import { readResponseBody } from "./response_body.ts";
-import { createResponseMemory } from "./response_memory.ts";
+import { createHeldMemory } from "./held_memory.ts";
 import { openCall, type UpstreamResponse } from "./upstream_call.ts";
 
 const plain = { kind: "idempotent", isResumable: false } as const;
@@ -143,7 +143,7 @@
     const limits = {
       maxBytes: LATE_BODY_BYTES,
       timeoutMs: BODY_TIMEOUT_MS,
-      memory: createResponseMemory(LATE_BODY_BYTES),
+      memory: createHeldMemory(LATE_BODY_BYTES),
     };
     const startMs = performance.now();
     const size = await Effect.runPromise(
--- a/src/forwarding/response_memory.ts
+++ b/src/forwarding/held_memory.ts
@@ -1,38 +1,40 @@
 /**
- * Bounds the bytes that a host holds for all responses together: bodies that
- * are being received, and what waits for callers that read slowly.
+ * Bounds the bytes that a host holds together for things of one kind: responses
+ * that are being received or wait for callers that read slowly, or the bodies of
+ * requests.
  *
  * Load: several upstreams send bytes without end at the same time, each below
- * the limit of a single response, or callers do not read large responses.
+ * the limit of a single response, or callers do not read large responses; many
+ * callers send bodies of the largest size that is allowed.
  *
  * Failure prevented: the process exceeds the memory of its host and is killed,
- * with all requests that it serves. When there is no more room, the response
- * that holds the most is dropped: it alone is out of the ordinary, and the next
- * to arrive is as likely as not a small one that would leave nothing free.
+ * with all requests that it serves. When there is no more room, the holder that
+ * holds the most is dropped: it alone is out of the ordinary, and the next to
+ * arrive is as likely as not a small one that would leave nothing free.
  *
  * @module
  */
 
-import { AttemptFailed } from "./types.ts";
-
-/** A response of which the host holds bytes. */
-export interface ResponseHolder {
+/** Something of which the host holds bytes. */
+export interface MemoryHolder {
   /** Returns the bytes that it holds now. */
   getHeldBytes(): number;
+  /** Whether it may be dropped now; always, if absent. */
+  mayDrop?(): boolean;
   /** Drops the bytes, since there is no room and it holds the most. */
   drop(): void;
 }
 
-/** A counted response. Disposal ends the count. */
-export interface HeldResponse extends Disposable {
-  /** To be called when the response holds so many bytes more than before. */
+/** A holder that counts. Disposal ends the count. */
+export interface HeldBytes extends Disposable {
+  /** To be called when so many bytes more are held than before. */
   onGrown(bytes: number): void;
 }
 
-/** The memory for responses of one host. */
-export interface ResponseMemory {
-  /** Starts to count what a response holds. */
-  hold(holder: ResponseHolder): HeldResponse;
+/** The memory of one host for things of one kind. */
+export interface HeldMemory {
+  /** Starts to count what is held. */
+  hold(holder: MemoryHolder): HeldBytes;
 }
 
 /**
@@ -51,8 +53,8 @@
 }
 
 /** Creates the memory, which holds nothing yet. */
-export function createResponseMemory(maxBytes: number): ResponseMemory {
-  const holders = new Set<ResponseHolder>();
+export function createHeldMemory(maxBytes: number): HeldMemory {
+  const holders = new Set<MemoryHolder>();
   /** What was held at the last count, and all that was added since. */
   let mostBytes = 0;
 
@@ -62,16 +64,23 @@
     return bytes;
   }
 
-  function getLargest(): ResponseHolder {
-    return [...holders].reduce((largest, each) =>
-      each.getHeldBytes() > largest.getHeldBytes() ? each : largest
-    );
+  function tryGetLargest(): MemoryHolder | undefined {
+    let largest: MemoryHolder | undefined;
+    let largestBytes = 0;
+    for (const each of holders) {
+      const bytes = each.getHeldBytes();
+      if (bytes <= largestBytes || each.mayDrop?.() === false) continue;
+      largest = each;
+      largestBytes = bytes;
+    }
+    return largest;
   }
 
   function makeRoom(): void {
     mostBytes = countBytes();
     while (mostBytes > maxBytes) {
-      const largest = getLargest();
+      const largest = tryGetLargest();
+      if (largest === undefined) return;
       holders.delete(largest);
       largest.drop();
       mostBytes = countBytes();
@@ -91,10 +100,3 @@
     },
   };
 }
-
-/** Creates the failure of a response that was dropped while it arrived. */
-export function createDroppedError(heldBytes: number): AttemptFailed {
-  const reason =
-    `The host has no room for responses, of which this one held the most: ${heldBytes} bytes`;
-  return new AttemptFailed({ kind: "broken", reason });
-}
--- a/src/forwarding/response_memory_test.ts
+++ b/src/forwarding/held_memory_test.ts
@@ -1,9 +1,6 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { test } from "node:test";
-import {
-  createResponseMemory,
-  type ResponseMemory,
-} from "./response_memory.ts";
+import { createHeldMemory, type HeldMemory } from "./held_memory.ts";
 
 /** A response whose size the test sets. */
 interface FakeResponse extends Disposable {
@@ -14,7 +11,7 @@
   setHeldUnnoticed(bytes: number): void;
 }
 
-function addResponse(memory: ResponseMemory): FakeResponse {
+function addResponse(memory: HeldMemory): FakeResponse {
   let heldBytes = 0;
   let isDropped = false;
   const held = memory.hold({
@@ -40,7 +37,7 @@
 
 test("the response that holds the most is dropped, not the one that arrives last", () => {
   // Guards against small responses that fail because of a large one.
-  const memory = createResponseMemory(1_000);
+  const memory = createHeldMemory(1_000);
   const [small, large, last] = [1, 2, 3].map(() => addResponse(memory));
   small!.setHeld(200);
   large!.setHeld(700);
@@ -53,7 +50,7 @@
 
 test("as many responses are dropped as it takes to make room", () => {
   // Guards against a host over its memory although it has dropped a response.
-  const memory = createResponseMemory(1_000);
+  const memory = createHeldMemory(1_000);
   const [first, second, small] = [1, 2, 3].map(() => addResponse(memory));
   first!.setHeldUnnoticed(1_500);
   second!.setHeldUnnoticed(1_200);
@@ -66,7 +63,7 @@
 
 test("what responses no longer hold does not count", () => {
   // Guards against a host that drops responses since it has served many.
-  const memory = createResponseMemory(1_000);
+  const memory = createHeldMemory(1_000);
   const lasting = addResponse(memory);
   for (let at = 0; at < 100; at++) {
     using passing = addResponse(memory);
--- a/src/forwarding/mod.ts
+++ b/src/forwarding/mod.ts
@@ -5,8 +5,7 @@
  */
 
 export * from "./call.ts";
-export * from "./request_memory.ts";
-export * from "./response_memory.ts";
+export * from "./held_memory.ts";
 export * from "./serve.ts";
 export * from "./try_connect.ts";
 export * from "./types.ts";
--- a/src/forwarding/read_body.ts
+++ b/src/forwarding/read_body.ts
@@ -15,8 +15,9 @@
   createDisconnected,
   onCallerDisconnected,
 } from "../requests/caller.ts";
+import type { HeldMemory } from "./held_memory.ts";
 import { createNotRunRejection, Rejected } from "./rejections.ts";
-import type { RequestMemory } from "./request_memory.ts";
+import { holdRequestBody } from "./request_memory.ts";
 
 /** Time-out for reading a body, in ms. The request has not run by then. */
 const BODY_TIMEOUT_MS = 10_000;
@@ -31,7 +32,7 @@
 export interface BodyReadLimits {
   readonly maxBytes: number;
   /** Counts the body, and may have it dropped. */
-  readonly memory: RequestMemory;
+  readonly memory: HeldMemory;
 }
 
 /** A body that was read whole. It counts as held until it is disposed of. */
@@ -56,7 +57,7 @@
   return Effect.callback<ReadBody, Rejected | CallerLost>((resume) => {
     const chunks: Buffer[] = [];
     let size = 0;
-    const held = memory.hold(() => {
+    const held = holdRequestBody(memory, () => {
       const reason =
         `This host has no room for request bodies, of which this one held the most: ${size} bytes`;
       fail(createNotRunRejection(reason, NO_ROOM_RETRY_MS));
--- a/src/forwarding/read_body_test.ts
+++ b/src/forwarding/read_body_test.ts
@@ -5,8 +5,8 @@
 import { listen } from "../entry/servers.ts";
 import { chunk } from "../testing/raw_responses.ts";
 import { connectionEnds } from "../testing/raw_server.ts";
+import { createHeldMemory } from "./held_memory.ts";
 import { readBody } from "./read_body.ts";
-import { createRequestMemory } from "./request_memory.ts";
 
 const MAX_BODY_BYTES = 1_000;
 
@@ -23,7 +23,7 @@
   await using host = await listen("127.0.0.1:0", (req, res) => {
     const read = readBody({ req, res }, {
       maxBytes: MAX_BODY_BYTES,
-      memory: createRequestMemory(MAX_BODY_BYTES),
+      memory: createHeldMemory(MAX_BODY_BYTES),
     }).pipe(
       Effect.match({
         onSuccess: ({ bytes }) =>
--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -20,8 +20,7 @@
 import { getEndToEndHeaders } from "./headers.ts";
 import { createPauseSampler, type PauseSampler } from "./pause_sampler.ts";
 import { createProvenParts } from "./proven_parts.ts";
-import { receiveBody } from "./response_body.ts";
-import { createDroppedError } from "./response_memory.ts";
+import { createDroppedError, receiveBody } from "./response_body.ts";
 import { tryGetSilenceLimitMs } from "./silence_limits.ts";
 import { recordFirstEvent } from "./stream_origin.ts";
 import { AttemptFailed } from "./types.ts";
--- a/src/forwarding/request_memory_test.ts
+++ b/src/forwarding/request_memory_test.ts
@@ -5,25 +5,22 @@
   createForwardFixture,
 } from "../testing/forward_fixture.ts";
 import { answer } from "../testing/raw_responses.ts";
-import {
-  createRequestMemory,
-  MAX_SMALL_BODY_BYTES,
-  type RequestMemory,
-} from "./request_memory.ts";
+import { createHeldMemory, type HeldMemory } from "./held_memory.ts";
+import { holdRequestBody, MAX_SMALL_BODY_BYTES } from "./request_memory.ts";
 
 const once = { kind: "at-most-once", isResumable: false } as const;
 
 const LARGE_BYTES = 4 * MAX_SMALL_BODY_BYTES;
 
-function addBody(memory: RequestMemory) {
+function addBody(memory: HeldMemory) {
   let isDropped = false;
-  const held = memory.hold(() => isDropped = true);
+  const held = holdRequestBody(memory, () => isDropped = true);
   return { ...held, isDropped: () => isDropped };
 }
 
 test("the largest body that is being read is dropped, and no small one", () => {
   // Guards against small requests that are rejected because of large ones.
-  const memory = createRequestMemory(LARGE_BYTES);
+  const memory = createHeldMemory(LARGE_BYTES);
   const bodies = [1, 2, 3].map(() => addBody(memory));
   const [small, large, last] = bodies;
   small!.onRead(MAX_SMALL_BODY_BYTES);
@@ -35,7 +32,7 @@
 test("a body counts until its request has ended, and is not dropped once it is read", () => {
   // Guards against a request that runs and loses its body, and against a bound
   // that forgets the bodies of running requests.
-  const memory = createRequestMemory(LARGE_BYTES);
+  const memory = createHeldMemory(LARGE_BYTES);
   const running = addBody(memory);
   running.onRead(LARGE_BYTES);
   running.onComplete();
--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -13,7 +13,7 @@
 import * as Effect from "effect/Effect";
 import { startTimeout } from "../core/mod.ts";
 import { createTruncatedError, tryGetBodyFailure } from "./body_end.ts";
-import { createDroppedError, type ResponseMemory } from "./response_memory.ts";
+import type { HeldMemory } from "./held_memory.ts";
 import { AttemptFailed, type Silence } from "./types.ts";
 import type { UpstreamResponse } from "./upstream_call.ts";
 
@@ -61,7 +61,7 @@
   readonly maxBytes: number;
   readonly timeoutMs: number;
   /** Counts the body while it is read, and may have it dropped. */
-  readonly memory: ResponseMemory;
+  readonly memory: HeldMemory;
 }
 
 /**
@@ -137,3 +137,10 @@
     }),
   );
 }
+
+/** Creates the failure of a response that was dropped while it arrived. */
+export function createDroppedError(heldBytes: number): AttemptFailed {
+  const reason =
+    `The host has no room for responses, of which this one held the most: ${heldBytes} bytes`;
+  return new AttemptFailed({ kind: "broken", reason });
+}
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -19,7 +19,7 @@
 } from "../testing/raw_responses.ts";
 import { createAttemptTrace } from "./attempt_trace.ts";
 import { readResponseBody } from "./response_body.ts";
-import { createResponseMemory } from "./response_memory.ts";
+import { createHeldMemory } from "./held_memory.ts";
 import { openCall } from "./upstream_call.ts";
 
 type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
@@ -193,7 +193,7 @@
   const limits = {
     maxBytes: MAX_BODY_BYTES,
     timeoutMs: BODY_TIMEOUT_MS,
-    memory: createResponseMemory(MAX_BODY_BYTES),
+    memory: createHeldMemory(MAX_BODY_BYTES),
   };
   const { kind, silence } = await Effect.runPromise(
     Effect.flip(readResponseBody(response, limits)),
--- a/src/forwarding/unsent_answer.ts
+++ b/src/forwarding/unsent_answer.ts
@@ -7,7 +7,7 @@
 
 import type { ServerResponse } from "node:http";
 import { onResponseClosed } from "../requests/caller.ts";
-import type { ResponseMemory } from "./response_memory.ts";
+import type { HeldMemory } from "./held_memory.ts";
 
 /**
  * Counts the response until it is sent. If it has to be dropped its connection
@@ -15,7 +15,7 @@
  * `onDropped` is called with the bytes that were not sent.
  */
 export function holdUntilSent(
-  memory: ResponseMemory,
+  memory: HeldMemory,
   res: ServerResponse,
   onDropped: (unsentBytes: number) => void,
 ): void {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -19,8 +19,7 @@
 import { listen } from "../entry/servers.ts";
 import { startTicker } from "../entry/ticker.ts";
 import {
-  createRequestMemory,
-  createResponseMemory,
+  createHeldMemory,
   createUpstreamAgent,
   type ForwardHost,
   serve,
@@ -273,8 +272,8 @@
     log: writeLog,
     prefixes,
     tryGetRoutes: () => routes,
-    requestMemory: createRequestMemory(requestMemoryBytes),
-    responseMemory: createResponseMemory(responseMemoryBytes),
+    requestMemory: createHeldMemory(requestMemoryBytes),
+    responseMemory: createHeldMemory(responseMemoryBytes),
   });
   const responses: ServerResponse[] = [];
   const callers = await listen("127.0.0.1:0", (req, res) => {
