Wait for due work by the library's latch, in the record and the registration

The record of versions repeated the flag, the stored wake function and the callback by which host_registration.ts waits for an early read. Both use effect's Latch now. The record ranks a version by the key that it already has. Behaviour is the same: a latch that is opened while work is under way ends the next wait.

--- a/src/entry/host_registration.ts
+++ b/src/entry/host_registration.ts
@@ -13,6 +13,7 @@
  */
 
 import * as Effect from "effect/Effect";
+import * as Latch from "effect/Latch";
 import type { HostDirectory, TableError } from "../discovery/mod.ts";
 
 /** Dependencies of the host registration. */
@@ -64,9 +65,9 @@
     Effect.sync(() => host.onFailure(err.reason));
 
   const register = directory.add(peerAddress);
+  /** Open while an early read is due. */
+  const refreshDue = Latch.makeUnsafe();
   let isRemoved = false;
-  let isRefreshDue = false;
-  let wake = () => {};
 
   function registerIfMissing(
     addresses: readonly string[],
@@ -83,19 +84,13 @@
     }),
   );
 
-  const untilRefresh = Effect.callback<void>((resume) => {
-    wake = () => resume(Effect.void);
-    if (isRefreshDue) wake();
-  });
-
   /** Waits for the given time in ms, or until an early read is scheduled. */
   function wait(ms: number): Effect.Effect<void> {
-    return Effect.raceFirst(Effect.sleep(ms), untilRefresh).pipe(
-      Effect.andThen(Effect.suspend(() => {
-        if (!isRefreshDue) return Effect.void;
-        isRefreshDue = false;
-        return Effect.sleep(host.random() * REFRESH_SPREAD_MS);
-      })),
+    return Effect.raceFirst(Effect.sleep(ms), refreshDue.await).pipe(
+      Effect.andThen(refreshDue.close),
+      Effect.flatMap((wasDue) =>
+        wasDue ? Effect.sleep(host.random() * REFRESH_SPREAD_MS) : Effect.void
+      ),
     );
   }
 
@@ -117,10 +112,7 @@
 
   return {
     run: registerOnce.pipe(Effect.andThen(Effect.forever(readOnce))),
-    refresh() {
-      isRefreshDue = true;
-      wake();
-    },
+    refresh: () => void refreshDue.openUnsafe(),
     remove: Effect.suspend(() => {
       isRemoved = true;
       return directory.remove(peerAddress);
--- a/src/stream_versions/version_record.ts
+++ b/src/stream_versions/version_record.ts
@@ -18,6 +18,7 @@
  */
 
 import * as Effect from "effect/Effect";
+import * as Latch from "effect/Latch";
 import { type Clock, dropOldest } from "../core/mod.ts";
 import type {
   ServiceVersion,
@@ -81,14 +82,13 @@
   const startedMs = clock.monotonicMs();
   /** Versions that are taken to be in the record. */
   const recorded = new Map<string, ServiceVersion>();
+  /** Open while there may be something to write. */
+  const due = Latch.makeUnsafe();
   let isRead = false;
-  let isDue = false;
-  let wake = () => {};
 
   /** Position of this host among those that write the version. */
-  function getRank({ service, version }: ServiceVersion): number {
-    return rankByRendezvous(`${service}/${version}`, host.getHosts())
-      .indexOf(self);
+  function getRank(version: ServiceVersion): number {
+    return rankByRendezvous(getKey(version), host.getHosts()).indexOf(self);
   }
 
   const read = directory.read().pipe(
@@ -138,22 +138,11 @@
     return leftMs > 0 ? Effect.sleep(leftMs) : Effect.void;
   }
 
-  function wakeUp(): void {
-    isDue = true;
-    wake();
-  }
-
-  const untilDue = Effect.callback<void>((resume) => {
-    wake = () => resume(Effect.void);
-    if (isDue) wake();
-  });
-
-  const write = Effect.suspend(() => {
-    isDue = false;
-    return addMissing().pipe(Effect.andThen(removeGone));
-  }).pipe(
+  const write = due.close.pipe(
+    Effect.andThen(addMissing),
+    Effect.andThen(removeGone),
     Effect.andThen(
-      Effect.raceFirst(Effect.sleep(CHECK_INTERVAL_MS), untilDue),
+      Effect.raceFirst(Effect.sleep(CHECK_INTERVAL_MS), due.await),
     ),
   );
 
@@ -172,11 +161,11 @@
     add(versions) {
       // Another host may have removed them since they were last here.
       for (const each of versions) recorded.delete(getKey(each));
-      if (versions.length > 0) wakeUp();
+      if (versions.length > 0) due.openUnsafe();
     },
     rewrite() {
       recorded.clear();
-      wakeUp();
+      due.openUnsafe();
     },
     run: retry(read).pipe(
       Effect.andThen(Effect.suspend(waitForFirstWrite)),
