--- a/src/discovery/table_distribution.ts
+++ b/src/discovery/table_distribution.ts
@@ -215,12 +215,12 @@
   function confirm(table: TableName, atMs: number): void {
     const state = states[table];
     if (atMs <= state.confirmedMs) return;
-    const lastedMs = atMs - state.confirmedMs;
-    const failedHosts = countFailedSince(state, state.confirmedMs);
+    const sinceMs = state.confirmedMs;
+    const lastedMs = atMs - sinceMs;
     state.confirmedMs = atMs;
-    const minHosts = Math.min(MIN_OUTAGE_HOSTS, host.countHosts());
-    const isLong = lastedMs >= MIN_OUTAGE_MS && lastedMs < Infinity;
-    if (!isLong || failedHosts < minHosts) return;
+    if (lastedMs < MIN_OUTAGE_MS || lastedMs === Infinity) return;
+    const failedHosts = countFailedSince(state, sinceMs);
+    if (failedHosts < Math.min(MIN_OUTAGE_HOSTS, host.countHosts())) return;
     state.outageEndMs = atMs;
     host.onOutageEnded({ table, lastedMs, failedHosts });
   }
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -24,8 +24,8 @@
   /** Wall-clock start time in ms; distinguishes restarts under the same id. */
   readonly incarnation: number;
   /**
-   * Remaining warm-up in ms when the entry was written; `undefined` if it says
-   * nothing of it.
+   * Remaining warm-up in ms when the entry was written; `undefined` if what it
+   * says makes no sense.
    */
   readonly warmUpLeftMs: number | undefined;
   /**
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -127,15 +127,12 @@
     countHosts: () => host.getHosts().length,
     getPosition: (table) => tables[table].getPosition(),
     getChangedPosition: (table) => tables[table].getChangedPosition(),
-    onOutageEnded({ table, lastedMs, failedHosts }) {
-      const ms = Math.round(lastedMs);
+    onOutageEnded: (outage) =>
       host.log({
         event: "platform-outage-ended",
-        table,
-        lastedMs: ms,
-        failedHosts,
-      });
-    },
+        ...outage,
+        lastedMs: roundMs(outage.lastedMs),
+      }),
     fetch: (table, peer) => void fetchTableFrom(table, peer),
   });
   const directory = createUpstreamDirectory({
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -195,11 +195,11 @@
   const connection = watchConnectionEnd(socket);
   const pauses = watchReadingPauses(res);
   let unreadMs = 0;
-  socket.once("end", () => {
-    unreadMs = Math.max(getStalledMs(), pauses.getPausedMs());
-  });
   const contact = new Promise<ConnectResult>((resolve) => {
-    socket.once("end", () => resolve(connectWithin(address, getRemainingMs)));
+    socket.once("end", () => {
+      unreadMs = Math.max(getStalledMs(), pauses.getPausedMs());
+      resolve(connectWithin(address, getRemainingMs));
+    });
     socket.once("close", () => resolve("failed"));
   });
   return Effect.promise(async () => ({
--- a/src/stream_versions/version_record_test.ts
+++ b/src/stream_versions/version_record_test.ts
@@ -76,8 +76,21 @@
   };
 }
 
-function runInVirtualTime(effect: Effect.Effect<void>): Promise<void> {
-  return Effect.runPromise(effect.pipe(Effect.provide(TestClock.layer())));
+/** Starts the hosts, and plays in virtual time. */
+function playFleet(
+  directory: FakeVersionDirectory,
+  play: (
+    fleet: ReturnType<typeof createFleet>,
+    hosts: readonly Recorder[],
+  ) => Effect.Effect<void>,
+): Promise<void> {
+  const fleet = createFleet(directory);
+  return Effect.runPromise(
+    fleet.start.pipe(
+      Effect.flatMap((hosts) => play(fleet, hosts)),
+      Effect.provide(TestClock.layer()),
+    ),
+  );
 }
 
 function countCalls({ calls }: FakeVersionDirectory, name: string): number {
@@ -86,38 +99,36 @@
 
 test("a version is written by three hosts, and removed by one once it has gone", async () => {
   const directory = createFakeVersionDirectory();
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    for (const each of hosts) each.setKnown(["v1"]);
-    yield* fleet.run(CHECKED_MS);
-    deepStrictEqual(directory.getVersions(), ["v1"]);
-    strictEqual(countCalls(directory, "add v1"), 3);
-    for (const each of hosts) each.setKnown(["v1", "v2"]);
-    yield* fleet.run(100);
-    deepStrictEqual(directory.getVersions(), ["v1", "v2"]);
-    for (const each of hosts) each.setKnown(["v2"]);
-    yield* fleet.run(2 * CHECKED_MS);
-    deepStrictEqual(directory.getVersions(), ["v2"]);
-    strictEqual(countCalls(directory, "remove v1"), 1);
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const each of hosts) each.setKnown(["v1"]);
+      yield* fleet.run(CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), ["v1"]);
+      strictEqual(countCalls(directory, "add v1"), 3);
+      for (const each of hosts) each.setKnown(["v1", "v2"]);
+      yield* fleet.run(100);
+      deepStrictEqual(directory.getVersions(), ["v1", "v2"]);
+      for (const each of hosts) each.setKnown(["v2"]);
+      yield* fleet.run(2 * CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), ["v2"]);
+      strictEqual(countCalls(directory, "remove v1"), 1);
+    }));
 });
 
 test("hosts that start read what is on record, and write nothing that is", async () => {
   // Guards against a write by every host at each start of the fleet.
   const directory = createFakeVersionDirectory();
   await Effect.runPromise(directory.add({ service: "s", version: "v1" }));
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    yield* fleet.run(100);
-    for (const { record, read, setKnown } of hosts) {
-      strictEqual(record.isRead(), true);
-      deepStrictEqual(read, ["v1"]);
-      setKnown(["v1"]);
-    }
-    yield* fleet.run(CHECKED_MS);
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      yield* fleet.run(100);
+      for (const { record, read, setKnown } of hosts) {
+        strictEqual(record.isRead(), true);
+        deepStrictEqual(read, ["v1"]);
+        setKnown(["v1"]);
+      }
+      yield* fleet.run(CHECKED_MS);
+    }));
   strictEqual(countCalls(directory, "read"), NAMES.length);
   strictEqual(countCalls(directory, "add v1"), 1);
 });
@@ -126,94 +137,88 @@
   // Guards against an unreachable record that counts as an empty one.
   const directory = createFakeVersionDirectory();
   directory.setAway(true);
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const [host] = yield* fleet.start;
-    yield* fleet.run(CHECKED_MS);
-    strictEqual(host!.record.isRead(), false);
-    directory.setAway(false);
-    yield* fleet.run(CHECKED_MS);
-    strictEqual(host!.record.isRead(), true);
-  }));
+  await playFleet(directory, (fleet, [host]) =>
+    Effect.gen(function* () {
+      yield* fleet.run(CHECKED_MS);
+      strictEqual(host!.record.isRead(), false);
+      directory.setAway(false);
+      yield* fleet.run(CHECKED_MS);
+      strictEqual(host!.record.isRead(), true);
+    }));
 });
 
 test("a write that fails is repeated", async () => {
   // Guards against a version that is not on record since the platform was away.
   const directory = createFakeVersionDirectory();
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    for (const each of hosts) each.setKnown(["v1"]);
-    yield* fleet.run(CHECKED_MS);
-    directory.setAway(true);
-    for (const each of hosts) each.setKnown(["v2"]);
-    yield* fleet.run(CHECKED_MS);
-    directory.setAway(false);
-    yield* fleet.run(CHECKED_MS);
-    deepStrictEqual(directory.getVersions(), ["v2"]);
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const each of hosts) each.setKnown(["v1"]);
+      yield* fleet.run(CHECKED_MS);
+      directory.setAway(true);
+      for (const each of hosts) each.setKnown(["v2"]);
+      yield* fleet.run(CHECKED_MS);
+      directory.setAway(false);
+      yield* fleet.run(CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), ["v2"]);
+    }));
 });
 
 test("what the first host has not removed is removed by the next one", async () => {
   // Guards against rows that stay after the host that is to remove them is lost.
   const directory = createFakeVersionDirectory();
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    for (const each of hosts) each.setKnown(["v1"]);
-    yield* fleet.run(CHECKED_MS);
-    directory.setAway(true);
-    for (const each of hosts) each.setKnown([]);
-    yield* fleet.run(CHECKED_MS);
-    const [first] = rankByRendezvous("s/v1", NAMES);
-    fleet.alive.delete(first!);
-    directory.setAway(false);
-    yield* fleet.run(2 * CHECKED_MS);
-    deepStrictEqual(directory.getVersions(), []);
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const each of hosts) each.setKnown(["v1"]);
+      yield* fleet.run(CHECKED_MS);
+      directory.setAway(true);
+      for (const each of hosts) each.setKnown([]);
+      yield* fleet.run(CHECKED_MS);
+      const [first] = rankByRendezvous("s/v1", NAMES);
+      fleet.alive.delete(first!);
+      directory.setAway(false);
+      yield* fleet.run(2 * CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), []);
+    }));
 });
 
 test("no version is removed while the table of upstreams is not current", async () => {
   // Guards against a record that is lost together with the table.
   const directory = createFakeVersionDirectory();
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    for (const each of hosts) each.setKnown(["v1"]);
-    yield* fleet.run(CHECKED_MS);
-    fleet.setTableCurrent(false);
-    for (const each of hosts) each.setKnown([]);
-    yield* fleet.run(2 * CHECKED_MS);
-    deepStrictEqual(directory.getVersions(), ["v1"]);
-    fleet.setTableCurrent(true);
-    yield* fleet.run(2 * CHECKED_MS);
-    deepStrictEqual(directory.getVersions(), []);
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const each of hosts) each.setKnown(["v1"]);
+      yield* fleet.run(CHECKED_MS);
+      fleet.setTableCurrent(false);
+      for (const each of hosts) each.setKnown([]);
+      yield* fleet.run(2 * CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), ["v1"]);
+      fleet.setTableCurrent(true);
+      yield* fleet.run(2 * CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), []);
+    }));
 });
 
 test("a version that comes back after it was removed is written again", async () => {
   const directory = createFakeVersionDirectory();
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    for (const known of [["v1"], ["v2"], ["v2", "v1"]]) {
-      for (const each of hosts) each.setKnown(known);
-      yield* fleet.run(2 * CHECKED_MS);
-      deepStrictEqual(directory.getVersions(), [...known].sort());
-    }
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const known of [["v1"], ["v2"], ["v2", "v1"]]) {
+        for (const each of hosts) each.setKnown(known);
+        yield* fleet.run(2 * CHECKED_MS);
+        deepStrictEqual(directory.getVersions(), [...known].sort());
+      }
+    }));
 });
 
 test("what a restored platform has lost is written again", async () => {
   const directory = createFakeVersionDirectory();
-  const fleet = createFleet(directory);
-  await runInVirtualTime(Effect.gen(function* () {
-    const hosts = yield* fleet.start;
-    for (const each of hosts) each.setKnown(["v1", "v2"]);
-    yield* fleet.run(CHECKED_MS);
-    directory.clear();
-    for (const { record } of hosts) record.rewrite();
-    yield* fleet.run(100);
-    deepStrictEqual(directory.getVersions(), ["v1", "v2"]);
-  }));
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const each of hosts) each.setKnown(["v1", "v2"]);
+      yield* fleet.run(CHECKED_MS);
+      directory.clear();
+      for (const { record } of hosts) record.rewrite();
+      yield* fleet.run(100);
+      deepStrictEqual(directory.getVersions(), ["v1", "v2"]);
+    }));
 });
