Split the logged decisions by what they are about

Requests, upstreams, the platform and hosts have a file each now, and the lines of one matter stand together.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -4,14 +4,14 @@
  * @module
  */
 
+import type { Decision } from "./decisions.ts";
 import type {
-  Decision,
   Inputs,
   LoggedBody,
   LoggedSilence,
   QueueInputs,
   StreamVersionInputs,
-} from "./decisions.ts";
+} from "./request_decisions.ts";
 
 /** Describes a decision in one sentence, without its time and host. */
 export function describeDecision(decision: Decision): string {
--- /dev/null
+++ b/src/diagnostics/host_decisions.ts
@@ -0,0 +1,78 @@
+/**
+ * The decisions of an entry host on itself and the other hosts that it logs: its
+ * start and end, its members, the callers that it takes, its own faults.
+ *
+ * @module
+ */
+
+import type { UncaughtError } from "./runtime_watch.ts";
+import type { RuntimeWarning } from "./runtime_warnings.ts";
+
+/** A decision on the fleet's hosts, with the data that it was based on. */
+export type HostDecision =
+  | {
+    readonly event: "started";
+    readonly name: string;
+    readonly incarnation: number;
+    readonly callers: string;
+    readonly peers: string;
+  }
+  | {
+    readonly event: "settings-reloaded" | "settings-refused";
+    readonly reason: string;
+  }
+  | {
+    readonly event: "drain-phase";
+    readonly phase: string;
+    readonly inFlight: number;
+  }
+  | { readonly event: "stopped"; readonly cut: number; readonly tookMs: number }
+  | {
+    readonly event: "member-changed";
+    readonly member: string;
+    readonly state: string;
+    readonly incarnation: number;
+  }
+  | {
+    /** This host stopped or resumed accepting new callers. */
+    readonly event: "intake-changed";
+    readonly isFull: boolean;
+    /** Mean duration of event-loop iterations over the last second. */
+    readonly meanTurnMs: number;
+  }
+  | {
+    /** This host handed connections off in the last second, or tried to. */
+    readonly event: "connections-handed-off";
+    /** Hosts that were asked, by outcome. */
+    readonly taken: number;
+    readonly refused: number;
+    readonly unreachable: number;
+    /** Peer addresses of the hosts that took connections. */
+    readonly targets: readonly string[];
+    /** Connections that this host hands off at present. */
+    readonly open: number;
+    /** Utilization of this host's event loop, from 0 to 1. */
+    readonly utilization: number;
+  }
+  | {
+    /** Other hosts handed connections off to this host in the last second. */
+    readonly event: "connections-received";
+    readonly taken: number;
+    readonly refused: number;
+    /** IP addresses of the hosts whose connections were taken. */
+    readonly origins: readonly string[];
+    /** Handed-off connections that this host serves at present. */
+    readonly open: number;
+    /** Utilization of this host's event loop, from 0 to 1. */
+    readonly utilization: number;
+  }
+  | {
+    readonly event: "task-failed";
+    readonly task: string;
+    readonly reason: string;
+  }
+  /** Warnings of Node.js, such as of a growing number of listeners. */
+  | { readonly event: "runtime-warning" } & RuntimeWarning
+  /** An error that nothing caught ends the process. */
+  | { readonly event: "uncaught-error" } & UncaughtError
+  | { readonly event: "log-lines-dropped"; readonly lines: number };
