Let the test of early datagrams wait until they are being sent

Cause: its sender is a thread of its own, and on a busy machine the twenty starts were over before that thread had begun. Its checks are unchanged; all twenty starts are now played under datagrams.

--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -1,5 +1,6 @@
 import { deepStrictEqual, ok, rejects } from "node:assert";
 import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
@@ -93,9 +94,12 @@
   directFacts: [],
 };
 
-function startDatagramSender(workerData: SentDatagram): Worker {
+/** Starts a thread that sends the datagram; resolves once it has begun. */
+async function startDatagramSender(workerData: SentDatagram): Promise<Worker> {
   const url = new URL("../testing/datagram_sender_worker.js", import.meta.url);
-  return new Worker(url, { workerData });
+  const sender = new Worker(url, { workerData });
+  await once(sender, "message");
+  return sender;
 }
 
 function countAlive({ membership }: Peers): number {
@@ -153,7 +157,7 @@
   // Guards against a process that ends at its start since a fact came too soon.
   const port = await findPort();
   const bytes = createDatagramCodec(FLEET_NAME).encode(factMessage);
-  const sender = startDatagramSender({ bytes, port });
+  const sender = await startDatagramSender({ bytes, port });
   let isOpen = false;
   const facts: boolean[] = [];
   for (let start = 0; start < STARTS; start++) {
--- a/src/testing/datagram_sender_worker.ts
+++ b/src/testing/datagram_sender_worker.ts
@@ -1,12 +1,13 @@
 /**
  * Sends a datagram to a port on loopback again and again, in a thread of its
- * own, so that one is there whenever a socket opens.
+ * own, so that one is there whenever a socket opens. It posts a message once it
+ * has begun.
  *
  * @module
  */
 
 import { createSocket } from "node:dgram";
-import { workerData } from "node:worker_threads";
+import { parentPort, workerData } from "node:worker_threads";
 
 /** What is sent, and where. */
 export interface SentDatagram {
@@ -28,3 +29,4 @@
 }
 
 sendBurst();
+parentPort!.postMessage("begun");
