--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -9,7 +9,7 @@
 import {
   getServiceTokens,
   getWorkTokens,
-} from "../forwarding/pick_upstream.ts";
+} from "../forwarding/prompt_tokens.ts";
 import type { Prompt } from "../forwarding/mod.ts";
 import {
   createLoadReporter,
