Log each request that is open when a stopping host exits

A request that the exit cuts had no line: `stopped` has a count, and `request-ended` comes only with an end. `request-open-at-exit` names the request, its route and upstream, when it came after the signal, what was left, its target and deadline, when it was sent on, and whether it may have run.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -37,6 +37,8 @@
       return `Attempt at ${decision.upstream} goes on${
         formatSilence(decision.silence)
       }; next: ${decision.next}${formatReason(decision.because)}`;
+    case "request-open-at-exit":
+      return describeOpenAtExit(decision);
     case "drained-body-closed":
       return `Closed the connection to ${decision.upstream} after ` +
         `${decision.readBytes} bytes of a body that nobody needs: ` +
@@ -243,6 +245,23 @@
   return `${cut}${silent}${phase}`;
 }
 
+function describeOpenAtExit(
+  decision: Extract<Decision, { readonly event: "request-open-at-exit" }>,
+): string {
+  const { upstream = "no upstream", deadlineMs = "unknown" } = decision;
+  const state = decision.hasBegun
+    ? "the response had begun"
+    : decision.mayHaveRun
+    ? "it may have run"
+    : "it has not run";
+  return `Open at the exit, at ${upstream}: arrived ` +
+    `${decision.arrivedAfterStopMs} ms after the signal with ` +
+    `${decision.leftMs} ms left, ${decision.ageMs} ms ago; its target ` +
+    `${decision.targetMs ?? "unknown"} ms, its deadline ${deadlineMs} ms; ` +
+    `latest attempt ${decision.attemptAfterMs ?? "never"} ms after its ` +
+    `arrival; ${state}`;
+}
+
 /** The version, and the stream's if it is another one. */
 function formatVersion(
   { softwareVersion, streamVersion }: Extract<
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -245,6 +245,29 @@
     /** Whether the response to the caller had begun. */
     readonly isBegun: boolean;
   }
+  | {
+    /** The request was open when this host, which is stopping, ended. */
+    readonly event: "request-open-at-exit";
+    readonly request: string;
+    readonly route: string | undefined;
+    /** Upstream of the latest attempt. */
+    readonly upstream: string | undefined;
+    /** Negative if it arrived before the signal. */
+    readonly arrivedAfterStopMs: number;
+    /** Time since its arrival. */
+    readonly ageMs: number;
+    readonly targetMs: number | undefined;
+    /** Time from its arrival to its deadline; absent before its body was read. */
+    readonly deadlineMs: number | undefined;
+    /** Time from its arrival to the start of the latest attempt. */
+    readonly attemptAfterMs: number | undefined;
+    /** Time from its arrival until this process had to end. */
+    readonly leftMs: number;
+    /** Whether an upstream may have run it. */
+    readonly mayHaveRun: boolean;
+    /** Whether a part of the response was given to the caller. */
+    readonly hasBegun: boolean;
+  }
   | {
     readonly event: "drained-body-closed";
     readonly request: string;
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -15,6 +15,7 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { Clock } from "../core/mod.ts";
+import type { Ending } from "../forwarding/mod.ts";
 import { onResponseClosed } from "../requests/caller.ts";
 
 /** The requests in flight and the state of the drain. */
@@ -30,6 +31,8 @@
    * last byte was sent.
    */
   track(res: ServerResponse): void;
+  /** Calls `run` when the drain ends, unless disposed of before. */
+  onEnding(run: (ending: Ending) => void): Disposable;
   /** Responses and handed-off connections in flight. */
   countInFlight(): number;
   /** Drains the host; returns the number of them that were cut off. */
@@ -80,7 +83,9 @@
 /** Creates the drain of a host that is serving. */
 export function createDrain(host: DrainHost): Drain {
   const { clock, graceMs } = host;
+  const maxDrainMs = graceMs - EXIT_MARGIN_MS;
   const openResponses = new Set<ServerResponse>();
+  const endingListeners = new Set<(ending: Ending) => void>();
   let startedMs: number | undefined;
   let hasEnded = false;
   let lastArrivalMs = clock.monotonicMs();
@@ -97,7 +102,7 @@
 
   function isDone(): boolean {
     const elapsedMs = getElapsedMs();
-    if (elapsedMs >= graceMs - EXIT_MARGIN_MS) return true;
+    if (elapsedMs >= maxDrainMs) return true;
     const quietMs = clock.monotonicMs() - lastArrivalMs;
     return elapsedMs >= graceMs * MIN_STAY_SHARE && quietMs >= MIN_QUIET_MS &&
       countInFlight() === 0;
@@ -111,6 +116,8 @@
     while (!isDone()) yield* Effect.sleep(CHECK_INTERVAL_MS);
     hasEnded = true;
     host.onPhase("ending", countInFlight());
+    const ending = { stoppedMs: startedMs, exitMs: startedMs + maxDrainMs };
+    for (const end of [...endingListeners]) end(ending);
     return { cut: countInFlight(), tookMs: Math.round(getElapsedMs()) };
   });
 
@@ -121,7 +128,7 @@
       if (hasEnded) return false;
       const elapsedMs = getElapsedMs();
       if (elapsedMs <= graceMs * ADMIT_ALL_SHARE) return true;
-      return expectedMs <= graceMs - EXIT_MARGIN_MS - elapsedMs;
+      return expectedMs <= maxDrainMs - elapsedMs;
     },
     track(res) {
       lastArrivalMs = clock.monotonicMs();
@@ -129,6 +136,10 @@
       onResponseClosed(res, () => openResponses.delete(res));
       if (startedMs !== undefined) setConnectionClose(res);
     },
+    onEnding(run) {
+      endingListeners.add(run);
+      return { [Symbol.dispose]: () => void endingListeners.delete(run) };
+    },
     countInFlight,
     run,
   };
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -410,6 +410,7 @@
     getUnreadMs: loopMonitor.getUnreadMs,
     getStalledMs: loopMonitor.getStalledMs,
     mayStartRequest: drain.mayStartRequest,
+    onEnding: drain.onEnding,
     getInputs: platformView.getInputs,
     log,
     onRequestEnded: metrics.observeEnd,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -108,6 +108,8 @@
   getStalledMs(): number;
   /** Whether a request of this duration can finish before the process exits. */
   mayStartRequest(expectedMs: number): boolean;
+  /** Calls `run` when the process is about to exit, unless disposed of before. */
+  onEnding(run: (ending: Ending) => void): Disposable;
   getInputs(): Inputs;
   log(decision: Decision): void;
   onRequestEnded(end: CallEnd): void;
@@ -115,6 +117,14 @@
   random(): number;
 }
 
+/** The end of a host that is stopping. */
+export interface Ending {
+  /** Monotonic milliseconds at which it was told to stop. */
+  readonly stoppedMs: number;
+  /** Monotonic milliseconds at which the process has to end. */
+  readonly exitMs: number;
+}
+
 /** The end of a request, as reported to the metrics. */
 export interface CallEnd {
   readonly route: string | undefined;
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -25,6 +25,7 @@
   getRemainingMs,
 } from "./call.ts";
 import { forward } from "./forward.ts";
+import { logIfOpenAtExit } from "./open_at_exit.ts";
 import { type Exchange, readBody } from "./read_body.ts";
 import { createNotRunRejection, Rejected } from "./rejections.ts";
 import {
@@ -86,7 +87,12 @@
     const refused = tryRejectParts(host, found.parts) ??
       tryRefuseEarly(host, found);
     if (refused !== undefined) return endRejected(host, state, res, refused);
-    Effect.runFork(serveIdentified(host, state, found, { req, res }));
+    const exitLog = logIfOpenAtExit(host, state, res);
+    Effect.runFork(
+      serveIdentified(host, state, found, { req, res }).pipe(
+        Effect.ensuring(Effect.sync(() => exitLog[Symbol.dispose]())),
+      ),
+    );
   } catch (err) {
     // An uncaught exception would end the process and all requests that it
     // serves.
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -438,6 +438,7 @@
     getUnreadMs: () => parts.controls.unreadMs,
     getStalledMs: () => parts.controls.stalledMs,
     mayStartRequest: () => true,
+    onEnding: () => ({ [Symbol.dispose]: () => {} }),
     getInputs: () => ({
       configVersion: 1,
       upstreamsVersion: 1,
