Pass no stream on as complete that ended without an event and a length

Callers got a 200 with an empty body and its last chunk, if an upstream stopped behind a whole head without a length and closed its connection in order.

Cause: such an end was taken for the end of the stream, since no reset followed and the upstream accepted a connection (body_end.ts). That proves no more than that its process lives. A stream is a series of events; one that ends before its first is no answer, and an answer that ends early must not look complete.

Change: a stream without a length or chunks that ends before any event fails as broken, with a reason of its own in attempt-failed. Nothing has been sent to the caller by then, so that another upstream follows where the request may be repeated, and a 502 otherwise. Not changed: a stream whose framing marks its end, which is proven and passed on as it is; what is left of a stream that is taken up behind its last event, which may have no event; plain bodies, which may be empty.

Ruled out: the parser (heads that are cut never look whole, cut_heads_test.ts).

Tests seen failing before: 2 of 4 in streams_without_events_test.ts (200, not 502; an empty body, not the other upstream's event); 4 of 4 after. The other two pass before and after.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -11,6 +11,7 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { ConnectResult } from "../crashes/mod.ts";
+import { getBodyFraming } from "../upstreams/mod.ts";
 import type { Attempt, Call, ForwardHost } from "./call.ts";
 import {
   createEventSplitter,
@@ -124,6 +125,9 @@
 
     function finish(): Effect.Effect<void, AttemptFailed> {
       if (endsInsideEvent()) return Effect.fail(createBrokenOffError());
+      if (endsBeforeEvents(call, response)) {
+        return Effect.fail(createNoEventsError());
+      }
       onDelivering();
       events.end();
       return Effect.void;
@@ -150,6 +154,24 @@
   return new AttemptFailed({ kind: "cut-off", reason, contact });
 }
 
+/**
+ * Whether the response ended without a first event, and with nothing but its
+ * connection. What is left of a stream that is taken up may have no event.
+ */
+function endsBeforeEvents(
+  { req, res, progress }: Call,
+  response: UpstreamResponse,
+): boolean {
+  const isTakenUp = progress.lastEventId !== undefined;
+  if (res.headersSent || isTakenUp) return false;
+  return getBodyFraming(response.res, req.method ?? "GET") === "until-close";
+}
+
+function createNoEventsError(): AttemptFailed {
+  const reason = "A stream without a length ended before its first event";
+  return new AttemptFailed({ kind: "broken", reason });
+}
+
 function createEventRelay(
   host: ForwardHost,
   call: Call,
