Prove which start of an upstream a stream is sent to

Callers got streams of two versions: an upstream broke off and was back at once under its id with other software, and hosts sent the rest of streams of the old version there, as its row still named it. A stream that began there in that time was recorded at the old version.

Cause: the row was taken for the process.

Before the first byte of a resumable or taken-up stream the host needs a report, requested after the connection was there, that names the row's start. A connection ends at one process and starts never come back, so that this holds for all older connections as well. Otherwise another upstream is tried.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -168,6 +168,12 @@
         `nobody knows its version, of ${decision.versions}${
           formatAsked(decision)
         }`;
+    case "upstream-reported": {
+      const { kind, incarnation: reported, reason } = decision.report;
+      return `Upstream ${decision.upstream}, incarnation ` +
+        `${decision.incarnation} by its entry, says: ` +
+        `${reported ?? reason ?? kind} (${decision.tookMs} ms)`;
+    }
     case "log-lines-dropped":
       return `${decision.lines} log lines were dropped: their reader was too slow`;
   }
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -334,6 +334,18 @@
     readonly version: string;
     readonly from: "own" | "keeper" | "single-version";
   } & StreamVersionInputs
+  /** An upstream was asked which incarnation it is, of that which its entry names. */
+  | {
+    readonly event: "upstream-reported";
+    readonly upstream: string;
+    readonly incarnation: number;
+    readonly tookMs: number;
+    readonly report: {
+      readonly kind: "incarnation" | "not-offered" | "unknown";
+      readonly incarnation?: number;
+      readonly reason?: string;
+    };
+  }
   /** A caller's stream isn't taken up: nobody knows where it began. */
   | {
     readonly event: "stream-version-unknown";
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -14,9 +14,11 @@
 import type { Decision } from "../diagnostics/mod.ts";
 import {
   createHeldMemory,
+  createIncarnationProofs,
   createUpstreamAgent,
   type ForwardHost,
   getMaxHeldBytes,
+  readReport,
   serve,
   tryConnect,
 } from "../forwarding/mod.ts";
@@ -386,6 +388,12 @@
     backoffs: createBackoffWatch(clock),
     crashes,
     streamVersions,
+    incarnations: createIncarnationProofs({
+      clock,
+      readReport: (address) =>
+        readReport({ agent, codec: protocol.calls }, address),
+      log,
+    }),
     retryBudget: createRetryBudget(
       clock,
       getFleetRetryOptions(
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -12,6 +12,7 @@
   type Call,
   type ForwardHost,
   getRemainingMs,
+  needsProof,
 } from "./call.ts";
 import { drainBody } from "./drain_body.ts";
 import { countWarmUp, mayStillUse } from "./eligible_upstreams.ts";
@@ -57,6 +58,9 @@
       getRemainingMs: () => getRemainingMs(host, call),
       getStalledMs: host.getStalledMs,
       trace: attempt.trace,
+      prove: needsProof(call)
+        ? (connection) => host.incarnations.prove(upstream, connection)
+        : undefined,
       mayStillSend: () =>
         !isContentBlocked(host, call) && mayStillUse(host, call, upstream),
       onSent() {
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -33,6 +33,7 @@
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyTrace } from "./body_trace.ts";
 import type { HeldMemory } from "./held_memory.ts";
+import type { IncarnationProofs } from "./incarnation_proofs.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
 import type { CallCodec, CallHeaders } from "./types.ts";
 
@@ -70,6 +71,7 @@
   readonly backoffs: BackoffWatch;
   readonly crashes: CrashWatch;
   readonly streamVersions: Pick<StreamVersions, "find" | "recordBegun">;
+  readonly incarnations: IncarnationProofs;
   readonly retryBudget: RetryBudget;
   readonly requestMemory: HeldMemory;
   readonly responseMemory: HeldMemory;
@@ -303,6 +305,15 @@
   return route.hasPrompts && headers.prompt !== undefined;
 }
 
+/**
+ * Whether the version of the upstream must be proven before the request is sent:
+ * a stream goes on there, or another upstream may have to go on with it.
+ */
+export function needsProof({ route, progress }: Call): boolean {
+  return route.kind === "stream" &&
+    (route.isResumable || progress.origin !== undefined);
+}
+
 /** Returns the time until the request's deadline, in ms. */
 export function getRemainingMs(host: ForwardHost, call: Call): number {
   return call.deadlineMs - host.clock.monotonicMs();
--- a/src/forwarding/eligible_upstreams.ts
+++ b/src/forwarding/eligible_upstreams.ts
@@ -20,6 +20,7 @@
   type Call,
   type ForwardHost,
   isQueued,
+  needsProof,
   type StreamOrigin,
 } from "./call.ts";
 import { createNotRunRejection, type Rejected } from "./rejections.ts";
@@ -120,7 +121,8 @@
     isReady: host.directory.isReady(upstream),
     region: host.getRegion(upstream.dataCentre),
     isEvacuated: host.getEvacuated().has(upstream.dataCentre),
-    isOtherVersion: !mayGoOnAt(call.progress.origin, upstream),
+    isOtherVersion: !mayGoOnAt(call.progress.origin, upstream) ||
+      needsProof(call) && host.incarnations.isSuperseded(upstream),
     wasTried: call.progress.triedUpstreams.has(upstream.id),
     backoffMs: host.backoffs.getRemainingMs(upstream),
     warmUp: host.warmUps.getAllowance(upstream),
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -103,8 +103,22 @@
   | { readonly kind: "for"; readonly ms: number }
   | { readonly kind: "unreadable"; readonly text: string };
 
-/** Reads and writes the headers of the platform's protocol. */
+/** What an upstream says of its incarnation when it is asked. */
+export type UpstreamReport =
+  | { readonly kind: "incarnation"; readonly incarnation: number }
+  /** The upstream offers no report. */
+  | { readonly kind: "not-offered" }
+  /** There was no usable answer. */
+  | { readonly kind: "unknown"; readonly reason: string };
+
+/**
+ * Reads and writes the headers of the platform's protocol, and the reports of
+ * upstreams.
+ */
 export interface CallCodec {
+  /** Path at which upstreams say what they are. */
+  readonly reportTarget: string;
+  readReport(status: number, body: string): UpstreamReport;
   /** Returns `undefined` for a request without a valid id. */
   tryReadCall(req: IncomingMessage): CallHeaders | undefined;
   /**
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -12,6 +12,7 @@
   type IncomingMessage,
   request as sendRequest,
 } from "node:http";
+import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
 import { isAddress, startTimeout } from "../core/mod.ts";
 import type { ConnectResult } from "../crashes/mod.ts";
@@ -45,6 +46,14 @@
   getStalledMs(): number;
   /** Told of each sign of the upstream and of an abort, for the log. */
   readonly trace?: AttemptTrace | undefined;
+  /**
+   * Returns whether the connection is proven to end at the upstream that is
+   * meant; `undefined` if that needn't be known. Called once the connection is
+   * there; nothing is written before its answer.
+   */
+  readonly prove?:
+    | ((connection: Socket) => boolean | Promise<boolean>)
+    | undefined;
   /**
    * Called right before the first byte is written, since conditions may have
    * changed while the connection was being made.
@@ -121,14 +130,26 @@
     }
 
     const timeout = startTimeout(CONNECT_TIMEOUT_MS, failConnect);
-    onConnected(req, () => {
+
+    function send(isProven: boolean): void {
+      if (req.destroyed) return;
+      if (!isProven) {
+        return fail("unwanted", "Another incarnation may serve there");
+      }
       if (!call.mayStillSend()) {
         return fail("unwanted", "The request may no longer be sent there");
       }
       isSent = true;
       call.onSent();
       call.trace?.onWaiting();
+      if (call.prove !== undefined) req.end(call.body);
+    }
+
+    onConnected(req, (socket) => {
       timeout[Symbol.dispose]();
+      const proof = call.prove?.(socket) ?? true;
+      if (typeof proof === "boolean") send(proof);
+      else void proof.then(send);
     });
     req.on("information", () => call.trace?.onWaiting());
     req.once("socket", (socket) => {
@@ -170,7 +191,7 @@
       if (received?.res.complete) return;
       fail(isSent ? getSentFailure(reason) : "not-sent", reason);
     });
-    req.end(call.body);
+    if (call.prove === undefined) req.end(call.body);
     return Effect.sync(() => {
       timeout[Symbol.dispose]();
       if (received === undefined) req.destroy();
@@ -218,9 +239,12 @@
   return [...call.headers, "Content-Length", String(call.body.length)];
 }
 
-function onConnected(req: ClientRequest, run: () => void): void {
+function onConnected(
+  req: ClientRequest,
+  run: (socket: Socket) => void,
+): void {
   req.on("socket", (socket) => {
-    if (!socket.connecting) run();
-    else socket.once("connect", run);
+    if (!socket.connecting) run(socket);
+    else socket.once("connect", () => run(socket));
   });
 }
--- a/src/testing/call_codec.ts
+++ b/src/testing/call_codec.ts
@@ -15,6 +15,8 @@
 /** A codec with short header names for tests. */
 export function createTestCodec(): CallCodec {
   return {
+    reportTarget: "/report",
+    readReport: () => ({ kind: "not-offered" }),
     tryReadCall(req) {
       const id = req.headers["x-id"];
       if (typeof id !== "string") return undefined;
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -415,6 +415,10 @@
       find: () => Effect.sync(() => parts.controls.foundVersion),
       recordBegun: (stream) => void parts.begun.push(stream),
     },
+    incarnations: {
+      isSuperseded: () => false,
+      prove: () => Promise.resolve(true),
+    },
     retryBudget: {
       recordSuccess: retryBudget.recordSuccess,
       hasRetry: (team, service) =>
