Pass no stream on as complete whose rest ended without an event and a length

Callers got a stream as complete with a part of its events, if the upstream at which it went on stopped behind its head and closed its connection in order.

It goes by the attempt now. The test that held the earlier choice asks for the opposite, which is stricter: it fails on the code before (200, complete) and passes now. A rest whose framing marks its end may be empty as before.

--- a/src/forwarding/relay_stream.ts
+++ b/src/forwarding/relay_stream.ts
@@ -125,7 +125,7 @@
 
     function finish(): Effect.Effect<void, AttemptFailed> {
       if (endsInsideEvent()) return Effect.fail(createBrokenOffError());
-      if (endsBeforeEvents(call, response)) {
+      if (endsBeforeEvents(call, attempt, response)) {
         return Effect.fail(createNoEventsError());
       }
       onDelivering();
@@ -155,15 +155,15 @@
 }
 
 /**
- * Whether the response ended without a first event, and with nothing but its
- * connection. What is left of a stream that is taken up may have no event.
+ * Whether the response ended without an event, and with nothing but its
+ * connection: an upstream that stops behind its head ends the same way.
  */
 function endsBeforeEvents(
-  { req, res, progress }: Call,
+  { req }: Call,
+  { firstEventsMs }: Attempt,
   response: UpstreamResponse,
 ): boolean {
-  const isTakenUp = progress.lastEventId !== undefined;
-  if (res.headersSent || isTakenUp) return false;
+  if (firstEventsMs !== undefined) return false;
   return getBodyFraming(response.res, req.method ?? "GET") === "until-close";
 }
 
--- a/src/forwarding/streams_without_events_test.ts
+++ b/src/forwarding/streams_without_events_test.ts
@@ -44,8 +44,8 @@
   deepStrictEqual([res.status, res.body, res.isTruncated], [200, "", false]);
 });
 
-test("a resumed stream without a length may end without a further event", async () => {
-  // Guards against a stream that is cut behind its last event.
+test("a resumed stream without a length that ends before a further event is not passed on as complete", async () => {
+  // Guards against an upstream that stops behind its head as a stream goes on there.
   await using fixture = await createForwardFixture([
     (socket, { id }) => {
       const begun = streamHead(id) + chunk(EVENT);
@@ -54,5 +54,5 @@
     stopsBehindHead,
   ], resumable);
   const res = await fixture.call();
-  deepStrictEqual([res.status, res.body, res.isTruncated], [200, EVENT, false]);
+  deepStrictEqual([res.status, res.body, res.isTruncated], [200, EVENT, true]);
 });
