Send nothing after a response that came while the proof was awaited

Callers could get an answer of one upstream while a second worked on the same stream: an upstream that wrote a response before the request was sent was taken for one that answered, and the request followed after the proof.

Cause: the first byte waits for a proof now, and the response was not. Such an attempt ends unsent. Found by a review, with two more of the proofs: a client error in place of a report ended the proofs of an upstream that has reported before, and a connection that ended during the wait counted against health.

Tests seen failing before: 1 of 5 in incarnation_proofs_test.ts, 1 of 2 in upstream_call_test.ts; none after.

--- a/src/forwarding/incarnation_proofs.ts
+++ b/src/forwarding/incarnation_proofs.ts
@@ -53,6 +53,8 @@
 /** What is known of one incarnation of an upstream. */
 interface Proof {
   readonly incarnation: number;
+  /** Whether the upstream, also as an earlier incarnation, has reported once. */
+  hasReported: boolean;
   state: "possible" | "superseded" | "not-offered";
   /** Monotonic time in ms of the latest request that it has answered. */
   provenMs: number;
@@ -83,6 +85,7 @@
     if (known?.incarnation === incarnation) return known;
     const created: Proof = {
       incarnation,
+      hasReported: known?.hasReported ?? false,
       state: "possible",
       provenMs: -Infinity,
       running: undefined,
@@ -125,9 +128,10 @@
       case "unknown":
         return;
       case "not-offered":
-        proof.state = "not-offered";
+        if (!proof.hasReported) proof.state = "not-offered";
         return;
       case "incarnation":
+        proof.hasReported = true;
         if (report.incarnation !== proof.incarnation) {
           proof.state = "superseded";
           return;
--- a/src/forwarding/incarnation_proofs_test.ts
+++ b/src/forwarding/incarnation_proofs_test.ts
@@ -66,3 +66,11 @@
   deepStrictEqual(await Promise.all(all), [true, true, true]);
   strictEqual(asked.length, 1);
 });
+
+test("a client error proves nothing at an upstream that has reported before", async () => {
+  // Guards against one error that ends all proofs of an upstream.
+  const { clock, proofs } = createFixture(says(7), { kind: "not-offered" });
+  strictEqual(await proofs.prove(entry(7), {}), true);
+  clock.advance(1);
+  strictEqual(await proofs.prove(entry(7), {}), false);
+});
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -93,6 +93,7 @@
   }
   return Effect.callback<UpstreamResponse, AttemptFailed>((resume) => {
     const [host, port] = call.address.split(":");
+    let isConnected = false;
     let isSent = false;
     let received: UpstreamResponse | undefined;
     let breach: AttemptFailed | undefined;
@@ -146,6 +147,7 @@
     }
 
     onConnected(req, (socket) => {
+      isConnected = true;
       timeout[Symbol.dispose]();
       const proof = call.prove?.(socket) ?? true;
       if (typeof proof === "boolean") send(proof);
@@ -160,6 +162,9 @@
       req.once("close", () => overhead[Symbol.dispose]());
     });
     req.on("response", (res) => {
+      if (!isSent) {
+        return fail("unwanted", "A response came before the request was sent");
+      }
       call.trace?.onWaiting();
       // Without a listener, an error event of the body would end the process.
       res.on("error", () => {});
@@ -189,7 +194,9 @@
       // Destroying the request would drop what has not been read of a response
       // that was received completely.
       if (received?.res.complete) return;
-      fail(isSent ? getSentFailure(reason) : "not-sent", reason);
+      // A connection that ends while its proof is awaited shows no failure.
+      const unsent = isConnected ? "unwanted" : "not-sent";
+      fail(isSent ? getSentFailure(reason) : unsent, reason);
     });
     if (call.prove === undefined) req.end(call.body);
     return Effect.sync(() => {
--- a/src/forwarding/upstream_call_test.ts
+++ b/src/forwarding/upstream_call_test.ts
@@ -1,5 +1,5 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer } from "node:net";
 import { test } from "node:test";
 import { Buffer } from "node:buffer";
 import { Agent } from "node:http";
@@ -49,3 +49,40 @@
   strictEqual(sent, 1);
   agent.destroy();
 });
+
+test("nothing is sent where a response comes while the proof is awaited", async () => {
+  // Guards against a request that is sent after another upstream got it as well.
+  const received: Buffer[] = [];
+  let sent = 0;
+  const upstream = createServer((socket) => {
+    socket.unref().on("error", () => {});
+    socket.on("data", (bytes) => received.push(bytes));
+    socket.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  }).unref();
+  await new Promise<void>((resolve) =>
+    upstream.listen(0, "127.0.0.1", resolve)
+  );
+  const { port } = upstream.address() as AddressInfo;
+  const opened = openCall({
+    agent: new Agent(),
+    address: `127.0.0.1:${port}`,
+    method: "POST",
+    target: "/",
+    headers: ["Host", "model.example"],
+    body: Buffer.from("{}"),
+    getRemainingMs: () => 0,
+    getStalledMs: () => 0,
+    prove: () => sleep(100, true),
+    mayStillSend: () => true,
+    onSent: () => sent++,
+  });
+  const kind = await Effect.runPromise(
+    opened.pipe(
+      Effect.as("answered"),
+      Effect.catchTag("AttemptFailed", (err) => Effect.succeed(err.kind)),
+    ),
+  );
+  await sleep(150);
+  upstream.close();
+  deepStrictEqual([kind, sent, received], ["unwanted", 0, []]);
+});
