--- a/src/forwarding/cut_bodies_test.ts
+++ b/src/forwarding/cut_bodies_test.ts
@@ -13,6 +13,7 @@
 } from "../testing/forward_fixture.ts";
 import { waitUntil } from "../testing/held_upstream.ts";
 import { answer, unframedHead } from "../testing/raw_responses.ts";
+import { createUpstreamCall } from "../testing/upstream_calls.ts";
 import { tryGetBodyFailure } from "./body_end.ts";
 import { readResponseBody } from "./response_body.ts";
 import { createHeldMemory } from "./held_memory.ts";
@@ -59,18 +60,9 @@
   const upstream = await listen("127.0.0.1:0", onRequest);
   const { port } = upstream.server.address() as AddressInfo;
   const agent = new Agent({ keepAlive: true });
-  const response = await Effect.runPromise(openCall({
-    agent,
-    address: `127.0.0.1:${port}`,
-    method: "POST",
-    target: "/",
-    headers: ["Host", "model.example"],
-    body: Buffer.from("{}"),
-    getRemainingMs: () => 0,
-    getStalledMs: () => 0,
-    mayStillSend: () => true,
-    onSent: () => {},
-  }));
+  const response = await Effect.runPromise(openCall(
+    createUpstreamCall({ agent, address: `127.0.0.1:${port}` }),
+  ));
   return {
     response,
     async [Symbol.asyncDispose]() {
--- a/src/forwarding/silence_log_test.ts
+++ b/src/forwarding/silence_log_test.ts
@@ -20,6 +20,7 @@
 import { createAttemptTrace } from "./attempt_trace.ts";
 import { readResponseBody } from "./response_body.ts";
 import { createHeldMemory } from "./held_memory.ts";
+import { createUpstreamCall } from "../testing/upstream_calls.ts";
 import { openCall } from "./upstream_call.ts";
 
 type FailedAttempt = Extract<Decision, { readonly event: "attempt-failed" }>;
@@ -80,6 +81,8 @@
   }
 }
 
+const withoutBody = { method: "GET", body: Buffer.alloc(0) };
+
 test("the line of a stream that fell silent tells for how long, and why its attempt goes on", async () => {
   // Guards against a cut stream whose log leaves open what cut it.
   await using fixture = await createForwardFixture([sendsOneEvent], {
@@ -154,18 +157,12 @@
 
 test("a connection that isn't made in time is a silence while connecting", async () => {
   // Guards against a silent upstream that looks like one that isn't there.
-  const failure = await Effect.runPromise(Effect.flip(openCall({
-    agent: new UnansweredAgent(),
-    address: "127.0.0.1:9",
-    method: "GET",
-    target: "/",
-    headers: ["Host", "model.example"],
-    body: Buffer.alloc(0),
-    getRemainingMs: () => 0,
-    getStalledMs: () => 0,
-    mayStillSend: () => true,
-    onSent: () => {},
-  })));
+  const failure = await Effect.runPromise(Effect.flip(openCall(
+    createUpstreamCall({
+      agent: new UnansweredAgent(),
+      address: "127.0.0.1:9",
+    }, withoutBody),
+  )));
   const { kind, silence } = failure;
   deepStrictEqual([kind, silence?.phase], ["not-sent", "connect"]);
 });
@@ -177,19 +174,13 @@
   await using fixture = await createForwardFixture([partly]);
   const [address] = fixture.upstreamAddresses;
   const trace = createAttemptTrace(systemClock);
-  const response = await Effect.runPromise(openCall({
-    agent: fixture.agent,
-    address: address!,
-    method: "GET",
-    target: "/",
-    headers: ["Host", "model.example", "x-id", "part"],
-    body: Buffer.alloc(0),
-    getRemainingMs: () => 0,
-    getStalledMs: () => 0,
-    trace,
-    mayStillSend: () => true,
-    onSent: () => {},
-  }));
+  const response = await Effect.runPromise(openCall(
+    createUpstreamCall({ agent: fixture.agent, address: address! }, {
+      ...withoutBody,
+      headers: ["Host", "model.example", "x-id", "part"],
+      trace,
+    }),
+  ));
   const limits = {
     maxBytes: MAX_BODY_BYTES,
     timeoutMs: BODY_TIMEOUT_MS,
--- a/src/forwarding/upstream_call_test.ts
+++ b/src/forwarding/upstream_call_test.ts
@@ -1,11 +1,12 @@
 import { deepStrictEqual, strictEqual } from "node:assert";
 import { type AddressInfo, createServer } from "node:net";
 import { test } from "node:test";
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import * as Effect from "effect/Effect";
 import { listen } from "../entry/servers.ts";
+import { createUpstreamCall } from "../testing/upstream_calls.ts";
 import { openCall } from "./upstream_call.ts";
 
 test("nothing is sent to an upstream that no longer accepts requests once it is connected", async () => {
@@ -20,18 +21,10 @@
   const { port } = upstream.server.address() as AddressInfo;
   const agent = new Agent({ keepAlive: true });
   const open = (mayStillSend: boolean) =>
-    openCall({
-      agent,
-      address: `127.0.0.1:${port}`,
-      method: "POST",
-      target: "/",
-      headers: ["Host", "model.example"],
-      body: Buffer.from("{}"),
-      getRemainingMs: () => 0,
-      getStalledMs: () => 0,
+    openCall(createUpstreamCall({ agent, address: `127.0.0.1:${port}` }, {
       mayStillSend: () => mayStillSend,
       onSent: () => sent++,
-    });
+    }));
   const getFailure = async () => {
     const failed = await Effect.runPromise(Effect.flip(open(false)));
     return failed.kind;
@@ -63,19 +56,11 @@
     upstream.listen(0, "127.0.0.1", resolve)
   );
   const { port } = upstream.address() as AddressInfo;
-  const opened = openCall({
-    agent: new Agent(),
-    address: `127.0.0.1:${port}`,
-    method: "POST",
-    target: "/",
-    headers: ["Host", "model.example"],
-    body: Buffer.from("{}"),
-    getRemainingMs: () => 0,
-    getStalledMs: () => 0,
+  const target = { agent: new Agent(), address: `127.0.0.1:${port}` };
+  const opened = openCall(createUpstreamCall(target, {
     prove: () => sleep(100, true),
-    mayStillSend: () => true,
     onSent: () => sent++,
-  });
+  }));
   const kind = await Effect.runPromise(
     opened.pipe(
       Effect.as("answered"),
