End each request to an upstream in one place, once it may be sent

A request without a proof was ended as it was made, one with a proof once its connection was proven. Both are written when their connection is there, as before.

--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -143,7 +143,7 @@
       isSent = true;
       call.onSent();
       call.trace?.onWaiting();
-      if (call.prove !== undefined) req.end(call.body);
+      req.end(call.body);
     }
 
     onConnected(req, (socket) => {
@@ -198,7 +198,6 @@
       const unsent = isConnected ? "unwanted" : "not-sent";
       fail(isSent ? getSentFailure(reason) : unsent, reason);
     });
-    if (call.prove === undefined) req.end(call.body);
     return Effect.sync(() => {
       timeout[Symbol.dispose]();
       if (received === undefined) req.destroy();
