--- a/src/forwarding/incarnation_proofs.ts
+++ b/src/forwarding/incarnation_proofs.ts
@@ -104,8 +104,11 @@
     return nowMs;
   }
 
-  async function read(upstream: UpstreamEntry, proof: Proof): Promise<void> {
-    const sinceMs = clock.monotonicMs();
+  async function read(
+    upstream: UpstreamEntry,
+    proof: Proof,
+    sinceMs: number,
+  ): Promise<void> {
     const received = await host.readReport(upstream.address);
     proof.running = undefined;
     apply(proof, received, sinceMs);
@@ -143,7 +146,7 @@
 
   function start(upstream: UpstreamEntry, proof: Proof): Promise<void> {
     const sinceMs = clock.monotonicMs();
-    const end = read(upstream, proof);
+    const end = read(upstream, proof, sinceMs);
     proof.running = { sinceMs, end };
     return end;
   }
