Log what a host knew of the platform, and who answered, when a stream is taken up

The lines of a stream that is taken up named neither how old the table of upstreams was, nor which hosts said what, so that a host that decided alone out of step could not be told from one that others misled.

stream-version-found and -unknown now have the inputs of other lines (version of the list, age) and the first three answers. No change of logic; the tests of the lines, of the trace and of the queries ask for more: who gave each answer.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -162,12 +162,13 @@
         `"${decision.message}"`;
     case "stream-version-found":
       return `The stream${formatOf(decision.resumes)} goes on at version ` +
-        `${decision.version} (${decision.from})${formatAsked(decision)}`;
+        `${decision.version} (${decision.from})${formatAsked(decision)}; ` +
+        formatInputs(decision.inputs);
     case "stream-version-unknown":
       return `The stream${formatOf(decision.resumes)} is not taken up, since ` +
         `nobody knows its version, of ${decision.versions}${
           formatAsked(decision)
-        }`;
+        }; ${formatInputs(decision.inputs)}`;
     case "upstream-reported": {
       const { kind, incarnation: reported, reason } = decision.report;
       return `Upstream ${decision.upstream}, incarnation ` +
@@ -188,10 +189,12 @@
 }
 
 function formatAsked(
-  { asked, answered, tookMs }: StreamVersionInputs,
+  { asked, answered, answers = [], tookMs }: StreamVersionInputs,
 ): string {
   if (asked === 0) return "";
-  return `; ${answered} of ${asked} hosts answered within ${tookMs} ms`;
+  const said = answers.map((each) => ` ${each.from} "${each.said}"`).join();
+  return `; ${answered} of ${asked} hosts answered within ${tookMs} ms` +
+    (said === "" ? "" : `:${said}`);
 }
 
 function formatReason(because: string | undefined): string {
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -112,6 +112,17 @@
   /** Hosts that were asked, and how many of them answered. */
   readonly asked: number;
   readonly answered: number;
+  /** What the first hosts to answer said; absent if none did. */
+  readonly answers?: readonly LoggedAnswer[];
+  /** What this host knew of the platform when it decided. */
+  readonly inputs: Inputs;
+}
+
+/** What another host said of a stream that a caller takes up. */
+export interface LoggedAnswer {
+  /** Peer address of the host. */
+  readonly from: string;
+  readonly said: string;
 }
 
 /** What an attempt waited for when its time-out passed. */
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -172,6 +172,8 @@
     tookMs: 41,
     asked: 3,
     answered: 2,
+    answers: [{ from: "10.0.0.2:7400", said: "known" }],
+    inputs,
   };
   const { logged } = parseDecisionLines([
     createLine("h1", 0, {
@@ -191,7 +193,7 @@
   );
   match(
     found!,
-    /stream of r-1 goes on at version v1.1 \(keeper\); 2 of 3 hosts/,
+    /stream of r-1 goes on at version v1.1 \(keeper\); 2 of 3 hosts.*: 10.0.0.2:7400 "known"; .* upstreams 19, last read 90 ms/,
   );
   match(unknown!, /stream of r-1 is not taken up.* within 41 ms/);
 });
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -112,6 +112,7 @@
     tookMs: 3,
     asked: 3,
     answered: 1,
+    inputs: { configVersion: 1, upstreamsVersion: 1, confirmedMsAgo: 0 },
   };
   const found = { event: "stream-version-found", version: "v1" } as const;
   metrics.observeDecision({ ...found, ...common, from: "keeper" });
--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -77,6 +77,8 @@
     tookMs: Math.round(host.clock.monotonicMs() - askedMs),
     asked: found.asked,
     answered: found.answered,
+    ...(found.answers === undefined ? {} : { answers: found.answers }),
+    inputs: host.getInputs(),
   };
   if (found.kind === "found") {
     const { version, from } = found;
--- a/src/forwarding/stream_origin_test.ts
+++ b/src/forwarding/stream_origin_test.ts
@@ -45,6 +45,7 @@
     versions: 2,
     asked: 3,
     answered: 1,
+    inputs: { configVersion: 1, upstreamsVersion: 1, confirmedMsAgo: 0 },
   });
   const [end] = fixture.log.filter((each) => each.event === "request-ended");
   ok(end?.event === "request-ended");
--- a/src/stream_versions/stream_versions.ts
+++ b/src/stream_versions/stream_versions.ts
@@ -36,6 +36,7 @@
 import { chooseKeepers } from "./keepers.ts";
 import { createKnownVersions, type VersionRow } from "./known_versions.ts";
 import type {
+  AskedHosts,
   FoundVersion,
   KeeperAnswer,
   StreamVersionsHost,
@@ -48,7 +49,7 @@
   tryParseStreamFact,
   tryParseVersionFact,
 } from "./version_facts.ts";
-import { createVersionQueries } from "./version_queries.ts";
+import { type AnsweringHost, createVersionQueries } from "./version_queries.ts";
 import { createVersionRecord } from "./version_record.ts";
 
 /** The first event of a stream. */
@@ -94,6 +95,9 @@
 /** Stands for the request of a caller that names none; no digest equals it. */
 const NO_REQUEST = "none";
 
+/** Number of answers that are named in the log. */
+const MAX_LOGGED_ANSWERS = 3;
+
 /** Creates the versions of a host that knows none. */
 export function createStreamVersions(
   host: StreamVersionsHost,
@@ -179,9 +183,13 @@
     return queries.ask({ digest, service }, getOtherKeepers(digest)).pipe(
       Effect.map(({ asked, answers }) => {
         const knowledge = getKnowledge(service);
-        const decided = decideByAnswers({ ...knowledge, asked, answers });
+        const decided = decideByAnswers({
+          ...knowledge,
+          asked,
+          answers: answers.map((each) => each.answer),
+        });
         const versions = knowledge.versions.length;
-        return { ...decided, versions, asked, answered: answers.length };
+        return { ...decided, versions, asked, ...summarize(answers) };
       }),
     );
   }
@@ -269,3 +277,13 @@
     [Symbol.dispose]: () => outbox[Symbol.dispose](),
   };
 }
+
+function summarize(
+  answers: readonly AnsweringHost[],
+): Pick<AskedHosts, "answered" | "answers"> {
+  const answered = answers.length;
+  if (answered === 0) return { answered };
+  const named = answers.slice(0, MAX_LOGGED_ANSWERS)
+    .map(({ from, answer }) => ({ from, said: answer.kind }));
+  return { answered, answers: named };
+}
--- a/src/stream_versions/types.ts
+++ b/src/stream_versions/types.ts
@@ -43,10 +43,18 @@
  */
 export type VersionSource = "own" | "keeper" | "single-version";
 
+/** What another host said of a stream. */
+export interface HostAnswer {
+  readonly from: string;
+  readonly said: KeeperAnswer["kind"];
+}
+
 /** How many hosts were asked about a stream, and answered. */
 export interface AskedHosts {
   readonly asked: number;
   readonly answered: number;
+  /** What the first few of them answered; absent if none did. */
+  readonly answers?: readonly HostAnswer[];
 }
 
 /** What a host knows of a stream that it is asked to take up. */
--- a/src/stream_versions/version_queries.ts
+++ b/src/stream_versions/version_queries.ts
@@ -27,7 +27,7 @@
 export interface QueryResult {
   /** Number of hosts that were asked. */
   readonly asked: number;
-  readonly answers: readonly KeeperAnswer[];
+  readonly answers: readonly AnsweringHost[];
 }
 
 /** Dependencies of the queries. */
@@ -101,7 +101,7 @@
     remove(query);
     query.end({
       asked: query.peers.length,
-      answers: [...query.answers.values()],
+      answers: [...query.answers].map(([from, answer]) => ({ from, answer })),
     });
   }
 
--- a/src/stream_versions/version_queries_test.ts
+++ b/src/stream_versions/version_queries_test.ts
@@ -56,7 +56,10 @@
   await fixture.pass(0);
   deepStrictEqual(fixture.results, [{
     asked: 3,
-    answers: Array.from({ length: 3 }, () => ({ kind: "not-known" })),
+    answers: ["a", "b", "c"].map((from) => ({
+      from,
+      answer: { kind: "not-known" },
+    })),
   }]);
 });
 
