Log which system call failed in an attempt

The line of a failed attempt had the code of the error alone. ENETUNREACH of connect (nothing can have been sent) and of read look the same, so that the log couldn't tell an attempt that was misjudged as sent from one that was cut off.

attempt-failed has syscall now, and the description of the line shows it.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -28,7 +28,7 @@
         }${formatPrefix(decision.prefix)}; ${formatInputs(decision.inputs)}`;
     case "attempt-failed":
       return `Attempt at ${decision.upstream} failed: ${decision.kind}, ` +
-        `"${decision.reason}"${
+        `"${decision.reason}"${formatSyscall(decision.syscall)}${
           formatSilence(decision.silence)
         }; next: ${decision.next}${formatReason(decision.because)}${
           formatBody(decision.body)
@@ -232,6 +232,10 @@
     `${failureShare} failed`;
 }
 
+function formatSyscall(syscall: string | undefined): string {
+  return syscall === undefined ? "" : ` (${syscall})`;
+}
+
 function formatSilence(silence: LoggedSilence | undefined): string {
   if (silence === undefined) return "";
   const { phase, silentMs, limitMs, isAborted } = silence;
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -211,6 +211,10 @@
     readonly attempt: number;
     readonly kind: string;
     readonly reason: string;
+    /**
+     * The system call that failed, such as `connect`; absent for other errors.
+     */
+    readonly syscall?: string | undefined;
     /** The next step for the request. */
     readonly next: "another-upstream" | "resume" | "keep-other" | "give-up";
     /** Reason why there is no further attempt. */
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -45,6 +45,7 @@
     upstream: "i-1",
     kind: "not-sent",
     reason: "ECONNREFUSED",
+    syscall: "connect",
     next: "another-upstream",
   }),
   createLine("h1", 7_900, {
@@ -111,7 +112,7 @@
   match(text, /since "It may have run and may not be repeated"/);
   match(
     text,
-    /\+950 ms {2}h2 {2}Attempt at i-1 failed: not-sent, "ECONNREFUSED"/,
+    /\+950 ms {2}h2 {2}Attempt at i-1 failed: not-sent, "ECONNREFUSED" \(connect\)/,
   );
   match(text, /Upstream i-1 of model: removed, .* software version v1 /);
 });
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -125,6 +125,7 @@
     attempt: attempt.number,
     kind: err.kind,
     reason: err.reason,
+    syscall: err.syscall,
     next: step.kind,
     because: step.because,
     candidates,
--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -184,6 +184,8 @@
   readonly reason: string;
   /** Set if the attempt failed because a time-out passed. */
   readonly silence?: Silence | undefined;
+  /** The system call that failed, such as `connect`; absent for other errors. */
+  readonly syscall?: string | undefined;
   /**
    * Set if a body without a length isn't proven to be whole: the result of the
    * connection attempt that was to prove it.
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -24,7 +24,7 @@
 import { watchReadingPauses } from "./reading_pauses.ts";
 import { watchOverhead } from "./overhead_watch.ts";
 import { CONNECT_TIMEOUT_MS, connectWithin } from "./try_connect.ts";
-import { AttemptFailed, type Silence } from "./types.ts";
+import { AttemptFailed } from "./types.ts";
 
 /** A request to an upstream. */
 export interface UpstreamCall {
@@ -115,9 +115,9 @@
     function fail(
       kind: AttemptFailed["kind"],
       reason: string,
-      silence?: Silence,
+      details: Pick<AttemptFailed, "silence" | "syscall"> = {},
     ): void {
-      const failure = new AttemptFailed({ kind, reason, silence });
+      const failure = new AttemptFailed({ kind, reason, ...details });
       if (kind === "broken") breach ??= failure;
       timeout[Symbol.dispose]();
       abortRequest();
@@ -127,7 +127,7 @@
     function failConnect(): void {
       const limitMs = CONNECT_TIMEOUT_MS;
       const reason = `No connection within ${limitMs} ms`;
-      fail("not-sent", reason, { phase: "connect", limitMs });
+      fail("not-sent", reason, { silence: { phase: "connect", limitMs } });
     }
 
     const timeout = startTimeout(CONNECT_TIMEOUT_MS, failConnect);
@@ -188,15 +188,17 @@
       };
       resume(Effect.succeed(received));
     });
-    req.on("error", (err) => {
-      const reason = `${(err as NodeJS.ErrnoException).code ?? err.message}`;
+    req.on("error", (err: NodeJS.ErrnoException) => {
+      const { code, syscall, message } = err;
+      const reason = code ?? message;
       received?.trace.onConnectionEnd("failed", reason);
       // Destroying the request would drop what has not been read of a response
       // that was received completely.
       if (received?.res.complete) return;
       // A connection that ends while its proof is awaited shows no failure.
       const unsent = isConnected ? "unwanted" : "not-sent";
-      fail(isSent ? getSentFailure(reason) : unsent, reason);
+      const kind = isSent ? getSentFailure(reason) : unsent;
+      fail(kind, reason, { syscall });
     });
     return Effect.sync(() => {
       timeout[Symbol.dispose]();
