Split the prompt queue's policy and its choice of an upstream from the queue

No change of logic; a call to an owner for an idle upstream is found by the choice and asked by the queue, as before. Tests of src/queue: 45 of 45 pass unchanged but for where two of them import the default options from.

--- a/src/queue/mod.ts
+++ b/src/queue/mod.ts
@@ -5,5 +5,6 @@
  */
 
 export * from "./prompt_queue.ts";
+export * from "./prompt_queue_options.ts";
 export * from "./team_queue.ts";
 export * from "./types.ts";
--- a/src/queue/prompt_load_test.ts
+++ b/src/queue/prompt_load_test.ts
@@ -12,7 +12,7 @@
   largeChunkEngine,
   smallChunkEngine,
 } from "../testing/emulated_engine.ts";
-import { defaultPromptQueueOptions } from "./prompt_queue.ts";
+import { defaultPromptQueueOptions } from "./prompt_queue_options.ts";
 
 /** With only four seeds the result at a single factor varies by 0.03. */
 const SEEDS = Array.from({ length: 10 }, (_, at) => at + 1);
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -44,16 +44,17 @@
  * @module
  */
 
-import { getOrCreate } from "../core/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
-import { NEGLIGIBLE_PREFILL_TOKENS } from "../placement/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import {
-  getLeastBusy,
-  getPreferred,
-  MAX_SIMILAR,
-} from "./preferred_upstreams.ts";
-import { hasRoom } from "./room.ts";
+  defaultPromptQueueOptions,
+  isInefficient,
+} from "./prompt_queue_options.ts";
+import {
+  createUpstreamChoice,
+  type PrioritisedPrompt,
+  tryGetGrants,
+} from "./upstream_choice.ts";
 import type {
   NewPrompt,
   PromptGrants,
@@ -62,88 +63,16 @@
   PromptQueueOptions,
   PromptRefusal,
   RankedUpstream,
-  UpstreamLoad,
   WaitingPrompt,
   YieldLevel,
 } from "./types.ts";
 
-/**
- * Sorts the newest prompts first. Under overload the oldest will miss their
- * targets in any case; served first, they would make all later prompts late as
- * well.
- */
-export function compareNewestFirst(a: WaitingPrompt, b: WaitingPrompt): number {
-  return b.arrivedMs - a.arrivedMs;
-}
-
-/**
- * The default policy:
- * - `limit`: some slots stay free. With more requests in flight each answer
- *   takes longer, and hosts start prompts for a tenth of a second before they
- *   learn of each other's requests.
- * - `inefficientLimit`, `overShareLimit`: prompts that yield (inefficient ones,
- *   and those of teams over their share) leave a quarter of the slots, and half
- *   of the prefill limit, to the others. If they could not prefill beside
- *   others at all, short prompts of teams over their share would starve.
- * - `negligibleTokens`: a prompt with a short shared prefix goes to the less
- *   busy of two upstreams, or of the next two.
- * - `maxCountedShare`: counted in full, prompts larger than the limit would
- *   start only at an upstream that prefills nothing, which is rare under load.
- *   Counted for less than three quarters of the limit, they displace too many
- *   others.
- * - `spilloverShare`: a prompt goes to another upstream only shortly before it
- *   would be refused, and only to an idle one. Prefilling its shared prefix
- *   again at a busy upstream delays every answer there.
- * - `maxWaitShare`: the rest of the target time is left for the prefill.
- * - `retryAfterMs`: with waits this short, the queue has been replaced after a
- *   second.
- */
-export const defaultPromptQueueOptions: PromptQueueOptions = {
-  limit: { slotShare: 0.6, prefillShare: 1 },
-  inefficientLimit: { slotShare: 0.45, prefillShare: 0.5 },
-  overShareLimit: { slotShare: 0.45, prefillShare: 0.5 },
-  negligibleTokens: NEGLIGIBLE_PREFILL_TOKENS,
-  maxCountedShare: 0.75,
-  spilloverShare: 0.55,
-  maxWaitShare: 0.6,
-  retryAfterMs: 1_000,
-  refusesEarly: true,
-  yieldsToUnderserved: true,
-  compare: compareNewestFirst,
-};
-
-/**
- * A prompt whose efficiency is below this share of the mean is inefficient.
- * Prompts of one kind differ only by the lengths of their answers, but kinds of
- * prompts differ by a factor of ten.
- */
-const INEFFICIENT_SHARE = 1 / 3;
-
-/**
- * Number of upstreams among which the least busy gets a prompt with a short
- * shared prefix; if none has room, the next group is tried. Of two upstreams
- * one usually has little load. Each further upstream caches a copy of the short
- * prefixes, which together evict longer ones.
- */
-const SIMILAR_GROUP_SIZE = 2;
-
-/** Share of its slots that an upstream may have in use when it gets a copy. */
-const MAX_COPY_SLOT_SHARE = 0.3;
-
 /**
  * Retry times are spread over this share of their mean. Callers that were
  * refused together would otherwise return together as another burst.
  */
 const RETRY_SPREAD = 0.5;
 
-/** A waiting prompt with its priority in the present pass. */
-interface PrioritisedPrompt {
-  readonly prompt: WaitingPrompt;
-  readonly yields: YieldLevel;
-  /** Whether its team is over its share or overserved, and so goes last. */
-  readonly isDeprioritised: boolean;
-}
-
 /** Creates an empty queue. */
 export function createPromptQueue(
   host: PromptQueueHost,
@@ -151,168 +80,27 @@
 ): PromptQueue {
   const waiting = new Set<WaitingPrompt>();
   const backlogTracker = createPromptBacklogTracker(host.nowMs);
-  /**
-   * Loads of the upstreams in the present pass. Each is computed once, not for
-   * every prompt.
-   */
-  const loadCache = new Map<string, UpstreamLoad>();
-  /** Limits of the upstreams in the present pass, by upstream and target. */
-  const limitCache = new Map<string, Map<number, number>>();
-  const limits = [
-    options.limit,
-    options.inefficientLimit,
-    options.overShareLimit,
-  ] as const;
-
-  const getLoad = (upstream: string) =>
-    getOrCreate(loadCache, upstream, () => host.getLoad(upstream));
-
-  function tryGetGrants(): PromptGrants | undefined {
-    return host.grants?.isEnabled() ? host.grants : undefined;
-  }
-
-  function getLimitTokens(prompt: WaitingPrompt, upstream: string): number {
-    const { service, targetMs } = prompt;
-    const byTarget = getOrCreate(limitCache, upstream, () => new Map());
-    return getOrCreate(
-      byTarget,
-      targetMs,
-      () => host.getLimitTokens(service, upstream, targetMs),
-    );
-  }
-
-  function tryChooseUpstream(
-    { prompt, yields, isDeprioritised }: PrioritisedPrompt,
-    nowMs: number,
-  ): RankedUpstream | undefined {
-    const grants = tryGetGrants();
-    const limit = limits[yields];
-    const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
-    /** Whether this host may decide by itself. */
-    const mayStartWithoutGrant = (each: RankedUpstream) =>
-      grants === undefined || !needsGrant(grants, each);
-    function fitsUpstream(each: RankedUpstream) {
-      if (!mayStartWithoutGrant(each)) return false;
-      const { upstream, readingTokens } = each;
-      const limitTokens = getLimitTokens(prompt, upstream);
-      const maxCountedTokens = limitTokens * options.maxCountedShare;
-      return hasRoom(getLoad(upstream), {
-        readingTokens: Math.min(readingTokens, maxCountedTokens),
-        slotShare: limit.slotShare,
-        limitTokens: limitTokens * limit.prefillShare,
-        fullLimitTokens: limitTokens,
-        yieldsToUnderserved,
-      });
-    }
-    const upstreams = prompt.getUpstreams();
-    const [first] = upstreams;
-    if (first === undefined) return undefined;
-    const preferred = getPreferred(upstreams, options.negligibleTokens);
-    // Balanced over its holders, a prefix would stay in use at all of them.
-    const groupSize = first.prefix === undefined ? SIMILAR_GROUP_SIZE : 1;
-    for (let at = 0; at < preferred.length; at += groupSize) {
-      const withRoom = preferred.slice(at, at + groupSize).filter(
-        fitsUpstream,
-      );
-      if (withRoom.length > 0) return getLeastBusy(withRoom, getLoad);
-    }
-    const copy = upstreams.slice(0, MAX_SIMILAR).find((each) =>
-      each.fetch?.reason === "copy" && hasCapacityForCopy(each) &&
-      fitsUpstream(each)
-    );
-    if (copy !== undefined) return copy;
-    const waitedMs = nowMs - prompt.arrivedMs;
-    if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
-    return upstreams.find((each) =>
-      isIdle(each) && !preferred.includes(each) && mayStartWithoutGrant(each) &&
-      !(grants !== undefined && yieldsToUnderserved && isAwaited(each))
-    );
-  }
-
-  /** Whether the prompt leaves room to those of underserved teams. */
-  function isYielding(
-    prompt: WaitingPrompt,
-    isDeprioritised: boolean,
-  ): boolean {
-    return options.yieldsToUnderserved && isDeprioritised &&
-      !host.isUnderserved(prompt.team);
-  }
-
-  /** Whether a prompt of an underserved team waits for it at another host. */
-  function isAwaited({ upstream }: RankedUpstream): boolean {
-    return getLoad(upstream).underservedElsewhere > 0;
-  }
-
-  /** Whether the prompt starts there only with a grant of the owner. */
-  function needsGrant(
-    grants: PromptGrants,
-    { upstream, readingTokens }: RankedUpstream,
-  ): boolean {
-    return readingTokens > options.negligibleTokens &&
-      grants.needsGrant(upstream);
-  }
+  const choice = createUpstreamChoice(host, options);
 
   /** Asks for grants to start a prompt for which there is no free room. */
   function askForGrants(
     grants: PromptGrants,
-    { prompt, yields, isDeprioritised }: PrioritisedPrompt,
+    next: PrioritisedPrompt,
   ): void {
+    const { prompt, yields, isDeprioritised } = next;
     const maxWaitMs = prompt.targetMs * options.maxWaitShare;
     const terms = { yields, isDeprioritised, maxWaitMs };
     if (grants.isRequestDue(prompt)) {
-      grants.ask(prompt, getAskable(grants, prompt.getUpstreams()), terms);
+      const askable = choice.getAskable(grants, prompt.getUpstreams());
+      grants.ask(prompt, askable, terms);
     }
     const waitedMs = host.nowMs() - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return;
     if (grants.hasRequestedIdle(prompt)) return;
-    const upstreams = prompt.getUpstreams();
-    const preferred = getPreferred(upstreams, options.negligibleTokens);
-    const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
-    const idle = upstreams.find((each) =>
-      isIdle(each) && !preferred.includes(each) && needsGrant(grants, each) &&
-      !(yieldsToUnderserved && isAwaited(each))
-    );
+    const idle = choice.tryGetIdleToAsk(grants, next);
     if (idle !== undefined) grants.requestIdle(prompt, idle, terms);
   }
 
-  /** Returns the upstreams to ask for, the preferred one first. */
-  function getAskable(
-    grants: PromptGrants,
-    upstreams: readonly RankedUpstream[],
-  ): readonly RankedUpstream[] {
-    const preferred = getPreferred(upstreams, options.negligibleTokens);
-    const copies = upstreams.slice(0, MAX_SIMILAR).filter((each) =>
-      each.fetch?.reason === "copy" && !preferred.includes(each) &&
-      hasCapacityForCopy(each)
-    );
-    const askable = [...preferred, ...copies].filter((each) =>
-      needsGrant(grants, each) && !getLoad(each.upstream).isWarmUpSpent
-    );
-    const [first, second] = askable;
-    const isSecondLessBusy = first?.prefix === undefined &&
-      second !== undefined &&
-      getLeastBusy([first!, second], getLoad) === second;
-    return isSecondLessBusy ? [second, first!, ...askable.slice(2)] : askable;
-  }
-
-  /**
-   * Whether the upstream has capacity to spare. While all are busy, a copy only
-   * moves the load of the first to upstreams that answer other prompts in time.
-   */
-  function hasCapacityForCopy({ upstream }: RankedUpstream): boolean {
-    const { inFlight, readingTokens, slots } = getLoad(upstream);
-    return readingTokens <= 0 && inFlight <= slots * MAX_COPY_SLOT_SHARE;
-  }
-
-  /**
-   * Whether the upstream has no work, so that prefilling a shared prefix there
-   * again delays no other request.
-   */
-  function isIdle({ upstream }: RankedUpstream): boolean {
-    const { inFlight, readingTokens, isWarmUpSpent } = getLoad(upstream);
-    return readingTokens <= 0 && inFlight <= 0 && !isWarmUpSpent;
-  }
-
   /** Removes a prompt; false when it was no longer in the queue. */
   function removeWaiting(
     prompt: WaitingPrompt,
@@ -331,11 +119,11 @@
   ): void {
     removeWaiting(prompt, "started");
     const { upstream, readingTokens, fetch, prefix } = chosen;
-    const queuedTokens = getLoad(upstream).readingTokens + readingTokens;
+    const queuedTokens = choice.getLoad(upstream).readingTokens + readingTokens;
     host.onStart(prompt, upstream, readingTokens);
-    loadCache.delete(upstream);
+    choice.forgetLoad(upstream);
     if (grantMs === undefined) {
-      tryGetGrants()?.recordStart(prompt, upstream, readingTokens);
+      tryGetGrants(host)?.recordStart(prompt, upstream, readingTokens);
     }
     const tokens = { readingTokens, queuedTokens, fetch, prefix };
     prompt.start(
@@ -356,8 +144,10 @@
       each.upstream === upstream
     );
     // The load as of the last pass does not include what has started since.
-    loadCache.delete(upstream);
-    if (chosen === undefined || getLoad(upstream).isWarmUpSpent) return false;
+    choice.forgetLoad(upstream);
+    if (chosen === undefined || choice.getLoad(upstream).isWarmUpSpent) {
+      return false;
+    }
     start(prompt, chosen, grantMs);
     return true;
   }
@@ -395,12 +185,11 @@
 
   function startWaiting(): void {
     const nowMs = host.nowMs();
-    const grants = tryGetGrants();
-    loadCache.clear();
-    limitCache.clear();
+    const grants = tryGetGrants(host);
+    choice.beginPass();
     for (const next of getInPriorityOrder()) {
       if (!next.prompt.isCallerConnected()) continue;
-      const chosen = tryChooseUpstream(next, nowMs);
+      const chosen = choice.tryChoose(next, nowMs);
       if (chosen !== undefined) start(next.prompt, chosen);
       else if (grants !== undefined) askForGrants(grants, next);
     }
@@ -431,7 +220,7 @@
         host.getLimitTokens(prompt.service, upstream, prompt.targetMs),
       ),
       upstream,
-      load: upstream === undefined ? undefined : getLoad(upstream),
+      load: upstream === undefined ? undefined : choice.getLoad(upstream),
     };
   }
 
@@ -491,7 +280,7 @@
       backlogTracker.recordAdded(prompt);
       if (wasEmpty) startWaiting();
       else {
-        const grants = tryGetGrants();
+        const grants = tryGetGrants(host);
         if (grants !== undefined) askForGrants(grants, prioritise(prompt));
       }
       // No upstream can serve the prompt, so waiting would gain nothing.
@@ -510,18 +299,3 @@
     getCount: () => waiting.size,
   };
 }
-
-/**
- * Whether a prompt yields far less service for an upstream's time than the
- * mean, such as a short prompt with a long answer, which occupies a slot for
- * seconds. This makes no difference while there is room for all. Under load
- * such prompts leave some room to prompts whose long shared prefixes are
- * cached, of which ten are served in the time of one.
- */
-export function isInefficient(
-  prompt: Pick<WaitingPrompt, "serviceTokens" | "workTokens">,
-  meanEfficiency: number,
-): boolean {
-  return prompt.serviceTokens / prompt.workTokens <
-    meanEfficiency * INEFFICIENT_SHARE;
-}
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -3,10 +3,8 @@
 import { getOrCreate } from "../core/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { rankForPrompt } from "../placement/mod.ts";
-import {
-  createPromptQueue,
-  defaultPromptQueueOptions,
-} from "./prompt_queue.ts";
+import { createPromptQueue } from "./prompt_queue.ts";
+import { defaultPromptQueueOptions } from "./prompt_queue_options.ts";
 import { hasRoom } from "./room.ts";
 import type { PromptGrants, PromptQueueHost, WaitingPrompt } from "./types.ts";
 
