--- a/src/diagnostics/decision_log.ts
+++ b/src/diagnostics/decision_log.ts
@@ -34,9 +34,12 @@
   return createWriteStream("", { fd: 1, autoClose: false });
 }
 
-/** Makes the decision log of a host. */
+/**
+ * Makes the decision log of a host. Its name is asked for each line, as a
+ * process logs before it knows its settings.
+ */
 export function createDecisionLog(
-  host: string,
+  getHost: () => string,
   output: Writable = openStandardOutput(),
 ): DecisionLog {
   let batch: string[] = [];
@@ -49,12 +52,11 @@
 
   const sink = bunyan.createLogger({
     name: "azurestile-entry",
-    host,
     streams: [{ type: "raw", stream: { write: addToBatch } }],
   });
 
   function addToBatch(record: object): void {
-    const line = `${JSON.stringify(record)}\n`;
+    const line = `${JSON.stringify({ ...record, host: getHost() })}\n`;
     const bufferedBytes = output.writableLength + batchBytes;
     if (bufferedBytes + line.length > MAX_BUFFERED_BYTES) {
       dropped++;
--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -143,8 +143,18 @@
         `${formatHosts(decision.origins)} at a utilization of ` +
         `${decision.utilization}; ${decision.refused} refused, ` +
         `${decision.open} open`;
+    case "starting":
+      return `The process starts, ${decision.ageMs} ms old`;
+    case "signal-received":
+      return `Received ${decision.signal} at the age of ${decision.ageMs} ms`;
+    case "start-waiting":
+      return `The start has waited for ${decision.waitsFor} for ` +
+        `${decision.waitedMs} of ${decision.limitMs} ms: "${decision.reason}"`;
+    case "start-failed":
+      return `The start failed after ${decision.ageMs} ms: "${decision.reason}"`;
     case "started":
-      return `Started, incarnation ${decision.incarnation}`;
+      return `Started in ${decision.tookMs} ms, incarnation ` +
+        `${decision.incarnation}`;
     case "drain-phase":
       return `Drain: ${decision.phase}, ${decision.inFlight} requests in flight`;
     case "stopped":
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -10,8 +10,37 @@
 
 /** A decision on the fleet's hosts, with the data that it was based on. */
 export type HostDecision =
+  | {
+    /** The first line of a process, before anything that can fail. */
+    readonly event: "starting";
+    /** Time since the process began, in ms, as in all lines of a start. */
+    readonly ageMs: number;
+  }
+  | {
+    readonly event: "signal-received";
+    readonly signal: string;
+    /** Age of the process as the signal was handled, in ms. */
+    readonly ageMs: number;
+  }
+  | {
+    /** The start waits for something, and goes on once it is there. */
+    readonly event: "start-waiting";
+    readonly waitsFor: string;
+    readonly reason: string;
+    readonly waitedMs: number;
+    /** Time after which the start fails, in ms. */
+    readonly limitMs: number;
+  }
+  | {
+    /** The process ends, since it could not start. */
+    readonly event: "start-failed";
+    readonly reason: string;
+    readonly ageMs: number;
+  }
   | {
     readonly event: "started";
+    /** Time from the start of this host in its process, in ms. */
+    readonly tookMs: number;
     readonly name: string;
     readonly incarnation: number;
     readonly callers: string;
--- a/src/diagnostics/runtime_watch.ts
+++ b/src/diagnostics/runtime_watch.ts
@@ -60,15 +60,19 @@
     if (isEnding) return;
     isEnding = true;
     log.writeUncaught(describeUncaught(thrown, origin));
-    void exitWhenFlushed(log);
+    void exitWhenFlushed(log, UNCAUGHT_EXIT_CODE);
   });
 }
 
-async function exitWhenFlushed(log: RuntimeLog): Promise<void> {
+/** Ends the process once its last lines have left it, or soon after. */
+export async function exitWhenFlushed(
+  log: Pick<RuntimeLog, "flush">,
+  code: number,
+): Promise<never> {
   try {
     await Promise.race([log.flush(), sleep(LAST_LINES_MS)]);
   } finally {
-    process.exit(UNCAUGHT_EXIT_CODE);
+    process.exit(code);
   }
 }
 
--- a/src/diagnostics/runtime_watch_test.ts
+++ b/src/diagnostics/runtime_watch_test.ts
@@ -8,7 +8,7 @@
 /** A program whose runtime is watched by a decision log. */
 const PROGRAM = `
   import { createDecisionLog, watchRuntime } from "${MODULES}";
-  const log = createDecisionLog("h1");
+  const log = createDecisionLog(() => "h1");
   watchRuntime({
     writeWarning: (each) => log.write({ event: "runtime-warning", ...each }),
     writeUncaught: (each) => log.write({ event: "uncaught-error", ...each }),
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -562,6 +562,7 @@
   });
   log({
     event: "started",
+    tookMs: Math.round(clock.monotonicMs() - startedMs),
     name: settings.name,
     incarnation,
     callers: settings.callerAddress,
