Don't count a request as sent whose connection failed at once

Callers saw: 502 for calls that may run once, while sound upstreams stood by.

Cause: connect can fail before it returns (ENETUNREACH of a multicast or broadcast address, EMFILE, EADDRNOTAVAIL, EACCES, ENOBUFS). Node then destroys the socket before the request is told of it, and a destroyed socket doesn't connect any more, which was taken for connected. The request was counted as sent, and the error that followed as the end of a connection: cut-off, may have run, and evidence that its content crashes upstreams. ECONNREFUSED comes later, and so was judged rightly.

Evidence: connecting=false destroyed=true as the socket event of such a request fires; the line has cut-off with syscall connect. Ruled out: the proof of incarnations (not asked for by such calls), a synchronous throw (would be unsendable), a kept connection (the first on a new agent).

Change: a socket that is destroyed counts as no connection; its error event follows and ends the attempt. The same where it is destroyed while a proof is awaited. A kept connection that ends before anything is sent says nothing of the upstream. Why it holds: it asks whether there is a connection, not which error it was.

--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -133,7 +133,8 @@
     const timeout = startTimeout(CONNECT_TIMEOUT_MS, failConnect);
 
     function send(isProven: boolean): void {
-      if (req.destroyed) return;
+      // The error event of a socket follows its destruction.
+      if (req.destroyed || req.socket?.destroyed) return;
       if (!isProven) {
         return fail("unwanted", "Another incarnation may serve there");
       }
@@ -195,8 +196,9 @@
       // Destroying the request would drop what has not been read of a response
       // that was received completely.
       if (received?.res.complete) return;
-      // A connection that ends while its proof is awaited shows no failure.
-      const unsent = isConnected ? "unwanted" : "not-sent";
+      // A connection that ends before anything is sent on it shows no failure.
+      const wasThere = isConnected || req.reusedSocket;
+      const unsent = wasThere ? "unwanted" : "not-sent";
       const kind = isSent ? getSentFailure(reason) : unsent;
       fail(kind, reason, { syscall });
     });
@@ -247,12 +249,16 @@
   return [...call.headers, "Content-Length", String(call.body.length)];
 }
 
+/**
+ * Calls `run` once the connection is there. A socket that no longer connects may
+ * also have failed at once; its error event follows.
+ */
 function onConnected(
   req: ClientRequest,
   run: (socket: Socket) => void,
 ): void {
   req.on("socket", (socket) => {
-    if (!socket.connecting) run(socket);
-    else socket.once("connect", () => run(socket));
+    if (socket.connecting) socket.once("connect", () => run(socket));
+    else if (!socket.destroyed) run(socket);
   });
 }
