Don't count what a host lacks against an upstream

What callers saw: a host out of descriptors or local ports counted each upstream that it tried as down for one to four seconds, and, where one of its responses had just broken off, as presumably crashed under the content.

Cause: each error of a connect was one of the upstream. EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN and EADDRNOTAVAIL name what the host has run out of. Such an attempt ends as unsendable now, which says nothing of the upstream; another may be tried, and a request that none can get ends as not run. That nothing was sent is decided before, by whether there was a connection; the list decides only about health.

Ruled out: the question whether an upstream has crashed (tryConnect): a connect that fails but isn't refused counts as no evidence there already. EACCES, EINVAL, EHOSTUNREACH and ENETUNREACH stay failures of the address.

--- a/src/forwarding/types.ts
+++ b/src/forwarding/types.ts
@@ -170,8 +170,8 @@
  *   upstream stated that it is leaving or asked for a back-off, or the content
  *   was blocked.
  * - `unsendable`: not sent either; the request can't be written, for example
- *   since a header holds a character that HTTP does not admit. Says nothing of
- *   the upstream.
+ *   since a header holds a character that HTTP does not admit, or this host has
+ *   no descriptor or port left. Says nothing of the upstream.
  * - `not-run`: the upstream states that it has not run the request and never
  *   will.
  * - `broken`: the request was sent and may have run; the answer is unusable.
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -198,7 +198,7 @@
       if (received?.res.complete) return;
       // A connection that ends before anything is sent on it shows no failure.
       const wasThere = isConnected || req.reusedSocket;
-      const unsent = wasThere ? "unwanted" : "not-sent";
+      const unsent = wasThere ? "unwanted" : getConnectFailure(reason);
       const kind = isSent ? getSentFailure(reason) : unsent;
       fail(kind, reason, { syscall });
     });
@@ -209,6 +209,21 @@
   });
 }
 
+/** Codes of a connect for which this host lacks a descriptor, memory or port. */
+const OWN_SHORTAGES: ReadonlySet<string> = new Set([
+  "EADDRNOTAVAIL",
+  "EAGAIN",
+  "EMFILE",
+  "ENFILE",
+  "ENOBUFS",
+  "ENOMEM",
+]);
+
+/** What this host lacks says nothing of the upstream. */
+function getConnectFailure(code: string): "unsendable" | "not-sent" {
+  return OWN_SHORTAGES.has(code) ? "unsendable" : "not-sent";
+}
+
 /** Node's parser prefixes the codes of its errors. */
 function getSentFailure(code: string): "broken" | "cut-off" {
   return code.startsWith("HPE_") ? "broken" : "cut-off";
