Name no upstream after an address to which nobody can connect

What callers saw: an entry with a multicast or broadcast address got requests until its connections had failed; one with 0.0.0.0 would have sent them to the host itself, maybe to its own port for callers.

Addresses that begin with 0, multicast (224 to 239) and the broadcast address are such; loopback is not, and 240 to 254 is routed in some networks.

--- a/src/core/ports.ts
+++ b/src/core/ports.ts
@@ -25,9 +25,27 @@
 
 const MAX_PORT = 65_535;
 
-/** Whether the text is an IPv4 address and a port to which one can connect. */
+/** Whether the text is an IPv4 address and a port. */
 export function isAddress(text: string): boolean {
   const [ip = "", port = "", ...rest] = text.split(":");
   const isPort = /^[1-9]\d{0,4}$/.test(port) && Number(port) <= MAX_PORT;
   return rest.length === 0 && isIPv4(ip) && isPort;
 }
+
+/** First byte of the networks of multicast addresses. */
+const MIN_MULTICAST = 224;
+const MAX_MULTICAST = 239;
+
+const BROADCAST = "255.255.255.255";
+
+/**
+ * Whether the text is the address of one other process: 0.x.x.x means this host,
+ * and a multicast or broadcast address nobody to whom one can connect.
+ */
+export function isDestination(text: string): boolean {
+  if (!isAddress(text)) return false;
+  const [ip] = text.split(":");
+  const network = Number(ip!.split(".")[0]);
+  const isMulticast = network >= MIN_MULTICAST && network <= MAX_MULTICAST;
+  return network !== 0 && !isMulticast && ip !== BROADCAST;
+}
