Log and measure the memory of a host against its limit

What operators saw: a process that ended by itself, and nothing that tells whether it was killed for its memory. An entry host had no metric of its memory and no line; a process that is killed writes none.

Change: once a second the resident memory is read; from three quarters of the limit on, at each further thirty-second of it, and below two thirds again, a line memory-changed has it with its parts: the heap, what lies outside of it, what is counted as held of bodies and responses, connections and requests in flight. Metrics have the same. The counts of connections are new.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -68,6 +68,8 @@
     case "intake-changed":
       return `${decision.isFull ? "Accepts no" : "Accepts"} new callers: an ` +
         `event-loop iteration took ${decision.meanTurnMs} ms on average`;
+    case "memory-changed":
+      return describeMemory(decision);
     case "config-in-force":
       return `Configuration ${decision.version} in force, from ${decision.from}`;
     case "evacuation-began":
@@ -190,6 +192,23 @@
   }
 }
 
+function describeMemory(
+  memory: Extract<Decision, { readonly event: "memory-changed" }>,
+): string {
+  const { residentBytes, limitBytes, requestBytes, responseBytes } = memory;
+  return `Memory is ${memory.isHigh ? "near" : "no longer near"} its limit: ` +
+    `${toMegabytes(residentBytes)} of ${toMegabytes(limitBytes)} MB, heap ` +
+    `${toMegabytes(memory.heapUsed)}, outside of it ` +
+    `${toMegabytes(memory.external)}, of it buffers ` +
+    `${toMegabytes(memory.arrayBuffers)}; held: bodies ` +
+    `${toMegabytes(requestBytes)}, responses ${toMegabytes(responseBytes)}; ` +
+    `${memory.connections} connections, ${memory.inFlight} requests in flight`;
+}
+
+function toMegabytes(bytes: number): string {
+  return (bytes / 1_000_000).toFixed(1);
+}
+
 function formatHosts(hosts: readonly string[]): string {
   return hosts.length === 0 ? "no host" : hosts.join(", ");
 }
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -69,6 +69,22 @@
     /** Mean duration of event-loop iterations over the last second. */
     readonly meanTurnMs: number;
   }
+  | {
+    /** This host nears the memory above which it is killed, or no longer. */
+    readonly event: "memory-changed";
+    readonly isHigh: boolean;
+    readonly residentBytes: number;
+    readonly limitBytes: number;
+    readonly heapUsed: number;
+    readonly external: number;
+    readonly arrayBuffers: number;
+    /** What this host counts as held of requests' bodies and of responses. */
+    readonly requestBytes: number;
+    readonly responseBytes: number;
+    /** Open connections of callers. */
+    readonly connections: number;
+    readonly inFlight: number;
+  }
   | {
     /** This host handed connections off in the last second, or tried to. */
     readonly event: "connections-handed-off";
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -22,6 +22,8 @@
    * that wait in the queue meanwhile are reset.
    */
   lengthenBacklog(backlog: number): void;
+  /** Open connections, also those that are handed off. */
+  countConnections(): number;
 }
 
 /** What a server for callers does. */
@@ -50,12 +52,17 @@
 ): Promise<CallerServer> {
   const { onRequest, onConnection, backlog, headerCheckIntervalMs } = options;
   const server = createHttpServer(onRequest, headerCheckIntervalMs);
+  let connections = 0;
   const acceptor = createServer({
     // As the HTTP server accepts connections by itself.
     allowHalfOpen: true,
     noDelay: true,
     pauseOnConnect: true,
-  }, onConnection);
+  }, (socket) => {
+    connections++;
+    socket.once("close", () => connections--);
+    onConnection(socket);
+  });
   await startListening(acceptor, {
     address,
     backlog,
@@ -92,6 +99,7 @@
       acceptor.close();
       listenAnew();
     },
+    countConnections: () => connections,
     async [Symbol.asyncDispose]() {
       isDisposed = true;
       server.closeIdleConnections();
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,6 +7,7 @@
  */
 
 import { performance } from "node:perf_hooks";
+import process from "node:process";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
@@ -54,6 +55,7 @@
 import { getDistance } from "./distance.ts";
 import { createDrain } from "./drain.ts";
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
+import { createMemoryWatch } from "./memory_watch.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
 import { openPrefixExchange } from "./prefix_exchange.ts";
@@ -331,7 +333,34 @@
   const isReady = () =>
     !drain.isDraining() && !intake.isFull() &&
     platformView.tryGetRoutes() !== undefined;
+  const requestMemory = createHeldMemory(getMaxHeldBytes(settings.memoryBytes));
+  const responseMemory = createHeldMemory(
+    getMaxHeldBytes(settings.memoryBytes),
+  );
+  const getHeld = () => ({
+    requestBytes: requestMemory.countBytes(),
+    responseBytes: responseMemory.countBytes(),
+    connections: callers.countConnections(),
+    inFlight: drain.countInFlight(),
+  });
+  const memoryWatch = createMemoryWatch({
+    clock,
+    limitBytes: settings.memoryBytes,
+    readResident: process.memoryUsage.rss,
+    readParts: () => {
+      const { heapUsed, external, arrayBuffers } = process.memoryUsage();
+      return { heapUsed, external, arrayBuffers };
+    },
+    getHeld,
+    onChanged: (state) => log({ event: "memory-changed", ...state }),
+  });
   const metrics = createEntryMetrics({
+    countConnections: () => callers.countConnections(),
+    memoryLimitBytes: settings.memoryBytes,
+    readMemory() {
+      const { rss, ...parts } = process.memoryUsage();
+      return { residentBytes: rss, ...parts, ...getHeld() };
+    },
     getConfigVersion: () => platformView.getInputs().configVersion,
     getQueued: queue.getCount,
     countInFlight: drain.countInFlight,
@@ -401,12 +430,8 @@
         () => getServingHosts(peers.membership.getMembers()).length,
       ),
     ),
-    requestMemory: createHeldMemory(
-      getMaxHeldBytes(settings.memoryBytes),
-    ),
-    responseMemory: createHeldMemory(
-      getMaxHeldBytes(settings.memoryBytes),
-    ),
+    requestMemory,
+    responseMemory,
     tryGetRoutes: platformView.tryGetRoutes,
     getRegion: (dataCentre) => settings.regions.get(dataCentre),
     getEvacuated: platformView.getEvacuated,
@@ -503,6 +528,7 @@
     loopMonitor.tick();
     intake.tick();
     handoff.tick();
+    memoryWatch.tick();
   }
 
   /**
--- /dev/null
+++ b/src/entry/memory_watch.ts
@@ -0,0 +1,107 @@
+/**
+ * Watches how near this process comes to the memory above which it is killed,
+ * and logs it with its parts: a killed process writes no line of its own.
+ *
+ * Load: bytes that this host doesn't count, such as garbage that is not yet
+ * collected, many small objects, or what the allocator keeps. Failure prevented:
+ * a process is gone, and nothing tells that it was its memory, or which part.
+ *
+ * @module
+ */
+
+import type { Clock } from "../core/mod.ts";
+
+/** What the parts of the process's memory are, in bytes. */
+export interface MemoryParts {
+  readonly heapUsed: number;
+  /** Outside of the heap, array buffers included. */
+  readonly external: number;
+  readonly arrayBuffers: number;
+}
+
+/** What the host itself holds. */
+export interface HeldParts {
+  readonly requestBytes: number;
+  readonly responseBytes: number;
+  /** Open connections of callers. */
+  readonly connections: number;
+  /** Requests whose answers are not whole. */
+  readonly inFlight: number;
+}
+
+/** The process's memory, as logged. */
+export interface MemoryState extends MemoryParts, HeldParts {
+  readonly isHigh: boolean;
+  readonly residentBytes: number;
+  readonly limitBytes: number;
+}
+
+/** Dependencies of the watch. */
+export interface MemoryWatchHost {
+  readonly clock: Clock;
+  /** Memory above which the process is killed, in bytes. */
+  readonly limitBytes: number;
+  /** Resident memory of the process, in bytes. Takes three system calls. */
+  readResident(): number;
+  /** Costs more than the resident memory. */
+  readParts(): MemoryParts;
+  getHeld(): HeldParts;
+  /** Called when the memory becomes high, rises further, and is low again. */
+  onChanged(state: MemoryState): void;
+}
+
+/** Watches the memory. */
+export interface MemoryWatch {
+  /** Called by a timer, many times per second. */
+  tick(): void;
+}
+
+/** Time between two readings, in ms. */
+const READ_INTERVAL_MS = 1_000;
+
+/** Share of the limit from which on the memory is high. */
+const HIGH_SHARE = 3 / 4;
+
+/** Share of the limit below which it no longer is. */
+const LOW_SHARE = 2 / 3;
+
+/** Rise, as a share of the limit, after which it is logged once more. */
+const LOGGED_RISE_SHARE = 1 / 32;
+
+/** Creates a watch that has not read anything yet. */
+export function createMemoryWatch(host: MemoryWatchHost): MemoryWatch {
+  const { clock, limitBytes } = host;
+  let readMs = -Infinity;
+  /** Share that was logged last; `undefined` while the memory is low. */
+  let loggedShare: number | undefined;
+
+  function report(residentBytes: number, isHigh: boolean): void {
+    loggedShare = isHigh ? residentBytes / limitBytes : undefined;
+    host.onChanged({
+      isHigh,
+      residentBytes,
+      limitBytes,
+      ...host.readParts(),
+      ...host.getHeld(),
+    });
+  }
+
+  function check(residentBytes: number): void {
+    const share = residentBytes / limitBytes;
+    if (loggedShare === undefined) {
+      if (share >= HIGH_SHARE) report(residentBytes, true);
+    } else if (share < LOW_SHARE) report(residentBytes, false);
+    else if (share >= loggedShare + LOGGED_RISE_SHARE) {
+      report(residentBytes, true);
+    }
+  }
+
+  return {
+    tick() {
+      const nowMs = clock.monotonicMs();
+      if (nowMs - readMs < READ_INTERVAL_MS) return;
+      readMs = nowMs;
+      check(host.readResident());
+    },
+  };
+}
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -11,6 +11,7 @@
 import type { GrantOutcome } from "../grants/mod.ts";
 import type { AttemptOutcome, ReceivedOutcome } from "../handoff/mod.ts";
 import type { PlacementSource } from "../prefixes/mod.ts";
+import type { MemoryParts } from "./memory_watch.ts";
 import type { FetchOutcome } from "./platform_view.ts";
 
 /** Values that are read when the metrics are collected. */
@@ -32,9 +33,21 @@
   countPrefixes(): number;
   /** Requests for grants that wait at this host as an owner. */
   countGrantRequests(): number;
+  /** Open connections of callers. */
+  countConnections(): number;
+  /** Memory above which the process is killed, in bytes. */
+  readonly memoryLimitBytes: number;
+  readMemory(): MemoryMetrics;
   isReady(): boolean;
 }
 
+/** The memory of the process, in bytes. */
+export interface MemoryMetrics extends MemoryParts {
+  readonly residentBytes: number;
+  readonly requestBytes: number;
+  readonly responseBytes: number;
+}
+
 /**
  * The limit on the prompt tokens that an upstream of a service may be
  * processing at once (prefill).
@@ -283,6 +296,31 @@
     "Requests for a grant that wait at this host",
     () => host.countGrantRequests(),
   );
+  addGauge(
+    "azurestile_memory_limit_bytes",
+    "Memory above which the process is killed",
+    () => host.memoryLimitBytes,
+  );
+  addGauge(
+    "azurestile_caller_connections",
+    "Open connections of callers",
+    () => host.countConnections(),
+  );
+  new Gauge({
+    name: "azurestile_memory_bytes",
+    help: "Memory of the process; held: what it counts of bodies",
+    labelNames: ["part"],
+    registers,
+    collect() {
+      const memory = host.readMemory();
+      this.set({ part: "resident" }, memory.residentBytes);
+      this.set({ part: "heap_used" }, memory.heapUsed);
+      this.set({ part: "external" }, memory.external);
+      this.set({ part: "array_buffers" }, memory.arrayBuffers);
+      this.set({ part: "held_requests" }, memory.requestBytes);
+      this.set({ part: "held_responses" }, memory.responseBytes);
+    },
+  });
   // The families that grow with the number of routes or of upstreams come last,
   // since a scrape may be cut at some length.
   const ended = new Counter({
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -25,6 +25,16 @@
     countHandoffs: () => 0,
     countPrefixes: () => 0,
     countGrantRequests: () => 0,
+    countConnections: () => 0,
+    memoryLimitBytes: 350e6,
+    readMemory: () => ({
+      residentBytes: 100e6,
+      heapUsed: 20e6,
+      external: 5e6,
+      arrayBuffers: 1e6,
+      requestBytes: 0,
+      responseBytes: 0,
+    }),
     isReady: () => true,
     ...changes,
   });
--- a/src/forwarding/held_memory.ts
+++ b/src/forwarding/held_memory.ts
@@ -35,6 +35,8 @@
 export interface HeldMemory {
   /** Starts to count what is held. */
   hold(holder: MemoryHolder): HeldBytes;
+  /** Counts what is held now, in bytes. */
+  countBytes(): number;
 }
 
 /**
@@ -88,6 +90,7 @@
   }
 
   return {
+    countBytes,
     hold(holder) {
       holders.add(holder);
       return {
