Take a version for the only one by reads that began after the request came

What callers saw (reported; here in virtual time): a stream that began at an upstream of a new version went on at one of the old version, where its caller took it up at a host that was cut off, or stood still, as the new version joined.

Cause: an estimate of age stood for certainty. A host whose table had been confirmed up to 3 s before decided alone; other hosts answered "single version" without saying since when they knew; hosts beyond a cut were no longer asked once they counted as dead, so that those on this side agreed on what they alone knew. A suspended host's clock doesn't even count the time.

Change: a single version counts only by what began after the request came. The host reads the changes of the upstreams and the record of versions; all that wait share the next read, which begins after them. If the platform fails or takes over 150 ms, all hosts that were alive of late are asked, and three of them read the platform too: one confirmation, or the agreement of all, suffices. Otherwise the stream is refused as not run, within 400 ms.

Why it holds: the upstream of the first event was registered before the caller had that event, thus before its request came. A linearizable read that begins after that shows its row, or its version on record. Without the platform, the host that began the stream is among those that have to answer, and knows the version for 30 s. No clock takes part, but in how long versions and hosts are remembered.

Ruled out: asking the three keepers alone while the platform is away (hosts that are cut off together agree); a shorter age (as wrong, more rarely).

Tests changed: those of deciding by the table's age go, since no age decides any more; in their place nothing is decided before a confirmation. Hosts that have just started are tested without the platform, as a read of it makes them certain.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -174,7 +174,9 @@
         `"${decision.message}"`;
     case "stream-version-found":
       return `The stream${formatOf(decision.resumes)} goes on at version ` +
-        `${decision.version} (${decision.from})${formatAsked(decision)}; ` +
+        `${decision.version} (${decision.confirmedBy ?? decision.from})${
+          formatAsked(decision)
+        }; ` +
         formatInputs(decision.inputs);
     case "stream-version-unknown":
       return `The stream${formatOf(decision.resumes)} is not taken up, since ` +
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -348,6 +348,8 @@
     readonly event: "stream-version-found";
     readonly version: string;
     readonly from: "own" | "keeper" | "single-version";
+    /** By what a single version is certain; absent for any other. */
+    readonly confirmedBy?: "platform" | "other-host" | "all-hosts";
   } & StreamVersionInputs
   /** An upstream was asked which incarnation it is, of that which its entry names. */
   | {
--- a/src/discovery/mod.ts
+++ b/src/discovery/mod.ts
@@ -12,5 +12,6 @@
 export * from "./reader_selection.ts";
 export * from "./table_replica.ts";
 export * from "./table_follower.ts";
+export * from "./table_read.ts";
 export * from "./types.ts";
 export * from "./upstream_directory.ts";
--- a/src/discovery/table_follower.ts
+++ b/src/discovery/table_follower.ts
@@ -79,7 +79,7 @@
  * polls. The poll does not return changes that were written below that version;
  * only a full read does.
  */
-function checkEra<T>(
+export function checkEra<T>(
   change: TableChange<T>,
   requested: TablePosition,
 ): Effect.Effect<TableChange<T>, TableError> {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -293,6 +293,7 @@
       log({ event: "platform-lost", table: "versions", reason }),
     random: host.random,
     getTableAgeMs: () => platformView.getInputs().confirmedMsAgo,
+    readTable: Effect.suspend(() => platformView.readUpstreams),
     sendFacts: (facts, to) => peers.membership.sendFacts(facts, to),
     broadcastFact: (fact) => peers.membership.broadcastFact(fact),
     gossipFact: (fact) => peers.membership.gossipFact(fact),
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -20,9 +20,11 @@
   followTable,
   type OperatorRow,
   type ReadingDecision,
+  readTableOnce,
   REPORT_KEY_PREFIX,
   TABLE_NAMES,
   type TableDistribution,
+  type TableError,
   type TableName,
   type TableReplica,
   type TableRow,
@@ -96,6 +98,11 @@
    * unknown or has never been read.
    */
   tryGetTable(name: string): Uint8Array | undefined;
+  /**
+   * Reads the upstreams from the platform, whoever else reads them; the read
+   * begins when the effect does.
+   */
+  readonly readUpstreams: Effect.Effect<void, TableError>;
   /** Follows the platform's tables until the effect is interrupted. */
   readonly run: Effect.Effect<never>;
 }
@@ -280,6 +287,12 @@
     });
   }
 
+  function onRead(name: TableName, changed: boolean): void {
+    // Whether this read ends an outage decides what the change means.
+    distribution.recordRead(name, changed);
+    if (changed) onChanged(name, "platform");
+  }
+
   function followPlatformTable(name: TableName): Effect.Effect<never> {
     return followTable<unknown>({
       clock: host.clock,
@@ -292,9 +305,7 @@
           const reason = "The platform answers again";
           host.log({ event: "platform-regained", table: name, reason });
         }
-        // Whether this read ends an outage decides what the change means.
-        distribution.recordRead(name, changed);
-        if (changed) onChanged(name, "platform");
+        onRead(name, changed);
       },
       onFailure(err) {
         if (!unreachable.has(name)) {
@@ -311,8 +322,14 @@
     });
   }
 
+  const readUpstreams = readTableOnce({
+    source: host.platform.upstreams,
+    table: upstreams,
+  }).pipe(Effect.map((changed) => onRead("upstreams", changed)));
+
   return {
     directory,
+    readUpstreams,
     tryGetRoutes: () => routes,
     getEvacuated: evacuations.getAll,
     getInputs: () => ({
--- a/src/forwarding/stream_origin.ts
+++ b/src/forwarding/stream_origin.ts
@@ -81,8 +81,14 @@
     inputs: host.getInputs(),
   };
   if (found.kind === "found") {
-    const { version, from } = found;
-    host.log({ event: "stream-version-found", ...common, version, from });
+    const { version, from, confirmedBy } = found;
+    host.log({
+      event: "stream-version-found",
+      ...common,
+      version,
+      from,
+      ...(confirmedBy === undefined ? {} : { confirmedBy }),
+    });
   } else {
     const { versions } = found;
     host.log({ event: "stream-version-unknown", ...common, versions });
--- a/src/stream_versions/decide_version.ts
+++ b/src/stream_versions/decide_version.ts
@@ -1,39 +1,51 @@
 /**
  * Decides at which software version a stream goes on that a caller takes up.
  *
- * Load: upstreams of several versions serve side by side, hosts start, and the
- * platform or other hosts can't be reached.
+ * Load: upstreams of several versions serve side by side, hosts start, are cut
+ * off or stand still, and the platform or other hosts can't be reached.
  *
- * Failures prevented: a host that knows one version only, because its table is
- * old or because it has just started, maybe with the whole fleet, lets a stream
- * go on that began at another; or it refuses streams although the service has
- * had one version all the time.
+ * Failures prevented: a host that knows one version only, because it has not
+ * heard of another yet, lets a stream go on that began there; or it refuses
+ * streams although the service has had one version all the time.
+ *
+ * A single version is certain by the order of events, whatever the clocks say.
+ * The upstream of the first event was registered before the caller's request
+ * came here, so that a read of the platform which began after that shows its
+ * version, among the upstreams or on record. Where the platform can't be read,
+ * each host that may have begun the stream has to say, after the request came,
+ * that it knows no other version.
  *
  * @module
  */
 
-import { type KeeperAnswer, MEMORY_MS, type VersionSource } from "./types.ts";
+import {
+  type Certainty,
+  type KeeperAnswer,
+  MEMORY_MS,
+  type VersionSource,
+} from "./types.ts";
 
-/** What this host knows of the versions of a service. */
-export interface VersionKnowledge {
+/** What this host knows before it reads the platform or asks other hosts. */
+export interface OwnKnowledge {
   /** Versions of the service, now or within `MEMORY_MS`. */
   readonly versions: readonly string[];
-  readonly tableAgeMs: number;
-  readonly hostAgeMs: number;
-  /** Whether this host has read the record of versions on the platform. */
-  readonly hasReadRecord: boolean;
-}
-
-/** What this host knows before it asks any other. */
-export interface OwnKnowledge extends VersionKnowledge {
   /** The stream's version by this host's memory; `undefined` if unknown. */
   readonly recorded: string | undefined;
   /** Whether the caller names the request that brought the first event. */
   readonly namesRequest: boolean;
 }
 
+/** For how long a host has seen which versions there are. */
+export interface Watch {
+  readonly hostAgeMs: number;
+  /** Whether this host has read the record of versions on the platform. */
+  readonly hasReadRecord: boolean;
+}
+
 /** What this host knows once others were asked. */
-export interface AskedKnowledge extends VersionKnowledge {
+export interface AskedKnowledge extends Watch {
+  readonly versions: readonly string[];
+  /** Number of hosts that were asked. */
   readonly asked: number;
   readonly answers: readonly KeeperAnswer[];
 }
@@ -44,14 +56,19 @@
     readonly kind: "found";
     readonly version: string;
     readonly from: VersionSource;
+    readonly confirmedBy?: Certainty;
   }
   | { readonly kind: "unknown" };
 
-/** The decision of a host that may ask others. */
+/**
+ * The decision of a host that may ask others about the stream, or confirm that
+ * the version is the only one.
+ */
 export type FirstDecision =
   | DecidedVersion
   | { readonly kind: "none" }
-  | { readonly kind: "ask" };
+  | { readonly kind: "ask" }
+  | { readonly kind: "confirm"; readonly version: string };
 
 /**
  * Age of the table up to which it counts as current, in ms: a host tries to
@@ -67,14 +84,23 @@
   }
   const [first, ...others] = versions;
   if (first === undefined) return { kind: "none" };
-  if (others.length > 0 && !namesRequest) return { kind: "unknown" };
-  if (others.length > 0 || !knowsAllVersions(known)) return { kind: "ask" };
-  return createSingle(first);
+  if (others.length === 0) return { kind: "confirm", version: first };
+  return { kind: namesRequest ? "ask" : "unknown" };
+}
+
+/** Decides once the platform was read after the request came. */
+export function decideByRead(
+  known: OwnKnowledge,
+): Exclude<FirstDecision, { readonly kind: "confirm" }> {
+  const decided = decideByOwn(known);
+  return decided.kind === "confirm"
+    ? createSingle(decided.version, "platform")
+    : decided;
 }
 
 /**
- * Decides by what others have answered. Where this host knows one version, it
- * needs all of them to know no other, or to know all versions itself by now.
+ * Decides by what others have answered. Where this host knows one version, one
+ * of them has to have confirmed it, or all have to know no other.
  */
 export function decideByAnswers(known: AskedKnowledge): DecidedVersion {
   const { answers, asked, versions } = known;
@@ -84,13 +110,17 @@
   }
   const [single, ...others] = versions;
   if (single === undefined || others.length > 0) return { kind: "unknown" };
-  const agree = answers.every((each) =>
-    each.kind === "single-version" && each.version === single
+  const differs = answers.some((each) =>
+    each.kind !== "not-known" && each.version !== single
   );
-  if (!agree) return { kind: "unknown" };
-  const haveAllAnswered = asked > 0 && answers.length >= asked;
-  return haveAllAnswered || knowsAllVersions(known)
-    ? createSingle(single)
+  if (differs) return { kind: "unknown" };
+  if (answers.some((each) => each.kind === "confirmed-version")) {
+    return createSingle(single, "other-host");
+  }
+  const haveAllAgreed = asked > 0 && answers.length >= asked &&
+    answers.every((each) => each.kind === "single-version");
+  return haveAllAgreed && hasWatched(known)
+    ? createSingle(single, "all-hosts")
     : { kind: "unknown" };
 }
 
@@ -100,24 +130,18 @@
  * hosts before it saw. Without that, hosts that have all just started agree on a
  * single version although another has just gone.
  */
-export function hasWatched(
-  { hostAgeMs, hasReadRecord }: Pick<
-    VersionKnowledge,
-    "hostAgeMs" | "hasReadRecord"
-  >,
-): boolean {
+export function hasWatched({ hostAgeMs, hasReadRecord }: Watch): boolean {
   return hostAgeMs >= MEMORY_MS || hasReadRecord;
 }
 
-function knowsAllVersions(known: VersionKnowledge): boolean {
-  return isTableCurrent(known.tableAgeMs) && hasWatched(known);
-}
-
-/** Whether a table of this age, in ms, shows what serves now. */
+/** Whether a table of this age, in ms, is taken to show what serves now. */
 export function isTableCurrent(tableAgeMs: number): boolean {
   return tableAgeMs <= CURRENT_TABLE_MS;
 }
 
-function createSingle(version: string): DecidedVersion {
-  return { kind: "found", version, from: "single-version" };
+function createSingle(
+  version: string,
+  confirmedBy: Certainty,
+): Extract<DecidedVersion, { readonly kind: "found" }> {
+  return { kind: "found", version, from: "single-version", confirmedBy };
 }
--- a/src/stream_versions/stream_versions.ts
+++ b/src/stream_versions/stream_versions.ts
@@ -25,18 +25,14 @@
 import type { Fact } from "../membership/mod.ts";
 import { rankByRendezvous } from "../membership/mod.ts";
 import { type BegunStream, createBegunStreams } from "./begun_streams.ts";
-import {
-  decideByAnswers,
-  decideByOwn,
-  hasWatched,
-  isTableCurrent,
-  type VersionKnowledge,
-} from "./decide_version.ts";
+import { hasWatched, isTableCurrent, type Watch } from "./decide_version.ts";
 import { createFactsOutbox } from "./facts_outbox.ts";
+import { createVersionSearch, type TakenUpStream } from "./find_version.ts";
 import { chooseKeepers } from "./keepers.ts";
 import { createKnownVersions, type VersionRow } from "./known_versions.ts";
+import { createRecentHosts } from "./recent_hosts.ts";
+import { createSharedRead } from "./shared_read.ts";
 import type {
-  AskedHosts,
   FoundVersion,
   KeeperAnswer,
   StreamVersionsHost,
@@ -49,7 +45,7 @@
   tryParseStreamFact,
   tryParseVersionFact,
 } from "./version_facts.ts";
-import { type AnsweringHost, createVersionQueries } from "./version_queries.ts";
+import { createVersionQueries } from "./version_queries.ts";
 import { createVersionRecord } from "./version_record.ts";
 
 /** The first event of a stream. */
@@ -92,11 +88,15 @@
  */
 const BROADCASTERS = 3;
 
-/** Stands for the request of a caller that names none; no digest equals it. */
-const NO_REQUEST = "none";
+/**
+ * Begins the name of a question for a caller that names no request; no digest
+ * begins so. A number of its own follows, so that an answer to an earlier
+ * question doesn't count for this one.
+ */
+const NO_REQUEST = "none.";
 
-/** Number of answers that are named in the log. */
-const MAX_LOGGED_ANSWERS = 3;
+/** Limit on the questions of others that wait for the platform. */
+const MAX_CONFIRMATIONS = 2_000;
 
 /** Creates the versions of a host that knows none. */
 export function createStreamVersions(
@@ -110,9 +110,14 @@
   const outbox = createFactsOutbox(host.sendFacts);
   const queries = createVersionQueries({
     clock,
-    send: (question, peer) =>
-      send(peer, { kind: "ask", ...question, from: self }),
+    send({ digest, service, confirmers }, peer) {
+      send(peer, { kind: "ask", digest, service, from: self });
+      if (!confirmers.includes(peer)) return;
+      send(peer, { kind: "confirm", digest, service, from: self });
+    },
   });
+  const recentHosts = createRecentHosts(clock);
+  let confirmations = 0;
 
   const record = createVersionRecord({
     clock,
@@ -166,10 +171,8 @@
     else host.gossipFact(fact);
   }
 
-  function getKnowledge(service: string): VersionKnowledge {
+  function getWatch(): Watch {
     return {
-      versions: known.get(service),
-      tableAgeMs: host.getTableAgeMs(),
       hostAgeMs: clock.monotonicMs() - startedMs,
       hasReadRecord: record.isRead(),
     };
@@ -179,32 +182,47 @@
     return (own.tryGet(digest) ?? told.tryGet(digest))?.version;
   }
 
-  function ask(service: string, digest: string): Effect.Effect<FoundVersion> {
-    return queries.ask({ digest, service }, getOtherKeepers(digest)).pipe(
-      Effect.map(({ asked, answers }) => {
-        const knowledge = getKnowledge(service);
-        const decided = decideByAnswers({
-          ...knowledge,
-          asked,
-          answers: answers.map((each) => each.answer),
-        });
-        const versions = knowledge.versions.length;
-        return { ...decided, versions, asked, ...summarize(answers) };
-      }),
-    );
-  }
-
   function getAnswer(service: string, digest: string): KeeperAnswer {
     const recorded = tryGetRecorded(digest);
     if (recorded !== undefined) return { kind: "known", version: recorded };
-    const knowledge = getKnowledge(service);
-    const [single, ...others] = knowledge.versions;
+    const [single, ...others] = known.get(service);
     const isSingle = single !== undefined && others.length === 0;
-    return isSingle && hasWatched(knowledge)
+    return isSingle && hasWatched(getWatch())
       ? { kind: "single-version", version: single }
       : { kind: "not-known" };
   }
 
+  const search = createVersionSearch({
+    getVersions: known.get,
+    tryGetRecorded,
+    getWatch,
+    platform: createSharedRead({
+      clock,
+      read: Effect.all([host.readTable, record.readAnew], {
+        concurrency: "unbounded",
+      }).pipe(Effect.map(([, onRecord]) => onRecord)),
+    }),
+    getKeepers: getOtherKeepers,
+    getRecentHosts: () => recentHosts.getAll().filter((each) => each !== self),
+    ask: queries.ask,
+  });
+
+  /** Answers once the platform has; not at all if it doesn't. */
+  function confirm(stream: TakenUpStream, to: string): void {
+    if (confirmations >= MAX_CONFIRMATIONS) return;
+    confirmations++;
+    Effect.runFork(
+      search.confirm(stream).pipe(
+        Effect.map((answer) => {
+          const { digest } = stream;
+          send(to, { kind: "answer", digest, from: self, answer });
+        }),
+        Effect.ignore,
+        Effect.ensuring(Effect.sync(() => confirmations--)),
+      ),
+    );
+  }
+
   function receive(message: StreamMessage): void {
     const { digest } = message;
     switch (message.kind) {
@@ -220,6 +238,11 @@
         send(message.from, { kind: "answer", digest, from: self, answer });
         return;
       }
+      case "confirm": {
+        const { service, from } = message;
+        confirm({ digest, service, namesRequest: true }, from);
+        return;
+      }
       case "answer":
         queries.receive(digest, message);
     }
@@ -244,20 +267,12 @@
       if (hasSeveral(service)) tell(stream);
     },
     find: (serviceName, request) =>
-      Effect.suspend(() => {
-        const service = getShortDigest(serviceName);
-        const digest = request === undefined
-          ? NO_REQUEST
-          : getShortDigest(request);
-        const knowledge = getKnowledge(service);
-        const decided = decideByOwn({
-          ...knowledge,
-          recorded: tryGetRecorded(digest),
-          namesRequest: request !== undefined,
-        });
-        if (decided.kind === "ask") return ask(service, digest);
-        const versions = knowledge.versions.length;
-        return Effect.succeed({ ...decided, versions, asked: 0, answered: 0 });
+      search.find({
+        digest: request === undefined
+          ? `${NO_REQUEST}${host.random()}`
+          : getShortDigest(request),
+        service: getShortDigest(serviceName),
+        namesRequest: request !== undefined,
       }),
     receiveFact(fact) {
       const seen = tryParseVersionFact(fact, clock.wallMs());
@@ -269,6 +284,10 @@
     },
     tick() {
       queries.tick();
+      recentHosts.update(
+        () => host.getHosts().map((each) => each.peerAddress),
+        isTableCurrent(host.getTableAgeMs()),
+      );
       own.expire();
       told.expire();
     },
@@ -277,13 +296,3 @@
     [Symbol.dispose]: () => outbox[Symbol.dispose](),
   };
 }
-
-function summarize(
-  answers: readonly AnsweringHost[],
-): Pick<AskedHosts, "answered" | "answers"> {
-  const answered = answers.length;
-  if (answered === 0) return { answered };
-  const named = answers.slice(0, MAX_LOGGED_ANSWERS)
-    .map(({ from, answer }) => ({ from, said: answer.kind }));
-  return { answered, answers: named };
-}
--- a/src/stream_versions/stream_versions_test.ts
+++ b/src/stream_versions/stream_versions_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import { createManualClock } from "../core/mod.ts";
+import { TableError } from "../discovery/types.ts";
 import { createFakeVersionDirectory } from "../testing/fake_version_directory.ts";
 import type { Fact } from "../membership/mod.ts";
 import {
@@ -14,6 +15,8 @@
 
 const LONG_MS = 60_000;
 
+const away = new TableError({ kind: "unreachable", reason: "away" });
+
 /**
  * Hosts that reach each other at once, each in a data centre of its own, and have
  * not read the record of versions.
@@ -21,7 +24,8 @@
 function createFleet() {
   const clock = createManualClock(1_000_000);
   const lost = new Set<string>();
-  const tableAgeMs = new Map<string, number>();
+  const cutOff = new Set<string>();
+  let served: readonly string[] = [];
   const datagrams: { to: string; facts: readonly Fact[] }[] = [];
   const published: string[] = [];
   const hosts = new Map<string, StreamVersions>();
@@ -44,7 +48,11 @@
         directory: createFakeVersionDirectory(),
         onRecordFailure: () => {},
         random: () => 0,
-        getTableAgeMs: () => tableAgeMs.get(self) ?? 0,
+        getTableAgeMs: () => 0,
+        readTable: Effect.suspend(() => {
+          if (cutOff.has(self)) return Effect.fail(away);
+          return Effect.sync(() => update(served, [self]));
+        }),
         sendFacts(facts, to) {
           datagrams.push({ to, facts });
           if (lost.has(to)) return;
@@ -56,6 +64,14 @@
     );
   }
 
+  function update(versions: readonly string[], names: readonly string[]): void {
+    const rows = versions.map((softwareVersion) => ({
+      service: "model",
+      softwareVersion,
+    }));
+    for (const name of names) hosts.get(name)!.updateRows(rows);
+  }
+
   async function settle(): Promise<void> {
     for (let turn = 0; turn < 6; turn++) await new Promise(setImmediate);
   }
@@ -63,7 +79,7 @@
   return {
     clock,
     lost,
-    tableAgeMs,
+    cutOff,
     datagrams,
     published,
     settle,
@@ -71,14 +87,12 @@
     begin(name: string, request: string, version: string) {
       hosts.get(name)!.recordBegun({ service: "model", request, version });
     },
-    /** All hosts, or those named, read a table with these versions. */
+    /** The platform has these versions; all hosts, or those named, read them. */
     update(versions: readonly string[], names: readonly string[] = NAMES) {
-      const rows = versions.map((softwareVersion) => ({
-        service: "model",
-        softwareVersion,
-      }));
-      for (const name of names) hosts.get(name)!.updateRows(rows);
+      served = versions;
+      update(versions, names);
     },
+    tick: () => hosts.forEach((each) => each.tick()),
     async find(name: string, request?: string): Promise<FoundVersion> {
       const found = Effect.runPromise(
         hosts.get(name)!.find("model", request),
@@ -101,7 +115,7 @@
   fleet.clock.advance(LONG_MS);
   fleet.begin("a", "r", "v1");
   const found = await fleet.find("b", "r");
-  ok(found.kind === "found" && found.from === "single-version");
+  ok(found.kind === "found" && found.confirmedBy === "platform");
   deepStrictEqual(fleet.datagrams, []);
   deepStrictEqual(fleet.published, []);
 });
@@ -160,7 +174,8 @@
   const fleet = createFleet();
   fleet.update(["v1"]);
   fleet.clock.advance(LONG_MS);
-  fleet.tableAgeMs.set("e", 5_000);
+  fleet.tick();
+  fleet.cutOff.add("e");
   strictEqual(getVersion(await fleet.find("e", "r")), "v1");
   for (const name of ["a", "b", "c", "d"]) fleet.lost.add(name);
   strictEqual(getVersion(await fleet.find("e", "r")), "unknown");
@@ -201,7 +216,10 @@
   // Guards against streams of a version that went before all hosts started.
   const fleet = createFleet();
   fleet.update(["v1.1"]);
+  NAMES.forEach((each) => fleet.cutOff.add(each));
+  fleet.tick();
   strictEqual(getVersion(await fleet.find("a", "r")), "unknown");
   fleet.clock.advance(LONG_MS);
+  fleet.tick();
   strictEqual(getVersion(await fleet.find("a", "r")), "v1.1");
 });
--- a/src/stream_versions/types.ts
+++ b/src/stream_versions/types.ts
@@ -5,7 +5,8 @@
  */
 
 import type { Clock } from "../core/mod.ts";
-import type { VersionDirectory } from "../discovery/mod.ts";
+import type * as Effect from "effect/Effect";
+import type { TableError, VersionDirectory } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 
 /** A host that may be told of a stream, or asked about one. */
@@ -29,6 +30,11 @@
   random(): number;
   /** Time since this host's table of upstreams was last confirmed, in ms. */
   getTableAgeMs(): number;
+  /**
+   * Reads the table from the platform and calls `updateRows` if it changed; the
+   * read begins when the effect does.
+   */
+  readonly readTable: Effect.Effect<void, TableError>;
   /** Sends the facts to one host, which does not gossip them. */
   sendFacts(facts: readonly Fact[], peerAddress: string): void;
   /** Sends the fact to all hosts, which get it within one network delay. */
@@ -43,6 +49,13 @@
  */
 export type VersionSource = "own" | "keeper" | "single-version";
 
+/**
+ * By what a single version is certain: a read of the platform that began after
+ * the request came, such a read by another host that was asked, or that all
+ * hosts which may have begun the stream know no other.
+ */
+export type Certainty = "platform" | "other-host" | "all-hosts";
+
 /** What another host said of a stream. */
 export interface HostAnswer {
   readonly from: string;
@@ -64,6 +77,8 @@
     readonly kind: "found";
     readonly version: string;
     readonly from: VersionSource;
+    /** Absent unless the version is a single one. */
+    readonly confirmedBy?: Certainty;
   } & AskedHosts
   | { readonly kind: "unknown"; readonly versions: number } & AskedHosts;
 
@@ -72,6 +87,8 @@
   | { readonly kind: "known"; readonly version: string }
   /** It knows a single version of the service, and has watched long enough. */
   | { readonly kind: "single-version"; readonly version: string }
+  /** The platform has named it a single one since it was asked. */
+  | { readonly kind: "confirmed-version"; readonly version: string }
   /** It knows none or several versions, or can't tell whether there are more. */
   | { readonly kind: "not-known" };
 
--- a/src/stream_versions/version_facts.ts
+++ b/src/stream_versions/version_facts.ts
@@ -24,8 +24,9 @@
     readonly digest: string;
     readonly version: string;
   }
+  /** To "confirm" is to ask the platform first, unless the stream is known. */
   | {
-    readonly kind: "ask";
+    readonly kind: "ask" | "confirm";
     readonly digest: string;
     /** Digest of the service. */
     readonly service: string;
@@ -63,6 +64,7 @@
     case "begun":
       return message.version;
     case "ask":
+    case "confirm":
       return `${message.from} ${message.service}`;
     case "answer": {
       const { answer } = message;
@@ -79,7 +81,9 @@
   if (kind === "begun") return { kind, digest, version: fact.value };
   const [from, rest] = splitFirst(fact.value);
   if (rest === undefined) return undefined;
-  if (kind === "ask") return { kind, digest, from, service: rest };
+  if (kind === "ask" || kind === "confirm") {
+    return { kind, digest, from, service: rest };
+  }
   if (kind !== "answer") return undefined;
   const answer = tryParseAnswer(rest);
   return answer && { kind, digest, from, answer };
@@ -88,8 +92,14 @@
 function tryParseAnswer(text: string): KeeperAnswer | undefined {
   const [kind, version] = splitFirst(text);
   if (kind === "not-known") return { kind };
-  if (kind !== "known" && kind !== "single-version") return undefined;
-  return version === undefined ? undefined : { kind, version };
+  if (version === undefined) return undefined;
+  switch (kind) {
+    case "known":
+    case "single-version":
+    case "confirmed-version":
+      return { kind, version };
+  }
+  return undefined;
 }
 
 /** Splits at the first space: a version may contain more of them. */
--- a/src/stream_versions/version_queries.ts
+++ b/src/stream_versions/version_queries.ts
@@ -21,6 +21,8 @@
   readonly digest: string;
   /** Digest of the service. */
   readonly service: string;
+  /** Those of the hosts that are to ask the platform before they answer. */
+  readonly confirmers: readonly string[];
 }
 
 /** What came of a question. */
@@ -45,8 +47,9 @@
 /** The questions of one host. */
 export interface VersionQueries {
   /**
-   * Asks the hosts. Ends with the first answer that names a version, or once
-   * all have answered, or after `ASK_LIMIT_MS`. Interruption drops it.
+   * Asks the hosts. Ends with the first answer that names the stream's version
+   * or is confirmed, or once all have answered and no confirmation is awaited, or
+   * after `ASK_LIMIT_MS`. Interruption drops it.
    */
   ask(
     question: VersionQuestion,
@@ -111,11 +114,16 @@
     }
   }
 
-  function mayEnd({ peers, answers }: Query): boolean {
-    const hasFound = [...answers.values()].some((each) =>
-      each.kind === "known"
-    );
-    return hasFound || peers.every((peer) => answers.has(peer));
+  function mayEnd({ question, peers, answers }: Query): boolean {
+    const kinds = [...answers.values()].map((each) => each.kind);
+    if (
+      kinds.some((each) => each === "known" || each === "confirmed-version")
+    ) {
+      return true;
+    }
+    const awaitsNone = question.confirmers.length === 0 ||
+      kinds.every((each) => each === "single-version");
+    return awaitsNone && peers.every((peer) => answers.has(peer));
   }
 
   return {
--- a/src/stream_versions/version_queries_test.ts
+++ b/src/stream_versions/version_queries_test.ts
@@ -5,7 +5,7 @@
 import { createManualClock } from "../core/mod.ts";
 import { createVersionQueries, type QueryResult } from "./version_queries.ts";
 
-const question = { digest: "d", service: "s" };
+const question = { digest: "d", service: "s", confirmers: [] };
 
 function createFixture() {
   const clock = createManualClock();
--- a/src/stream_versions/version_record.ts
+++ b/src/stream_versions/version_record.ts
@@ -39,7 +39,7 @@
   getKnown(): readonly ServiceVersion[];
   /** Whether this host's table of upstreams is current. */
   isTableCurrent(): boolean;
-  /** Called with what the platform has on record as this host starts. */
+  /** Called with what this host finds on record for the first time. */
   onRead(versions: readonly ServiceVersion[]): void;
   onFailure(reason: string): void;
   /** A random number in [0, 1). */
@@ -54,6 +54,11 @@
   add(versions: readonly ServiceVersion[]): void;
   /** Writes all versions anew: the platform was restored from a backup. */
   rewrite(): void;
+  /**
+   * Reads the record again: the versions that serve, or have gone of late. The
+   * read begins when the effect does.
+   */
+  readonly readAnew: Effect.Effect<readonly ServiceVersion[], TableError>;
   /** Reads and writes until the effect is interrupted. */
   readonly run: Effect.Effect<never>;
 }
@@ -91,12 +96,17 @@
     return rankByRendezvous(getKey(version), host.getHosts()).indexOf(self);
   }
 
-  const read = directory.read().pipe(
-    Effect.map((versions) => {
-      versions.forEach(markRecorded);
-      isRead = true;
-      host.onRead(versions);
-    }),
+  // What has been recorded here before may be on record for a while after all
+  // hosts have forgotten it, and would never go if it counted as seen anew.
+  const readAnew = Effect.suspend(() => directory.read()).pipe(
+    Effect.tap((versions) =>
+      Effect.sync(() => {
+        const added = versions.filter((each) => !recorded.has(getKey(each)));
+        added.forEach(markRecorded);
+        isRead = true;
+        host.onRead(added);
+      })
+    ),
   );
 
   /** Other writers are trusted to write what isn't this host's part. */
@@ -167,7 +177,8 @@
       recorded.clear();
       due.openUnsafe();
     },
-    run: retry(read).pipe(
+    readAnew,
+    run: retry(Effect.asVoid(readAnew)).pipe(
       Effect.andThen(Effect.suspend(waitForFirstWrite)),
       Effect.andThen(Effect.forever(retry(write))),
     ),
--- a/src/testing/fake_tables.ts
+++ b/src/testing/fake_tables.ts
@@ -20,6 +20,7 @@
   type UpstreamEntry,
 } from "../discovery/mod.ts";
 import { TableError } from "../discovery/types.ts";
+import { createFakeVersionDirectory } from "./fake_version_directory.ts";
 import { createRoutingConfig, createUpstreamEntry } from "./routing_fixture.ts";
 
 /** How the platform handles a host's calls. */
@@ -30,7 +31,9 @@
   /** Writes a configuration, as operators do. */
   putConfig(version: number): void;
   /** Replaces the registered upstreams. */
-  putUpstreams(ids: readonly string[]): void;
+  putUpstreams(ids: readonly string[], softwareVersion?: string): void;
+  /** Registers one more upstream. */
+  addUpstream(id: string, softwareVersion: string): void;
   setTreatment(host: string, treatment: Treatment): void;
   /** Sets how the platform handles the host's calls for this table. */
   setTableTreatment(host: string, table: TableName, treatment: Treatment): void;
@@ -40,7 +43,10 @@
   dropHistory(): void;
   /** Restores the state of `ms` milliseconds ago, with the next era. */
   restoreBackup(ms: number): void;
-  /** Number of calls by all hosts so far, with those that got no response. */
+  /**
+   * Number of reads of tables by all hosts so far, with those that got no
+   * response.
+   */
   countCalls(): number;
   /** Creates the host's client of the platform. */
   createPlatform(host: string): EntryPlatform;
@@ -114,9 +120,13 @@
   }
 
   /** An existing row keeps the version at which it was written. */
-  function getOrCreateRow(id: string): TableRow<UpstreamEntry> {
+  function getOrCreateRow(
+    id: string,
+    softwareVersion: string,
+  ): TableRow<UpstreamEntry> {
     const existing = upstreams.rows.find((each) => each.key === id);
-    return existing ?? { key: id, version, value: createUpstreamEntry({ id }) };
+    const value = createUpstreamEntry({ id, softwareVersion });
+    return existing ?? { key: id, version, value };
   }
 
   function getRemoved<T>(table: FakeTable<T>): readonly string[] {
@@ -154,7 +164,17 @@
     });
   }
 
-  /** Handles a call by the host's treatment at the beginning of the call. */
+  const recorded = createFakeVersionDirectory();
+
+  function fail(afterMs: number, reason: Treatment) {
+    const err = new TableError({ kind: "unreachable", reason });
+    return Effect.sleep(afterMs).pipe(Effect.andThen(Effect.fail(err)));
+  }
+
+  /**
+   * Handles a call by the host's treatment at its beginning; a host that is cut
+   * off meanwhile gets no answer.
+   */
   function call<A>(
     host: string,
     table: TableName,
@@ -164,30 +184,52 @@
     },
   ): Effect.Effect<A, TableError> {
     return Effect.suspend(() => {
-      calls++;
       const treatment = treatments[table].get(host) ?? "served";
       if (treatment === "served") {
         return Effect.sleep(CALL_DURATION_MS).pipe(
           Effect.andThen(options.answer),
+          Effect.tap(() =>
+            treatments[table].get(host) === "silent"
+              ? fail(RESPONSE_TIMEOUT_MS, "silent")
+              : Effect.void
+          ),
         );
       }
       const afterMs = treatment === "refused"
         ? CALL_DURATION_MS
         : options.waitMs + RESPONSE_TIMEOUT_MS;
-      const err = new TableError({ kind: "unreachable", reason: treatment });
-      return Effect.sleep(afterMs).pipe(Effect.andThen(Effect.fail(err)));
+      return fail(afterMs, treatment);
     });
   }
 
+  /** Calls that concern the record of versions. */
+  function callRecord<A>(
+    host: string,
+    answer: Effect.Effect<A, TableError>,
+  ): Effect.Effect<A, TableError> {
+    return call(host, "upstreams", { waitMs: 0, answer });
+  }
+
   function createTable<T>(
     host: string,
     name: TableName,
     table: FakeTable<T>,
   ): TableSource<T> {
+    const countCall = Effect.sync(() => void calls++);
     return {
-      read: () => call(host, name, { waitMs: 0, answer: read(table) }),
+      read: () =>
+        Effect.andThen(
+          countCall,
+          call(host, name, { waitMs: 0, answer: read(table) }),
+        ),
       pollChanges: (after, waitMs) =>
-        call(host, name, { waitMs, answer: pollChanges(table, after, waitMs) }),
+        Effect.andThen(
+          countCall,
+          call(host, name, {
+            waitMs,
+            answer: pollChanges(table, after, waitMs),
+          }),
+        ),
     };
   }
 
@@ -201,9 +243,14 @@
         value: { kind: "configuration", config: value },
       }]);
     },
-    putUpstreams(ids) {
+    putUpstreams(ids, softwareVersion = "v1") {
+      version++;
+      setRows(upstreams, ids.map((id) => getOrCreateRow(id, softwareVersion)));
+    },
+    addUpstream(id, softwareVersion) {
       version++;
-      setRows(upstreams, ids.map(getOrCreateRow));
+      const added = getOrCreateRow(id, softwareVersion);
+      setRows(upstreams, [...upstreams.rows, added]);
     },
     setTreatment(host, treatment) {
       for (const name of TABLE_NAMES) treatments[name].set(host, treatment);
@@ -233,9 +280,9 @@
         remove: () => Effect.void,
       },
       versions: {
-        read: () => Effect.succeed([]),
-        add: () => Effect.void,
-        remove: () => Effect.void,
+        read: () => callRecord(host, recorded.read()),
+        add: (each) => callRecord(host, recorded.add(each)),
+        remove: (each) => callRecord(host, recorded.remove(each)),
       },
     }),
   };
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -10,6 +10,7 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import * as TestClock from "effect/testing/TestClock";
+import { type Clock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
   createPlatformView,
@@ -19,6 +20,11 @@
 import { createVirtualScheduler } from "../measure/virtual_scheduler.ts";
 import { createRandom } from "../measure/random.ts";
 import type { Fact } from "../membership/mod.ts";
+import {
+  createStreamVersions,
+  type StreamVersions,
+  VERSION_KEY_PREFIX,
+} from "../stream_versions/mod.ts";
 import {
   createFakeTables,
   type FakeTables,
@@ -62,6 +68,15 @@
   readonly start: Effect.Effect<void>;
   /** Begins or ends a partition of the host from all others. */
   setPartitioned(host: string, isPartitioned: boolean): void;
+  /** Begins or ends a partition of these hosts from all others. */
+  setCut(hosts: readonly string[], isCut: boolean): void;
+  /**
+   * Begins or ends that the host stands still, as if suspended: its clock doesn't
+   * count the time, and what is sent to it waits.
+   */
+  setSuspended(host: string, isSuspended: boolean): void;
+  /** The versions of streams at the host; `undefined` while it is down. */
+  tryGetStreams(host: string): StreamVersions | undefined;
   /** Sets the share of datagrams that are lost from now on. */
   setDatagramLoss(rate: number): void;
   treatAll(treatment: Treatment): void;
@@ -80,7 +95,8 @@
 
 interface RunningHost {
   readonly view: PlatformView;
-  readonly fiber: Fiber.Fiber<never>;
+  readonly streams: StreamVersions;
+  readonly fiber: Fiber.Fiber<unknown>;
 }
 
 /**
@@ -108,20 +124,42 @@
   let lastIncarnation = 0;
   let lossRate = 0;
 
+  /** The hosts that are cut off together. */
+  const cut = new Set<string>();
+  let cutSinceMs: number | undefined;
+  const suspendedSinceMs = new Map<string, number>();
+  const suspendedMs = new Map<string, number>();
+  const waiting = new Map<string, (() => void)[]>();
+
   const isConnected = (from: string, to: string) =>
-    runningHosts.has(to) && !isolatedSinceMs.has(from) &&
-    !isolatedSinceMs.has(to);
+    runningHosts.has(from) && runningHosts.has(to) &&
+    !suspendedSinceMs.has(from) && !suspendedSinceMs.has(to) &&
+    !isolatedSinceMs.has(from) && !isolatedSinceMs.has(to) &&
+    cut.has(from) === cut.has(to);
+
+  /** Delivers what is sent; to a host that stands still, once it goes on. */
+  function deliver(from: string, to: string, receive: () => void): void {
+    if (from === to || lossRandom() < lossRate) return;
+    scheduler.after(LINK_LATENCY_MS, () => {
+      if (suspendedSinceMs.has(to)) {
+        getOrCreate(waiting, to, (): (() => void)[] => []).push(receive);
+      } else if (isConnected(from, to)) receive();
+    });
+  }
 
   const isLongAgo = (sinceMs: number | undefined) =>
     sinceMs !== undefined && nowMs() - sinceMs > FAILURE_DETECTION_MS;
 
   /** Hosts that the host considers alive, including itself. */
   function getAlive(host: string): readonly string[] {
+    const isCutOff = (each: string) =>
+      cut.has(each) !== cut.has(host) && isLongAgo(cutSinceMs);
     const isIsolated = isLongAgo(isolatedSinceMs.get(host));
     return hosts.filter((each) =>
       each === host ||
       !isIsolated && !isLongAgo(isolatedSinceMs.get(each)) &&
-        !isLongAgo(killedSinceMs.get(each))
+        !isLongAgo(killedSinceMs.get(each)) && !isCutOff(each) &&
+        !isLongAgo(suspendedSinceMs.get(each))
     );
   }
 
@@ -129,13 +167,33 @@
   function broadcast(from: string, fact: Fact): void {
     if (!distributesTables) return;
     for (const to of hosts) {
-      if (to === from || lossRandom() < lossRate) continue;
-      scheduler.after(LINK_LATENCY_MS, () => {
-        if (isConnected(from, to)) runningHosts.get(to)!.view.receive(fact);
+      deliver(from, to, () => {
+        const { view, streams } = runningHosts.get(to)!;
+        if (fact.key.startsWith(VERSION_KEY_PREFIX)) streams.receiveFact(fact);
+        else view.receive(fact);
       });
     }
   }
 
+  function sendFacts(from: string, to: string, facts: readonly Fact[]): void {
+    deliver(from, to, () => {
+      facts.forEach((each) =>
+        runningHosts.get(to)!.streams.receiveDirectFact(each)
+      );
+    });
+  }
+
+  /** A clock that doesn't count the time in which the host stood still. */
+  function createHostClock(host: string): Clock {
+    const getStoodMs = () =>
+      (suspendedMs.get(host) ?? 0) +
+      (nowMs() - (suspendedSinceMs.get(host) ?? nowMs()));
+    return {
+      monotonicMs: () => nowMs() - getStoodMs(),
+      wallMs: clock.wallMs,
+    };
+  }
+
   function fetchTable(
     host: string,
     peer: string,
@@ -151,15 +209,35 @@
     });
   }
 
-  function createHost(host: string): PlatformView {
+  function createHost(host: string): Omit<RunningHost, "fiber"> {
     const send = (fact: Fact) => broadcast(host, fact);
+    const hostClock = createHostClock(host);
+    const platform = tables.createPlatform(host);
     lastIncarnation++;
-    return createPlatformView({
+    const streams: StreamVersions = createStreamVersions({
+      clock: hostClock,
+      self: host,
+      getHosts: () =>
+        getAlive(host).map((each) => ({
+          peerAddress: each,
+          dataCentre: "lagos-ikeja",
+        })),
+      directory: platform.versions,
+      onRecordFailure: () => {},
+      random: createRandom(seed * 2_000 + lastIncarnation),
+      getTableAgeMs: () => view.getInputs().confirmedMsAgo,
+      readTable: Effect.suspend(() => view.readUpstreams),
+      sendFacts: (facts, to) => sendFacts(host, to, facts),
+      broadcastFact: send,
+      gossipFact: send,
+    });
+    const view: PlatformView = createPlatformView({
       regions: new Map([["lagos-ikeja", "lagos"]]),
-      onUpstreamRows: () => {},
+      onUpstreamRows: (rows) =>
+        streams.updateRows(rows.map((each) => each.value)),
       onEvacuationEnded: () => {},
-      clock,
-      platform: tables.createPlatform(host),
+      clock: hostClock,
+      platform,
       peerAddress: host,
       incarnation: lastIncarnation,
       random: createRandom(seed * 1_000 + lastIncarnation),
@@ -172,14 +250,17 @@
       gossipFact: send,
       fetchTable: (name, peer) => fetchTable(host, peer, name),
     });
+    return { view, streams };
   }
 
   function startHost(host: string): Effect.Effect<void> {
     return Effect.gen(function* () {
-      const view = createHost(host);
+      const { view, streams } = createHost(host);
       killedSinceMs.delete(host);
-      const fiber = yield* Effect.forkDetach(view.run);
-      runningHosts.set(host, { view, fiber });
+      const fiber = yield* Effect.forkDetach(
+        Effect.all([view.run, streams.run], { concurrency: "unbounded" }),
+      );
+      runningHosts.set(host, { view, streams, fiber });
     });
   }
 
@@ -195,6 +276,9 @@
 
   const step = Effect.suspend(() => {
     scheduler.runUntil(nowMs() + STEP_MS);
+    for (const [host, { streams }] of runningHosts) {
+      if (!suspendedSinceMs.has(host)) streams.tick();
+    }
     return TestClock.adjust(STEP_MS);
   }).pipe(
     // Fetched tables arrive as promises, which need the event loop to settle.
@@ -219,6 +303,27 @@
       if (!isPartitioned) isolatedSinceMs.delete(host);
       else if (!isolatedSinceMs.has(host)) isolatedSinceMs.set(host, nowMs());
     },
+    setCut(names, isCut) {
+      cutSinceMs = isCut ? nowMs() : undefined;
+      cut.clear();
+      if (isCut) names.forEach((each) => cut.add(each));
+    },
+    setSuspended(host, isSuspended) {
+      const sinceMs = suspendedSinceMs.get(host);
+      if (isSuspended) {
+        suspendedSinceMs.set(host, sinceMs ?? nowMs());
+        tables.setTreatment(host, "silent");
+      } else if (sinceMs !== undefined) {
+        const stoodMs = (suspendedMs.get(host) ?? 0) + nowMs() - sinceMs;
+        suspendedMs.set(host, stoodMs);
+        suspendedSinceMs.delete(host);
+        tables.setTreatment(host, "served");
+        const late = waiting.get(host) ?? [];
+        waiting.delete(host);
+        scheduler.after(STEP_MS, () => late.forEach((each) => each()));
+      }
+    },
+    tryGetStreams: (host) => runningHosts.get(host)?.streams,
     setDatagramLoss: (rate) => lossRate = rate,
     treatAll(treatment) {
       for (const host of hosts) tables.setTreatment(host, treatment);
