Don't let a message that a host can't handle end it

What callers would see: all hosts of a fleet end, and again once they are back. Found by reading, not reported.

Cause: what another host says by UDP is handled in the listener of a socket. An exception there is one that nothing catches and ends the process. A fact such as table-reader/... with a value that isn't JSON, or without a table that this host knows, does it; the fact had been queued for gossip before, and a host that is back gets it with the full sync. A member or a seed whose address has no port to which one can send threw in the same way, and what a tick had still to do was lost.

Change: the sockets catch what the handler of a message throws, and tell it (task-failed); a text that is no address is told, not sent to. All five exchanges and the router's membership have it.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -132,6 +132,10 @@
     return getAlive().map((each) => each.peerAddress);
   }
 
+  function logFailedTask(task: string): (reason: string) => void {
+    return (reason) => log({ event: "task-failed", task, reason });
+  }
+
   function onFact(fact: Fact): void {
     if (fact.key.startsWith(CRASH_KEY_PREFIX)) crashes.receiveFact(fact);
     else if (fact.key.startsWith(FULL_KEY_PREFIX)) fullHosts.receive(fact);
@@ -237,7 +241,7 @@
     getDigest: getNameDigest,
     start: (...granted) => queue.startGranted(...granted),
     onEnded: (outcome) => metrics.observeGrant(outcome),
-    onFailed: (reason) => log({ event: "task-failed", task: "grants", reason }),
+    onFailed: logFailedTask("grants"),
   });
   const queue = createPromptQueue({
     grants: grants.client,
@@ -395,8 +399,7 @@
       }
     },
     tryGetTable: (name) => platformView.tryGetTable(name),
-    onTickFailed: (reason) =>
-      log({ event: "task-failed", task: "membership", reason }),
+    onFailed: logFailedTask("membership"),
   });
   peers.setSeeds(settings.seeds);
 
@@ -563,15 +566,18 @@
     self,
     view: load,
     getHosts: getAlive,
+    onFailed: logFailedTask("load reports"),
   });
   const upstreamStatsExchange = await openUpstreamStatsExchange({
     peerAddress,
     reporter: upstreamStats,
     onRound: upstreamPacings.update,
+    onFailed: logFailedTask("statistics of upstreams"),
   });
   const prefixExchange = await openPrefixExchange({
     peerAddress,
     announcer: prefixes.announcer,
+    onFailed: logFailedTask("placements"),
   });
   await grants.open();
   const tasks = [
--- a/src/entry/grant_exchange.ts
+++ b/src/entry/grant_exchange.ts
@@ -124,6 +124,7 @@
           codec: createGrantCodec(FLEET_NAME),
           onMessage: (message, sender) =>
             receive(offsetPort(sender, -PORT_OFFSETS.grants), message),
+          onFailed: host.onFailed,
         },
       );
     },
--- a/src/entry/load_exchange.ts
+++ b/src/entry/load_exchange.ts
@@ -25,6 +25,8 @@
   readonly view: LoadView;
   /** The hosts that are alive, including this one. */
   getHosts(): readonly LoadPeer[];
+  /** Called with what can't be handled or sent. */
+  readonly onFailed: (reason: string) => void;
 }
 
 /** The load exchange; sends reports while `run` runs. */
@@ -54,7 +56,11 @@
   });
   const socket = await openDatagrams<LoadReport>(
     getLoadAddress(self.peerAddress),
-    { codec: createLoadCodec(FLEET_NAME), onMessage: reporter.receive },
+    {
+      codec: createLoadCodec(FLEET_NAME),
+      onMessage: reporter.receive,
+      onFailed: host.onFailed,
+    },
   );
 
   function send(): number {
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -35,7 +35,8 @@
   onDirectFact(fact: Fact): void;
   /** The encoded snapshot of the table with this name. */
   tryGetTable(name: string): Uint8Array | undefined;
-  onTickFailed(reason: string): void;
+  /** Called with what a tick or a message of another host has thrown. */
+  onFailed(reason: string): void;
 }
 
 /** The connection to the other hosts. */
@@ -107,6 +108,7 @@
       // this function doesn't have yet. Datagrams may be lost, and are repeated.
       if (isOpen) membership.receive(message, sender);
     },
+    onFailed: (reason) => host.onFailed(reason),
   });
   const fleetToken = getDigest(FLEET_NAME);
   const server = await listenForPeers(peerAddress, {
@@ -125,7 +127,7 @@
       membership.tick();
     } catch (err) {
       // An uncaught exception would end the process and all its requests.
-      host.onTickFailed(String(err));
+      host.onFailed(String(err));
     }
   }
 
--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -73,7 +73,7 @@
     onFact,
     onDirectFact: () => {},
     tryGetTable: () => undefined,
-    onTickFailed: (reason) => {
+    onFailed: (reason) => {
       throw new Error(reason);
     },
   });
--- a/src/entry/prefix_exchange.ts
+++ b/src/entry/prefix_exchange.ts
@@ -20,6 +20,8 @@
 export interface PrefixExchangeHost {
   readonly peerAddress: string;
   readonly announcer: PlacementAnnouncer;
+  /** Called with what can't be handled or sent. */
+  readonly onFailed: (reason: string) => void;
 }
 
 function getPlacementAddress(peerAddress: string): string {
@@ -28,13 +30,14 @@
 
 /** Opens the socket and runs rounds until disposed of. */
 export async function openPrefixExchange(
-  { peerAddress, announcer }: PrefixExchangeHost,
+  { peerAddress, announcer, onFailed }: PrefixExchangeHost,
 ): Promise<AsyncDisposable> {
   const socket = await openDatagrams<PlacementReport>(
     getPlacementAddress(peerAddress),
     {
       codec: createPlacementCodec(FLEET_NAME),
       onMessage: announcer.receive,
+      onFailed,
     },
   );
 
--- a/src/entry/prefix_exchange_test.ts
+++ b/src/entry/prefix_exchange_test.ts
@@ -1,4 +1,4 @@
-import { deepStrictEqual, strictEqual } from "node:assert";
+import { deepStrictEqual, fail, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../core/mod.ts";
@@ -32,7 +32,11 @@
     onRecorded: () => {},
   });
   const { announcer } = prefixes;
-  const exchange = await openPrefixExchange({ peerAddress, announcer });
+  const exchange = await openPrefixExchange({
+    peerAddress,
+    announcer,
+    onFailed: fail,
+  });
   const fixture = await createForwardFixture(
     Array.from({ length: UPSTREAMS }, () => answers),
     { hasPrompts: true },
--- a/src/entry/upstream_stats_exchange.ts
+++ b/src/entry/upstream_stats_exchange.ts
@@ -22,6 +22,8 @@
   readonly reporter: UpstreamStatsReporter;
   /** Called before each round. */
   onRound(): void;
+  /** Called with what can't be handled or sent. */
+  readonly onFailed: (reason: string) => void;
 }
 
 /** The exchange; sends datagrams while `run` runs. */
@@ -35,13 +37,14 @@
 
 /** Opens the socket; statistics from other hosts go to the reporter. */
 export async function openUpstreamStatsExchange(
-  { peerAddress, reporter, onRound }: UpstreamStatsExchangeHost,
+  { peerAddress, reporter, onRound, onFailed }: UpstreamStatsExchangeHost,
 ): Promise<UpstreamStatsExchange> {
   const socket = await openDatagrams<UpstreamStatsReport>(
     getStatsAddress(peerAddress),
     {
       codec: createUpstreamStatsCodec(FLEET_NAME),
       onMessage: reporter.receive,
+      onFailed,
     },
   );
 
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -10,6 +10,7 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import { createSocket } from "node:dgram";
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { isAddress } from "../core/mod.ts";
 import {
   type Datagram,
   DatagramSchema,
@@ -107,20 +108,35 @@
   };
 }
 
-/** Opens a UDP socket on the address, an IP and a port. */
+/** Dependencies of a UDP socket. */
+export interface DatagramsHost<T> {
+  readonly codec: DatagramCodec<T>;
+  readonly onMessage: (message: T, sender: string) => void;
+  /** Called with the exception of a message that can't be handled or sent. */
+  readonly onFailed: (reason: string) => void;
+}
+
+/**
+ * Opens a UDP socket on the address, an IP and a port.
+ *
+ * Failure prevented: a host of other software says something that this one can't
+ * handle. Nothing else catches that, and the process would end, as would each
+ * host to which it is passed on, and again once it is back.
+ */
 export async function openDatagrams<T>(
   address: string,
-  { codec, onMessage }: {
-    readonly codec: DatagramCodec<T>;
-    readonly onMessage: (message: T, sender: string) => void;
-  },
+  { codec, onMessage, onFailed }: DatagramsHost<T>,
 ): Promise<DatagramSocket<T>> {
   const socket = createSocket("udp4");
   const [host, port] = address.split(":");
   socket.on("message", (bytes, sender) => {
     const message = codec.tryDecode(bytes);
     if (message === undefined) return;
-    onMessage(message, `${sender.address}:${sender.port}`);
+    try {
+      onMessage(message, `${sender.address}:${sender.port}`);
+    } catch (err) {
+      onFailed(String(err));
+    }
   });
   await new Promise<void>((resolve, reject) => {
     socket.once("error", reject);
@@ -135,6 +151,7 @@
   function sendBytes(target: string, bytes: Uint8Array): void {
     // Requests that end as the host stops still have something to tell.
     if (isClosed) return;
+    if (!isAddress(target)) return onFailed(`"${target}" is no address`);
     const [targetHost, targetPort] = target.split(":");
     socket.send(bytes, Number(targetPort), targetHost);
   }
--- a/src/peers/datagrams_test.ts
+++ b/src/peers/datagrams_test.ts
@@ -5,7 +5,9 @@
  */
 
 import assert from "node:assert/strict";
+import process from "node:process";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import fc from "fast-check";
 import type { MembershipMessage } from "../membership/mod.ts";
 import { createDatagramCodec, openDatagrams } from "./datagrams.ts";
@@ -64,8 +66,35 @@
   const socket = await openDatagrams("127.0.0.1:0", {
     codec: createDatagramCodec("secret-of-the-fleet"),
     onMessage: () => {},
+    onFailed: () => {},
   });
   await socket[Symbol.asyncDispose]();
   socket.send("127.0.0.1:9", message);
   socket.sendToAll(["127.0.0.1:9"], message);
 });
+
+test("what a host can't handle or send doesn't end it", async () => {
+  // Guards against hosts that all end by one message that they pass on.
+  const codec = createDatagramCodec("secret-of-the-fleet");
+  const net = `127.${1 + process.pid % 250}.7`;
+  const failures: string[] = [];
+  const createHost = (address: string, onMessage: () => void) =>
+    openDatagrams(address, {
+      codec,
+      onMessage,
+      onFailed: (reason) => void failures.push(reason),
+    });
+  await using _receiver = await createHost(`${net}.1:7461`, () => {
+    throw new TypeError("No such table");
+  });
+  await using sender = await createHost(`${net}.2:7461`, () => {});
+  for (const target of ["127.0.0.1:80800", "spare", `${net}.1:7461`]) {
+    sender.send(target, message);
+  }
+  while (failures.length < 3) await sleep(5);
+  assert.deepEqual(failures, [
+    '"127.0.0.1:80800" is no address',
+    '"spare" is no address',
+    "TypeError: No such table",
+  ]);
+});
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -239,6 +239,7 @@
     {
       codec: createDatagramCodec(settings.fleetSecret),
       onMessage: membership.receive,
+      onFailed: (reason) => reporter.taskFailed("membership", reason),
     },
   );
   const peerServer = await listenForPeers(bindAddress, {
