Handle signals before the program's modules are loaded

Users saw processes end by themselves. SIGHUP says that the settings have changed; it may meet a process of any age, and its default action ends one. Cause: the handler was the last step of a start. SIGTERM had its handler earlier, behind the modules as well.

The first file installs the handlers, keeps each signal with its time, and then loads the program, which gets the record and handles what came meanwhile: settings are read anew once the start is over. What came is logged with the age.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,6 @@
-// Bundles the entry host's program into one file, so that the process reads one
-// file at its start instead of about five hundred.
+// Bundles the entry host's program into a small file that is run and a large one
+// that it loads, so that the process reads three files at its start instead of
+// about five hundred. The third is what both use.
 import { build } from "esbuild";
 
 // Defines `require` for the bundled packages that are CommonJS modules. One of
@@ -8,9 +9,12 @@
   "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);";
 
 await build({
-  entryPoints: ["target/platform/main.js"],
-  outfile: "target/azurestile-entry.mjs",
+  entryPoints: { "azurestile-entry": "target/platform/azurestile_entry.js" },
+  outdir: "target",
+  outExtension: { ".js": ".mjs" },
+  chunkNames: "azurestile-entry-[name]",
   bundle: true,
+  splitting: true,
   platform: "node",
   format: "esm",
   minifySyntax: true,
--- /dev/null
+++ b/src/startup/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The start of a process: signals that come before it can handle them, and
+ * what it waits for.
+ *
+ * @module
+ */
+
+export * from "./signal_record.ts";
