Wait for an address that is still in use as a host starts

Users saw a system that didn't start. A process that is started anew meets addresses that the one before it, or a connection, still holds. Cause: one bind that failed ended the start at once, with code 1.

Each address is opened through one function that the start passes in. What is open is kept, so that no two processes serve one host; callers' address is opened last, and datagrams of others are heard only from then on, as a host that answers is named to callers.

Tests changed: peers_test.ts runs the peers before it expects to hear a fact, as nothing is heard before; that none comes earlier is checked as before. In caller_server_test.ts and handoff_hosts.ts the callers' server is created and then listens, in two calls.

--- a/src/core/listen.ts
+++ b/src/core/listen.ts
@@ -35,3 +35,12 @@
     });
   });
 }
+
+/**
+ * Whether an address could not be bound since something else holds it, or since
+ * the machine doesn't have it yet. Servers of gRPC name the error in their text
+ * only.
+ */
+export function isAddressUnavailable(err: unknown): boolean {
+  return /EADDRINUSE|EADDRNOTAVAIL/.test(String(err));
+}
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -15,6 +15,8 @@
 export interface CallerServer extends ListeningServer {
   /** The HTTP server. It doesn't listen itself. */
   readonly server: Server;
+  /** Listens on the address, an IP and a port; rejects if it is in use. */
+  listen(address: string): Promise<void>;
   /** Serves a connection, from which no byte of a request was read. */
   serve(socket: Socket): void;
   /**
@@ -45,11 +47,8 @@
 /** Time after which listening anew is tried again if it failed, in ms. */
 const LISTEN_RETRY_MS = 1_000;
 
-/** Listens on the address, an IP and a port; rejects if it is in use. */
-export async function listenForCallers(
-  address: string,
-  options: CallerServerOptions,
-): Promise<CallerServer> {
+/** Creates a server that is not listening. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
   const { onRequest, onConnection, backlog, headerCheckIntervalMs } = options;
   const server = createHttpServer(onRequest, headerCheckIntervalMs);
   let connections = 0;
@@ -63,32 +62,36 @@
     socket.once("close", () => connections--);
     onConnection(socket);
   });
-  await startListening(acceptor, {
-    address,
-    backlog,
-    onError: options.onError,
-  });
-  const { address: host, port } = acceptor.address() as AddressInfo;
-  const listenAddress = { host, port };
+  let listenAddress: { host: string; port: number } | undefined;
   let wantedBacklog = backlog;
   let isDisposed = false;
-  // A host that could not listen anew would take no callers any more.
-  acceptor.on("error", () => {
-    if (acceptor.listening) return;
-    startTimeout(LISTEN_RETRY_MS, () => {
-      if (!isDisposed) listenAnew();
-    });
-  });
-
   function listenAnew(): void {
     acceptor.listen({ ...listenAddress, backlog: wantedBacklog });
   }
 
-  // The HTTP server tracks its connections for time-outs and for closing them
-  // only from this event on.
-  server.emit("listening");
+  async function listen(address: string): Promise<void> {
+    await startListening(acceptor, {
+      address,
+      backlog,
+      onError: options.onError,
+    });
+    const bound = acceptor.address() as AddressInfo;
+    listenAddress = { host: bound.address, port: bound.port };
+    // A host that could not listen anew would take no callers any more.
+    acceptor.on("error", () => {
+      if (acceptor.listening) return;
+      startTimeout(LISTEN_RETRY_MS, () => {
+        if (!isDisposed) listenAnew();
+      });
+    });
+    // The HTTP server tracks its connections for time-outs and for closing them
+    // only from this event on.
+    server.emit("listening");
+  }
+
   return {
     server,
+    listen,
     serve(socket) {
       server.emit("connection", socket);
       socket.resume();
--- a/src/entry/caller_server_test.ts
+++ b/src/entry/caller_server_test.ts
@@ -6,7 +6,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createGet, openCaller } from "../testing/handoff_hosts.ts";
-import { type CallerServer, listenForCallers } from "./caller_server.ts";
+import { type CallerServer, createCallerServer } from "./caller_server.ts";
 import { setCallerLimits } from "./servers.ts";
 
 let port = 7_500;
@@ -15,7 +15,7 @@
   port++;
   const address = `127.${1 + process.pid % 254}.250.7:${port}`;
   const accepted: Socket[] = [];
-  const server: CallerServer = await listenForCallers(address, {
+  const server: CallerServer = createCallerServer({
     onRequest,
     onConnection(socket) {
       accepted.push(socket);
@@ -27,6 +27,7 @@
     },
     headerCheckIntervalMs: 20,
   });
+  await server.listen(address);
   return { address, accepted, server };
 }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,12 +6,17 @@
  * @module
  */
 
+import type { RequestListener } from "node:http";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
-import { createStallTolerantClock } from "../core/mod.ts";
+import {
+  createStallTolerantClock,
+  offsetPort,
+  PORT_OFFSETS,
+} from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
   createHeldMemory,
@@ -42,7 +47,7 @@
 } from "../stream_versions/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
-import { listenForCallers } from "./caller_server.ts";
+import { createCallerServer } from "./caller_server.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
@@ -103,16 +108,52 @@
  */
 const UNDERSERVED_RETENTION_MS = 1_000;
 
-/** Starts an entry host; rejects if an address is already in use. */
+/**
+ * Starts an entry host. Its callers' address is opened last, so that none is
+ * accepted before all others listen. Rejects if an address can't be opened, with
+ * those released that were.
+ */
 export async function startEntry(
   settings: EntrySettings,
   host: EntryHost,
+): Promise<Entry> {
+  const opened: AsyncDisposable[] = [];
+  try {
+    return await openAndRun(settings, host, opened);
+  } catch (err) {
+    await disposeAll(opened);
+    throw err;
+  }
+}
+
+/** Disposes of all, in the reverse of their order. */
+async function disposeAll(opened: readonly AsyncDisposable[]): Promise<void> {
+  for (const each of opened.toReversed()) await each[Symbol.asyncDispose]();
+}
+
+/** Adds to `opened` what is to be disposed of in the end. */
+async function openAndRun(
+  settings: EntrySettings,
+  host: EntryHost,
+  opened: AsyncDisposable[],
 ): Promise<Entry> {
   const { clock, protocol } = host;
   const { peerAddress, retries } = settings;
   const incarnation = Math.floor(clock.wallMs());
   const startedMs = clock.monotonicMs();
 
+  const openAddress = host.open ?? ((_, run) => run());
+
+  /** Opens an address of which the result is to be disposed of. */
+  async function open<T extends AsyncDisposable>(
+    address: string,
+    run: () => Promise<T>,
+  ): Promise<T> {
+    const result = await openAddress(address, run);
+    opened.push(result);
+    return result;
+  }
+
   function log(decision: Decision): void {
     metrics.observeDecision(decision);
     host.log.write(decision);
@@ -400,7 +441,9 @@
     },
     tryGetTable: (name) => platformView.tryGetTable(name),
     onFailed: logFailedTask("membership"),
+    open: openAddress,
   });
+  opened.push(peers);
   peers.setSeeds(settings.seeds);
 
   const agent = createUpstreamAgent();
@@ -476,7 +519,7 @@
   const logServerError = (reason: string) =>
     log({ event: "task-failed", task: "server", reason });
   const handoffBacklog = getHandoffBacklog(settings.processorShare);
-  const callers = await listenForCallers(settings.callerAddress, {
+  const callers = createCallerServer({
     onRequest(req, res) {
       if (!handoff.acceptRequest(req, res)) return;
       drain.track(res);
@@ -486,13 +529,21 @@
     backlog: getBacklog(settings.processorShare),
     onError: logServerError,
   });
-  await handoff.listen();
-  const readiness = await listen(
+  opened.push(callers, handoff);
+  const openServer = (address: string, onRequest: RequestListener) =>
+    open(
+      `TCP ${address}`,
+      () => listen(address, onRequest, logServerError),
+    );
+  await openAddress(
+    `TCP ${offsetPort(peerAddress, PORT_OFFSETS.handoffs)}`,
+    handoff.listen,
+  );
+  await openServer(
     settings.readinessAddress,
     createReadinessListener(protocol, isReady),
-    logServerError,
   );
-  const resolve = await listen(
+  await openServer(
     settings.resolveAddress,
     createResolveListener(protocol, {
       ttlMs: Math.min(RESOLVE_TTL_MS, settings.maxResolveTtlMs),
@@ -506,7 +557,6 @@
             ?.getAllowedRegionsOfHostName(query.hostName),
         }),
     }),
-    logServerError,
   );
   function isFull(member: Member): boolean {
     return member.peerAddress === peerAddress
@@ -514,16 +564,12 @@
       : fullHosts.isFull(member.peerAddress);
   }
 
-  const servers = [callers, readiness, resolve];
   if (host.metrics !== undefined) {
     const { port, path } = host.metrics;
     const [ip] = settings.callerAddress.split(":");
-    servers.push(
-      await listen(
-        `${ip}:${port}`,
-        createMetricsListener(path, metrics.render),
-        logServerError,
-      ),
+    await openServer(
+      `${ip}:${port}`,
+      createMetricsListener(path, metrics.render),
     );
   }
 
@@ -561,25 +607,49 @@
     onFailure: (reason) =>
       log({ event: "platform-lost", table: "hosts", reason }),
   });
-  const loadExchange = await openLoadExchange({
-    clock: stallTolerantClock,
-    self,
-    view: load,
-    getHosts: getAlive,
-    onFailed: logFailedTask("load reports"),
-  });
-  const upstreamStatsExchange = await openUpstreamStatsExchange({
-    peerAddress,
-    reporter: upstreamStats,
-    onRound: upstreamPacings.update,
-    onFailed: logFailedTask("statistics of upstreams"),
-  });
-  const prefixExchange = await openPrefixExchange({
-    peerAddress,
-    announcer: prefixes.announcer,
-    onFailed: logFailedTask("placements"),
-  });
-  await grants.open();
+  const openSocket = <T extends AsyncDisposable>(
+    offset: number,
+    run: () => Promise<T>,
+  ) => open(`UDP ${offsetPort(peerAddress, offset)}`, run);
+  const loadExchange = await openSocket(
+    PORT_OFFSETS.loadReports,
+    () =>
+      openLoadExchange({
+        clock: stallTolerantClock,
+        self,
+        view: load,
+        getHosts: getAlive,
+        onFailed: logFailedTask("load reports"),
+      }),
+  );
+  const upstreamStatsExchange = await openSocket(
+    PORT_OFFSETS.upstreamStats,
+    () =>
+      openUpstreamStatsExchange({
+        peerAddress,
+        reporter: upstreamStats,
+        onRound: upstreamPacings.update,
+        onFailed: logFailedTask("statistics of upstreams"),
+      }),
+  );
+  await openSocket(
+    PORT_OFFSETS.placements,
+    () =>
+      openPrefixExchange({
+        peerAddress,
+        announcer: prefixes.announcer,
+        onFailed: logFailedTask("placements"),
+      }),
+  );
+  opened.push(grants);
+  await openAddress(
+    `UDP ${offsetPort(peerAddress, PORT_OFFSETS.grants)}`,
+    grants.open,
+  );
+  await openAddress(
+    `TCP ${settings.callerAddress}`,
+    () => callers.listen(settings.callerAddress),
+  );
   const tasks = [
     loadExchange.run,
     upstreamStatsExchange.run,
@@ -613,14 +683,8 @@
       ticker[Symbol.dispose]();
       streamVersions[Symbol.dispose]();
       for (const task of tasks) await Effect.runPromise(Fiber.interrupt(task));
-      await handoff[Symbol.asyncDispose]();
-      for (const server of servers) await server[Symbol.asyncDispose]();
+      await disposeAll(opened);
       agent.destroy();
-      await loadExchange[Symbol.asyncDispose]();
-      await upstreamStatsExchange[Symbol.asyncDispose]();
-      await prefixExchange[Symbol.asyncDispose]();
-      await grants[Symbol.asyncDispose]();
-      await peers[Symbol.asyncDispose]();
     },
   };
 }
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -22,7 +22,7 @@
   tryFetchConfiguration,
 } from "../peers/mod.ts";
 import { startTicker } from "./ticker.ts";
-import type { EntrySettings } from "./types.ts";
+import type { EntrySettings, OpenAddress } from "./types.ts";
 
 /** Dependencies of the peer communication. */
 export interface PeersHost {
@@ -37,6 +37,8 @@
   tryGetTable(name: string): Uint8Array | undefined;
   /** Called with what a tick or a message of another host has thrown. */
   onFailed(reason: string): void;
+  /** Opens an address; at once if absent. */
+  readonly open?: OpenAddress;
 }
 
 /** The connection to the other hosts. */
@@ -100,23 +102,32 @@
     onConfigVersion: () => {},
     getConfigVersion: () => ({ version: 0, digest: "" }),
   }, membershipOptions);
-  let isOpen = false;
-  const datagrams = await openDatagrams(peerAddress, {
-    codec: createDatagramCodec(FLEET_NAME),
-    onMessage(message, sender) {
-      // What others say is handled with the membership, which the caller of
-      // this function doesn't have yet. Datagrams may be lost, and are repeated.
-      if (isOpen) membership.receive(message, sender);
-    },
-    onFailed: (reason) => host.onFailed(reason),
-  });
+  let isRunning = false;
+  const open = host.open ?? ((_, run) => run());
+  const datagrams = await open(
+    `UDP ${peerAddress}`,
+    () =>
+      openDatagrams(peerAddress, {
+        codec: createDatagramCodec(FLEET_NAME),
+        onMessage(message, sender) {
+          // A host that answered before all its addresses are open would be
+          // named to callers. Datagrams may be lost, and are repeated.
+          if (isRunning) membership.receive(message, sender);
+        },
+        onFailed: (reason) => host.onFailed(reason),
+      }),
+  );
   const fleetToken = getDigest(FLEET_NAME);
-  const server = await listenForPeers(peerAddress, {
-    fleetToken,
-    onFrame: () => {},
-    tryGetConfiguration: host.tryGetTable,
-    countHosts: () => membership.getMembers().length,
-  }).catch(async (err: unknown) => {
+  const server = await open(
+    `TCP ${peerAddress}`,
+    () =>
+      listenForPeers(peerAddress, {
+        fleetToken,
+        onFrame: () => {},
+        tryGetConfiguration: host.tryGetTable,
+        countHosts: () => membership.getMembers().length,
+      }),
+  ).catch(async (err: unknown) => {
     // An open socket would keep the process running.
     await datagrams[Symbol.asyncDispose]();
     throw err;
@@ -137,12 +148,12 @@
    * taken for silence of the other hosts.
    */
   const run = Effect.callback<never>(() => {
+    isRunning = true;
     tick();
     const ticker = startTicker(membershipOptions.periodMs, { decide: tick });
     return Effect.sync(() => ticker[Symbol.dispose]());
   });
 
-  isOpen = true;
   return {
     membership,
     async fetchTable(name, address) {
--- a/src/entry/peers_test.ts
+++ b/src/entry/peers_test.ts
@@ -161,11 +161,13 @@
   let isOpen = false;
   const facts: boolean[] = [];
   for (let start = 0; start < STARTS; start++) {
-    await using _peers = await openHost(`127.0.0.1:${port}`, {
+    await using peers = await openHost(`127.0.0.1:${port}`, {
       onFact: () => void facts.push(isOpen),
     });
     isOpen = true;
+    const running = Effect.runFork(peers.run);
     await sleep(HEARING_MS);
+    await Effect.runPromise(Fiber.interrupt(running));
     isOpen = false;
   }
   await sender.terminate();
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -66,6 +66,15 @@
   isReadinessProbe(req: IncomingMessage): boolean;
 }
 
+/**
+ * Opens an address, named by its protocol, IP and port; may wait until it is
+ * free.
+ */
+export type OpenAddress = <T>(
+  address: string,
+  run: () => Promise<T>,
+) => Promise<T>;
+
 /** Dependencies of an entry host. */
 export interface EntryHost {
   readonly clock: Clock;
@@ -81,6 +90,8 @@
    */
   readonly grantsPrompts?: boolean;
   random(): number;
+  /** Opens an address; at once if absent. */
+  readonly open?: OpenAddress;
   /**
    * Reads the accumulated times of the event loop; those of this process if
    * absent.
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -139,7 +139,10 @@
     }
   });
   await new Promise<void>((resolve, reject) => {
-    socket.once("error", reject);
+    socket.once("error", (err) => {
+      socket.close();
+      reject(err);
+    });
     socket.bind(Number(port), host, () => resolve());
   });
   // Sending to a dead host may cause an error event; the probes detect that
--- a/src/peers/peer_server.ts
+++ b/src/peers/peer_server.ts
@@ -111,7 +111,12 @@
   }
 
   server.addService(peerService, { open, fetchConfiguration });
-  await bind(server, address);
+  try {
+    await bind(server, address);
+  } catch (err) {
+    server.forceShutdown();
+    throw err;
+  }
   return {
     isConnected: (peer) => streams.has(peer),
     trySend(peer, frame) {
--- a/src/startup/mod.ts
+++ b/src/startup/mod.ts
@@ -6,3 +6,4 @@
  */
 
 export * from "./signal_record.ts";
+export * from "./start_waits.ts";
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -10,7 +10,7 @@
 import process from "node:process";
 import { createManualClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import { listenForCallers } from "../entry/caller_server.ts";
+import { createCallerServer } from "../entry/caller_server.ts";
 import { createHandoff, type Handoff } from "../handoff/mod.ts";
 
 /** A host and the state that the test sets. */
@@ -68,7 +68,7 @@
     onReceived: () => {},
     log: (decision) => void decisions.push(decision),
   });
-  const callers = await listenForCallers(callerAddress, {
+  const callers = createCallerServer({
     onRequest(req, res) {
       if (!handoff.acceptRequest(req, res)) return;
       served.push(req.url ?? "");
@@ -80,6 +80,7 @@
       throw new Error(reason);
     },
   });
+  await callers.listen(callerAddress);
   await handoff.listen();
 
   function pass(): void {
