--- a/src/startup/mod.ts
+++ b/src/startup/mod.ts
@@ -7,3 +7,4 @@
 
 export * from "./signal_record.ts";
 export * from "./start_waits.ts";
+export * from "./settings_file.ts";
