--- a/src/testing/fake_tables.ts
+++ b/src/testing/fake_tables.ts
@@ -34,6 +34,7 @@
   putUpstreams(ids: readonly string[], softwareVersion?: string): void;
   /** Registers one more upstream. */
   addUpstream(id: string, softwareVersion: string): void;
+  removeUpstream(id: string): void;
   setTreatment(host: string, treatment: Treatment): void;
   /** Sets how the platform handles the host's calls for this table. */
   setTableTreatment(host: string, table: TableName, treatment: Treatment): void;
@@ -252,6 +253,10 @@
       const added = getOrCreateRow(id, softwareVersion);
       setRows(upstreams, [...upstreams.rows, added]);
     },
+    removeUpstream(id) {
+      version++;
+      setRows(upstreams, upstreams.rows.filter((each) => each.key !== id));
+    },
     setTreatment(host, treatment) {
       for (const name of TABLE_NAMES) treatments[name].set(host, treatment);
     },
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -75,6 +75,7 @@
    * count the time, and what is sent to it waits.
    */
   setSuspended(host: string, isSuspended: boolean): void;
+  isSuspended(host: string): boolean;
   /** The versions of streams at the host; `undefined` while it is down. */
   tryGetStreams(host: string): StreamVersions | undefined;
   /** Sets the share of datagrams that are lost from now on. */
@@ -323,6 +324,7 @@
         scheduler.after(STEP_MS, () => late.forEach((each) => each()));
       }
     },
+    isSuspended: (host) => suspendedSinceMs.has(host),
     tryGetStreams: (host) => runningHosts.get(host)?.streams,
     setDatagramLoss: (rate) => lossRate = rate,
     treatAll(treatment) {
