Remove a version from the record only by a table read for that

The first host by rendezvous removed what it took for gone by a table that "was current" if any host had read it within 3 s, whether or not its own rows had come: a report confirms a table whose copy can't be fetched. A version that serves would leave the record, and hosts that all start anew, or are out of step, would not find it once gone.

The host now reads the table first, and looks again. That is one read for each version that goes. If it can't be read, nothing is removed, as before.

Test seen failing with the code before (the version was removed); the test of a table that isn't current is now one of a table that can't be read, with the same assertions.

--- a/src/stream_versions/stream_versions.ts
+++ b/src/stream_versions/stream_versions.ts
@@ -125,7 +125,7 @@
     self,
     getHosts: () => host.getHosts().map((each) => each.peerAddress),
     getKnown: known.getAll,
-    isTableCurrent: () => isTableCurrent(host.getTableAgeMs()),
+    readTable: host.readTable,
     onRead: (versions) => versions.forEach(recordVersion),
     onFailure: host.onRecordFailure,
     random: host.random,
--- a/src/stream_versions/version_record.ts
+++ b/src/stream_versions/version_record.ts
@@ -37,8 +37,11 @@
   getHosts(): readonly string[];
   /** All versions that this host knows, now or within `MEMORY_MS`. */
   getKnown(): readonly ServiceVersion[];
-  /** Whether this host's table of upstreams is current. */
-  isTableCurrent(): boolean;
+  /**
+   * Brings this host's table of upstreams up to date by a read of the platform
+   * that begins when the effect does.
+   */
+  readonly readTable: Effect.Effect<void, TableError>;
   /** Called with what this host finds on record for the first time. */
   onRead(versions: readonly ServiceVersion[]): void;
   onFailure(reason: string): void;
@@ -127,20 +130,30 @@
     dropOldest(recorded, MAX_RECORDED);
   }
 
-  /**
-   * Hosts that rank behind keep what has gone, in case the first is lost. Without
-   * a current table, what serves is not known either.
-   */
-  function removeGone(): Effect.Effect<void, TableError> {
-    if (!host.isTableCurrent()) return Effect.void;
+  /** Hosts that rank behind keep what has gone, in case the first is lost. */
+  function getGone(): readonly ServiceVersion[] {
     const known = new Set(host.getKnown().map(getKey));
-    const gone = [...recorded.values()].filter((each) =>
+    return [...recorded.values()].filter((each) =>
       !known.has(getKey(each)) && getRank(each) === 0
     );
-    return Effect.forEach(gone, (each) =>
-      directory.remove(each).pipe(
-        Effect.tap(() => Effect.sync(() => recorded.delete(getKey(each)))),
-      ), { discard: true });
+  }
+
+  function remove(version: ServiceVersion): Effect.Effect<void, TableError> {
+    return directory.remove(version).pipe(
+      Effect.tap(() => Effect.sync(() => recorded.delete(getKey(version)))),
+    );
+  }
+
+  /** What has gone by an old table may serve. */
+  function removeGone(): Effect.Effect<void, TableError> {
+    if (getGone().length === 0) return Effect.void;
+    return host.readTable.pipe(
+      Effect.andThen(
+        Effect.suspend(() =>
+          Effect.forEach(getGone(), remove, { discard: true })
+        ),
+      ),
+    );
   }
 
   function waitForFirstWrite(): Effect.Effect<void> {
--- a/src/stream_versions/version_record_test.ts
+++ b/src/stream_versions/version_record_test.ts
@@ -4,6 +4,7 @@
 import * as Effect from "effect/Effect";
 import * as TestClock from "effect/testing/TestClock";
 import { createManualClock } from "../core/mod.ts";
+import { TableError } from "../discovery/types.ts";
 import { rankByRendezvous } from "../membership/mod.ts";
 import {
   createFakeVersionDirectory,
@@ -18,6 +19,8 @@
 
 const STEP_MS = 100;
 
+const away = new TableError({ kind: "unreachable", reason: "away" });
+
 interface Recorder {
   readonly record: VersionRecord;
   /** Versions that the host read at its start. */
@@ -30,7 +33,8 @@
 function createFleet(directory: FakeVersionDirectory) {
   const clock = createManualClock(0);
   const alive = new Set(NAMES);
-  let isTableCurrent = true;
+  /** What a read of the table shows to hosts that don't know it; `undefined`: it fails. */
+  let missed: readonly string[] | undefined = [];
 
   function startHost(self: string): Effect.Effect<Recorder> {
     return Effect.gen(function* () {
@@ -43,7 +47,11 @@
         self,
         getHosts: () => [...alive],
         getKnown: () => known.map(toRow),
-        isTableCurrent: () => isTableCurrent,
+        readTable: Effect.suspend(() => {
+          if (missed === undefined) return Effect.fail(away);
+          known = [...new Set([...known, ...missed])];
+          return Effect.void;
+        }),
         onRead: (rows) => read.push(...rows.map((each) => each.version)),
         onFailure: () => {},
         random: () => 0,
@@ -70,7 +78,7 @@
 
   return {
     alive,
-    setTableCurrent: (value: boolean) => isTableCurrent = value,
+    setMissed: (versions: readonly string[] | undefined) => missed = versions,
     start: Effect.forEach(NAMES, startHost),
     run: (ms: number) => Effect.repeat(step, { times: ms / STEP_MS - 1 }),
   };
@@ -181,18 +189,33 @@
     }));
 });
 
-test("no version is removed while the table of upstreams is not current", async () => {
+test("a version that the host's table lacks is not removed while it serves", async () => {
+  // Guards against a host out of step that removes from the record what joined.
+  const directory = createFakeVersionDirectory();
+  await playFleet(directory, (fleet, hosts) =>
+    Effect.gen(function* () {
+      for (const each of hosts) each.setKnown(["v1"]);
+      yield* fleet.run(CHECKED_MS);
+      fleet.setMissed(["v1"]);
+      for (const each of hosts) each.setKnown([]);
+      yield* fleet.run(2 * CHECKED_MS);
+      deepStrictEqual(directory.getVersions(), ["v1"]);
+      strictEqual(countCalls(directory, "remove v1"), 0);
+    }));
+});
+
+test("no version is removed while the table of upstreams can't be read", async () => {
   // Guards against a record that is lost together with the table.
   const directory = createFakeVersionDirectory();
   await playFleet(directory, (fleet, hosts) =>
     Effect.gen(function* () {
       for (const each of hosts) each.setKnown(["v1"]);
       yield* fleet.run(CHECKED_MS);
-      fleet.setTableCurrent(false);
+      fleet.setMissed(undefined);
       for (const each of hosts) each.setKnown([]);
       yield* fleet.run(2 * CHECKED_MS);
       deepStrictEqual(directory.getVersions(), ["v1"]);
-      fleet.setTableCurrent(true);
+      fleet.setMissed([]);
       yield* fleet.run(2 * CHECKED_MS);
       deepStrictEqual(directory.getVersions(), []);
     }));
