Check what hosts tell each other of the platform's tables

What callers would see: upstreams that are added or leave aren't followed, or a process ends; during a rolling upgrade, or by one host that was misled. Found by reading, not reported.

Cause: reports of readers and copies of tables were parsed and taken for what this host's software would have written. A report without a table threw in the listener of a socket; one with an age below zero let the table count as read in the future, so that nobody read it again. A copy with one row without a value threw in the directory after the replica had taken it, so that no row came into force; each further copy with the row likewise.

Change: both are decoded (table_copies.ts). A report that makes no sense is told and dropped. Of a copy of the upstreams the rows that make no sense are left out and counted in copy-doubtful; fields that aren't known are kept, for hosts that fetch from here. A copy of the operators' rows is refused whole: a host must not take the position of a configuration that it lacks.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -113,6 +113,9 @@
     case "table-not-fetched":
       return `${decision.peer} did not send its newer ${decision.table} ` +
         `within ${decision.tookMs} ms`;
+    case "copy-doubtful":
+      return `${decision.unusableRows} rows of the copy of ${decision.table} ` +
+        `by ${decision.peer} were left out`;
     case "platform-outage-ended":
       return `${decision.table} was read again after ` +
         `${decision.lastedMs} ms in which ${decision.failedHosts} hosts failed`;
--- a/src/diagnostics/platform_decisions.ts
+++ b/src/diagnostics/platform_decisions.ts
@@ -55,6 +55,13 @@
     readonly peer: string;
     readonly tookMs: number;
   }
+  | {
+    /** A copy of a table by another host had rows that this one can't use. */
+    readonly event: "copy-doubtful";
+    readonly table: string;
+    readonly peer: string;
+    readonly unusableRows: number;
+  }
   | {
     readonly event: "row-unreadable";
     readonly table: string;
--- a/src/discovery/mod.ts
+++ b/src/discovery/mod.ts
@@ -7,6 +7,7 @@
 
 export * from "./evacuations.ts";
 export * from "./leaving_instances.ts";
+export * from "./table_copies.ts";
 export * from "./table_distribution.ts";
 export * from "./positions.ts";
 export * from "./reader_selection.ts";
--- a/src/discovery/table_distribution.ts
+++ b/src/discovery/table_distribution.ts
@@ -22,6 +22,7 @@
 import type { Fact } from "../membership/mod.ts";
 import { isNewer, type TablePosition } from "./positions.ts";
 import { FAILURE_MEMORY_MS } from "./reader_selection.ts";
+import { tryDecodeReport } from "./table_copies.ts";
 
 /** The tables that are distributed. */
 export type TableName = "config" | "upstreams";
@@ -67,6 +68,8 @@
   getChangedPosition(table: TableName): TablePosition;
   /** Called with the first read of a table after an outage. */
   onOutageEnded(outage: TableOutage): void;
+  /** Called with the key of a fact that makes no sense here. */
+  onUnreadable(key: string): void;
   /** Fetches a newer copy of the table from the reader at the address. */
   fetch(table: TableName, peerAddress: string): void;
 }
@@ -272,7 +275,9 @@
       publish(isUrgent);
     },
     receive(fact) {
-      const { peerAddress, tables } = JSON.parse(fact.value) as ReaderReport;
+      const report = tryDecodeReport(fact.value);
+      if (report === undefined) return host.onUnreadable(fact.key);
+      const { peerAddress, tables } = report;
       for (const table of TABLE_NAMES) {
         receiveTableReport(table, peerAddress, tables[table]);
       }
--- a/src/discovery/table_distribution_test.ts
+++ b/src/discovery/table_distribution_test.ts
@@ -14,6 +14,7 @@
   const sent: Fact[] = [];
   const fetched: string[] = [];
   const outages: TableOutage[] = [];
+  const unreadable: string[] = [];
   const reports = createTableDistribution({
     clock,
     peerAddress,
@@ -23,10 +24,20 @@
     countHosts: () => 9,
     getPosition: (table) => ({ ...platform, version: versions[table] }),
     getChangedPosition: (table) => ({ ...platform, version: versions[table] }),
+    onUnreadable: (key) => unreadable.push(key),
     onOutageEnded: (outage) => outages.push(outage),
     fetch: (table, peer) => fetched.push(`${table} from ${peer}`),
   });
-  return { clock, reports, versions, platform, sent, fetched, outages };
+  return {
+    clock,
+    reports,
+    versions,
+    platform,
+    sent,
+    fetched,
+    outages,
+    unreadable,
+  };
 }
 
 test("a host that lacks a version fetches it from the reader that reports it", () => {
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -16,6 +16,7 @@
   createTableReplica,
   createUpstreamDirectory,
   decideToRead,
+  decodeTableCopy,
   type EntryPlatform,
   followTable,
   type OperatorRow,
@@ -28,7 +29,6 @@
   type TableName,
   type TableReplica,
   type TableRow,
-  type TableSnapshot,
   type UpstreamDirectory,
   type UpstreamEntry,
   type UpstreamInstance,
@@ -140,6 +140,12 @@
         ...outage,
         lastedMs: roundMs(outage.lastedMs),
       }),
+    onUnreadable: (key) =>
+      host.log({
+        event: "task-failed",
+        task: "read report",
+        reason: `"${key}" says nothing that this host can read`,
+      }),
     fetch: (table, peer) => void fetchTableFrom(table, peer),
   });
   const directory = createUpstreamDirectory({
@@ -245,7 +251,10 @@
         return;
       }
       const text = Buffer.from(bytes).toString("utf8");
-      const snapshot = JSON.parse(text) as TableSnapshot<unknown>;
+      const { snapshot, unusableRows } = decodeTableCopy(table, text);
+      if (unusableRows > 0) {
+        host.log({ event: "copy-doubtful", table, peer, unusableRows });
+      }
       const isNewer = tables[table].replace(snapshot);
       host.onFetched(table, isNewer ? "newer" : "not-newer");
       if (isNewer) onChanged(table, peer);
