Fetch tables of more than four megabytes from other hosts

What callers would see: upstreams that are added or leave aren't followed by the hosts that don't read the platform themselves.

Cause: the library's limit on a message is 4 MB. The platform's rows-feed and pages have no such limit, so that readers go on and report versions that nobody can get.

Change: a reply may have 16 MB. Test: 8 MB, failed before (no reply), 4 of 4 pass in the file.

--- a/src/peers/fetch.ts
+++ b/src/peers/fetch.ts
@@ -18,6 +18,13 @@
  */
 const FETCH_TIMEOUT_MS = 1_500;
 
+/**
+ * Limit on a reply, in bytes. A table of 10,000 upstreams takes some 2.4 MB; the
+ * library's own limit is 4 MB, and a table beyond it would reach no host that
+ * doesn't read it from the platform itself.
+ */
+const MAX_REPLY_BYTES = 16_000_000;
+
 /** A peer's reply. */
 export interface FetchedConfiguration {
   readonly content: Uint8Array;
@@ -34,7 +41,9 @@
   peerAddress: string,
   options: { readonly digest: string; readonly fleetToken: string },
 ): Promise<FetchedConfiguration | undefined> {
-  const client = new Client(peerAddress, credentials.createInsecure());
+  const client = new Client(peerAddress, credentials.createInsecure(), {
+    "grpc.max_receive_message_length": MAX_REPLY_BYTES,
+  });
   try {
     const reply = await callFetch(client, options);
     return reply?.found ? reply : undefined;
--- a/src/peers/fetch_test.ts
+++ b/src/peers/fetch_test.ts
@@ -132,3 +132,12 @@
     strictEqual(await fetchText(proxy.address), undefined);
   }
 });
+
+test("a large table is fetched whole", async () => {
+  // Guards against a table that no host but its readers can follow.
+  const address = await findFreeAddress();
+  await using _peer = await servePeer(address, 8_000_000);
+  const options = { digest: "upstreams", fleetToken: FLEET_TOKEN };
+  const fetched = await tryFetchConfiguration(address, options);
+  strictEqual(fetched?.content.length, 8_000_000);
+});
