Wait for a settings file that is absent or half written as a host starts

Users saw a system that didn't start. The platform writes the file at every start and whenever the settings change; a process that reads it in that moment finds none, or a part. Cause: one reading decided.

--- a/src/startup/start_waits.ts
+++ b/src/startup/start_waits.ts
@@ -93,6 +93,12 @@
   };
 }
 
+/**
+ * Time for which a start waits for a settings file that is absent or wrong, in
+ * ms. Whoever writes it has done so long before.
+ */
+export const SETTINGS_LIMIT_MS = 10_000;
+
 /**
  * Time beyond the grace of a process that stops until its addresses are free, in
  * ms.
