Count the grace of a stop from when its signal may have come

Cause: the drain took its own start for the signal's. Evidence: SIGTERM pending for 2 s of a stopped process with a grace of 3 s: ended after 3.9 s (start_signals_test.ts on the code before, 1 of 1). Ruled out: a slow exit; without the pause it ends after five eighths of the grace.

The drain takes the time of the signal, less the time for which what is read now may have waited unread in the socket, which the host measures for requests already. A late signal thus shortens the drain; it may end a drain up to one turn of the event loop too early, never after SIGKILL.

The other tests of the drain pass its start as the time of the signal and check the same.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -39,8 +39,11 @@
   onEnding(run: (ending: Ending) => void): Disposable;
   /** Responses and handed-off connections in flight. */
   countInFlight(): number;
-  /** Drains the host; returns the number of them that were open at its end. */
-  readonly run: Effect.Effect<{ cut: number; tookMs: number }>;
+  /**
+   * Drains the host, which was asked to stop at this time, in monotonic ms;
+   * returns the number of them that were open at its end.
+   */
+  run(askedMs: number): Effect.Effect<{ cut: number; tookMs: number }>;
 }
 
 /** Dependencies of the drain. */
@@ -122,8 +125,8 @@
     while (openResponses.size > 0) yield* Effect.sleep(FLUSH_CHECK_INTERVAL_MS);
   }).pipe(Effect.raceFirst(Effect.sleep(MAX_FLUSH_MS)));
 
-  const run = Effect.gen(function* () {
-    startedMs = clock.monotonicMs();
+  const run = Effect.fnUntraced(function* (askedMs: number) {
+    startedMs = askedMs;
     host.announceLeaving();
     for (const res of openResponses) setConnectionClose(res);
     host.onPhase("leaving", countInFlight());
--- a/src/entry/drain_test.ts
+++ b/src/entry/drain_test.ts
@@ -48,7 +48,7 @@
   // A stream of 5 s that started then would be cut off by SIGKILL; a call of
   // 0.9 s completes in time.
   const { clock, drain, mayStart, phases } = createFixture();
-  const running = Effect.runPromise(drain.run);
+  const running = Effect.runPromise(drain.run(clock.monotonicMs()));
   await Promise.resolve();
   clock.advance(1_900);
   strictEqual(mayStart(8_000), true);
@@ -66,7 +66,7 @@
   // which this host had received a little later. The stream was started and cut
   // off. A refused caller is served by another host at once.
   const { clock, drain, mayStart } = createFixture();
-  const running = Effect.runPromise(drain.run);
+  const running = Effect.runPromise(drain.run(clock.monotonicMs()));
   await Promise.resolve();
   clock.advance(2_950);
   strictEqual(mayStart(15_000), false);
@@ -78,7 +78,7 @@
   const { clock, drain } = createFixture();
   const before = createResponse();
   drain.track(before.res);
-  const running = Effect.runPromise(drain.run);
+  const running = Effect.runPromise(drain.run(clock.monotonicMs()));
   await Promise.resolve();
   const after = createResponse();
   drain.track(after.res);
@@ -92,7 +92,7 @@
   // Guards against a relay that its origin aborts within the grace period.
   const { clock, drain, handoffs } = createFixture();
   handoffs.count = 2;
-  const running = Effect.runPromise(drain.run);
+  const running = Effect.runPromise(drain.run(clock.monotonicMs()));
   let hasEnded = false;
   void running.then(() => hasEnded = true);
   await Promise.resolve();
@@ -121,8 +121,22 @@
 test("no request starts once the drain has ended, while sockets are being closed", async () => {
   // Guards against a request that is sent on and loses its connection.
   const { clock, drain, mayStart } = createFixture();
-  const running = Effect.runPromise(drain.run);
+  const running = Effect.runPromise(drain.run(clock.monotonicMs()));
   clock.advance(GRACE_MS * 3 / 4);
   await running;
   strictEqual(mayStart(0), false);
 });
+
+test("a drain that begins late after its signal ends no later", async () => {
+  // Guards against SIGKILL in the middle of a drain.
+  const { clock, drain, mayStart } = createFixture();
+  const { res } = createResponse();
+  drain.track(res);
+  const askedMs = clock.monotonicMs();
+  clock.advance(5_000);
+  const running = Effect.runPromise(drain.run(askedMs));
+  await Promise.resolve();
+  deepStrictEqual([mayStart(2_500), mayStart(2_700)], [true, false]);
+  clock.advance(2_600);
+  deepStrictEqual(await running, { cut: 1, tookMs: 7_600 });
+});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -84,9 +84,13 @@
 export interface Entry extends AsyncDisposable {
   /**
    * Stops taking new requests and completes the running ones within the grace
-   * period. Returns the number of responses that were cut off.
+   * period, which counts from when the host was asked to stop: from now if no
+   * time is given, in monotonic ms. Returns the number of responses that were
+   * cut off.
    */
-  drain(): Promise<{ readonly cut: number; readonly tookMs: number }>;
+  drain(
+    askedMs?: number,
+  ): Promise<{ readonly cut: number; readonly tookMs: number }>;
 }
 
 /**
@@ -673,9 +677,11 @@
   });
 
   return {
-    async drain() {
+    async drain(askedMs = clock.monotonicMs()) {
+      // A signal may have waited as long as anything else that is read now.
+      const arrivedMs = askedMs - loopMonitor.getUnreadMs();
       Effect.runFork(registration.remove);
-      const result = await Effect.runPromise(drain.run);
+      const result = await Effect.runPromise(drain.run(arrivedMs));
       log({ event: "stopped", ...result });
       return result;
     },
