--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -5,5 +5,6 @@
  */
 
 export * from "./membership.ts";
+export * from "./membership_types.ts";
 export * from "./rendezvous.ts";
 export * from "./types.ts";
--- a/src/membership/rejoin_test.ts
+++ b/src/membership/rejoin_test.ts
@@ -8,7 +8,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createManualClock } from "../core/mod.ts";
-import { createMembership, type Membership } from "./membership.ts";
+import { createMembership } from "./membership.ts";
+import type { Membership } from "./membership_types.ts";
 import type { Member, MembershipMessage } from "./types.ts";
 
 const PERIOD_MS = 500;
