Bound the idle time that an upstream states for a connection

A host would end with all its requests.

Cause: Keep-Alive: timeout= with some 310 digits or more is read as Infinity. As the connection is given back after the response, the timer refuses it with ERR_OUT_OF_RANGE, in a listener of the agent, where nothing catches it. With 12 digits Node warns that the time doesn't fit.

Change: ten minutes at most.

--- a/src/forwarding/upstream_agent.ts
+++ b/src/forwarding/upstream_agent.ts
@@ -24,6 +24,9 @@
  */
 const IDLE_MARGIN_MS = 700;
 
+/** Longest idle time-out, in ms; a timer admits no number of any size. */
+const MAX_IDLE_MS = 600_000;
+
 /**
  * If the stated idle time is too short for the margin, this share of it is
  * used.
@@ -76,6 +79,6 @@
 export function getIdleMs(res: IncomingMessage | undefined): number {
   const stated = /timeout=(\d+)/.exec(String(res?.headers["keep-alive"] ?? ""));
   if (stated === null) return DEFAULT_IDLE_MS;
-  const statedMs = Number(stated[1]) * 1_000;
+  const statedMs = Math.min(Number(stated[1]) * 1_000, MAX_IDLE_MS);
   return Math.max(statedMs - IDLE_MARGIN_MS, statedMs * SHORT_IDLE_SHARE);
 }
