--- a/src/stream_versions/version_facts_test.ts
+++ b/src/stream_versions/version_facts_test.ts
@@ -28,6 +28,13 @@
         from,
         answer: { kind: "single-version", version },
       },
+      { kind: "confirm", digest, service, from },
+      {
+        kind: "answer",
+        digest,
+        from,
+        answer: { kind: "confirmed-version", version },
+      },
       { kind: "answer", digest, from, answer: { kind: "not-known" } },
     ];
     for (const message of messages) {
