--- a/src/stream_versions/shared_read.ts
+++ b/src/stream_versions/shared_read.ts
@@ -30,10 +30,13 @@
   isFailing(): boolean;
 }
 
-/** Interval between the starts of two reads, in ms. */
-const INTERVAL_MS = 50;
+/** Mean interval between the starts of reads that follow each other, in ms. */
+const INTERVAL_MS = 100;
 
-/** The same while reads fail, in ms. */
+/** Time by which reads may be ahead of that, in ms. */
+const AHEAD_MS = 300;
+
+/** Interval between the starts of two reads while they fail, in ms. */
 const FAILING_INTERVAL_MS = 1_000;
 
 /** Time after which a read counts as failed, in ms. */
@@ -48,6 +51,8 @@
   let isActive = false;
   let hasFailed = false;
   let begunMs = -Infinity;
+  /** Monotonic time in ms of the next read at the mean interval. */
+  let dueMs = -Infinity;
 
   const limited = read.pipe(
     Effect.catchDefect((defect) => fail(String(defect))),
@@ -58,8 +63,8 @@
   );
 
   const waitForTurn = Effect.suspend(() => {
-    const intervalMs = hasFailed ? FAILING_INTERVAL_MS : INTERVAL_MS;
-    const leftMs = begunMs + intervalMs - clock.monotonicMs();
+    const turnMs = hasFailed ? begunMs + FAILING_INTERVAL_MS : dueMs - AHEAD_MS;
+    const leftMs = turnMs - clock.monotonicMs();
     return leftMs > 0 ? Effect.sleep(leftMs) : Effect.void;
   });
 
@@ -67,6 +72,7 @@
     const outcome = next;
     next = undefined;
     begunMs = clock.monotonicMs();
+    dueMs = Math.max(dueMs, begunMs) + INTERVAL_MS;
     return Effect.exit(limited).pipe(Effect.map((exit) => {
       hasFailed = exit._tag === "Failure";
       if (outcome !== undefined) Deferred.doneUnsafe(outcome, exit);
