Hold a time-out that is longer than a timer admits

What callers would see: on a route with a time-out of over 24.8 days, calls with as long a deadline time out after some milliseconds.

Cause: Node runs a timer of over 2^31 - 1 ms after 1 ms, and warns. A configuration may state such a time (timeout_ms of 1e12), a caller such a deadline; together they reach the timers. Trial: 16 such timers in four calls, which were all answered, as the upstream took less than that.

Change: the time is bounded where the timer is set. Test of four times failed before, passes; the trial: no warning.

--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -33,6 +33,9 @@
   return { [Symbol.dispose]: () => clearImmediate(immediate) };
 }
 
+/** Longest time of a timer, in ms; Node runs one of a longer time at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** A time-out that input cancels if it arrived in time, even if read late. */
 export interface ReadAwareTimeout extends Disposable {
   /** Starts the time-out again from zero. */
@@ -50,7 +53,7 @@
   let pendingRead: Disposable | undefined;
   const timer = setTimeout(() => {
     pendingRead = runAfterPendingReads(run);
-  }, timeoutMs);
+  }, Math.min(timeoutMs, MAX_TIMER_MS));
   return {
     restart() {
       pendingRead?.[Symbol.dispose]();
