Start a router as an entry host starts: early signals, addresses in use

The same cause in azurestile-router: SIGHUP ended it at any age, SIGTERM ended a start without a line, and one address in use ended the start; worse, if callers' address was in use the process neither served nor ended, as the open socket of the peers kept it running. A second error of its server for callers, such as a lack of descriptors, would have ended the process (the first took the place of the listener for the start's).

The release of what a start has opened is one module for both.

--- a/src/bin/azurestile_router.ts
+++ b/src/bin/azurestile_router.ts
@@ -1,11 +1,14 @@
 #!/usr/bin/env node
 /**
- * `azurestile-router`: runs one router.
+ * `azurestile-router`: runs one router. Records signals before it loads the
+ * program.
  *
  * @module
  */
 
-import { runProgram } from "../commands/program.ts";
-import { routerProgram } from "../commands/router.ts";
+import { createSignalRecord } from "../startup/signal_record.ts";
 
-await runProgram(routerProgram);
+const signals = createSignalRecord();
+const { runProgram } = await import("../commands/program.ts");
+const { createRouterProgram } = await import("../commands/router.ts");
+await runProgram(createRouterProgram(signals));
--- a/src/commands/program_test.ts
+++ b/src/commands/program_test.ts
@@ -1,4 +1,5 @@
 import { deepStrictEqual, match, ok } from "node:assert/strict";
+import { EventEmitter } from "node:events";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -7,6 +8,7 @@
 import { readFileSet, type VersionRow } from "../config/mod.ts";
 import type { Member } from "../membership/mod.ts";
 import type { ApplyBody } from "../router/operator_types.ts";
+import { createSignalRecord } from "../startup/mod.ts";
 import { applyProgram } from "./apply.ts";
 import { checkProgram } from "./check.ts";
 import { replayProgram } from "./replay.ts";
@@ -16,7 +18,7 @@
 import { historyProgram } from "./history.ts";
 import { OperatorCallError } from "./operator_client.ts";
 import { type Program, type ProgramHost, runProgramWith } from "./program.ts";
-import { routerProgram } from "./router.ts";
+import { createRouterProgram } from "./router.ts";
 import { statusProgram } from "./status.ts";
 import { timelineProgram } from "./timeline.ts";
 
@@ -24,6 +26,10 @@
   new URL("../../examples/kvinta", import.meta.url),
 );
 
+const routerProgram = createRouterProgram(
+  createSignalRecord(new EventEmitter()),
+);
+
 const programs = [
   applyProgram,
   checkProgram,
--- /dev/null
+++ b/src/core/dispose.ts
@@ -0,0 +1,28 @@
+/**
+ * Resources that are opened one by one and released together.
+ *
+ * @module
+ */
+
+/** Disposes of all, in the reverse of their order. */
+export async function disposeAll(
+  opened: readonly AsyncDisposable[],
+): Promise<void> {
+  for (const each of opened.toReversed()) await each[Symbol.asyncDispose]();
+}
+
+/**
+ * Runs a start that adds each resource to the list it gets. If the start fails,
+ * those that it has added are released.
+ */
+export async function releaseOnFailure<T>(
+  start: (opened: AsyncDisposable[]) => Promise<T>,
+): Promise<T> {
+  const opened: AsyncDisposable[] = [];
+  try {
+    return await start(opened);
+  } catch (err) {
+    await disposeAll(opened);
+    throw err;
+  }
+}
--- a/src/core/listen.ts
+++ b/src/core/listen.ts
@@ -20,6 +20,15 @@
   onError(reason: string): void;
 }
 
+/**
+ * Opens an address, named by its protocol, IP and port; may wait until it is
+ * free.
+ */
+export type OpenAddress = <T>(
+  address: string,
+  run: () => Promise<T>,
+) => Promise<T>;
+
 /** Starts to listen; rejects if the address is already in use. */
 export function startListening(
   server: Server,
--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -1,12 +1,13 @@
 /**
  * Helpers that are independent of the domain: assertions, clocks, timers, digests,
- * ports and the start of servers.
+ * ports, the start of servers and the release of what was opened.
  *
  * @module
  */
 
 export * from "./clock.ts";
 export * from "./core.ts";
+export * from "./dispose.ts";
 export * from "./hlc.ts";
 export * from "./listen.ts";
 export * from "./ports.ts";
--- a/src/diagnostics/messages.ts
+++ b/src/diagnostics/messages.ts
@@ -359,6 +359,13 @@
     "log",
     "An uncaught error ends the process: {0}: {1} {2}",
   ),
+  signalReceived: define(3037, "log", "Received {0} at the age of {1} ms"),
+  startWaiting: define(
+    3038,
+    "log",
+    "The start has waited for {0} for {1} of {2} ms: {3}",
+  ),
+  startStopped: define(3039, "log", "Stopped before the start was over"),
 } as const satisfies Record<string, Message>;
 
 /** The name of an entry of the catalogue. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -14,8 +14,10 @@
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
 import {
   createStallTolerantClock,
+  disposeAll,
   offsetPort,
   PORT_OFFSETS,
+  releaseOnFailure,
 } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import {
@@ -121,18 +123,7 @@
   settings: EntrySettings,
   host: EntryHost,
 ): Promise<Entry> {
-  const opened: AsyncDisposable[] = [];
-  try {
-    return await openAndRun(settings, host, opened);
-  } catch (err) {
-    await disposeAll(opened);
-    throw err;
-  }
-}
-
-/** Disposes of all, in the reverse of their order. */
-async function disposeAll(opened: readonly AsyncDisposable[]): Promise<void> {
-  for (const each of opened.toReversed()) await each[Symbol.asyncDispose]();
+  return await releaseOnFailure((opened) => openAndRun(settings, host, opened));
 }
 
 /** Adds to `opened` what is to be disposed of in the end. */
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -7,7 +7,7 @@
 
 import { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
-import { type Clock, getDigest } from "../core/mod.ts";
+import { type Clock, getDigest, type OpenAddress } from "../core/mod.ts";
 import {
   createMembership,
   type Fact,
@@ -22,7 +22,7 @@
   tryFetchConfiguration,
 } from "../peers/mod.ts";
 import { startTicker } from "./ticker.ts";
-import type { EntrySettings, OpenAddress } from "./types.ts";
+import type { EntrySettings } from "./types.ts";
 
 /** Dependencies of the peer communication. */
 export interface PeersHost {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -7,7 +7,7 @@
 
 import type { IncomingMessage } from "node:http";
 import type { FleetRetryLimit } from "../admission/mod.ts";
-import type { Clock } from "../core/mod.ts";
+import type { Clock, OpenAddress } from "../core/mod.ts";
 import type { DecisionLog } from "../diagnostics/mod.ts";
 import type { EntryPlatform } from "../discovery/mod.ts";
 import type { CallCodec } from "../forwarding/mod.ts";
@@ -66,15 +66,6 @@
   isReadinessProbe(req: IncomingMessage): boolean;
 }
 
-/**
- * Opens an address, named by its protocol, IP and port; may wait until it is
- * free.
- */
-export type OpenAddress = <T>(
-  address: string,
-  run: () => Promise<T>,
-) => Promise<T>;
-
 /** Dependencies of an entry host. */
 export interface EntryHost {
   readonly clock: Clock;
--- a/src/router/public_server.ts
+++ b/src/router/public_server.ts
@@ -11,8 +11,10 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import process from "node:process";
 import * as Effect from "effect/Effect";
 import type { RouterSettings } from "../config/mod.ts";
+import { startListening } from "../core/mod.ts";
 import { createNotRunReply, sendReply } from "../requests/reply.ts";
 import type { Deployment } from "../types.ts";
 import { tryGetOperator } from "./operator_key.ts";
@@ -53,10 +55,9 @@
   });
   // Callers keep connections alive; the default idle time-out would close them.
   server.keepAliveTimeout = 65_000;
-  const [address, port] = host.settings.publicAddress.split(":");
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(Number(port), address, () => resolve());
+  await startListening(server, {
+    address: host.settings.publicAddress,
+    onError: (reason) => process.emitWarning(reason),
   });
   return Object.assign(server, {
     async [Symbol.asyncDispose]() {
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -10,7 +10,10 @@
 import {
   type Clock,
   createHybridClock,
+  disposeAll,
   getDigest,
+  type OpenAddress,
+  releaseOnFailure,
   systemClock,
 } from "../core/mod.ts";
 import type { Logger } from "../diagnostics/mod.ts";
@@ -49,6 +52,8 @@
   readonly clock: Clock;
   readonly platform: Platform;
   readonly logger: Logger;
+  /** Opens an address; at once if absent. */
+  readonly open?: OpenAddress;
 }
 
 /** A running router. */
@@ -63,12 +68,35 @@
 
 const TIMELINE_CAPACITY = 20_000;
 
-/** Starts a router; rejects if an address is already in use. */
+/**
+ * Starts a router. Rejects if an address can't be opened, with those released
+ * that were.
+ */
 export async function startRouter(
   settings: RouterSettings,
   host: RouterHost,
+): Promise<Router> {
+  return await releaseOnFailure((opened) => openAndRun(settings, host, opened));
+}
+
+/** Adds to `opened` what is to be disposed of in the end. */
+async function openAndRun(
+  settings: RouterSettings,
+  host: RouterHost,
+  opened: AsyncDisposable[],
 ): Promise<Router> {
   const { clock, logger } = host;
+
+  /** Opens an address of which the result is to be disposed of. */
+  async function open<T extends AsyncDisposable>(
+    address: string,
+    run: () => Promise<T>,
+  ): Promise<T> {
+    const result = await (host.open?.(address, run) ?? run());
+    opened.push(result);
+    return result;
+  }
+
   const platform = createObservedPlatform(
     host.platform,
     () => metrics.addPlatformFailure(),
@@ -234,53 +262,65 @@
     isAnyHostUnreachable: unreachableHosts.isAnyUnreachable,
   });
 
-  const datagrams = await openDatagrams(
-    bindAddress,
-    {
-      codec: createDatagramCodec(settings.fleetSecret),
-      onMessage: membership.receive,
-      onFailed: (reason) => reporter.taskFailed("membership", reason),
-    },
+  let isListening = false;
+  const datagrams = await open(
+    `UDP ${bindAddress}`,
+    () =>
+      openDatagrams(bindAddress, {
+        codec: createDatagramCodec(settings.fleetSecret),
+        onMessage(message, sender) {
+          // A host that answered before all its addresses are open would be
+          // named to callers.
+          if (isListening) membership.receive(message, sender);
+        },
+        onFailed: (reason) => reporter.taskFailed("membership", reason),
+      }),
   );
-  const peerServer = await listenForPeers(bindAddress, {
-    fleetToken,
-    onFrame(peer, frame) {
-      fleet.receiveFrame(peer, frame);
-      flusher.scheduleFlush();
-    },
-    tryGetConfiguration: configuration.tryEncode,
-    countHosts: () => membership.getMembers().length,
-  });
-  const publicServer = await listenForCallers({
-    settings,
-    getDeployment,
-    serveRequest: (req, res) =>
-      drain.track(res, serveRequest(serving.host, req, res)),
-    serveWhere: (req, res) =>
-      serveWhere(
-        { membership, ttlMs: settings.whereTtlMs, getDeployment },
-        req,
-        res,
-      ),
-    tryGetNotReadyReason,
-    tryGetUnhealthyReason: taskMonitor.tryGetStuckReason,
-    getMetrics: metrics.render,
-    operatorHandlers: createOperatorHandlers({
-      clock,
-      hybridClock,
-      configStore,
-      membership,
-      fleet,
-      recorder,
-      operators: settings.operators,
-      getCurrent: configuration.getCurrent,
-      onAccepted: configuration.putAcceptedInForce,
-      isDraining: () => drain.getPhase() !== "serving",
-      isUpstreamLeaving: leavingUpstreams.isLeaving,
+  const peerServer = await open(
+    `TCP ${bindAddress}`,
+    () =>
+      listenForPeers(bindAddress, {
+        fleetToken,
+        onFrame(peer, frame) {
+          fleet.receiveFrame(peer, frame);
+          flusher.scheduleFlush();
+        },
+        tryGetConfiguration: configuration.tryEncode,
+        countHosts: () => membership.getMembers().length,
+      }),
+  );
+  await open(`TCP ${settings.publicAddress}`, () =>
+    listenForCallers({
+      settings,
+      getDeployment,
+      serveRequest: (req, res) =>
+        drain.track(res, serveRequest(serving.host, req, res)),
+      serveWhere: (req, res) =>
+        serveWhere(
+          { membership, ttlMs: settings.whereTtlMs, getDeployment },
+          req,
+          res,
+        ),
       tryGetNotReadyReason,
-      getServed: metrics.getServed,
-    }),
-  });
+      tryGetUnhealthyReason: taskMonitor.tryGetStuckReason,
+      getMetrics: metrics.render,
+      operatorHandlers: createOperatorHandlers({
+        clock,
+        hybridClock,
+        configStore,
+        membership,
+        fleet,
+        recorder,
+        operators: settings.operators,
+        getCurrent: configuration.getCurrent,
+        onAccepted: configuration.putAcceptedInForce,
+        isDraining: () => drain.getPhase() !== "serving",
+        isUpstreamLeaving: leavingUpstreams.isLeaving,
+        tryGetNotReadyReason,
+        getServed: metrics.getServed,
+      }),
+    }));
+  isListening = true;
 
   function tryGetNotReadyReason(): string | undefined {
     if (drain.getPhase() !== "serving") return "The host is leaving";
@@ -345,9 +385,7 @@
     async [Symbol.asyncDispose]() {
       await tasks[Symbol.asyncDispose]();
       flusher[Symbol.dispose]();
-      await publicServer[Symbol.asyncDispose]();
-      await peerServer[Symbol.asyncDispose]();
-      await datagrams[Symbol.asyncDispose]();
+      await disposeAll(opened);
     },
   };
 }
