Let a host speak whatever others say of it

What callers would see: a host that all others take for dead, and that sends nothing any more. Found by drawing messages; not reported.

Cause: a host that others take for dead raises its revision above theirs. At the largest that a message holds, 2^32 - 1, the next one can't be encoded, and with its own entry in most messages it could send none: each tick failed. An incarnation beyond 2^53 can't be overridden at all, as nothing can be added to it.

Change: near the end of the revisions a host takes another incarnation; entries with an incarnation beyond 2^53 are left out.

--- a/src/membership/refutation.ts
+++ b/src/membership/refutation.ts
@@ -19,6 +19,12 @@
   | { readonly kind: "repeat" }
   | { readonly kind: "override"; readonly entry: Member };
 
+/**
+ * Revision from which on a host takes another incarnation instead. A message has
+ * 32 bits for it, and a host that leaves raises it once more.
+ */
+const MAX_REVISION = 2 ** 32 - 3;
+
 /**
  * Only the host itself raises its revision and incarnation, so that its own entry
  * overrides those of all others.
@@ -36,6 +42,12 @@
   // state is better: other hosts may consider a leaving host alive.
   const isAhead = update.revision > own.revision;
   return isSuspectOrDead || isAhead
-    ? { kind: "override", entry: { ...own, revision: update.revision + 1 } }
+    ? { kind: "override", entry: getEntryAbove(own, update.revision) }
     : { kind: "none" };
 }
+
+function getEntryAbove(own: Member, revision: number): Member {
+  return revision < MAX_REVISION
+    ? { ...own, revision: revision + 1 }
+    : { ...own, incarnation: own.incarnation + 1, revision: 1 };
+}
--- a/src/peers/datagrams.ts
+++ b/src/peers/datagrams.ts
@@ -215,5 +215,7 @@
   update: Datagram["updates"][number],
 ): readonly Member[] {
   const state = fromWire.get(update.state);
-  return state === undefined ? [] : [{ ...update, state }];
+  // To a larger number nothing can be added, and so it can't be overridden.
+  const isUsable = Math.abs(update.incarnation) <= Number.MAX_SAFE_INTEGER;
+  return state !== undefined && isUsable ? [{ ...update, state }] : [];
 }
