Bound the requests that wait behind others of their connections

Cause: a request takes some 10 KB until its response has been sent, which is after all earlier ones of its connection. Node parses all requests of a read, up to 64 KB, before anything can be answered, and stops reading a connection only for bytes that wait to be sent. Nothing counted such requests.

Evidence: 20,000 requests in flight took 277 - 65 MB; a bare server of Node that never answers takes 1.8 KB of heap a request; the heap grew, buffers and held bytes did not.

Ruled out: a rejection of each waits behind the earlier responses and takes memory itself. Closing the connection with the most (trial): the heap limit again, as what is closed is freed only after all that is ready was read, and with a bound on that each of the 80,000 requests was still started, 75 connections in some 20 s.

Change: requests behind others may take an eighth of the memory at 16 KB each. Without room the connection of the next such request is closed and none of the rest of it runs, and so is one that takes half of the room; once as many requests of closed connections as there is room for were read, all connections are paused for an iteration of the event loop, so that these are freed. A caller that doesn't pipeline is never closed for that, and costs two accesses of a map a request and a listener a connection.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -68,6 +68,9 @@
     case "intake-changed":
       return `${decision.isFull ? "Accepts no" : "Accepts"} new callers: an ` +
         `event-loop iteration took ${decision.meanTurnMs} ms on average`;
+    case "pipeline-dropped":
+      return `Closed a caller's connection with ${decision.waiting} requests ` +
+        `behind another one: there was no room for more`;
     case "memory-changed":
       return describeMemory(decision);
     case "config-in-force":
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -85,6 +85,14 @@
     readonly connections: number;
     readonly inFlight: number;
   }
+  | {
+    /**
+     * A connection was closed, since there is no room for more requests that
+     * wait behind others of their connection.
+     */
+    readonly event: "pipeline-dropped";
+    readonly waiting: number;
+  }
   | {
     /** This host handed connections off in the last second, or tried to. */
     readonly event: "connections-handed-off";
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -24,6 +24,11 @@
    * that wait in the queue meanwhile are reset.
    */
   lengthenBacklog(backlog: number): void;
+  /**
+   * Reads nothing more from the connections that are served until those that
+   * have been closed meanwhile are freed, an iteration of the event loop later.
+   */
+  pauseReading(): void;
   /** Open connections, also those that are handed off. */
   countConnections(): number;
 }
@@ -47,11 +52,18 @@
 /** Time after which listening anew is tried again if it failed, in ms. */
 const LISTEN_RETRY_MS = 1_000;
 
+/** Closes are handled at the end of each iteration of the event loop. */
+function runAfterPendingCloses(run: () => void): void {
+  setImmediate(() => setImmediate(run));
+}
+
 /** Creates a server that is not listening. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
   const { onRequest, onConnection, backlog, headerCheckIntervalMs } = options;
   const server = createHttpServer(onRequest, headerCheckIntervalMs);
+  const served = new Set<Socket>();
   let connections = 0;
+  let isPaused = false;
   const acceptor = createServer({
     // As the HTTP server accepts connections by itself.
     allowHalfOpen: true,
@@ -65,6 +77,7 @@
   let listenAddress: { host: string; port: number } | undefined;
   let wantedBacklog = backlog;
   let isDisposed = false;
+
   function listenAnew(): void {
     acceptor.listen({ ...listenAddress, backlog: wantedBacklog });
   }
@@ -89,10 +102,17 @@
     server.emit("listening");
   }
 
+  function resumeReading(): void {
+    isPaused = false;
+    for (const socket of served) socket.resume();
+  }
+
   return {
     server,
     listen,
     serve(socket) {
+      served.add(socket);
+      socket.once("close", () => served.delete(socket));
       server.emit("connection", socket);
       socket.resume();
     },
@@ -102,6 +122,12 @@
       acceptor.close();
       listenAnew();
     },
+    pauseReading() {
+      if (isPaused) return;
+      isPaused = true;
+      for (const socket of served) socket.pause();
+      runAfterPendingCloses(resumeReading);
+    },
     countConnections: () => connections,
     async [Symbol.asyncDispose]() {
       isDisposed = true;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -23,9 +23,11 @@
 import {
   createHeldMemory,
   createIncarnationProofs,
+  createPipelinedRequests,
   createUpstreamAgent,
   type ForwardHost,
   getMaxHeldBytes,
+  getMaxPipelined,
   readReport,
   serve,
   tryConnect,
@@ -514,8 +516,14 @@
   const logServerError = (reason: string) =>
     log({ event: "task-failed", task: "server", reason });
   const handoffBacklog = getHandoffBacklog(settings.processorShare);
+  const pipelined = createPipelinedRequests({
+    maxWaiting: getMaxPipelined(settings.memoryBytes),
+    pauseReading: () => callers.pauseReading(),
+    onDropped: (waiting) => log({ event: "pipeline-dropped", waiting }),
+  });
   const callers = createCallerServer({
     onRequest(req, res) {
+      if (!pipelined.accept(req, res)) return;
       if (!handoff.acceptRequest(req, res)) return;
       drain.track(res);
       serve(forwardHost, req, res);
