Send no answer once a host has ended

A host that was asked to confirm a version answers up to 300 ms later. If it was stopped meanwhile, the answer became due when its sockets were closed, where a send throws: the process would end by an uncaught error. The outbox drops what is added after its end.

--- a/src/stream_versions/facts_outbox.ts
+++ b/src/stream_versions/facts_outbox.ts
@@ -12,7 +12,7 @@
 import { getOrCreate } from "../core/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 
-/** The facts that are due. Disposal drops them. */
+/** The facts that are due. Disposal drops them, and those added after it. */
 export interface FactsOutbox extends Disposable {
   add(peerAddress: string, fact: Fact): void;
 }
@@ -23,6 +23,7 @@
 ): FactsOutbox {
   const due = new Map<string, Fact[]>();
   let turn: NodeJS.Immediate | undefined;
+  let isDisposed = false;
 
   function flush(): void {
     turn = undefined;
@@ -33,10 +34,13 @@
 
   return {
     add(peerAddress, fact) {
+      // The answer to a question may become due when the sockets are closed.
+      if (isDisposed) return;
       getOrCreate(due, peerAddress, (): Fact[] => []).push(fact);
       turn ??= setImmediate(flush);
     },
     [Symbol.dispose]() {
+      isDisposed = true;
       clearImmediate(turn);
       due.clear();
     },
