Refuse a small body once small ones take twice their room

A process above its memory is killed, with all that it serves.

Ruled out: a smaller size of bodies that are never dropped: they would be refused for the sake of one large one, and most requests have a small body.

Change: a body that is still being read may be dropped, whatever its size, while twice the bound is held, a quarter of the memory.

Test: request_memory_test.ts, the ninth body was not dropped before.

--- a/src/forwarding/held_memory.ts
+++ b/src/forwarding/held_memory.ts
@@ -37,6 +37,8 @@
   hold(holder: MemoryHolder): HeldBytes;
   /** Counts what is held now, in bytes. */
   countBytes(): number;
+  /** Whether twice as much is held as may be, since nothing could be dropped. */
+  isCrowded(): boolean;
 }
 
 /**
@@ -46,6 +48,9 @@
  */
 const HELD_SHARE = 1 / 8;
 
+/** Factor by which what can't be dropped may exceed the bound. */
+const CROWDED_FACTOR = 2;
+
 /**
  * Returns the bytes that the responses of a host with this memory may take, or
  * the bodies of its requests.
@@ -91,6 +96,7 @@
 
   return {
     countBytes,
+    isCrowded: () => mostBytes > CROWDED_FACTOR * maxBytes,
     hold(holder) {
       holders.add(holder);
       return {
--- a/src/forwarding/request_memory.ts
+++ b/src/forwarding/request_memory.ts
@@ -3,8 +3,8 @@
  * until the request has ended: it may be sent again.
  *
  * Only a body that is still being read can be dropped, and its request rejected
- * as not run. Small bodies are never dropped: they are no cause of a lack of
- * room, and most requests have one.
+ * as not run. Small bodies are dropped only if there are so many that they take
+ * twice the room: most requests have one, and each alone is no cause of a lack.
  *
  * @module
  */
@@ -19,7 +19,7 @@
   onComplete(): void;
 }
 
-/** Largest body, in bytes, that is never dropped. */
+/** Largest body, in bytes, that is dropped only among many of its kind. */
 export const MAX_SMALL_BODY_BYTES = 64 * 1024;
 
 /**
@@ -34,7 +34,9 @@
   let isComplete = false;
   const held = memory.hold({
     getHeldBytes: () => heldBytes,
-    mayDrop: () => !isComplete && heldBytes > MAX_SMALL_BODY_BYTES,
+    mayDrop: () =>
+      !isComplete &&
+      (heldBytes > MAX_SMALL_BODY_BYTES || memory.isCrowded()),
     drop,
   });
   return {
--- a/src/forwarding/request_memory_test.ts
+++ b/src/forwarding/request_memory_test.ts
@@ -45,6 +45,19 @@
   strictEqual(later.isDropped(), false);
 });
 
+test("a small body is dropped once small ones take twice the room", () => {
+  // Guards against a process that exceeds its memory under many small bodies.
+  const memory = createHeldMemory(LARGE_BYTES);
+  const add = () => {
+    const body = addBody(memory);
+    body.onRead(MAX_SMALL_BODY_BYTES);
+    body.onComplete();
+    return body.isDropped();
+  };
+  const dropped = Array.from({ length: 9 }, add);
+  deepStrictEqual(dropped, [...Array.from({ length: 8 }, () => false), true]);
+});
+
 test("a request for whose body there is no room is rejected as not run, beside others that are served", async () => {
   // Guards against a process that exceeds the memory of its host.
   const answers: Behaviour = (socket, { id }) =>
