--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,7 +6,6 @@
  * @module
  */
 
-import type { RequestListener } from "node:http";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import * as Effect from "effect/Effect";
@@ -50,9 +49,7 @@
   VERSION_KEY_PREFIX,
 } from "../stream_versions/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
-import { chooseAddresses } from "./caller_addresses.ts";
 import { createCallerServer } from "./caller_server.ts";
-import { openLoadExchange } from "./load_exchange.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createGrantExchange } from "./grant_exchange.ts";
@@ -64,25 +61,17 @@
 import { getDistance } from "./distance.ts";
 import { createDrain } from "./drain.ts";
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
+import { openExchanges } from "./exchanges.ts";
 import { createMemoryWatch } from "./memory_watch.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
-import { openPrefixExchange } from "./prefix_exchange.ts";
 import { createHostRegistration } from "./host_registration.ts";
-import {
-  createMetricsListener,
-  createReadinessListener,
-  createResolveListener,
-  getBacklog,
-  getHandoffBacklog,
-  listen,
-  setCallerLimits,
-} from "./servers.ts";
+import { getBacklog, getHandoffBacklog, setCallerLimits } from "./servers.ts";
 import { createServicePacings } from "./service_pacings.ts";
+import { openSideServers } from "./side_servers.ts";
 import { startTicker } from "./ticker.ts";
 import type { EntryHost, EntrySettings } from "./types.ts";
 import { createUpstreamPacings } from "./upstream_pacings.ts";
-import { openUpstreamStatsExchange } from "./upstream_stats_exchange.ts";
 
 /** A running entry host. */
 export interface Entry extends AsyncDisposable {
@@ -97,12 +86,6 @@
   ): Promise<{ readonly cut: number; readonly tookMs: number }>;
 }
 
-/**
- * How long callers may cache a list of hosts, in ms. It is short because hosts
- * come and go within seconds.
- */
-const RESOLVE_TTL_MS = 2_000;
-
 /**
  * Interval of the scheduling passes over the queue, in ms: a sixtieth of a
  * prompt target.
@@ -533,49 +516,29 @@
     onError: logServerError,
   });
   opened.push(callers, handoff);
-  const openServer = (address: string, onRequest: RequestListener) =>
-    open(
-      `TCP ${address}`,
-      () => listen(address, onRequest, logServerError),
-    );
   await openAddress(
     `TCP ${offsetPort(peerAddress, PORT_OFFSETS.handoffs)}`,
     handoff.listen,
   );
-  await openServer(
-    settings.readinessAddress,
-    createReadinessListener(protocol, isReady),
-  );
-  await openServer(
-    settings.resolveAddress,
-    createResolveListener(protocol, {
-      ttlMs: Math.min(RESOLVE_TTL_MS, settings.maxResolveTtlMs),
-      getAddresses: (query) =>
-        chooseAddresses({
-          query,
-          members: peers.membership.getMembers(),
-          isFull,
-          getRegion: (dataCentre) => settings.regions.get(dataCentre),
-          allowedRegions: platformView.tryGetRoutes()
-            ?.getAllowedRegionsOfHostName(query.hostName),
-        }),
-    }),
-  );
+  await openSideServers({
+    settings,
+    protocol,
+    metrics: host.metrics,
+    renderMetrics: metrics.render,
+    isReady,
+    getMembers: peers.membership.getMembers,
+    isFull,
+    tryGetRoutes: platformView.tryGetRoutes,
+    onError: logServerError,
+    open,
+  });
+
   function isFull(member: Member): boolean {
     return member.peerAddress === peerAddress
       ? intake.isFull()
       : fullHosts.isFull(member.peerAddress);
   }
 
-  if (host.metrics !== undefined) {
-    const { port, path } = host.metrics;
-    const [ip] = settings.callerAddress.split(":");
-    await openServer(
-      `${ip}:${port}`,
-      createMetricsListener(path, metrics.render),
-    );
-  }
-
   function measureIterations(): void {
     stallTolerantClock.tick();
     loopMonitor.tick();
@@ -610,40 +573,17 @@
     onFailure: (reason) =>
       log({ event: "platform-lost", table: "hosts", reason }),
   });
-  const openSocket = <T extends AsyncDisposable>(
-    offset: number,
-    run: () => Promise<T>,
-  ) => open(`UDP ${offsetPort(peerAddress, offset)}`, run);
-  const loadExchange = await openSocket(
-    PORT_OFFSETS.loadReports,
-    () =>
-      openLoadExchange({
-        clock: stallTolerantClock,
-        self,
-        view: load,
-        getHosts: getAlive,
-        onFailed: logFailedTask("load reports"),
-      }),
-  );
-  const upstreamStatsExchange = await openSocket(
-    PORT_OFFSETS.upstreamStats,
-    () =>
-      openUpstreamStatsExchange({
-        peerAddress,
-        reporter: upstreamStats,
-        onRound: upstreamPacings.update,
-        onFailed: logFailedTask("statistics of upstreams"),
-      }),
-  );
-  await openSocket(
-    PORT_OFFSETS.placements,
-    () =>
-      openPrefixExchange({
-        peerAddress,
-        announcer: prefixes.announcer,
-        onFailed: logFailedTask("placements"),
-      }),
-  );
+  const exchangeTasks = await openExchanges({
+    self,
+    clock: stallTolerantClock,
+    load,
+    upstreamStats,
+    onStatsRound: upstreamPacings.update,
+    announcer: prefixes.announcer,
+    getHosts: getAlive,
+    logFailedTask,
+    open,
+  });
   opened.push(grants);
   await openAddress(
     `UDP ${offsetPort(peerAddress, PORT_OFFSETS.grants)}`,
@@ -654,8 +594,7 @@
     () => callers.listen(settings.callerAddress),
   );
   const tasks = [
-    loadExchange.run,
-    upstreamStatsExchange.run,
+    ...exchangeTasks,
     peers.run,
     platformView.run,
     registration.run,
