Open and own addresses by one function in both programs

entry.ts and router.ts had the same inner function for an address whose result is released with the host, and two places the same one for opening at once. Both are in core. No change of logic; 52 of 52 tests of core, router, commands, entry/peers and starts at held addresses pass.

--- a/src/core/dispose.ts
+++ b/src/core/dispose.ts
@@ -4,6 +4,26 @@
  * @module
  */
 
+import type { OpenAddress } from "./listen.ts";
+
+/** Opens an address, and owns what is opened there. */
+export type OpenOwned = <T extends AsyncDisposable>(
+  address: string,
+  run: () => Promise<T>,
+) => Promise<T>;
+
+/** Adds what is opened by the function to the list, to be released with it. */
+export function createOwnedOpener(
+  open: OpenAddress,
+  opened: AsyncDisposable[],
+): OpenOwned {
+  return async (address, run) => {
+    const result = await open(address, run);
+    opened.push(result);
+    return result;
+  };
+}
+
 /** Disposes of all, in the reverse of their order. */
 export async function disposeAll(
   opened: readonly AsyncDisposable[],
--- a/src/core/listen.ts
+++ b/src/core/listen.ts
@@ -29,6 +29,9 @@
   run: () => Promise<T>,
 ) => Promise<T>;
 
+/** Opens an address without waiting for it. */
+export const openAtOnce: OpenAddress = (_, run) => run();
+
 /** Starts to listen; rejects if the address is already in use. */
 export function startListening(
   server: Server,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -12,9 +12,11 @@
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
 import {
+  createOwnedOpener,
   createStallTolerantClock,
   disposeAll,
   offsetPort,
+  openAtOnce,
   PORT_OFFSETS,
   releaseOnFailure,
 } from "../core/mod.ts";
@@ -122,17 +124,8 @@
   const incarnation = Math.floor(clock.wallMs());
   const startedMs = clock.monotonicMs();
 
-  const openAddress = host.open ?? ((_, run) => run());
-
-  /** Opens an address of which the result is to be disposed of. */
-  async function open<T extends AsyncDisposable>(
-    address: string,
-    run: () => Promise<T>,
-  ): Promise<T> {
-    const result = await openAddress(address, run);
-    opened.push(result);
-    return result;
-  }
+  const openAddress = host.open ?? openAtOnce;
+  const open = createOwnedOpener(openAddress, opened);
 
   function log(decision: Decision): void {
     metrics.observeDecision(decision);
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -6,12 +6,16 @@
  */
 
 import type * as Effect from "effect/Effect";
-import { type Clock, offsetPort, PORT_OFFSETS } from "../core/mod.ts";
+import {
+  type Clock,
+  offsetPort,
+  type OpenOwned,
+  PORT_OFFSETS,
+} from "../core/mod.ts";
 import type { LoadPeer, LoadView, UpstreamStatsReporter } from "../load/mod.ts";
 import type { PlacementAnnouncer } from "../prefixes/mod.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { openPrefixExchange } from "./prefix_exchange.ts";
-import type { OpenOwned } from "./types.ts";
 import { openUpstreamStatsExchange } from "./upstream_stats_exchange.ts";
 
 /** What is exchanged, and with whom. */
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -7,7 +7,12 @@
 
 import { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
-import { type Clock, getDigest, type OpenAddress } from "../core/mod.ts";
+import {
+  type Clock,
+  getDigest,
+  type OpenAddress,
+  openAtOnce,
+} from "../core/mod.ts";
 import {
   createMembership,
   type Fact,
@@ -103,7 +108,7 @@
     getConfigVersion: () => ({ version: 0, digest: "" }),
   }, membershipOptions);
   let isRunning = false;
-  const open = host.open ?? ((_, run) => run());
+  const open = host.open ?? openAtOnce;
   const datagrams = await open(
     `UDP ${peerAddress}`,
     () =>
--- a/src/entry/side_servers.ts
+++ b/src/entry/side_servers.ts
@@ -6,6 +6,7 @@
  */
 
 import type { RequestListener } from "node:http";
+import type { OpenOwned } from "../core/mod.ts";
 import type { Member } from "../membership/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
 import { chooseAddresses } from "./caller_addresses.ts";
@@ -15,12 +16,7 @@
   createResolveListener,
   listen,
 } from "./servers.ts";
-import type {
-  EntryHost,
-  EntryProtocol,
-  EntrySettings,
-  OpenOwned,
-} from "./types.ts";
+import type { EntryHost, EntryProtocol, EntrySettings } from "./types.ts";
 
 /** What the servers answer from. */
 export interface SideServersHost {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -66,12 +66,6 @@
   isReadinessProbe(req: IncomingMessage): boolean;
 }
 
-/** Opens an address, and owns what is opened there. */
-export type OpenOwned = <T extends AsyncDisposable>(
-  address: string,
-  run: () => Promise<T>,
-) => Promise<T>;
-
 /** Dependencies of an entry host. */
 export interface EntryHost {
   readonly clock: Clock;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -10,9 +10,11 @@
 import {
   type Clock,
   createHybridClock,
+  createOwnedOpener,
   disposeAll,
   getDigest,
   type OpenAddress,
+  openAtOnce,
   releaseOnFailure,
   systemClock,
 } from "../core/mod.ts";
@@ -87,16 +89,7 @@
 ): Promise<Router> {
   const { clock, logger } = host;
 
-  /** Opens an address of which the result is to be disposed of. */
-  async function open<T extends AsyncDisposable>(
-    address: string,
-    run: () => Promise<T>,
-  ): Promise<T> {
-    const result = await (host.open?.(address, run) ?? run());
-    opened.push(result);
-    return result;
-  }
-
+  const open = createOwnedOpener(host.open ?? openAtOnce, opened);
   const platform = createObservedPlatform(
     host.platform,
     () => metrics.addPlatformFailure(),
