--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Decision } from "./decisions.ts";
+import { describeHostDecision } from "./describe_host_decision.ts";
 import type {
   Inputs,
   LoggedBody,
@@ -65,14 +66,6 @@
       return `${decision.upstream} has the weight ${decision.weight} in the ` +
         `ranking of prompts: its speed is ${decision.speed} of the mean, by ` +
         `${decision.samples} first events`;
-    case "intake-changed":
-      return `${decision.isFull ? "Accepts no" : "Accepts"} new callers: an ` +
-        `event-loop iteration took ${decision.meanTurnMs} ms on average`;
-    case "pipeline-dropped":
-      return `Closed a caller's connection with ${decision.waiting} requests ` +
-        `behind another one: there was no room for more`;
-    case "memory-changed":
-      return describeMemory(decision);
     case "config-in-force":
       return `Configuration ${decision.version} in force, from ${decision.from}`;
     case "evacuation-began":
@@ -106,8 +99,6 @@
     case "upstream-unhealthy":
     case "upstream-healthy":
       return describeHealthChange(decision);
-    case "member-changed":
-      return `Host ${decision.member} is ${decision.state}`;
     case "table-reader-changed":
       return `${decision.reads ? "Reads" : "Does not read"} ` +
         `${decision.table} from the platform, ${decision.because}: ` +
@@ -141,43 +132,6 @@
     case "part-blocked":
       return `${decision.subject} is refused after ` +
         `${decision.crashes} crashes at ${decision.moments} moments`;
-    case "connections-handed-off":
-      return `Handed off ${decision.taken} connections to ` +
-        `${formatHosts(decision.targets)} at a utilization of ` +
-        `${decision.utilization}; ${decision.refused} refused, ` +
-        `${decision.unreachable} without an answer, ${decision.open} open`;
-    case "connections-received":
-      return `Took ${decision.taken} connections from ` +
-        `${formatHosts(decision.origins)} at a utilization of ` +
-        `${decision.utilization}; ${decision.refused} refused, ` +
-        `${decision.open} open`;
-    case "starting":
-      return `The process starts, ${decision.ageMs} ms old`;
-    case "signal-received":
-      return `Received ${decision.signal} at the age of ${decision.ageMs} ms`;
-    case "start-waiting":
-      return `The start has waited for ${decision.waitsFor} for ` +
-        `${decision.waitedMs} of ${decision.limitMs} ms: "${decision.reason}"`;
-    case "start-failed":
-      return `The start failed after ${decision.ageMs} ms: "${decision.reason}"`;
-    case "started":
-      return `Started in ${decision.tookMs} ms, incarnation ` +
-        `${decision.incarnation}`;
-    case "drain-phase":
-      return `Drain: ${decision.phase}, ${decision.inFlight} requests in flight`;
-    case "stopped":
-      return `Stopped after ${decision.tookMs} ms, ${decision.cut} requests cut`;
-    case "settings-reloaded":
-    case "settings-refused":
-      return `${decision.event}: "${decision.reason}"`;
-    case "task-failed":
-      return `Task ${decision.task} failed: "${decision.reason}"`;
-    case "runtime-warning":
-      return `Node.js warned ${decision.count} times: ${decision.kind}, ` +
-        `"${decision.message}"`;
-    case "uncaught-error":
-      return `The process ended on an uncaught error: ${decision.kind}, ` +
-        `"${decision.message}"`;
     case "stream-version-found":
       return `The stream${formatOf(decision.resumes)} goes on at version ` +
         `${decision.version} (${decision.confirmedBy ?? decision.from})${
@@ -195,32 +149,11 @@
         `${decision.incarnation} by its entry, says: ` +
         `${reported ?? reason ?? kind} (${decision.tookMs} ms)`;
     }
-    case "log-lines-dropped":
-      return `${decision.lines} log lines were dropped: their reader was too slow`;
+    default:
+      return describeHostDecision(decision);
   }
 }
 
-function describeMemory(
-  memory: Extract<Decision, { readonly event: "memory-changed" }>,
-): string {
-  const { residentBytes, limitBytes, requestBytes, responseBytes } = memory;
-  return `Memory is ${memory.isHigh ? "near" : "no longer near"} its limit: ` +
-    `${toMegabytes(residentBytes)} of ${toMegabytes(limitBytes)} MB, heap ` +
-    `${toMegabytes(memory.heapUsed)}, outside of it ` +
-    `${toMegabytes(memory.external)}, of it buffers ` +
-    `${toMegabytes(memory.arrayBuffers)}; held: bodies ` +
-    `${toMegabytes(requestBytes)}, responses ${toMegabytes(responseBytes)}; ` +
-    `${memory.connections} connections, ${memory.inFlight} requests in flight`;
-}
-
-function toMegabytes(bytes: number): string {
-  return (bytes / 1_000_000).toFixed(1);
-}
-
-function formatHosts(hosts: readonly string[]): string {
-  return hosts.length === 0 ? "no host" : hosts.join(", ");
-}
-
 function formatOf(request: string | undefined): string {
   return request === undefined ? "" : ` of ${request}`;
 }
