Let no head or piece of an upstream's response end the process

Cause: Node's client accepts header names with a space, an empty one, and statuses below 100; its server throws as it writes them. The head of a stream is written with its first event, in the listener of the body's data, where nothing catches. Read in one piece with the body it was a defect, a 502 in place of another try.

Change: a head that can't be written makes the response unusable as it arrives (unwritable_heads.ts), so that another upstream is tried where one may be. And, for the class, whatever the handler of a piece throws ends its attempt (response_body.ts).

--- a/src/forwarding/response_body.ts
+++ b/src/forwarding/response_body.ts
@@ -51,7 +51,13 @@
   res.on("data", (chunk: Buffer) => {
     trace.onRead(chunk.length);
     response.onRead();
-    reader.onChunk(chunk);
+    try {
+      reader.onChunk(chunk);
+    } catch (err) {
+      // Uncaught in a listener, it would end the process and all its requests.
+      end(Effect.die(err));
+      response.abort();
+    }
   });
   res.on("end", () => end(checkComplete(response)));
   res.on("close", endTruncated);
--- /dev/null
+++ b/src/forwarding/unwritable_heads.ts
@@ -0,0 +1,37 @@
+/**
+ * Finds heads of responses that can't be passed on: Node's client accepts names
+ * and statuses that its server refuses to write.
+ *
+ * @module
+ */
+
+import { type IncomingMessage, validateHeaderName } from "node:http";
+
+/** Lowest and highest status of a response that a server can write. */
+const MIN_STATUS = 100;
+const MAX_STATUS = 999;
+
+/** What of the head can't be written; `undefined` if all can. */
+export function tryGetUnwritablePart(
+  { statusCode = 0, rawHeaders }: Pick<
+    IncomingMessage,
+    "statusCode" | "rawHeaders"
+  >,
+): string | undefined {
+  if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) {
+    return `The status ${statusCode} is none of HTTP`;
+  }
+  const name = rawHeaders.find((each, at) => at % 2 === 0 && !isName(each));
+  return name === undefined
+    ? undefined
+    : `The name ${JSON.stringify(name)} is none of a header`;
+}
+
+function isName(text: string): boolean {
+  try {
+    validateHeaderName(text);
+    return true;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/forwarding/unwritable_heads_test.ts
@@ -0,0 +1,45 @@
+import { deepStrictEqual } from "node:assert";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createForwardFixture } from "../testing/forward_fixture.ts";
+import { chunk, streamHead } from "../testing/raw_responses.ts";
+
+const resumable = { kind: "stream", isResumable: true } as const;
+
+const EVENT = "id: 1\ndata: a\n\n";
+
+/** Time from a head to its first event, so that they are read apart, in ms. */
+const EVENT_DELAY_MS = 30;
+
+/** Heads that Node's client accepts and its server can't write. */
+const heads: Readonly<Record<string, (id: string) => string>> = {
+  "a name that ends with a space": (id) => addLine(id, "x-odd : a"),
+  "a name with a space inside": (id) => addLine(id, "x odd: a"),
+  "no name": (id) => addLine(id, ": a"),
+  "a status below all others": (id) => streamHead(id).replace("200", "099"),
+};
+
+function addLine(id: string, line: string): string {
+  return streamHead(id).replace("\r\n\r\n", `\r\n${line}\r\n\r\n`);
+}
+
+for (const [what, createHead] of Object.entries(heads)) {
+  test(`a stream whose head has ${what} ends no process and goes on elsewhere`, async () => {
+    // Guards against an exception in the listener of an upstream's body.
+    await using fixture = await createForwardFixture([
+      async (socket, { id }) => {
+        socket.write(createHead(id));
+        await sleep(EVENT_DELAY_MS);
+        if (!socket.destroyed) socket.write(chunk(EVENT) + "0\r\n\r\n");
+      },
+      (socket, { id }) =>
+        socket.write(streamHead(id) + chunk(EVENT) + "0\r\n\r\n"),
+    ], resumable);
+    const res = await fixture.call();
+    deepStrictEqual([res.status, res.body, res.isTruncated], [
+      200,
+      EVENT,
+      false,
+    ]);
+  });
+}
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -21,6 +21,7 @@
 import type { BodyEnd } from "./body_end.ts";
 import { type BodyTrace, createBodyTrace } from "./body_trace.ts";
 import { watchConnectionEnd } from "./connection_end.ts";
+import { tryGetUnwritablePart } from "./unwritable_heads.ts";
 import { watchReadingPauses } from "./reading_pauses.ts";
 import { watchOverhead } from "./overhead_watch.ts";
 import { CONNECT_TIMEOUT_MS, connectWithin } from "./try_connect.ts";
@@ -167,6 +168,8 @@
         return fail("unwanted", "A response came before the request was sent");
       }
       call.trace?.onWaiting();
+      const unwritable = tryGetUnwritablePart(res);
+      if (unwritable !== undefined) return fail("broken", unwritable);
       // Without a listener, an error event of the body would end the process.
       res.on("error", () => {});
       const trace = createBodyTrace(res, call.method);
