Take no time-out from a configuration that Node's timers refuse

Change: at the place of use a negative time is replaced by the one that applies without a configuration, and a long one is as long as a timer admits, whoever passed it on.

Test: ended with the RangeError before, passes now.

--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -34,7 +34,7 @@
 }
 
 /** Longest time of a timer, in ms; Node runs one of a longer time at once. */
-const MAX_TIMER_MS = 2 ** 31 - 1;
+export const MAX_TIMER_MS = 2 ** 31 - 1;
 
 /** A time-out that input cancels if it arrived in time, even if read late. */
 export interface ReadAwareTimeout extends Disposable {
--- a/src/entry/caller_server_test.ts
+++ b/src/entry/caller_server_test.ts
@@ -96,6 +96,22 @@
   ok((await idle.read).text.startsWith("HTTP/1.1 200 "));
 });
 
+test("limits of a configuration that are no times end no host", async () => {
+  // Guards against an exception of Node's timers behind the first response.
+  const { address, server } = await startServer((_, res) => void res.end());
+  await using _server = server;
+  for (const ms of [-5_000, -1, 1e300]) {
+    setCallerLimits(server.server, {
+      ...limits,
+      headerTimeoutMs: ms,
+      idleTimeoutMs: ms,
+    });
+    const { socket } = openCaller(address, createGet("/"));
+    await once(socket, "data");
+    socket.destroy();
+  }
+});
+
 test("disposal closes idle and active connections", async () => {
   const { address, server } = await startServer((req, res) => {
     if (req.url === "/idle") res.end("done");
--- a/src/entry/servers.ts
+++ b/src/entry/servers.ts
@@ -14,7 +14,7 @@
   type ServerResponse,
 } from "node:http";
 import process from "node:process";
-import { startListening } from "../core/mod.ts";
+import { MAX_TIMER_MS, startListening } from "../core/mod.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import type { EntryProtocol, ResolveQuery } from "./types.ts";
 
@@ -136,10 +136,24 @@
   };
 }
 
-/** Applies the configured time-outs for callers. */
+/**
+ * Applies the configured time-outs for callers. One that is no time of a timer
+ * would throw in Node's own listener, behind the first response that is sent.
+ */
 export function setCallerLimits(server: Server, limits: CallerLimits): void {
-  server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-  server.headersTimeout = limits.headerTimeoutMs;
+  server.keepAliveTimeout = toTimerMs(
+    limits.idleTimeoutMs + IDLE_MARGIN_MS,
+    INITIAL_IDLE_TIMEOUT_MS,
+  );
+  server.headersTimeout = toTimerMs(
+    limits.headerTimeoutMs,
+    INITIAL_HEADER_TIMEOUT_MS,
+  );
+}
+
+/** The time as far as a timer admits; the other one in place of a negative. */
+function toTimerMs(ms: number, otherwiseMs: number): number {
+  return ms < 0 ? otherwiseMs : Math.min(ms, MAX_TIMER_MS);
 }
 
 /** Creates the handler of readiness probes. */
