Take an answer older than what is known for no proof of a stream's version

The platform's page says that its answers are linearizable; a position that another host's copy has raised, or a restore without an era, is enough.

Such an answer fails the read, and other hosts are asked.

--- a/src/discovery/table_read.ts
+++ b/src/discovery/table_read.ts
@@ -28,12 +28,16 @@
     const requested = table.getPosition();
     return source.pollChanges(requested.version, 0).pipe(
       Effect.flatMap((change) => checkEra(change, requested)),
+      Effect.flatMap((change) =>
+        change.version < requested.version
+          ? failRead("The platform answered with an older state")
+          : Effect.succeed(change)
+      ),
       Effect.flatMap((change) => {
         if (isSameEra(change, table.getPosition())) {
           return Effect.succeed(table.apply(change));
         }
-        const reason = "Another host's copy of another era came meanwhile";
-        return Effect.fail(new TableError({ kind: "unreachable", reason }));
+        return failRead("Another host's copy of another era came meanwhile");
       }),
     );
   });
@@ -47,3 +51,7 @@
     ),
   );
 }
+
+function failRead(reason: string): Effect.Effect<never, TableError> {
+  return Effect.fail(new TableError({ kind: "unreachable", reason }));
+}
