Take out what the start of a process offered and nobody called

A type, a callback for stops and a clock as an argument had no caller. An entry host logs the errors of its servers by the function for failed tasks that it has.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -489,8 +489,7 @@
     onReceived: metrics.observeReceived,
     log,
   });
-  const logServerError = (reason: string) =>
-    log({ event: "task-failed", task: "server", reason });
+  const logServerError = logFailedTask("server");
   const handoffBacklog = getHandoffBacklog(settings.processorShare);
   const pipelined = createPipelinedRequests({
     maxWaiting: getMaxPipelined(settings.memoryBytes),
--- a/src/startup/settings_file.ts
+++ b/src/startup/settings_file.ts
@@ -7,9 +7,6 @@
 
 import { readFileSync, statSync } from "node:fs";
 
-/** Reads and decodes a settings file; throws if it is not valid. */
-export type ReadSettings<T> = () => T;
-
 /** A settings file that may be half written. */
 export interface SettingsFile<T> {
   /** Reads the file; throws if it can't be used now. */
--- a/src/startup/signal_record.ts
+++ b/src/startup/signal_record.ts
@@ -41,13 +41,12 @@
 /** Handles all signals from now on by recording them. */
 export function createSignalRecord(
   source: SignalSource = process,
-  nowMs: () => number = () => performance.now(),
 ): SignalRecord {
   const received: ReceivedSignal[] = [];
   const handlers = new Set<(signal: ReceivedSignal) => void>();
 
   function record(name: SignalName): void {
-    const signal = { name, receivedMs: nowMs() };
+    const signal = { name, receivedMs: performance.now() };
     received.push(signal);
     for (const handle of [...handlers]) handle(signal);
   }
@@ -66,8 +65,6 @@
 /** The first signal that asks a process to stop. */
 export interface StopRequest {
   tryGet(): ReceivedSignal | undefined;
-  /** Calls the function once the process is asked to stop. */
-  onStop(handle: () => void): Disposable;
   /** Resolves once the process is asked to stop. */
   readonly requested: Promise<ReceivedSignal>;
 }
@@ -75,21 +72,15 @@
 /** Creates the view of the first SIGTERM or SIGINT. */
 export function createStopRequest(signals: SignalRecord): StopRequest {
   let first: ReceivedSignal | undefined;
-  const handlers = new Set<() => void>();
   const requested = new Promise<ReceivedSignal>((resolve) => {
     signals.forEachSignal((signal) => {
       if (signal.name === "SIGHUP" || first !== undefined) return;
       first = signal;
       resolve(signal);
-      for (const handle of [...handlers]) handle();
     });
   });
   return {
     tryGet: () => first,
-    onStop(handle) {
-      handlers.add(handle);
-      return { [Symbol.dispose]: () => void handlers.delete(handle) };
-    },
     requested,
   };
 }
