--- a/src/discovery/table_read.ts
+++ b/src/discovery/table_read.ts
@@ -8,7 +8,7 @@
 import * as Effect from "effect/Effect";
 import { isSameEra } from "./positions.ts";
 import { checkEra, type TableFollowerHost } from "./table_follower.ts";
-import { TableError } from "./types.ts";
+import { failUnreachable, type TableError } from "./types.ts";
 
 /** What is read, and the replica that takes it up. */
 export type TableReadHost<T> = Pick<TableFollowerHost<T>, "source" | "table">;
@@ -30,14 +30,16 @@
       Effect.flatMap((change) => checkEra(change, requested)),
       Effect.flatMap((change) =>
         change.version < requested.version
-          ? failRead("The platform answered with an older state")
+          ? failUnreachable("The platform answered with an older state")
           : Effect.succeed(change)
       ),
       Effect.flatMap((change) => {
         if (isSameEra(change, table.getPosition())) {
           return Effect.succeed(table.apply(change));
         }
-        return failRead("Another host's copy of another era came meanwhile");
+        return failUnreachable(
+          "Another host's copy of another era came meanwhile",
+        );
       }),
     );
   });
@@ -51,7 +53,3 @@
     ),
   );
 }
-
-function failRead(reason: string): Effect.Effect<never, TableError> {
-  return Effect.fail(new TableError({ kind: "unreachable", reason }));
-}
--- a/src/discovery/types.ts
+++ b/src/discovery/types.ts
@@ -7,7 +7,7 @@
  */
 
 import * as Data from "effect/Data";
-import type * as Effect from "effect/Effect";
+import * as Effect from "effect/Effect";
 import type { RoutingConfig } from "../routing/mod.ts";
 import type { TablePosition } from "./positions.ts";
 
@@ -73,6 +73,13 @@
   readonly reason: string;
 }> {}
 
+/** Fails as a platform that could not be reached. */
+export function failUnreachable(
+  reason: string,
+): Effect.Effect<never, TableError> {
+  return Effect.fail(new TableError({ kind: "unreachable", reason }));
+}
+
 /**
  * A table of the platform. Rows that can't be decoded are skipped and logged.
  */
--- a/src/stream_versions/shared_read.ts
+++ b/src/stream_versions/shared_read.ts
@@ -14,7 +14,7 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type { Clock } from "../core/mod.ts";
-import { TableError } from "../discovery/types.ts";
+import { failUnreachable, type TableError } from "../discovery/types.ts";
 
 /** Dependencies of a shared read. */
 export interface SharedReadHost<A> {
@@ -55,10 +55,10 @@
   let dueMs = -Infinity;
 
   const limited = read.pipe(
-    Effect.catchDefect((defect) => fail(String(defect))),
+    Effect.catchDefect((defect) => failUnreachable(String(defect))),
     Effect.timeoutOrElse({
       duration: READ_LIMIT_MS,
-      orElse: () => fail(`No answer within ${READ_LIMIT_MS} ms`),
+      orElse: () => failUnreachable(`No answer within ${READ_LIMIT_MS} ms`),
     }),
   );
 
@@ -99,7 +99,3 @@
     isFailing: () => hasFailed,
   };
 }
-
-function fail(reason: string): Effect.Effect<never, TableError> {
-  return Effect.fail(new TableError({ kind: "unreachable", reason }));
-}
--- a/src/testing/fake_version_directory.ts
+++ b/src/testing/fake_version_directory.ts
@@ -6,7 +6,7 @@
 
 import * as Effect from "effect/Effect";
 import type { ServiceVersion, VersionDirectory } from "../discovery/mod.ts";
-import { TableError } from "../discovery/types.ts";
+import { failUnreachable, type TableError } from "../discovery/types.ts";
 
 /** The record with the controls of a test. */
 export interface FakeVersionDirectory extends VersionDirectory {
@@ -33,8 +33,7 @@
     return Effect.suspend(() => {
       calls.push(name);
       if (!isAway) return Effect.sync(answer);
-      const reason = "The platform is away";
-      return Effect.fail(new TableError({ kind: "unreachable", reason }));
+      return failUnreachable("The platform is away");
     });
   }
 
