Ask a growing buffer for its length without a view of it

Joining the tiny pieces of a body made a view of the buffer for each piece, a thousand for a kilobyte in chunks of one byte. The bound is the same.

--- a/src/forwarding/body_pieces.ts
+++ b/src/forwarding/body_pieces.ts
@@ -46,7 +46,7 @@
         return;
       }
       joined.append(bytes);
-      if (joined.getBytes().length >= MAX_JOINED_BYTES) endJoined();
+      if (joined.getLength() >= MAX_JOINED_BYTES) endJoined();
     },
     take() {
       endJoined();
--- a/src/forwarding/growing_buffer.ts
+++ b/src/forwarding/growing_buffer.ts
@@ -11,6 +11,7 @@
 /** The buffer. */
 export interface GrowingBuffer {
   append(bytes: Buffer): void;
+  getLength(): number;
   /** Returns the bytes without copying them. */
   getBytes(): Buffer;
   /** Returns the bytes and empties the buffer, which then uses new memory. */
@@ -41,6 +42,7 @@
       bytes.copy(memory, length);
       length += bytes.length;
     },
+    getLength: () => length,
     getBytes,
     take() {
       const bytes = getBytes();
