--- a/src/commands/fleet_client.ts
+++ b/src/commands/fleet_client.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { getErrorMessage } from "../core/mod.ts";
 import type { Member } from "../membership/mod.ts";
 import type { HostStatus } from "../router/operator_types.ts";
 import {
@@ -78,7 +79,7 @@
       const client = createOperatorClient(publicAddress, key);
       return { kind: "answered", host, value: await client.get<T>(path) };
     } catch (err) {
-      const reason = err instanceof Error ? err.message : String(err);
+      const reason = getErrorMessage(err);
       return { kind: "silent", host, reason };
     }
   }
--- a/src/commands/options.ts
+++ b/src/commands/options.ts
@@ -5,6 +5,7 @@
  */
 
 import { readFileSync } from "node:fs";
+import { getErrorMessage } from "../core/mod.ts";
 import { createUsageError } from "./errors.ts";
 import type { FleetClient } from "./fleet_client.ts";
 import type { ProgramHost } from "./program.ts";
@@ -82,7 +83,7 @@
   try {
     return readFileSync(file, "utf8").trim();
   } catch (err) {
-    const reason = err instanceof Error ? err.message : String(err);
+    const reason = getErrorMessage(err);
     throw createUsageError("keyFileUnreadable", [file, reason]);
   }
 }
--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -20,6 +20,7 @@
 } from "citty";
 import { closest } from "fastest-levenshtein";
 import { ConfigError } from "../config/mod.ts";
+import { getErrorMessage } from "../core/mod.ts";
 import { CommandError, createUsageError } from "./errors.ts";
 import { exitCodes, type ExitName, formatExitCodes } from "./exit_codes.ts";
 import { createFleetClient, type FleetClient } from "./fleet_client.ts";
@@ -173,7 +174,7 @@
     return err instanceof CommandError ? err.exit : getExitName(err);
   }
   const isUsage = err instanceof Error && err.name === "CLIError";
-  const reason = err instanceof Error ? err.message : String(err);
+  const reason = getErrorMessage(err);
   host.printError(`${program.name}: ${reason}`);
   if (!isUsage) return "failed";
   host.printError(`See ${program.name} --help`);
--- a/src/commands/replay.ts
+++ b/src/commands/replay.ts
@@ -6,6 +6,7 @@
  */
 
 import { readFileSync } from "node:fs";
+import { getErrorMessage } from "../core/mod.ts";
 import {
   checkHistory,
   compareWithStatement,
@@ -54,7 +55,7 @@
   try {
     return parseTrace(readFileSync(file, "utf8"));
   } catch (err) {
-    const reason = err instanceof Error ? err.message : String(err);
+    const reason = getErrorMessage(err);
     throw createUsageError("traceUnreadable", [file, reason]);
   }
 }
--- a/src/commands/router.ts
+++ b/src/commands/router.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { readSettings, type RouterSettings } from "../config/mod.ts";
 import {
+  getErrorMessage,
   isAddressUnavailable,
   type OpenAddress,
   systemClock,
@@ -108,7 +109,7 @@
     return await startRouterOnMachine(settings, { platform, logger, open });
   } catch (err) {
     if (err instanceof StartStopped) return undefined;
-    const reason = err instanceof Error ? err.message : String(err);
+    const reason = getErrorMessage(err);
     if (!LISTEN_FAILURE.test(reason)) throw err;
     throw new CommandError({
       exit: "failed",
--- a/src/commands/trace.ts
+++ b/src/commands/trace.ts
@@ -6,6 +6,7 @@
  */
 
 import { readFileSync } from "node:fs";
+import { getErrorMessage } from "../core/mod.ts";
 import {
   formatRequestTrace,
   parseDecisionLines,
@@ -60,7 +61,7 @@
     const source = file === STANDARD_INPUT ? STANDARD_INPUT_FD : file;
     return readFileSync(source, "utf8");
   } catch (err) {
-    const reason = err instanceof Error ? err.message : String(err);
+    const reason = getErrorMessage(err);
     throw createUsageError("linesUnreadable", [file, reason]);
   }
 }
--- a/src/config/load.ts
+++ b/src/config/load.ts
@@ -7,7 +7,7 @@
 
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
-import { getDigest } from "../core/mod.ts";
+import { getDigest, getErrorMessage } from "../core/mod.ts";
 import type { Deployment } from "../types.ts";
 import { getDeploymentProblems, getSettingsProblems } from "./cross_checks.ts";
 import { decodeFile } from "./decode.ts";
@@ -106,6 +106,6 @@
 }
 
 function createUnreadableProblem(file: string, err: unknown): ConfigProblem {
-  const reason = err instanceof Error ? err.message : String(err);
+  const reason = getErrorMessage(err);
   return { file, message: "configFileUnreadable", args: [reason] };
 }
--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -1,5 +1,5 @@
 /**
- * General helpers: assertions, numbers, maps and digests.
+ * General helpers: assertions, errors, numbers, maps and digests.
  *
  * @module
  */
@@ -18,6 +18,11 @@
   throw new AssertionError(`Unexpected kind "${JSON.stringify(value)}"`);
 }
 
+/** What an error says; anything can be thrown, not only errors. */
+export function getErrorMessage(err: unknown): string {
+  return err instanceof Error ? err.message : String(err);
+}
+
 /** Limits a number to the inclusive range from low to high. */
 export function clamp(value: number, low: number, high: number): number {
   return Math.min(high, Math.max(low, value));
--- a/src/requests/parse.ts
+++ b/src/requests/parse.ts
@@ -10,7 +10,11 @@
 import type { IncomingMessage } from "node:http";
 import * as Data from "effect/Data";
 import * as Effect from "effect/Effect";
-import { getDigest, isEqualInConstantTime } from "../core/mod.ts";
+import {
+  getDigest,
+  getErrorMessage,
+  isEqualInConstantTime,
+} from "../core/mod.ts";
 import type { Deployment, Operation, Service, Team } from "../types.ts";
 import { createNotRunReply, type FinalReply } from "./reply.ts";
 
@@ -213,7 +217,7 @@
     const args = ["the value is not an object"];
     return reject(createNotRunReply(400, "malformedJson", { args }));
   } catch (err) {
-    const args = [err instanceof Error ? err.message : String(err)];
+    const args = [getErrorMessage(err)];
     return reject(createNotRunReply(400, "malformedJson", { args }));
   }
 }
--- a/src/startup/start_waits.ts
+++ b/src/startup/start_waits.ts
@@ -7,6 +7,7 @@
  */
 
 import * as Data from "effect/Data";
+import { getErrorMessage } from "../core/mod.ts";
 import type { StopRequest } from "./signal_record.ts";
 
 /** The process was asked to stop before it had started. */
@@ -79,7 +80,7 @@
         if (!isPassing(err)) throw err;
         const nowMs = host.nowMs();
         const waitedMs = Math.round(nowMs - sinceMs);
-        const reason = err instanceof Error ? err.message : String(err);
+        const reason = getErrorMessage(err);
         if (waitedMs >= limitMs) {
           throw new StartWaitError({ waitsFor, waitedMs, reason });
         }
--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -9,7 +9,7 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
 import * as Effect from "effect/Effect";
 import { createParser } from "eventsource-parser";
-import { startTimeout } from "../core/mod.ts";
+import { getErrorMessage, startTimeout } from "../core/mod.ts";
 import { getBodyFraming } from "./body_framing.ts";
 import {
   type CancelResult,
@@ -269,7 +269,7 @@
 
 function toUpstreamError(err: unknown): UpstreamError {
   if (err instanceof UpstreamError) return err;
-  const reason = err instanceof Error ? err.message : String(err);
+  const reason = getErrorMessage(err);
   const code = (err as { code?: string } | undefined)?.code ?? "";
   if (code === "ECONNREFUSED") {
     return new UpstreamError({ failure: "refused", reason });
