Log the service of prompts and of their teams, so that unequal shares show

Change: attempt-started and request-ended name the prompt's service tokens; a refusal names what its team asked for and began over all hosts lately, and what the best served team began. No decision changes.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -315,8 +315,14 @@
 function formatQueue(queue: QueueInputs | undefined): string {
   if (queue === undefined) return "";
   return `; with ${queue.waiting} prompts queued it was ` +
-    `${yieldTexts[queue.yields]} (${queue.shareUsed} of the share used); ` +
-    `${formatCapacity(queue)}`;
+    `${yieldTexts[queue.yields]} (${formatService(queue)}` +
+    `${queue.shareUsed} of the share used); ${formatCapacity(queue)}`;
+}
+
+function formatService({ service }: QueueInputs): string {
+  if (service === undefined) return "";
+  return `${service.begun} of ${service.asked} tokens per second begun, ` +
+    `${service.mostBegun} of the best served team; `;
 }
 
 function formatCapacity(queue: QueueInputs): string {
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -23,6 +23,14 @@
   readonly confirmedMsAgo: number;
 }
 
+/** Recent service of a team over all hosts, in tokens per second. */
+export interface TeamServiceRates {
+  readonly asked: number;
+  readonly begun: number;
+  /** The value of `begun` of the team that has most. */
+  readonly mostBegun: number;
+}
+
 /** Load and shares that the queue knew when it refused a prompt. */
 export interface QueueInputs {
   readonly waitedMs: number;
@@ -32,6 +40,11 @@
   readonly yields: 0 | 1 | 2;
   /** The service that the team recently got, divided by its fair share. */
   readonly shareUsed: number;
+  /**
+   * Recent service of the team over all hosts, as known to this one; absent in
+   * lines of earlier versions.
+   */
+  readonly service?: TeamServiceRates;
   /**
    * For a prompt refused on arrival: the queued requests of its team and route,
    * and the rate at which they start.
@@ -184,6 +197,8 @@
      * knows.
      */
     readonly readingTokens: number | undefined;
+    /** Service that counts against the team's share; absent for other calls. */
+    readonly serviceTokens: number | undefined;
     /**
      * Id of the upstream from which it is to fetch the shared prefix; absent if
      * it is to fetch none.
@@ -302,6 +317,8 @@
     readonly request: string;
     readonly team: string | undefined;
     readonly route: string | undefined;
+    /** Service that counts against the team's share; absent for other calls. */
+    readonly serviceTokens?: number | undefined;
     readonly outcome: Outcome | "caller-left";
     readonly status: number;
     /** A response that had begun was closed before its end by this host. */
--- a/src/diagnostics/request_trace_test.ts
+++ b/src/diagnostics/request_trace_test.ts
@@ -212,6 +212,7 @@
       waiting: 31,
       yields: 2,
       shareUsed: 1.4,
+      service: { asked: 9_000, begun: 2_100, mostBegun: 4_300 },
       upstream: "i-1",
       limitTokens: 14_000,
       load: {
@@ -230,6 +231,7 @@
     line!,
     /retry in 875 ms; with 31 prompts queued it was of a team over/,
   );
+  match(line!, /2100 of 9000 tokens per second begun, 4300 of the best served/);
   match(line!, /1.4 of the share used\); i-1 had 27 of 48 slots in use/);
   match(
     line!,
@@ -247,6 +249,7 @@
       waiting: 31,
       yields: 2,
       shareUsed: 1.4,
+      service: { asked: 9_000, begun: 2_100, mostBegun: 4_300 },
       backlog: { waiting: 12, startedPerSecond: 3.5 },
       upstream: undefined,
       limitTokens: undefined,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -272,6 +272,7 @@
       };
     },
     getShareUsed: load.getShareUsed,
+    getServiceRates: load.getServiceRates,
     isOverserved: load.isOverserved,
     isUnderserved: load.isUnderserved,
     onUnderservedWaiting: load.setUnderserved,
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -15,6 +15,7 @@
 import { getEligible } from "./eligible_upstreams.ts";
 import type { SilenceStep } from "./next_step.ts";
 import type { PickedUpstream } from "./pick_upstream.ts";
+import { tryGetServiceTokens } from "./prompt_tokens.ts";
 import type { AttemptFailed } from "./types.ts";
 
 /** What follows a failed attempt, for the log. */
@@ -72,6 +73,7 @@
     unreadMs: Math.round(host.getUnreadMs()),
     inFlight: host.health.getInFlight(picked.upstream.id),
     readingTokens: picked.readingTokens,
+    serviceTokens: tryGetServiceTokens(call.headers),
     fetchFrom: picked.fetch?.source?.id,
     fetchTokens: picked.fetch?.tokens,
     fetchReason: picked.fetch?.reason,
--- a/src/forwarding/prompt_tokens.ts
+++ b/src/forwarding/prompt_tokens.ts
@@ -5,7 +5,7 @@
  */
 
 import { getPrefillTokens } from "../placement/mod.ts";
-import type { Prompt } from "./types.ts";
+import type { CallHeaders, Prompt } from "./types.ts";
 
 /**
  * Returns the service that a prompt counts for in fair sharing, in tokens:
@@ -15,6 +15,13 @@
   return prompt.promptTokens + 2 * prompt.maxOutputTokens;
 }
 
+/** Returns the service of a request; `undefined` unless it is a prompt. */
+export function tryGetServiceTokens(
+  headers: Pick<CallHeaders, "prompt"> | undefined,
+): number | undefined {
+  return headers?.prompt && getServiceTokens(headers.prompt);
+}
+
 /**
  * Work for one generated token, in prefill tokens: a decoding step generates
  * one token for each running response, and prefills hundreds of tokens in the
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -10,6 +10,7 @@
 import type { CallerLost } from "../requests/caller.ts";
 import type { Route } from "../routing/mod.ts";
 import { type Call, type ForwardHost, takeLoggedBody } from "./call.ts";
+import { tryGetServiceTokens } from "./prompt_tokens.ts";
 import { getOutcome, type Rejected, sendRejection } from "./rejections.ts";
 import type { CallHeaders } from "./types.ts";
 
@@ -115,6 +116,7 @@
     request: headers?.requestId ?? "",
     team,
     route: route?.name,
+    serviceTokens: tryGetServiceTokens(headers),
     outcome: end.outcome,
     status: end.status,
     isCut: end.isCut ?? false,
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -47,6 +47,7 @@
     nowMs: clock.monotonicMs,
     getLoad: () => NO_LOAD,
     getShareUsed: () => 0,
+    getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
     isOverserved: () => false,
     isUnderserved: () => false,
     onUnderservedWaiting() {},
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -124,6 +124,7 @@
         isWarmUpSpent: false,
       }),
       getShareUsed: () => 0,
+      getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
       isOverserved: () => false,
       isUnderserved: () => false,
       onUnderservedWaiting() {},
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -13,6 +13,7 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
+import type { TeamServiceRates } from "../diagnostics/mod.ts";
 import {
   addPacingStats,
   EMPTY_PACING_STATS,
@@ -81,6 +82,8 @@
   getOthersLearned(service: string): PacingStats;
   /** Recent service of the team, relative to its share; 1 is the full share. */
   getShareUsed(team: string): number;
+  /** Recent service of the team over all hosts, for the log. */
+  getServiceRates(team: string): TeamServiceRates;
   /**
    * Whether upstream capacity is short and the team gets more than an even part
    * of it.
@@ -292,6 +295,15 @@
       updateFairLevels();
       return (begunByTeam.get(getDigest(team)) ?? 0) / statedFairLevel;
     },
+    getServiceRates(team) {
+      updateFairLevels();
+      const digest = getDigest(team);
+      return {
+        asked: askedByTeam.get(digest) ?? 0,
+        begun: begunByTeam.get(digest) ?? 0,
+        mostBegun,
+      };
+    },
     isOverserved(team) {
       updateFairLevels();
       return (begunByTeam.get(getDigest(team)) ?? 0) > servedFairLevel;
--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -173,6 +173,7 @@
         isWarmUpSpent: false,
       }),
       getShareUsed: view.getShareUsed,
+      getServiceRates: view.getServiceRates,
       isOverserved: view.isOverserved,
       isUnderserved: view.isUnderserved,
       onUnderservedWaiting: view.setUnderserved,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -216,6 +216,7 @@
       waiting: waiting.size,
       yields: getYieldLevel(prompt),
       shareUsed: Number(host.getShareUsed(prompt.team).toFixed(2)),
+      service: host.getServiceRates(prompt.team),
       limitTokens: Math.round(
         host.getLimitTokens(prompt.service, upstream, prompt.targetMs),
       ),
@@ -253,6 +254,7 @@
         waiting: waiting.size,
         yields: 2,
         shareUsed: Number(shareUsed.toFixed(2)),
+        service: host.getServiceRates(team),
         backlog: {
           waiting: backlog.waiting,
           startedPerSecond: Number(backlog.startedPerSecond.toFixed(1)),
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -84,6 +84,7 @@
     onUnderservedWaiting: (prompts) =>
       void underservedReports.push(Object.fromEntries(prompts)),
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
+    getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
     getMeanEfficiency: () => 60,
     getLimitTokens: (_service, upstream, targetMs) =>
       limits.get(`${upstream}/${targetMs}`) ?? LIMIT_TOKENS,
@@ -388,6 +389,7 @@
   fixture.advance(480);
   const seen = {
     waitedMs: 480,
+    service: { asked: 0, begun: 0, mostBegun: 0 },
     limitTokens: LIMIT_TOKENS,
     upstream: "a",
     load: {
--- a/src/queue/shared_capacity_test.ts
+++ b/src/queue/shared_capacity_test.ts
@@ -98,6 +98,7 @@
         isWarmUpSpent: false,
       }),
       getShareUsed: view.getShareUsed,
+      getServiceRates: view.getServiceRates,
       isOverserved: view.isOverserved,
       isUnderserved: view.isUnderserved,
       onUnderservedWaiting: view.setUnderserved,
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -9,7 +9,7 @@
  * @module
  */
 
-import type { QueueInputs } from "../diagnostics/mod.ts";
+import type { QueueInputs, TeamServiceRates } from "../diagnostics/mod.ts";
 import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
 
 /**
@@ -119,6 +119,8 @@
    * share.
    */
   getShareUsed(team: string): number;
+  /** Recent service of the team over all hosts, for the log. */
+  getServiceRates(team: string): TeamServiceRates;
   /**
    * Whether upstream capacity is short and the team gets more than an even part
    * of it.
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -399,6 +399,7 @@
         isWarmUpSpent: false,
       }),
       getShareUsed: () => parts.controls.shareUsed,
+      getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
       isOverserved: () => false,
       isUnderserved: () => false,
       onUnderservedWaiting: () => {},
