--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -13,15 +13,18 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
-import type { TeamServiceRates } from "../diagnostics/mod.ts";
 import {
   addPacingStats,
   EMPTY_PACING_STATS,
   type PacingStats,
 } from "../pacing/mod.ts";
 import { REPORT_TTL_MS } from "./load_reporter.ts";
-import { createDecayingRate, type DecayingRate } from "./decaying_rate.ts";
-import { getFairLevel } from "./team_shares.ts";
+import { createDecayingRate } from "./decaying_rate.ts";
+import {
+  createTeamService,
+  type TeamService,
+  type TeamServiceHost,
+} from "./team_service.ts";
 import {
   addUse,
   createUseTotals,
@@ -32,19 +35,15 @@
   LearnedOfService,
   LoadContent,
   LoadReport,
-  TeamUse,
   UpstreamUse,
 } from "./types.ts";
 
 /** Dependencies of the load view, supplied by the process. */
-export interface LoadViewHost {
+export interface LoadViewHost
+  extends Pick<TeamServiceHost, "getDigest" | "getStatedCapacity"> {
   readonly clock: Clock;
-  /** Digest that stands for a name in reports. */
-  getDigest(name: string): number;
   /** Whether the host is alive, as far as this host knows. */
   isAlive(host: string): boolean;
-  /** Capacity of the upstreams as stated by operators, in tokens per second. */
-  getStatedCapacity(): number;
   /** What this host has learned about the upstreams, by service. */
   getLearned(): readonly LearnedOfService[];
   /**
@@ -55,7 +54,7 @@
 }
 
 /** The load of the fleet, as known to this host. */
-export interface LoadView {
+export interface LoadView extends Omit<TeamService, "getOwnTeams"> {
   beginRequest(upstream: string): void;
   endRequest(upstream: string): void;
   /**
@@ -64,7 +63,6 @@
    */
   beginPrefill(upstream: string, readingTokens: number): void;
   endPrefill(upstream: string, readingTokens: number): void;
-  recordAsked(team: string, tokens: number): void;
   /**
    * Records the service and the upstream work of a requested prompt, in tokens.
    */
@@ -73,24 +71,12 @@
    * Recent mean of requested service tokens per token of work, at this host.
    */
   getMeanEfficiency(): number;
-  recordBegun(team: string, tokens: number): void;
   /** Requests in flight at the upstream, of all hosts. */
   getInFlight(upstream: string): number;
   /** Tokens being prefilled at the upstream, for all hosts. */
   getReadingTokens(upstream: string): number;
   /** What the other hosts have learned about the service's upstreams. */
   getOthersLearned(service: string): PacingStats;
-  /** Recent service of the team, relative to its share; 1 is the full share. */
-  getShareUsed(team: string): number;
-  /** Recent service of the team over all hosts, for the log. */
-  getServiceRates(team: string): TeamServiceRates;
-  /**
-   * Whether upstream capacity is short and the team gets more than an even part
-   * of it.
-   */
-  isOverserved(team: string): boolean;
-  /** Whether the team gets far less than others although it asks for more. */
-  isUnderserved(team: string): boolean;
   /**
    * Sets the waiting prompts of underserved teams at this host, by upstream. An
    * upstream for which none waits any more keeps its number for the time that
@@ -105,30 +91,12 @@
   createOwnContent(): LoadContent;
 }
 
-/**
- * Half-life of the rates, in ms: a team is entitled to its share over periods
- * of four seconds.
- */
+/** Half-life of the rates of service and work, in ms. */
 const HALF_LIFE_MS = 1_400;
 
 /** Least time between two searches for stale reports. */
 const EVICT_PERIOD_MS = 50;
 
-/** Time after which the fair levels are computed again. */
-const LEVEL_TTL_MS = 50;
-
-/**
- * A team is underserved if it gets less than this share of what the best served
- * team gets, although it asks for more.
- */
-const UNDERSERVED_SHARE = 0.75;
-
-/**
- * Capacity is short when the service asked for exceeds the service begun by
- * this factor. A smaller difference is due to prompts that wait only briefly.
- */
-const SHORTAGE_FACTOR = 1.15;
-
 const NO_USE: Readonly<UseTotals> = createUseTotals();
 
 interface ReceivedReport {
@@ -136,16 +104,10 @@
   readonly receivedMs: number;
 }
 
-interface TeamRates {
-  readonly asked: DecayingRate;
-  readonly begun: DecayingRate;
-}
-
 /** Creates the view of a host that has received no reports. */
 export function createLoadView(host: LoadViewHost): LoadView {
   const { clock, getDigest } = host;
   const uses = new Map<number, UseTotals>();
-  const teams = new Map<number, TeamRates>();
   const reports = new Map<string, ReceivedReport>();
   const othersUse = new Map<number, UseTotals>();
   const othersLearned = new Map<number, PacingStats>();
@@ -154,28 +116,10 @@
   const serviceRate = createDecayingRate(HALF_LIFE_MS);
   const workRate = createDecayingRate(HALF_LIFE_MS);
   let lastEvictionMs = -Infinity;
-  let statedFairLevel = Infinity;
-  /**
-   * Fair level computed from the service that is really begun, which may be far
-   * below the stated capacity.
-   */
-  let servedFairLevel = Infinity;
-  let askedByTeam: ReadonlyMap<number, number> = new Map();
-  let begunByTeam: ReadonlyMap<number, number> = new Map();
-  let mostBegun = 0;
-  let levelsUpdatedMs = -Infinity;
-
   function getUse(upstream: string): UseTotals {
     return getOrCreate(uses, getDigest(upstream), createUseTotals);
   }
 
-  function getTeamRates(team: string): TeamRates {
-    return getOrCreate(teams, getDigest(team), () => ({
-      asked: createDecayingRate(HALF_LIFE_MS),
-      begun: createDecayingRate(HALF_LIFE_MS),
-    }));
-  }
-
   /** Adds a report to the totals over all other hosts, or subtracts it. */
   function applyReport(report: LoadReport, sign: 1 | -1): void {
     for (const each of report.upstreams) {
@@ -227,41 +171,16 @@
     return othersUse.get(getDigest(upstream)) ?? NO_USE;
   }
 
-  function getOwnTeams(): readonly TeamUse[] {
-    const nowMs = clock.monotonicMs();
-    return [...teams].map(([team, rates]) => ({
-      team,
-      asked: Math.round(rates.asked.get(nowMs)),
-      begun: Math.round(rates.begun.get(nowMs)),
-    }));
-  }
-
-  function updateFairLevels(): void {
-    const nowMs = clock.monotonicMs();
-    if (nowMs - levelsUpdatedMs < LEVEL_TTL_MS) return;
-    levelsUpdatedMs = nowMs;
-    const asked = new Map<number, number>();
-    const begun = new Map<number, number>();
-    evictStale();
-    const otherTeams = [...reports.values()].map((each) => each.report.teams);
-    const all = [getOwnTeams(), ...otherTeams];
-    for (const use of all.flat()) {
-      asked.set(use.team, (asked.get(use.team) ?? 0) + use.asked);
-      begun.set(use.team, (begun.get(use.team) ?? 0) + use.begun);
-    }
-    const total = sumOf(begun.values());
-    // Cached prefixes need no prefill, so upstreams may do more than stated.
-    const capacity = Math.max(total, host.getStatedCapacity());
-    const demands = [...asked.values()];
-    statedFairLevel = getFairLevel(demands, capacity);
-    const hasShortage = sumOf(demands) > total * SHORTAGE_FACTOR;
-    servedFairLevel = hasShortage ? getFairLevel(demands, total) : Infinity;
-    askedByTeam = asked;
-    begunByTeam = begun;
-    mostBegun = Math.max(0, ...begun.values());
-  }
+  const { getOwnTeams, ...teams } = createTeamService({
+    ...host,
+    getOthersTeams() {
+      evictStale();
+      return [...reports.values()].flatMap((each) => each.report.teams);
+    },
+  });
 
   return {
+    ...teams,
     beginRequest: (upstream) => void getUse(upstream).inFlight++,
     endRequest: (upstream) => void getUse(upstream).inFlight--,
     beginPrefill(upstream, readingTokens) {
@@ -270,8 +189,6 @@
     endPrefill(upstream, readingTokens) {
       getUse(upstream).readingTokens -= readingTokens;
     },
-    recordAsked: (team, tokens) =>
-      getTeamRates(team).asked.add(tokens, clock.monotonicMs()),
     recordWork(serviceTokens, workTokens) {
       const nowMs = clock.monotonicMs();
       serviceRate.add(serviceTokens, nowMs);
@@ -281,8 +198,6 @@
       const nowMs = clock.monotonicMs();
       return serviceRate.get(nowMs) / Math.max(1, workRate.get(nowMs));
     },
-    recordBegun: (team, tokens) =>
-      getTeamRates(team).begun.add(tokens, clock.monotonicMs()),
     getInFlight: (upstream) =>
       getUse(upstream).inFlight + getOthersUse(upstream).inFlight,
     getReadingTokens: (upstream) =>
@@ -291,30 +206,6 @@
       evictStale();
       return othersLearned.get(getDigest(service)) ?? EMPTY_PACING_STATS;
     },
-    getShareUsed(team) {
-      updateFairLevels();
-      return (begunByTeam.get(getDigest(team)) ?? 0) / statedFairLevel;
-    },
-    getServiceRates(team) {
-      updateFairLevels();
-      const digest = getDigest(team);
-      return {
-        asked: askedByTeam.get(digest) ?? 0,
-        begun: begunByTeam.get(digest) ?? 0,
-        mostBegun,
-      };
-    },
-    isOverserved(team) {
-      updateFairLevels();
-      return (begunByTeam.get(getDigest(team)) ?? 0) > servedFairLevel;
-    },
-    isUnderserved(team) {
-      updateFairLevels();
-      const digest = getDigest(team);
-      const begun = begunByTeam.get(digest) ?? 0;
-      const due = Math.min(askedByTeam.get(digest) ?? 0, mostBegun);
-      return begun < due * UNDERSERVED_SHARE;
-    },
     setUnderserved(waiting) {
       if (underservedMs.size === 0 && waiting.size === 0) return;
       const nowMs = clock.monotonicMs();
@@ -353,9 +244,3 @@
     },
   };
 }
-
-function sumOf(amounts: Iterable<number>): number {
-  let sum = 0;
-  for (const each of amounts) sum += each;
-  return sum;
-}
