Show two teams that flood one after the other and get unequal parts

Seen: two teams that flood, the second 10 s after the first, on seven hosts in virtual time. While upstreams run at half of their speed for 3 s the first one gets 0.45 of the other in the worst six seconds (prompts of 2,800 tokens).

--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -35,6 +35,12 @@
   readonly lateShares: readonly number[];
   /** Capacity stated by operators, relative to the real one; 1 by default. */
   readonly statedCapacityFactor?: number;
+  /** A time in which upstreams prefill at a part of their speed. */
+  readonly slowdown?: {
+    readonly fromMs: number;
+    readonly untilMs: number;
+    readonly speedShare: number;
+  };
   /** Whether hosts refuse prompts by their backlogs; false by default. */
   readonly refusesEarly?: boolean;
   /** 1 by default. */
@@ -82,6 +88,14 @@
     dataCentre: "one",
   }));
 
+  /** Returns the speed of an upstream, in tokens per ms. */
+  function getSpeed(atMs: number): number {
+    const { slowdown } = options;
+    const isSlow = slowdown !== undefined && atMs >= slowdown.fromMs &&
+      atMs < slowdown.untilMs;
+    return isSlow ? TOKENS_PER_MS * slowdown.speedShare : TOKENS_PER_MS;
+  }
+
   const hosts = peers.map((self, hostAt) => {
     let answers = 0;
     const view = createLoadView({
@@ -135,7 +149,7 @@
     function read(upstream: string, queuedTokens: number): void {
       const startedMs = clock.monotonicMs();
       const beginMs = Math.max(startedMs, readUntilMs.get(upstream) ?? 0);
-      const endMs = beginMs + promptTokens / TOKENS_PER_MS;
+      const endMs = beginMs + promptTokens / getSpeed(beginMs);
       readUntilMs.set(upstream, endMs);
       answers++;
       const isLate = answers % 100 < options.lateShares[hostAt]! * 100;
--- a/src/queue/shared_capacity_test.ts
+++ b/src/queue/shared_capacity_test.ts
@@ -73,3 +73,52 @@
     }
   }
 });
+
+/** Seconds over which two teams are compared. */
+const WINDOW_S = 6;
+
+/**
+ * Returns the smallest ratio of the two teams' starts in any window from that
+ * second on.
+ */
+function getWorstRatio(
+  teams: readonly PromptCounts[],
+  fromSecond: number,
+): number {
+  const bySecond = teams.map((each) => each.begunBySecond.slice(0, -1));
+  const ratios: number[] = [];
+  for (let at = fromSecond; at + WINDOW_S <= bySecond[0]!.length; at++) {
+    const sums = bySecond.map((each) =>
+      each.slice(at, at + WINDOW_S).reduce((sum, begun) => sum + begun, 0)
+    );
+    ratios.push(getRatio(sums));
+  }
+  return Math.min(...ratios);
+}
+
+test("of two teams that flood each gets half of the other in any six seconds, whichever began first", () => {
+  // Guards against service before the other team came that counts against a team.
+  const everyHost = [0, 1, 2, 3, 4, 5, 6];
+  const floods = [
+    [{ hosts: [0] }, { hosts: everyHost, fromMs: 10_000 }],
+    [{ hosts: [0], fromMs: 10_000 }, { hosts: everyHost }],
+  ];
+  for (const teams of floods) {
+    for (const promptTokens of [2_800, 8_000, 17_000]) {
+      for (const speedShare of [0.5, 1]) {
+        const counts = simulateSharedUpstreams({
+          demandFactor: 4,
+          promptTokens,
+          teams,
+          lateShares: everyHost.map(() => 0.3),
+          slowdown: { fromMs: 10_000, untilMs: 13_000, speedShare },
+          refusesEarly: true,
+          untilMs: 24_000,
+        });
+        const ratio = getWorstRatio(counts, 10);
+        const what = `${promptTokens} tokens, ${speedShare} of the speed`;
+        ok(ratio >= 0.5, `${ratio.toFixed(2)} with ${what}`);
+      }
+    }
+  }
+});
