Count a team that begins to flood as having had as much as those served

What callers saw: in six seconds one of two teams that flood gets a quarter to a half of the other, each time as the second begins. Cause: who is ahead, and who is over its share, went by decaying rates of what was begun. Change: as virtual time does in fair queueing, a team that comes is credited with the level at which service is being given; the credit fades with the rates. It counts for teams alone that ask for more than their even part: others are entitled to all that they ask for. Overserved, underserved and the share used go by service with credit.

--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -132,6 +132,40 @@
   deepStrictEqual(underserved, ["poor"]);
 });
 
+test("a team that begins to flood does not count as behind one that was served before", () => {
+  // Guards against teams that yield until another has caught up with seconds in
+  // which it asked for nothing.
+  const { clock, view } = createView("a");
+  function pass(ms: number, teams: readonly string[]): void {
+    for (let at = 0; at < ms / 20; at++) {
+      for (const team of teams) view.recordAsked(team, 300);
+      view.recordBegun("first", 4);
+      clock.advance(20);
+    }
+  }
+  pass(6_000, ["first"]);
+  pass(400, ["first", "second"]);
+  deepStrictEqual(view.isUnderserved("second"), false);
+  const [first, second] = ["first", "second"].map(view.getShareUsed);
+  ok(second! > first! * 0.75, `${second}, ${first} of the first`);
+  pass(1_600, ["first", "second"]);
+  ok(view.isUnderserved("second"), "it has been given nothing since");
+  ok(view.isOverserved("first"));
+});
+
+test("a small team counts as behind at once when it is given nothing", () => {
+  // Guards against credits that hide how little a team gets of the little it asks.
+  const { clock, view } = createView("a");
+  for (let at = 0; at < 100; at++) {
+    view.recordAsked("flood", 500);
+    view.recordBegun("flood", 90);
+    if (at > 80) view.recordAsked("small", 20);
+    clock.advance(20);
+  }
+  ok(view.isUnderserved("small"));
+  ok(view.getShareUsed("small") < 1);
+});
+
 test("hosts know how many prompts of underserved teams wait elsewhere", () => {
   // Guards against upstreams that stay idle for prompts that no longer wait.
   const a = createView("a");
--- a/src/load/team_service.ts
+++ b/src/load/team_service.ts
@@ -11,7 +11,8 @@
 import { type Clock, getOrCreate } from "../core/mod.ts";
 import type { TeamServiceRates } from "../diagnostics/mod.ts";
 import { createDecayingRate, type DecayingRate } from "./decaying_rate.ts";
-import { getFairLevel } from "./team_shares.ts";
+import { createServiceCredits } from "./service_credits.ts";
+import { getFairLevel, SHORTAGE_FACTOR } from "./team_shares.ts";
 import type { TeamUse } from "./types.ts";
 
 /** Dependencies of the service of teams. */
@@ -29,7 +30,11 @@
 export interface TeamService {
   recordAsked(team: string, tokens: number): void;
   recordBegun(team: string, tokens: number): void;
-  /** Recent service of the team, relative to its share; 1 is the full share. */
+  /**
+   * Recent service of the team, relative to its share; 1 is the full share. A
+   * team that has begun to ask for more than its even part counts as having had
+   * as much as those that are served.
+   */
   getShareUsed(team: string): number;
   /** Recent service of the team over all hosts, for the log. */
   getServiceRates(team: string): TeamServiceRates;
@@ -59,12 +64,6 @@
  */
 const UNDERSERVED_SHARE = 0.75;
 
-/**
- * Capacity is short when the service asked for exceeds the service begun by
- * this factor. A smaller difference is due to prompts that wait only briefly.
- */
-const SHORTAGE_FACTOR = 1.15;
-
 interface TeamRates {
   readonly asked: DecayingRate;
   readonly begun: DecayingRate;
@@ -82,7 +81,11 @@
   let servedFairLevel = Infinity;
   let askedByTeam: ReadonlyMap<number, number> = new Map();
   let begunByTeam: ReadonlyMap<number, number> = new Map();
+  /** The same of levels, which include the credits of the teams it limits. */
+  let creditedFairLevel = Infinity;
   let mostBegun = 0;
+  let highestLevel = 0;
+  const credits = createServiceCredits(HALF_LIFE_MS);
   let levelsUpdatedMs = -Infinity;
 
   function getTeamRates(team: string): TeamRates {
@@ -112,25 +115,58 @@
       begun.set(use.team, (begun.get(use.team) ?? 0) + use.begun);
     }
     const total = sumOf(begun.values());
-    // Cached prefixes need no prefill, so upstreams may do more than stated.
-    const capacity = Math.max(total, host.getStatedCapacity());
     const demands = [...asked.values()];
-    statedFairLevel = getFairLevel(demands, capacity);
     const hasShortage = sumOf(demands) > total * SHORTAGE_FACTOR;
     servedFairLevel = hasShortage ? getFairLevel(demands, total) : Infinity;
+    credits.update(nowMs, { asked, begun });
     askedByTeam = asked;
     begunByTeam = begun;
     mostBegun = Math.max(0, ...begun.values());
+    updateCreditedLevels(hasShortage);
+  }
+
+  /**
+   * Returns the credit of a team that asks for more than its even part; others
+   * are entitled to all that they ask for.
+   */
+  function getCredit(team: number): number {
+    const asked = askedByTeam.get(team) ?? 0;
+    return asked > servedFairLevel ? credits.get(team) : 0;
+  }
+
+  /** Recent service of the team, with its credit. */
+  function getLevel(team: number): number {
+    return (begunByTeam.get(team) ?? 0) + getCredit(team);
+  }
+
+  /** What the team asks for, with its credit. */
+  function getDemand(team: number): number {
+    return (askedByTeam.get(team) ?? 0) + getCredit(team);
+  }
+
+  function updateCreditedLevels(hasShortage: boolean): void {
+    const all = [...askedByTeam.keys()];
+    const levels = all.map(getLevel);
+    const demands = all.map(getDemand);
+    const total = sumOf(levels);
+    highestLevel = Math.max(0, ...levels);
+    // Cached prefixes need no prefill, so upstreams may do more than stated.
+    const capacity = Math.max(total, host.getStatedCapacity());
+    statedFairLevel = getFairLevel(demands, capacity);
+    creditedFairLevel = hasShortage ? getFairLevel(demands, total) : Infinity;
   }
 
   return {
-    recordAsked: (team, tokens) =>
-      getTeamRates(team).asked.add(tokens, clock.monotonicMs()),
+    recordAsked(team, tokens) {
+      // Teams are noticed when they begin to ask, whether or not any waits here.
+      updateFairLevels();
+      getTeamRates(team).asked.add(tokens, clock.monotonicMs());
+    },
     recordBegun: (team, tokens) =>
       getTeamRates(team).begun.add(tokens, clock.monotonicMs()),
     getShareUsed(team) {
       updateFairLevels();
-      return (begunByTeam.get(getDigest(team)) ?? 0) / statedFairLevel;
+      return getLevel(getDigest(team)) / statedFairLevel;
     },
     getServiceRates(team) {
       updateFairLevels();
@@ -143,14 +179,15 @@
     },
     isOverserved(team) {
       updateFairLevels();
-      return (begunByTeam.get(getDigest(team)) ?? 0) > servedFairLevel;
+      const digest = getDigest(team);
+      return (begunByTeam.get(digest) ?? 0) > servedFairLevel &&
+        getLevel(digest) > creditedFairLevel;
     },
     isUnderserved(team) {
       updateFairLevels();
       const digest = getDigest(team);
-      const begun = begunByTeam.get(digest) ?? 0;
-      const due = Math.min(askedByTeam.get(digest) ?? 0, mostBegun);
-      return begun < due * UNDERSERVED_SHARE;
+      const due = Math.min(getDemand(digest), highestLevel);
+      return getLevel(digest) < due * UNDERSERVED_SHARE;
     },
     getOwnTeams,
   };
