Let owners order teams by what all hosts gave them

Cause: the owner of an upstream granted to the team to which it had admitted least itself. Change: the order goes by the service of the fleet as the load view knows it, credits included, and by what the owner has admitted since. Test: 'a team that other owners serve much goes after one that all serve little' fails with the order by own admissions, passes. Others of grants: 16 pass.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -253,6 +253,7 @@
     owners,
     upstreams: grantUpstreams,
     getDigest: getNameDigest,
+    getServiceLevel: load.getServiceLevel,
     start: (...granted) => queue.startGranted(...granted),
     onEnded: (outcome) => metrics.observeGrant(outcome),
     onFailed: logFailedTask("grants"),
--- a/src/entry/grant_exchange.ts
+++ b/src/entry/grant_exchange.ts
@@ -18,6 +18,7 @@
   type GrantClientHost,
   type GrantItem,
   type GrantMessage,
+  type GrantOwnerHost,
   type GrantOwners,
 } from "../grants/mod.ts";
 import type { OwnerItem, RequesterItem } from "../grants/types.ts";
@@ -32,7 +33,9 @@
 
 /** Dependencies of the exchange. */
 export interface GrantExchangeHost
-  extends Pick<GrantClientHost, "nowMs" | "getDigest" | "start" | "onEnded"> {
+  extends
+    Pick<GrantClientHost, "nowMs" | "getDigest" | "start" | "onEnded">,
+    Pick<GrantOwnerHost, "getServiceLevel"> {
   /** Called with the reason if a message could not be sent or processed. */
   onFailed(reason: string): void;
   readonly peerAddress: string;
@@ -77,6 +80,7 @@
     nowMs,
     getSlotShare: (yields) => slotShares[yields]!,
     tryGetUpstream: upstreams.tryGet,
+    getServiceLevel: host.getServiceLevel,
     send: (to, item) => add(to.address, to.session, item),
   });
   const client = createGrantClient({
--- a/src/entry/grant_exchange_test.ts
+++ b/src/entry/grant_exchange_test.ts
@@ -50,6 +50,7 @@
           : undefined,
     },
     getDigest: getNameDigest,
+    getServiceLevel: () => 0,
     start(_prompt, upstream) {
       started.push(upstream);
       return true;
--- a/src/grants/grant_owner.ts
+++ b/src/grants/grant_owner.ts
@@ -16,7 +16,11 @@
  */
 
 import { getOrCreate } from "../core/mod.ts";
-import { createDecayingRate, type DecayingRate } from "../load/mod.ts";
+import {
+  createDecayingRate,
+  type DecayingRate,
+  SERVICE_HALF_LIFE_MS,
+} from "../load/mod.ts";
 import type { YieldLevel } from "../queue/types.ts";
 import type {
   GrantRequest,
@@ -51,6 +55,11 @@
   getSlotShare(yields: YieldLevel): number;
   /** Returns the upstream with this digest; `undefined` if it is unknown. */
   tryGetUpstream(digest: number): OwnedUpstream | undefined;
+  /**
+   * Recent service of the team over all hosts as the load view knows it, with
+   * the team's credit, in tokens per second.
+   */
+  getServiceLevel(team: number): number;
   send(to: Requester, item: OwnerItem): void;
 }
 
@@ -95,8 +104,11 @@
  */
 const UPSTREAM_TTL_MS = 1_000;
 
-/** Half-life of the tokens admitted by team, in ms; that of the fair shares. */
-const TEAM_HALF_LIFE_MS = 1_400;
+/**
+ * Weight of a token admitted here until the load view includes it: that of a
+ * token in the view, whose rates decay more slowly.
+ */
+const RECENT_WEIGHT = LOAD_VIEW_LAG_MS / SERVICE_HALF_LIFE_MS;
 
 /** Below this rate, in tokens per second, a team is dropped. */
 const MIN_TEAM_RATE = 1;
@@ -131,7 +143,8 @@
 /** Creates an owner that has admitted nothing. */
 export function createGrantOwner(host: GrantOwnerHost): GrantOwner {
   const states = new Map<number, UpstreamState>();
-  const teams = new Map<number, DecayingRate>();
+  /** Tokens admitted here that the load view may not include yet, by team. */
+  const recent = new Map<number, DecayingRate>();
   /** The upstreams of waiting requests and of grants, by key. */
   const upstreams = new Map<string, UpstreamState>();
   let cleanedMs = host.nowMs();
@@ -152,8 +165,13 @@
     return state;
   }
 
-  function getTeamRate(team: number): number {
-    return teams.get(team)?.get(host.nowMs()) ?? 0;
+  /**
+   * A team may be served much by other owners and little by this one, so that
+   * what was admitted here tells nothing of who is behind.
+   */
+  function getServiceLevel(team: number): number {
+    const recentRate = recent.get(team)?.get(host.nowMs()) ?? 0;
+    return host.getServiceLevel(team) + recentRate * RECENT_WEIGHT;
   }
 
   function admit(
@@ -168,7 +186,7 @@
     state.admissions.unshift(
       key === undefined ? admission : { ...admission, key },
     );
-    getOrCreate(teams, team, () => createDecayingRate(TEAM_HALF_LIFE_MS))
+    getOrCreate(recent, team, () => createDecayingRate(LOAD_VIEW_LAG_MS))
       .add(serviceTokens, nowMs);
   }
 
@@ -201,7 +219,7 @@
     const order =
       Number(a.request.isDeprioritised) - Number(b.request.isDeprioritised) ||
       a.request.yields - b.request.yields ||
-      getTeamRate(a.request.team) - getTeamRate(b.request.team) ||
+      getServiceLevel(a.request.team) - getServiceLevel(b.request.team) ||
       b.arrivedMs - a.arrivedMs;
     return order < 0;
   }
@@ -300,7 +318,7 @@
       Admission,
     ];
     state.prefillEndMs -= prefillMs;
-    teams.get(team)?.add(-serviceTokens, host.nowMs());
+    recent.get(team)?.add(-serviceTokens, host.nowMs());
     return state;
   }
 
@@ -322,8 +340,8 @@
     if (nowMs - cleanedMs < RETURN_TTL_MS) return;
     cleanedMs = nowMs;
     for (const state of states.values()) cleanUpstream(state);
-    for (const [team, rate] of teams) {
-      if (rate.get(nowMs) < MIN_TEAM_RATE) teams.delete(team);
+    for (const [team, rate] of recent) {
+      if (rate.get(nowMs) < MIN_TEAM_RATE) recent.delete(team);
     }
   }
 
--- a/src/grants/grant_owner_test.ts
+++ b/src/grants/grant_owner_test.ts
@@ -13,6 +13,8 @@
   const { clock } = scheduler;
   const sent: OwnerItem[] = [];
   let readingTokens = 0;
+  /** Service over all hosts, by team. */
+  const levels = new Map<number, number>();
   const owner = createGrantOwner({
     nowMs: clock.monotonicMs,
     getSlotShare: (yields) => yields === 0 ? 0.6 : 0.45,
@@ -23,6 +25,7 @@
       readingTokens,
       limitTokens: 14_000,
     }),
+    getServiceLevel: (team) => levels.get(team) ?? 0,
     send: (_to, item) => void sent.push(item),
   });
   scheduler.every(10, owner.tick);
@@ -31,6 +34,7 @@
     scheduler,
     owner,
     sent,
+    levels,
     receive,
     setReadingTokens: (tokens: number) => void (readingTokens = tokens),
     getGranted: () =>
@@ -96,6 +100,17 @@
   deepStrictEqual(getGranted(), [1, 6, 5, 9, 8, 7]);
 });
 
+test("a team that other owners serve much goes after one that all serve little", () => {
+  // Guards against owners that each give a team an equal part, however many of
+  // them serve it.
+  const { scheduler, levels, receive, getGranted } = createFixture();
+  levels.set(2, 400_000).set(3, 40_000);
+  receive(createRequest(1, { team: 3 }));
+  receive(createRequest(2, { team: 2 }), createRequest(3, { team: 3 }));
+  scheduler.runUntil(470);
+  deepStrictEqual(getGranted(), [1, 3, 2]);
+});
+
 test("the slot limit of the yield level holds, with the latest grants", () => {
   // Guards against grants for half a second to an upstream that runs as many
   // requests as it can.
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -91,6 +91,7 @@
         readingTokens: reported.get(String.fromCharCode(digest)) ?? 0,
         limitTokens: 14_000,
       }),
+      getServiceLevel: () => 0,
       send: ({ address: to }, item: OwnerItem) =>
         scheduler.after(
           getLagMs(),
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -24,6 +24,7 @@
 import { createServiceTotals } from "./service_totals.ts";
 import {
   createTeamService,
+  SERVICE_HALF_LIFE_MS,
   type TeamService,
   type TeamServiceHost,
 } from "./team_service.ts";
@@ -95,9 +96,6 @@
   createOwnContent(): LoadContent;
 }
 
-/** Half-life of the rates of service and work, in ms. */
-const HALF_LIFE_MS = 1_400;
-
 /** Least time between two searches for stale reports. */
 const EVICT_PERIOD_MS = 50;
 
@@ -117,8 +115,8 @@
   const othersLearned = new Map<number, PacingStats>();
   /** When a prompt of an underserved team last waited, by upstream. */
   const underservedMs = new Map<string, number>();
-  const serviceRate = createDecayingRate(HALF_LIFE_MS);
-  const workRate = createDecayingRate(HALF_LIFE_MS);
+  const serviceRate = createDecayingRate(SERVICE_HALF_LIFE_MS);
+  const workRate = createDecayingRate(SERVICE_HALF_LIFE_MS);
   let lastEvictionMs = -Infinity;
   function getUse(upstream: string): UseTotals {
     return getOrCreate(uses, getDigest(upstream), createUseTotals);
--- a/src/load/mod.ts
+++ b/src/load/mod.ts
@@ -7,6 +7,7 @@
 export * from "./load_reporter.ts";
 export * from "./load_view.ts";
 export * from "./decaying_rate.ts";
+export * from "./team_service.ts";
 export * from "./team_shares.ts";
 export * from "./types.ts";
 export * from "./upstream_stats_reporter.ts";
--- a/src/load/team_service.ts
+++ b/src/load/team_service.ts
@@ -45,6 +45,11 @@
   isOverserved(team: string): boolean;
   /** Whether the team gets far less than others although it asks for more. */
   isUnderserved(team: string): boolean;
+  /**
+   * Recent service of the team with this digest, with its credit, in tokens per
+   * second.
+   */
+  getServiceLevel(team: number): number;
   /** The service of the teams at this host, to be reported to other hosts. */
   getOwnTeams(): readonly TeamUse[];
 }
@@ -53,7 +58,7 @@
  * Half-life of the rates, in ms: a team is entitled to its share over periods
  * of four seconds.
  */
-const HALF_LIFE_MS = 1_400;
+export const SERVICE_HALF_LIFE_MS = 1_400;
 
 /** Time after which the fair levels are computed again. */
 const LEVEL_TTL_MS = 50;
@@ -85,13 +90,13 @@
   let creditedFairLevel = Infinity;
   let mostBegun = 0;
   let highestLevel = 0;
-  const credits = createServiceCredits(HALF_LIFE_MS);
+  const credits = createServiceCredits(SERVICE_HALF_LIFE_MS);
   let levelsUpdatedMs = -Infinity;
 
   function getTeamRates(team: string): TeamRates {
     return getOrCreate(teams, getDigest(team), () => ({
-      asked: createDecayingRate(HALF_LIFE_MS),
-      begun: createDecayingRate(HALF_LIFE_MS),
+      asked: createDecayingRate(SERVICE_HALF_LIFE_MS),
+      begun: createDecayingRate(SERVICE_HALF_LIFE_MS),
     }));
   }
 
@@ -189,6 +194,10 @@
       const due = Math.min(getDemand(digest), highestLevel);
       return getLevel(digest) < due * UNDERSERVED_SHARE;
     },
+    getServiceLevel(team) {
+      updateFairLevels();
+      return getLevel(team);
+    },
     getOwnTeams,
   };
 }
