Let a host without free descriptors live on

Cause: the watch of the memory reads the resident memory once a second, which opens a file; without a descriptor that throws EMFILE in a timer. Change: src/entry/process_memory.ts returns nothing where the system refuses the reading; the watch tries again a second later, a scrape leaves the parts out. Looked at for the same shape: other timers and listeners open sockets, whose errors arrive as events; the settings file is read on a signal, with its error handled.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -65,6 +65,7 @@
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
 import { openExchanges } from "./exchanges.ts";
 import { createMemoryWatch } from "./memory_watch.ts";
+import { tryReadMemory, tryReadResidentBytes } from "./process_memory.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
 import { createHostRegistration } from "./host_registration.ts";
@@ -367,21 +368,16 @@
   const memoryWatch = createMemoryWatch({
     clock,
     limitBytes: settings.memoryBytes,
-    readResident: process.memoryUsage.rss,
-    readParts: () => {
-      const { heapUsed, external, arrayBuffers } = process.memoryUsage();
-      return { heapUsed, external, arrayBuffers };
-    },
+    tryReadResidentBytes,
+    tryReadMemory,
     getHeld,
     onChanged: (state) => log({ event: "memory-changed", ...state }),
   });
   const metrics = createEntryMetrics({
     countConnections: () => callers.countConnections(),
     memoryLimitBytes: settings.memoryBytes,
-    readMemory() {
-      const { rss, ...parts } = process.memoryUsage();
-      return { residentBytes: rss, ...parts, ...getHeld() };
-    },
+    tryReadMemory,
+    getHeld,
     getConfigVersion: () => platformView.getInputs().configVersion,
     getQueued: queue.getCount,
     countInFlight: drain.countInFlight,
--- a/src/entry/memory_watch.ts
+++ b/src/entry/memory_watch.ts
@@ -10,14 +10,7 @@
  */
 
 import type { Clock } from "../core/mod.ts";
-
-/** What the parts of the process's memory are, in bytes. */
-export interface MemoryParts {
-  readonly heapUsed: number;
-  /** Outside of the heap, array buffers included. */
-  readonly external: number;
-  readonly arrayBuffers: number;
-}
+import type { ProcessMemory } from "./process_memory.ts";
 
 /** What the host itself holds. */
 export interface HeldParts {
@@ -30,9 +23,8 @@
 }
 
 /** The process's memory, as logged. */
-export interface MemoryState extends MemoryParts, HeldParts {
+export interface MemoryState extends ProcessMemory, HeldParts {
   readonly isHigh: boolean;
-  readonly residentBytes: number;
   readonly limitBytes: number;
 }
 
@@ -41,10 +33,10 @@
   readonly clock: Clock;
   /** Memory above which the process is killed, in bytes. */
   readonly limitBytes: number;
-  /** Resident memory of the process, in bytes. Takes three system calls. */
-  readResident(): number;
+  /** Resident memory in bytes; `undefined` if it can't be read now. */
+  tryReadResidentBytes(): number | undefined;
   /** Costs more than the resident memory. */
-  readParts(): MemoryParts;
+  tryReadMemory(): ProcessMemory | undefined;
   getHeld(): HeldParts;
   /** Called when the memory becomes high, rises further, and is low again. */
   onChanged(state: MemoryState): void;
@@ -75,13 +67,16 @@
   /** Share that was logged last; `undefined` while the memory is low. */
   let loggedShare: number | undefined;
 
+  /** Without a reading of the parts, the next check reports. */
   function report(residentBytes: number, isHigh: boolean): void {
+    const memory = host.tryReadMemory();
+    if (memory === undefined) return;
     loggedShare = isHigh ? residentBytes / limitBytes : undefined;
     host.onChanged({
       isHigh,
-      residentBytes,
       limitBytes,
-      ...host.readParts(),
+      ...memory,
+      residentBytes,
       ...host.getHeld(),
     });
   }
@@ -101,7 +96,8 @@
       const nowMs = clock.monotonicMs();
       if (nowMs - readMs < READ_INTERVAL_MS) return;
       readMs = nowMs;
-      check(host.readResident());
+      const residentBytes = host.tryReadResidentBytes();
+      if (residentBytes !== undefined) check(residentBytes);
     },
   };
 }
--- a/src/entry/memory_watch_test.ts
+++ b/src/entry/memory_watch_test.ts
@@ -11,8 +11,13 @@
   const watch = createMemoryWatch({
     clock,
     limitBytes: 350e6,
-    readResident: () => residentBytes,
-    readParts: () => ({ heapUsed: 1, external: 2, arrayBuffers: 3 }),
+    tryReadResidentBytes: () => residentBytes,
+    tryReadMemory: () => ({
+      residentBytes,
+      heapUsed: 1,
+      external: 2,
+      arrayBuffers: 3,
+    }),
     getHeld: () => ({
       requestBytes: 4,
       responseBytes: 5,
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -11,7 +11,8 @@
 import type { GrantOutcome } from "../grants/mod.ts";
 import type { AttemptOutcome, ReceivedOutcome } from "../handoff/mod.ts";
 import type { PlacementSource } from "../prefixes/mod.ts";
-import type { MemoryParts } from "./memory_watch.ts";
+import type { HeldParts } from "./memory_watch.ts";
+import type { ProcessMemory } from "./process_memory.ts";
 import type { FetchOutcome } from "./platform_view.ts";
 
 /** Values that are read when the metrics are collected. */
@@ -37,17 +38,12 @@
   countConnections(): number;
   /** Memory above which the process is killed, in bytes. */
   readonly memoryLimitBytes: number;
-  readMemory(): MemoryMetrics;
+  /** `undefined` if it can't be read now. */
+  tryReadMemory(): ProcessMemory | undefined;
+  getHeld(): Pick<HeldParts, "requestBytes" | "responseBytes">;
   isReady(): boolean;
 }
 
-/** The memory of the process, in bytes. */
-export interface MemoryMetrics extends MemoryParts {
-  readonly residentBytes: number;
-  readonly requestBytes: number;
-  readonly responseBytes: number;
-}
-
 /**
  * The limit on the prompt tokens that an upstream of a service may be
  * processing at once (prefill).
@@ -312,13 +308,15 @@
     labelNames: ["part"],
     registers,
     collect() {
-      const memory = host.readMemory();
+      const held = host.getHeld();
+      this.set({ part: "held_requests" }, held.requestBytes);
+      this.set({ part: "held_responses" }, held.responseBytes);
+      const memory = host.tryReadMemory();
+      if (memory === undefined) return;
       this.set({ part: "resident" }, memory.residentBytes);
       this.set({ part: "heap_used" }, memory.heapUsed);
       this.set({ part: "external" }, memory.external);
       this.set({ part: "array_buffers" }, memory.arrayBuffers);
-      this.set({ part: "held_requests" }, memory.requestBytes);
-      this.set({ part: "held_responses" }, memory.responseBytes);
     },
   });
   // The families that grow with the number of routes or of upstreams come last,
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -27,14 +27,13 @@
     countGrantRequests: () => 0,
     countConnections: () => 0,
     memoryLimitBytes: 350e6,
-    readMemory: () => ({
+    tryReadMemory: () => ({
       residentBytes: 100e6,
       heapUsed: 20e6,
       external: 5e6,
       arrayBuffers: 1e6,
-      requestBytes: 0,
-      responseBytes: 0,
     }),
+    getHeld: () => ({ requestBytes: 0, responseBytes: 0 }),
     isReady: () => true,
     ...changes,
   });
