Refuse no prompt of an underserved team by the backlog of one host

Cause: a prompt was refused on arrival by the backlog of its team and route at its host, which allows for what starts there. Change: a team that gets far less than others is refused late only. Test: 'a team that gets far less than others waits however long its backlog is here' fails before, passes.

--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -237,13 +237,15 @@
 
   /**
    * Refuses only prompts of teams over their share; the other teams are
-   * entitled to the capacity that they ask for.
+   * entitled to the capacity that they ask for. A team that gets far less than
+   * others is refused late only: its backlog at this host starts slowly since
+   * others go first, and other hosts leave it upstreams for which it waits.
    */
   function tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined {
     if (!options.refusesEarly) return undefined;
     const { team, targetMs } = prompt;
     const shareUsed = host.getShareUsed(team);
-    if (shareUsed <= 1) return undefined;
+    if (shareUsed <= 1 || host.isUnderserved(team)) return undefined;
     const backlog = backlogTracker.getBacklog(prompt);
     if (!isTooLong(backlog, targetMs * options.maxWaitShare)) return undefined;
     return {
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -555,6 +555,18 @@
   deepStrictEqual(fixture.underservedReports.at(-1), {});
 });
 
+test("a team that gets far less than others waits however long its backlog is here", () => {
+  // Guards against a team with one host, of which few prompts wait as few start.
+  const fixture = createFixture();
+  const newPrompt = { team: "flood", route: "drafts", targetMs: 800 };
+  fixture.getUse("a").inFlight = 48;
+  fixture.overShare.add("flood");
+  for (let at = 0; at < 12; at++) fixture.add({ team: "flood", ranked: ["a"] });
+  strictEqual(fixture.queue.tryRefuseEarly(newPrompt)?.reason, "in-vain");
+  fixture.underservedTeams.add("flood");
+  strictEqual(fixture.queue.tryRefuseEarly(newPrompt), undefined);
+});
+
 test("a prompt of a team over its share is refused at once if too many wait", () => {
   // Guards against prompts that wait half a second only to be refused.
   const fixture = createFixture();
