Start the prompts of the team that had less first, of those that go last

What callers saw: at a host that serves two teams over their share, who sends more prompts starts more. Change: within the class the team with less recent service of the fleet, credits included, goes first; prompts of one team go as before, and so do those of teams within their share. Test: 'of two overserved teams the one that had less goes first' fails before, passes.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -275,6 +275,7 @@
     },
     getShareUsed: load.getShareUsed,
     getServiceRates: load.getServiceRates,
+    getServiceLevel: (team) => load.getServiceLevel(getNameDigest(team)),
     isOverserved: load.isOverserved,
     isUnderserved: load.isUnderserved,
     onUnderservedWaiting: load.setUnderserved,
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -126,6 +126,7 @@
       }),
       getShareUsed: () => 0,
       getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
+      getServiceLevel: () => 0,
       isOverserved: () => false,
       isUnderserved: () => false,
       onUnderservedWaiting() {},
--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -174,6 +174,7 @@
       }),
       getShareUsed: view.getShareUsed,
       getServiceRates: view.getServiceRates,
+      getServiceLevel: (team) => view.getServiceLevel(getNameDigest(team)),
       isOverserved: view.isOverserved,
       isUnderserved: view.isUnderserved,
       onUnderservedWaiting: view.setUnderserved,
--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -134,6 +134,7 @@
       }),
       getShareUsed: view.getShareUsed,
       getServiceRates: view.getServiceRates,
+      getServiceLevel: (team) => view.getServiceLevel(getNameDigest(team)),
       isOverserved: view.isOverserved,
       isUnderserved: view.isUnderserved,
       onUnderservedWaiting: view.setUnderserved,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -170,7 +170,10 @@
   function prioritise(prompt: WaitingPrompt): PrioritisedPrompt {
     const yields = getYieldLevel(prompt);
     const isDeprioritised = yields === 2 || host.isOverserved(prompt.team);
-    return { prompt, yields, isDeprioritised };
+    const serviceLevel = isDeprioritised
+      ? host.getServiceLevel(prompt.team)
+      : 0;
+    return { prompt, yields, isDeprioritised, serviceLevel };
   }
 
   /** Sorts the waiting prompts by priority, the highest first. */
@@ -179,6 +182,7 @@
       Number(a.isDeprioritised) - Number(b.isDeprioritised) ||
       a.yields - b.yields ||
       Number(b.prompt.isBegun) - Number(a.prompt.isBegun) ||
+      a.serviceLevel - b.serviceLevel ||
       options.compare(a.prompt, b.prompt)
     );
   }
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -51,6 +51,7 @@
   const overShare = new Set<string>();
   const overserved = new Set<string>();
   const underservedTeams = new Set<string>();
+  const serviceLevels = new Map<string, number>();
   /** Prompts of underserved teams at other hosts, by upstream. */
   const underserved = new Map<string, number>();
   const underservedReports: Readonly<Record<string, number>>[] = [];
@@ -85,6 +86,7 @@
       void underservedReports.push(Object.fromEntries(prompts)),
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
+    getServiceLevel: (team) => serviceLevels.get(team) ?? 0,
     getMeanEfficiency: () => 60,
     getLimitTokens: (_service, upstream, targetMs) =>
       limits.get(`${upstream}/${targetMs}`) ?? LIMIT_TOKENS,
@@ -158,6 +160,7 @@
     overShare,
     overserved,
     underservedTeams,
+    serviceLevels,
     underserved,
     underservedReports,
     limits,
@@ -215,6 +218,20 @@
   deepStrictEqual(fixture.log, ["calm-1 to a", "flood-2 to a"]);
 });
 
+test("of two overserved teams the one that had less goes first", () => {
+  // Guards against a team that gets more because it sends more prompts to a host.
+  const fixture = createFixture();
+  fixture.overserved.add("more").add("less");
+  fixture.serviceLevels.set("more", 200_000).set("less", 150_000);
+  fixture.getUse("a").readingTokens = LIMIT_TOKENS;
+  fixture.add({ team: "less", ranked: ["a"] });
+  fixture.advance(10);
+  fixture.add({ team: "more", ranked: ["a"] });
+  fixture.getUse("a").readingTokens = 0;
+  fixture.advance(100);
+  deepStrictEqual(fixture.log.slice(0, 1), ["less-1 to a"]);
+});
+
 test("an overserved team fills no upstream for which an underserved team waits", () => {
   // Guards against teams that get less because their callers use fewer hosts.
   const fixture = createFixture();
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -119,6 +119,11 @@
    * share.
    */
   getShareUsed(team: string): number;
+  /**
+   * Recent service of the team over all hosts, with its credit, in tokens per
+   * second.
+   */
+  getServiceLevel(team: string): number;
   /** Recent service of the team over all hosts, for the log. */
   getServiceRates(team: string): TeamServiceRates;
   /**
--- a/src/queue/upstream_choice.ts
+++ b/src/queue/upstream_choice.ts
@@ -43,6 +43,11 @@
   readonly yields: YieldLevel;
   /** Whether its team is over its share or overserved, and so goes last. */
   readonly isDeprioritised: boolean;
+  /**
+   * Recent service of its team if the team goes last, else 0: of such teams the
+   * one that had less goes first.
+   */
+  readonly serviceLevel: number;
 }
 
 /** Chooses upstreams by their loads and limits in the present pass. */
