Close a connection after the last request read from it, not the first answered

What callers saw: at a planned stop of a host, pipelined calls that had been passed on and run get no answer: of twelve on a connection one (LOST). Cause: the drain marked each open response with 'Connection: close', and the first that was sent closed the connection before those behind it. An overloaded host's refusal did the same. Change: src/requests/last_response.ts keeps the mark on the response to the latest request read from a connection; a later request takes it over, or does not run if that response has begun. Test: 'of pipelined calls that a stopping host reads, each one that is passed on is answered' fails with the bundle before (12 passed on, 1 answered), passes.

--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -18,6 +18,7 @@
 import type { Clock } from "../core/mod.ts";
 import type { Ending } from "../forwarding/mod.ts";
 import { onResponseClosed } from "../requests/caller.ts";
+import { closeAfterLatest } from "../requests/last_response.ts";
 
 /** The requests in flight and the state of the drain. */
 export interface Drain {
@@ -106,10 +107,6 @@
     return startedMs === undefined ? 0 : clock.monotonicMs() - startedMs;
   }
 
-  function setConnectionClose(res: ServerResponse): void {
-    if (!res.headersSent) res.setHeader("connection", "close");
-  }
-
   const countInFlight = () => openResponses.size + host.countHandoffs();
 
   function isDone(): boolean {
@@ -128,7 +125,7 @@
   const run = Effect.fnUntraced(function* (askedMs: number) {
     startedMs = askedMs;
     host.announceLeaving();
-    for (const res of openResponses) setConnectionClose(res);
+    for (const res of openResponses) closeAfterLatest(res);
     host.onPhase("leaving", countInFlight());
     while (!isDone()) yield* Effect.sleep(CHECK_INTERVAL_MS);
     hasEnded = true;
@@ -153,7 +150,7 @@
       lastArrivalMs = clock.monotonicMs();
       openResponses.add(res);
       onResponseClosed(res, () => openResponses.delete(res));
-      if (startedMs !== undefined) setConnectionClose(res);
+      if (startedMs !== undefined) closeAfterLatest(res);
     },
     onEnding(run) {
       endingListeners.add(run);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -45,6 +45,7 @@
 import { getNameDigest } from "../peers/mod.ts";
 import { createPrefixPlacements } from "../prefixes/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
+import { acceptBehindEarlier } from "../requests/last_response.ts";
 import {
   createStreamVersions,
   STREAM_KEY_PREFIX,
@@ -499,6 +500,7 @@
     onRequest(req, res) {
       if (!pipelined.accept(req, res)) return;
       if (!handoff.acceptRequest(req, res)) return;
+      if (!acceptBehindEarlier(res)) return;
       drain.track(res);
       serve(forwardHost, req, res);
     },
