Run no request behind the response that closes its connection

Change: an overloaded host closes after the refusal, as it did; a stopping one after the latest request read. On either connection nothing read later runs, as its answer could not be sent.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,7 +7,6 @@
  */
 
 import { performance } from "node:perf_hooks";
-import process from "node:process";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { createRetryBudget, getFleetRetryOptions } from "../admission/mod.ts";
@@ -45,7 +44,7 @@
 import { getNameDigest } from "../peers/mod.ts";
 import { createPrefixPlacements } from "../prefixes/mod.ts";
 import { createPromptQueue } from "../queue/mod.ts";
-import { acceptBehindEarlier } from "../requests/last_response.ts";
+import { acceptUnlessClosing } from "../requests/last_response.ts";
 import {
   createStreamVersions,
   STREAM_KEY_PREFIX,
@@ -500,7 +499,7 @@
     onRequest(req, res) {
       if (!pipelined.accept(req, res)) return;
       if (!handoff.acceptRequest(req, res)) return;
-      if (!acceptBehindEarlier(res)) return;
+      if (!acceptUnlessClosing(res)) return;
       drain.track(res);
       serve(forwardHost, req, res);
     },
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -16,7 +16,7 @@
   hasDisconnected,
   onCallerDisconnected,
 } from "../requests/caller.ts";
-import { closeAfterLatest } from "../requests/last_response.ts";
+import { closeAfter } from "../requests/last_response.ts";
 import { pickService, type Route, type RouteTable } from "../routing/mod.ts";
 import { checkNotBlocked, tryRejectParts } from "./blocked_content.ts";
 import {
@@ -216,7 +216,7 @@
   const waitedMs = host.clock.monotonicMs() - state.arrivedMs;
   const isTimedOut = waitedMs >= (headers.callerTimeoutMs ?? Infinity);
   if (!state.isHostOverloaded && !isTimedOut) return Effect.void;
-  closeAfterLatest(res);
+  closeAfter(res);
   const reason = `This host is overloaded; the request was read after up to ${
     Math.round(waitedMs)
   } ms`;
--- a/src/requests/last_response.ts
+++ b/src/requests/last_response.ts
@@ -16,33 +16,31 @@
 /** The response to the latest request that was read from each connection. */
 const latest = new WeakMap<Socket, ServerResponse>();
 
-/** Responses after which their connections close. */
-const closing = new WeakSet<ServerResponse>();
+/** Connections that close after one of their responses. */
+const closing = new WeakSet<Socket>();
 
 /**
  * Must be called for each request that is to run. Returns `false` if the
  * connection closes before its response, so that it must not run.
  */
-export function acceptBehindEarlier(res: ServerResponse): boolean {
+export function acceptUnlessClosing(res: ServerResponse): boolean {
   const { socket } = res.req;
-  const earlier = latest.get(socket);
-  const isClosing = earlier !== undefined && closing.has(earlier);
-  if (isClosing && earlier.headersSent) return false;
+  if (closing.has(socket)) return false;
   latest.set(socket, res);
-  if (!isClosing) return true;
-  closing.delete(earlier);
-  earlier.removeHeader("connection");
-  closeAfterLatest(res);
   return true;
 }
 
+/** Closes the connection after this response, unless it has begun. */
+export function closeAfter(res: ServerResponse): void {
+  if (res.headersSent) return;
+  closing.add(res.req.socket);
+  res.setHeader("connection", "close");
+}
+
 /**
  * Closes the connection after the response to the latest request that was read
  * from it, unless that response has begun.
  */
 export function closeAfterLatest(res: ServerResponse): void {
-  const last = latest.get(res.req.socket) ?? res;
-  if (last.headersSent) return;
-  closing.add(last);
-  last.setHeader("connection", "close");
+  closeAfter(latest.get(res.req.socket) ?? res);
 }
