--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -11,22 +11,12 @@
   getWorkTokens,
 } from "../forwarding/prompt_tokens.ts";
 import type { Prompt } from "../forwarding/mod.ts";
-import {
-  createLoadReporter,
-  createLoadView,
-  type LoadReporter,
-  type LoadView,
-} from "../load/mod.ts";
-import { createPacing, type Pacing } from "../pacing/mod.ts";
 import { rankByRendezvous } from "../membership/mod.ts";
-import { getNameDigest } from "../peers/mod.ts";
 import { getPrefillTokens } from "../placement/mod.ts";
-import {
-  createPromptQueue,
-  type PrefillTokens,
-  type PromptQueue,
-  type PromptQueueOptions,
-  type PromptRefusal,
+import type {
+  PrefillTokens,
+  PromptQueueOptions,
+  PromptRefusal,
 } from "../queue/mod.ts";
 import {
   createEmulatedEngine,
@@ -42,6 +32,12 @@
   summarise,
 } from "./prompt_result.ts";
 import { createRandom } from "./random.ts";
+import {
+  createSimulatedHost,
+  createSimulatedPeers,
+  SIMULATED_SERVICE,
+  type SimulatedHost,
+} from "./simulated_host.ts";
 
 /** Options of a simulation. */
 export interface PromptSimulationOptions {
@@ -104,16 +100,6 @@
   isOnTime: boolean;
 }
 
-interface Host {
-  readonly view: LoadView;
-  readonly loadReporter: LoadReporter;
-  readonly queue: PromptQueue;
-  readonly pacing: Pacing;
-}
-
-const SERVICE = "model";
-const SERVICE_DIGEST = getNameDigest(SERVICE);
-
 /** Simulates twenty seconds. */
 export function simulatePrompts(
   options: PromptSimulationOptions,
@@ -128,33 +114,21 @@
     engines.set(`engine-${at}`, createEmulatedEngine(options.engine));
   }
   const engineIds = [...engines.keys()];
-  const peers = Array.from({ length: options.hosts }, (_, at) => ({
-    peerAddress: `host-${at}`,
-    dataCentre: "one",
-  }));
-  const hosts: Host[] = peers.map((self) => {
-    const view = createLoadView({
-      clock,
-      getDigest: getNameDigest,
-      isAlive: () => true,
-      getStatedCapacity: () => STATED_CAPACITY,
-      getLearned: () => [{ ...pacing.getStats(), service: SERVICE_DIGEST }],
-    });
-    const pacing: Pacing = createPacing({
-      nowMs,
-      getRemoteStats: () => view.getOthersLearned(SERVICE),
-      onChanged: () => {},
-    });
-    const loadReporter = createLoadReporter({
+  const peers = createSimulatedPeers(options.hosts);
+  const hosts = peers.map((self) =>
+    createSimulatedHost({
       clock,
+      random,
       self,
-      getHosts: () => peers,
-      getDigest: getNameDigest,
-      createOwnContent: view.createOwnContent,
-      onOthersLoad: view.receive,
-    });
-    return { view, loadReporter, pacing, queue: createQueue(view, pacing) };
-  });
+      peers,
+      slots: options.engine.slots,
+      statedCapacity: STATED_CAPACITY,
+      targetMs: TIGHTEST_TARGET_MS,
+      limitTokens: options.limitTokens,
+      queue: options.queue,
+      onStart: (view, engine) => view.beginRequest(engine),
+    })
+  );
   const requests: SimulatedRequest[] = [];
 
   /** Schedules the callback, rounded up to the simulation's step of 1 ms. */
@@ -162,34 +136,6 @@
     scheduler.after(Math.ceil(atMs) - nowMs(), run);
   }
 
-  function createQueue(view: LoadView, pacing: Pacing): PromptQueue {
-    return createPromptQueue({
-      nowMs,
-      getLoad: (engine) => ({
-        slots: options.engine.slots,
-        inFlight: view.getInFlight(engine),
-        readingTokens: view.getReadingTokens(engine),
-        underservedElsewhere: view.getUnderservedElsewhere(engine),
-        isWarmUpSpent: false,
-      }),
-      getShareUsed: view.getShareUsed,
-      getServiceRates: view.getServiceRates,
-      getServiceLevel: (team) => view.getServiceLevel(getNameDigest(team)),
-      isOverserved: view.isOverserved,
-      isUnderserved: view.isUnderserved,
-      onUnderservedWaiting: view.setUnderserved,
-      getMeanEfficiency: view.getMeanEfficiency,
-      getLimitTokens: () =>
-        options.limitTokens ?? pacing.getLimitTokens(TIGHTEST_TARGET_MS),
-      random,
-      onStart(prompt, engine, readingTokens) {
-        view.beginPrefill(engine, readingTokens);
-        view.beginRequest(engine);
-        view.recordBegun(prompt.team, prompt.serviceTokens);
-      },
-    }, options.queue);
-  }
-
   function arrive(drawn: DrawnPrompt): void {
     const { kind, ownTokens } = drawn;
     const isOverloading = random() < options.overloadingTeamShare;
@@ -235,7 +181,7 @@
       team: req.team,
       arrivedMs: nowMs(),
       targetMs: kind.targetMs,
-      service: SERVICE,
+      service: SIMULATED_SERVICE,
       route: kind.name,
       serviceTokens: size,
       workTokens,
@@ -257,7 +203,7 @@
 
   function run(
     req: SimulatedRequest,
-    { view, pacing }: Host,
+    { view, pacing }: SimulatedHost,
     engine: string,
     { readingTokens, queuedTokens }: PrefillTokens,
   ): void {
@@ -303,15 +249,15 @@
     });
   }
 
-  function report(from: Host): void {
+  function report(from: SimulatedHost): void {
     for (
-      const { to, report: loadReport } of from.loadReporter.createReports()
+      const { to, report: loadReport } of from.reporter.createReports()
     ) {
       const receivers = hosts.filter((_, at) =>
         to.includes(peers[at]!.peerAddress)
       );
       runAt(nowMs() + LINK_MS, () => {
-        for (const each of receivers) each.loadReporter.receive(loadReport);
+        for (const each of receivers) each.reporter.receive(loadReport);
       });
     }
   }
--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -7,11 +7,12 @@
  * @module
  */
 
-import { createLoadReporter, createLoadView } from "../load/mod.ts";
-import { createPacing } from "../pacing/mod.ts";
-import { getNameDigest } from "../peers/mod.ts";
-import { createPromptQueue } from "../queue/mod.ts";
 import { createRandom } from "./random.ts";
+import {
+  createSimulatedHost,
+  createSimulatedPeers,
+  SIMULATED_SERVICE,
+} from "./simulated_host.ts";
 import { createVirtualScheduler } from "./virtual_scheduler.ts";
 
 /** A team of the simulation. */
@@ -59,7 +60,6 @@
   readonly begunBySecond: readonly number[];
 }
 
-const SERVICE = "model";
 const UPSTREAMS = ["upstream-0", "upstream-1"];
 const TOKENS_PER_MS = 93;
 const TARGET_MS = 800;
@@ -83,10 +83,7 @@
   const begunBySecond = options.teams.map(() =>
     Array.from({ length: Math.floor(untilMs / 1_000) + 1 }, () => 0)
   );
-  const peers = options.lateShares.map((_, at) => ({
-    peerAddress: `host-${at}`,
-    dataCentre: "one",
-  }));
+  const peers = createSimulatedPeers(options.lateShares.length);
 
   /** Returns the speed of an upstream, in tokens per ms. */
   function getSpeed(atMs: number): number {
@@ -98,53 +95,15 @@
 
   const hosts = peers.map((self, hostAt) => {
     let answers = 0;
-    const view = createLoadView({
-      clock,
-      getDigest: getNameDigest,
-      isAlive: () => true,
-      getStatedCapacity: () =>
-        TOKENS_PER_MS * UPSTREAMS.length * 1_000 *
-        (options.statedCapacityFactor ?? 1),
-      getLearned: () => [{
-        ...pacing.getStats(),
-        service: getNameDigest(SERVICE),
-      }],
-    });
-    const pacing = createPacing({
-      nowMs: clock.monotonicMs,
-      getRemoteStats: () => view.getOthersLearned(SERVICE),
-      onChanged: () => {},
-    });
-    const reporter = createLoadReporter({
+    const { view, pacing, reporter, queue } = createSimulatedHost({
       clock,
-      self,
-      getHosts: () => peers,
-      getDigest: getNameDigest,
-      createOwnContent: view.createOwnContent,
-      onOthersLoad: view.receive,
-    });
-    const queue = createPromptQueue({
-      nowMs: clock.monotonicMs,
-      getLoad: (upstream) => ({
-        slots: SLOTS,
-        inFlight: view.getInFlight(upstream),
-        readingTokens: view.getReadingTokens(upstream),
-        underservedElsewhere: view.getUnderservedElsewhere(upstream),
-        isWarmUpSpent: false,
-      }),
-      getShareUsed: view.getShareUsed,
-      getServiceRates: view.getServiceRates,
-      getServiceLevel: (team) => view.getServiceLevel(getNameDigest(team)),
-      isOverserved: view.isOverserved,
-      isUnderserved: view.isUnderserved,
-      onUnderservedWaiting: view.setUnderserved,
-      getMeanEfficiency: view.getMeanEfficiency,
-      getLimitTokens: () => pacing.getLimitTokens(TARGET_MS),
       random,
-      onStart(prompt, upstream, readingTokens) {
-        view.beginPrefill(upstream, readingTokens);
-        view.recordBegun(prompt.team, prompt.serviceTokens);
-      },
+      self,
+      peers,
+      slots: SLOTS,
+      statedCapacity: TOKENS_PER_MS * UPSTREAMS.length * 1_000 *
+        (options.statedCapacityFactor ?? 1),
+      targetMs: TARGET_MS,
     });
 
     function read(upstream: string, queuedTokens: number): void {
@@ -172,7 +131,7 @@
       queue.add({
         ...key,
         request: `${team}-${asked[teamAt]}`,
-        service: SERVICE,
+        service: SIMULATED_SERVICE,
         arrivedMs: clock.monotonicMs(),
         serviceTokens: promptTokens,
         workTokens: promptTokens,
