--- a/src/load/team_service.ts
+++ b/src/load/team_service.ts
@@ -78,20 +78,21 @@
 export function createTeamService(host: TeamServiceHost): TeamService {
   const { clock, getDigest } = host;
   const teams = new Map<number, TeamRates>();
-  let statedFairLevel = Infinity;
+  const credits = createServiceCredits(SERVICE_HALF_LIFE_MS);
+  let updatedMs = -Infinity;
+  let askedByTeam: ReadonlyMap<number, number> = new Map();
+  let begunByTeam: ReadonlyMap<number, number> = new Map();
+  let mostBegun = 0;
   /**
    * Fair level computed from the service that is really begun, which may be far
    * below the stated capacity.
    */
   let servedFairLevel = Infinity;
-  let askedByTeam: ReadonlyMap<number, number> = new Map();
-  let begunByTeam: ReadonlyMap<number, number> = new Map();
-  /** The same of levels, which include the credits of the teams it limits. */
-  let creditedFairLevel = Infinity;
-  let mostBegun = 0;
+  /** Most service with credit of any team. */
   let highestLevel = 0;
-  const credits = createServiceCredits(SERVICE_HALF_LIFE_MS);
-  let levelsUpdatedMs = -Infinity;
+  /** Fair levels of service with credit: of what is stated, of what is begun. */
+  let statedFairLevel = Infinity;
+  let creditedFairLevel = Infinity;
 
   function getTeamRates(team: string): TeamRates {
     return getOrCreate(teams, getDigest(team), () => ({
@@ -111,8 +112,8 @@
 
   function updateFairLevels(): void {
     const nowMs = clock.monotonicMs();
-    if (nowMs - levelsUpdatedMs < LEVEL_TTL_MS) return;
-    levelsUpdatedMs = nowMs;
+    if (nowMs - updatedMs < LEVEL_TTL_MS) return;
+    updatedMs = nowMs;
     const asked = new Map<number, number>();
     const begun = new Map<number, number>();
     for (const use of [...getOwnTeams(), ...host.getOthersTeams()]) {
