--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -43,7 +43,6 @@
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPrefixPlacements } from "../prefixes/mod.ts";
-import { createPromptQueue } from "../queue/mod.ts";
 import { acceptUnlessClosing } from "../requests/last_response.ts";
 import {
   createStreamVersions,
@@ -52,6 +51,7 @@
 } from "../stream_versions/mod.ts";
 import { createBackoffWatch, createHealthWatch } from "../upstreams/mod.ts";
 import { createCallerServer } from "./caller_server.ts";
+import { createEntryQueue } from "./entry_queue.ts";
 import { getServingHosts } from "./fleet_size.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createGrantExchange } from "./grant_exchange.ts";
@@ -259,33 +259,14 @@
     onEnded: (outcome) => metrics.observeGrant(outcome),
     onFailed: logFailedTask("grants"),
   });
-  const queue = createPromptQueue({
+  const queue = createEntryQueue({
+    clock,
+    load,
     grants: grants.client,
-    nowMs: clock.monotonicMs,
-    getLoad(upstream) {
-      const entry = platformView.directory.tryGet(upstream);
-      const allowance = entry && warmUps.getAllowance(entry);
-      return {
-        slots: entry?.slots ?? 0,
-        inFlight: load.getInFlight(upstream),
-        readingTokens: load.getReadingTokens(upstream),
-        underservedElsewhere: load.getUnderservedElsewhere(upstream),
-        isWarmUpSpent: allowance === "later" || allowance === "none",
-      };
-    },
-    getShareUsed: load.getShareUsed,
-    getServiceRates: load.getServiceRates,
-    getServiceLevel: (team) => load.getServiceLevel(getNameDigest(team)),
-    isOverserved: load.isOverserved,
-    isUnderserved: load.isUnderserved,
-    onUnderservedWaiting: load.setUnderserved,
-    getMeanEfficiency: load.getMeanEfficiency,
+    tryGetUpstream: (id) => platformView.directory.tryGet(id),
+    getWarmUpAllowance: (upstream) => warmUps.getAllowance(upstream),
     getLimitTokens: upstreamPacings.getLimitTokens,
     random: host.random,
-    onStart(prompt, upstream, readingTokens) {
-      load.beginPrefill(upstream, readingTokens);
-      load.recordBegun(prompt.team, prompt.serviceTokens);
-    },
   });
   const { cold, warmUps } = createHostWarmUps({
     clock,
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -19,6 +19,7 @@
 import {
   createPromptQueue,
   defaultPromptQueueOptions,
+  getLoadFunctions,
   type PromptQueue,
   type PromptQueueOptions,
 } from "../queue/mod.ts";
@@ -92,6 +93,7 @@
     onOthersLoad: view.receive,
   });
   const queue = createPromptQueue({
+    ...getLoadFunctions(view, getNameDigest),
     nowMs,
     getLoad: (upstream) => ({
       slots: options.slots,
@@ -100,13 +102,6 @@
       underservedElsewhere: view.getUnderservedElsewhere(upstream),
       isWarmUpSpent: false,
     }),
-    getShareUsed: view.getShareUsed,
-    getServiceRates: view.getServiceRates,
-    getServiceLevel: (team) => view.getServiceLevel(getNameDigest(team)),
-    isOverserved: view.isOverserved,
-    isUnderserved: view.isUnderserved,
-    onUnderservedWaiting: view.setUnderserved,
-    getMeanEfficiency: view.getMeanEfficiency,
     getLimitTokens: () =>
       options.limitTokens ?? pacing.getLimitTokens(targetMs),
     random: options.random,
--- /dev/null
+++ b/src/queue/load_functions.ts
@@ -0,0 +1,36 @@
+/**
+ * What a prompt queue asks of the load view about teams, as one set of functions.
+ *
+ * @module
+ */
+
+import type { LoadView } from "../load/mod.ts";
+import type { PromptQueueHost } from "./types.ts";
+
+/** The functions of a queue's host that the load view answers. */
+export type LoadFunctions = Pick<
+  PromptQueueHost,
+  | "getShareUsed"
+  | "getServiceLevel"
+  | "getServiceRates"
+  | "isOverserved"
+  | "isUnderserved"
+  | "onUnderservedWaiting"
+  | "getMeanEfficiency"
+>;
+
+/** Returns the functions; `getDigest` stands for a team's name in the view. */
+export function getLoadFunctions(
+  view: LoadView,
+  getDigest: (name: string) => number,
+): LoadFunctions {
+  return {
+    getShareUsed: view.getShareUsed,
+    getServiceLevel: (team) => view.getServiceLevel(getDigest(team)),
+    getServiceRates: view.getServiceRates,
+    isOverserved: view.isOverserved,
+    isUnderserved: view.isUnderserved,
+    onUnderservedWaiting: view.setUnderserved,
+    getMeanEfficiency: view.getMeanEfficiency,
+  };
+}
--- a/src/queue/mod.ts
+++ b/src/queue/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./load_functions.ts";
 export * from "./prompt_queue.ts";
 export * from "./prompt_queue_options.ts";
 export * from "./team_queue.ts";
