--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -20,6 +20,8 @@
  * - Operators may state more capacity than the upstreams have. No team exceeds
  *   its share of that, so overserved teams go last as well. They may use all
  *   room for which no other team's prompt waits.
+ * - Of several such teams the one that sends more prompts to a host would start
+ *   more there. The one that had less service of the fleet goes first.
  * - A prompt that has waited too long takes the place of one that could still
  *   meet its target. The newest therefore go first, and a prompt is refused as
  *   soon as it is too late, with the time after which to retry.
