Close callers' connections by one mechanism, in the hand-off too

Cause: requests/last_response.ts, new for stops, stood beside handoff/ last_responses.ts, which kept the latest response of each connection and marked it by code of its own; each request passed both. Change: the hand-off asks requests/last_response.ts, which alone decides whether a request behind a closing response runs. Behaviour stays; the test of pipelined calls says the failure that it guards against. Measured: tests of hand-off, stops, memory and entry pass.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -43,7 +43,6 @@
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPrefixPlacements } from "../prefixes/mod.ts";
-import { acceptUnlessClosing } from "../requests/last_response.ts";
 import {
   createStreamVersions,
   STREAM_KEY_PREFIX,
@@ -480,7 +479,6 @@
     onRequest(req, res) {
       if (!pipelined.accept(req, res)) return;
       if (!handoff.acceptRequest(req, res)) return;
-      if (!acceptUnlessClosing(res)) return;
       drain.track(res);
       serve(forwardHost, req, res);
     },
--- a/src/handoff/last_responses.ts
+++ b/src/handoff/last_responses.ts
@@ -7,14 +7,15 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { acceptUnlessClosing, closeAfter } from "../requests/last_response.ts";
 
 /** The responses that close their connections. */
 export interface LastResponses {
   /**
    * Must be called for each request. If `isLast`, the response closes the
    * connection, where this can't cost the caller the response. Returns `false`
-   * for a pipelined request behind the last response of its connection: it must
-   * not run, since nothing could be sent to its caller.
+   * for a pipelined request behind the response that closes its connection, for
+   * whatever reason: it must not run, since nothing could be sent to its caller.
    */
   acceptRequest(
     req: IncomingMessage,
@@ -31,17 +32,15 @@
   return {
     acceptRequest(req, res, isLast) {
       const earlier = latest.get(req.socket);
-      if (earlier !== undefined) {
-        markLast(earlier);
-        if (isMarkedLast(earlier)) return false;
-        latest.delete(req.socket);
-      }
+      if (earlier !== undefined) closeAfter(earlier);
+      if (!acceptUnlessClosing(res)) return false;
+      latest.delete(req.socket);
       if (!isLast) return true;
       latest.set(req.socket, res);
       // An early refusal keeps the connection open: closing it while the body
       // arrives would reset it, and the caller might not read the refusal.
-      if (hasBody(req)) req.on("end", () => markLast(res));
-      else markLast(res);
+      if (hasBody(req)) req.on("end", () => closeAfter(res));
+      else closeAfter(res);
       return true;
     },
   };
@@ -51,11 +50,3 @@
   return headers["transfer-encoding"] !== undefined ||
     Number(headers["content-length"] ?? 0) > 0;
 }
-
-function markLast(res: ServerResponse): void {
-  if (!res.headersSent) res.setHeader("connection", "close");
-}
-
-function isMarkedLast(res: ServerResponse): boolean {
-  return res.getHeader("connection") === "close";
-}
