Ask the load view for a team's level by its name, and state a team's inputs once

Cause: of the view's functions one took a digest where all others take a name, so that its callers passed a digest function along; both refusals of the queue wrote the same three inputs. Change: getServiceLevel by name, getServiceLevelByDigest for owners, getTeamInputs for refusals. Behaviour stays. Tests of queue, load and grants pass.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -253,7 +253,7 @@
     owners,
     upstreams: grantUpstreams,
     getDigest: getNameDigest,
-    getServiceLevel: load.getServiceLevel,
+    getServiceLevel: load.getServiceLevelByDigest,
     start: (...granted) => queue.startGranted(...granted),
     onEnded: (outcome) => metrics.observeGrant(outcome),
     onFailed: logFailedTask("grants"),
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -8,7 +8,6 @@
 import type { Clock } from "../core/mod.ts";
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import type { LoadView } from "../load/mod.ts";
-import { getNameDigest } from "../peers/mod.ts";
 import {
   createPromptQueue,
   getLoadFunctions,
@@ -32,7 +31,7 @@
 export function createEntryQueue(host: EntryQueueHost): PromptQueue {
   const { load } = host;
   return createPromptQueue({
-    ...getLoadFunctions(load, getNameDigest),
+    ...getLoadFunctions(load),
     grants: host.grants,
     nowMs: host.clock.monotonicMs,
     getLoad(upstream) {
--- a/src/entry/process_memory.ts
+++ b/src/entry/process_memory.ts
@@ -26,7 +26,7 @@
  * Returns what `read` returns; `undefined` if the system does not let this
  * process read its memory now.
  */
-export function tryRead<T>(read: () => T): T | undefined {
+function tryRead<T>(read: () => T): T | undefined {
   try {
     return read();
   } catch (err) {
--- a/src/load/team_service.ts
+++ b/src/load/team_service.ts
@@ -45,11 +45,10 @@
   isOverserved(team: string): boolean;
   /** Whether the team gets far less than others although it asks for more. */
   isUnderserved(team: string): boolean;
-  /**
-   * Recent service of the team with this digest, with its credit, in tokens per
-   * second.
-   */
-  getServiceLevel(team: number): number;
+  /** Recent service of the team, with its credit, in tokens per second. */
+  getServiceLevel(team: string): number;
+  /** The same for the team with this digest. */
+  getServiceLevelByDigest(digest: number): number;
   /** The service of the teams at this host, to be reported to other hosts. */
   getOwnTeams(): readonly TeamUse[];
 }
@@ -197,7 +196,11 @@
     },
     getServiceLevel(team) {
       updateFairLevels();
-      return getLevel(team);
+      return getLevel(getDigest(team));
+    },
+    getServiceLevelByDigest(digest) {
+      updateFairLevels();
+      return getLevel(digest);
     },
     getOwnTeams,
   };
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -93,7 +93,7 @@
     onOthersLoad: view.receive,
   });
   const queue = createPromptQueue({
-    ...getLoadFunctions(view, getNameDigest),
+    ...getLoadFunctions(view),
     nowMs,
     getLoad: (upstream) => ({
       slots: options.slots,
--- a/src/queue/load_functions.ts
+++ b/src/queue/load_functions.ts
@@ -19,14 +19,11 @@
   | "getMeanEfficiency"
 >;
 
-/** Returns the functions; `getDigest` stands for a team's name in the view. */
-export function getLoadFunctions(
-  view: LoadView,
-  getDigest: (name: string) => number,
-): LoadFunctions {
+/** Returns the functions of a view. */
+export function getLoadFunctions(view: LoadView): LoadFunctions {
   return {
     getShareUsed: view.getShareUsed,
-    getServiceLevel: (team) => view.getServiceLevel(getDigest(team)),
+    getServiceLevel: view.getServiceLevel,
     getServiceRates: view.getServiceRates,
     isOverserved: view.isOverserved,
     isUnderserved: view.isUnderserved,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -215,14 +215,20 @@
     host.onUnderservedWaiting(prompts);
   }
 
+  function getTeamInputs(team: string) {
+    return {
+      waiting: waiting.size,
+      shareUsed: Number(host.getShareUsed(team).toFixed(2)),
+      service: host.getServiceRates(team),
+    };
+  }
+
   function getRefusalInputs(prompt: WaitingPrompt): QueueInputs {
     const upstream = prompt.getUpstreams()[0]?.upstream;
     return {
       waitedMs: Math.round(host.nowMs() - prompt.arrivedMs),
-      waiting: waiting.size,
+      ...getTeamInputs(prompt.team),
       yields: getYieldLevel(prompt),
-      shareUsed: Number(host.getShareUsed(prompt.team).toFixed(2)),
-      service: host.getServiceRates(prompt.team),
       limitTokens: Math.round(
         host.getLimitTokens(prompt.service, upstream, prompt.targetMs),
       ),
@@ -250,8 +256,9 @@
   function tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined {
     if (!options.refusesEarly) return undefined;
     const { team, targetMs } = prompt;
-    const shareUsed = host.getShareUsed(team);
-    if (shareUsed <= 1 || host.isUnderserved(team)) return undefined;
+    if (host.getShareUsed(team) <= 1 || host.isUnderserved(team)) {
+      return undefined;
+    }
     const backlog = backlogTracker.getBacklog(prompt);
     if (!isTooLong(backlog, targetMs * options.maxWaitShare)) return undefined;
     return {
@@ -259,10 +266,8 @@
       retryAfterMs: getRetryAfterMs(),
       inputs: {
         waitedMs: 0,
-        waiting: waiting.size,
+        ...getTeamInputs(team),
         yields: 2,
-        shareUsed: Number(shareUsed.toFixed(2)),
-        service: host.getServiceRates(team),
         backlog: {
           waiting: backlog.waiting,
           startedPerSecond: Number(backlog.startedPerSecond.toFixed(1)),
