Name each relayed connection in the lines of both of its hosts

The lines could not tell which of three hypotheses holds: the target's request-ended did not say that the request had come by a relay, nor by which; the origin had no line for one.

The origin now names the relay in the preface: its peer address, incarnation and a number. The target has the name in request-ended and request-open-at-exit; relay-cut at the origin has it too, with the caller's address and the bytes, where the origin resets a relay. At its exit it resets what it still relays, before the log closes.

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -35,6 +35,11 @@
         `${formatHosts(decision.origins)} at a utilization of ` +
         `${decision.utilization}; ${decision.refused} refused, ` +
         `${decision.open} open`;
+    case "relay-cut":
+      return `Reset the connection of ${decision.caller} that ` +
+        `${decision.target} had taken as ${decision.relay} ` +
+        `${decision.ageMs} ms ago (${decision.cause}): ` +
+        `${decision.callerBytes} bytes read, ${decision.answerBytes} written`;
     case "starting":
       return `The process starts, ${decision.ageMs} ms old`;
     case "signal-received":
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -125,13 +125,33 @@
     readonly event: "connections-received";
     readonly taken: number;
     readonly refused: number;
-    /** IP addresses of the hosts whose connections were taken. */
+    /** Peer addresses of the hosts whose connections were taken. */
     readonly origins: readonly string[];
     /** Handed-off connections that this host serves at present. */
     readonly open: number;
     /** Utilization of this host's event loop, from 0 to 1. */
     readonly utilization: number;
   }
+  | {
+    /**
+     * This host reset a connection that it had handed off: the target's
+     * connection was lost, the target did not close it behind the caller's end,
+     * or this host exits.
+     */
+    readonly event: "relay-cut";
+    /** Its name, also in the `request-ended` lines of the target. */
+    readonly relay: string;
+    /** Peer address of the target. */
+    readonly target: string;
+    /** Address of the caller. */
+    readonly caller: string;
+    readonly cause: "target-lost" | "target-silent" | "exit";
+    /** Bytes that were read from the caller, and written to it. */
+    readonly callerBytes: number;
+    readonly answerBytes: number;
+    /** Time since the target took it, in ms. */
+    readonly ageMs: number;
+  }
   | {
     readonly event: "task-failed";
     readonly task: string;
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -279,6 +279,8 @@
     /** The request was open when this host, which is stopping, ended. */
     readonly event: "request-open-at-exit";
     readonly request: string;
+    /** As in `request-ended`. */
+    readonly relay?: string | undefined;
     readonly route: string | undefined;
     /** Upstream of the latest attempt. */
     readonly upstream: string | undefined;
@@ -315,6 +317,11 @@
   | {
     readonly event: "request-ended";
     readonly request: string;
+    /**
+     * Name of the relay by which the request came, if another host handed its
+     * connection off: that host's peer address and the number of the relay.
+     */
+    readonly relay?: string | undefined;
     readonly team: string | undefined;
     readonly route: string | undefined;
     /** Service that counts against the team's share; absent for other calls. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -443,6 +443,7 @@
     getStalledMs: loopMonitor.getStalledMs,
     mayStartRequest: drain.mayStartRequest,
     onEnding: drain.onEnding,
+    tryGetRelay: (req) => handoff.tryGetRelay(req),
     getInputs: platformView.getInputs,
     log,
     onRequestEnded: metrics.observeEnd,
@@ -452,6 +453,7 @@
   const handoff = createHandoff({
     clock,
     self: peerAddress,
+    incarnation,
     maxFds: settings.maxFds,
     random: host.random,
     getUnreadMs: loopMonitor.getUnreadMs,
@@ -593,6 +595,7 @@
       const arrivedMs = askedMs - loopMonitor.getUnreadMs();
       Effect.runFork(registration.remove);
       const result = await Effect.runPromise(drain.run(arrivedMs));
+      handoff.cutRelays();
       log({ event: "stopped", ...result });
       return result;
     },
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -115,6 +115,11 @@
   mayStartRequest(deadlineMs: number): boolean;
   /** Calls `run` when the process is about to exit, unless disposed of before. */
   onEnding(run: (ending: Ending) => void): Disposable;
+  /**
+   * Returns the name of the relay by which the request came, if its connection
+   * was handed off to this host; it is in the log lines of both hosts.
+   */
+  tryGetRelay(req: IncomingMessage): string | undefined;
   getInputs(): Inputs;
   log(decision: Decision): void;
   onRequestEnded(end: CallEnd): void;
--- a/src/forwarding/open_at_exit.ts
+++ b/src/forwarding/open_at_exit.ts
@@ -51,6 +51,7 @@
   host.log({
     event: "request-open-at-exit",
     request: headers?.requestId ?? "",
+    relay: state.relay,
     route: route?.name,
     upstream: attempt?.upstream.id,
     arrivedAfterStopMs: Math.round(arrivedMs - ending.stoppedMs),
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -24,6 +24,8 @@
   body: Disposable | undefined;
   /** Monotonic milliseconds; the earliest possible time of arrival. */
   readonly arrivedMs: number;
+  /** Name of the relay by which it came; `undefined` if it came from a caller. */
+  readonly relay: string | undefined;
   /** Whether this host was overloaded when it read the request. */
   readonly isHostOverloaded: boolean;
 }
@@ -114,6 +116,7 @@
   host.log({
     event: "request-ended",
     request: headers?.requestId ?? "",
+    relay: state.relay,
     team,
     route: route?.name,
     serviceTokens: tryGetServiceTokens(headers),
--- a/src/forwarding/request_end_test.ts
+++ b/src/forwarding/request_end_test.ts
@@ -57,6 +57,7 @@
     call: undefined,
     body: undefined,
     arrivedMs: 0,
+    relay: undefined,
     isHostOverloaded: false,
   };
   const rejected = new Rejected({ status: 502, reason });
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -78,6 +78,7 @@
     call: undefined,
     body: undefined,
     arrivedMs: host.clock.monotonicMs() - host.getUnreadMs(),
+    relay: host.tryGetRelay(req),
     isHostOverloaded: host.isOverloaded(),
   };
   try {
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -42,6 +42,14 @@
    * to be closed.
    */
   acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
+  /**
+   * Returns the name of the relay by which the request came, which the lines of
+   * the host that handed the connection off have as well; `undefined` if it came
+   * from a caller of this host.
+   */
+  tryGetRelay(req: IncomingMessage): string | undefined;
+  /** Resets the connections that this host relays. To be called at its exit. */
+  cutRelays(): void;
   /** Called by a timer, many times per second. */
   tick(): void;
   /**
@@ -66,6 +74,8 @@
 export interface HandoffHost {
   readonly clock: Clock;
   readonly self: string;
+  /** Incarnation of this process. */
+  readonly incarnation: number;
   /** Maximum number of file descriptors of this process. */
   readonly maxFds: number;
   random(): number;
@@ -123,9 +133,8 @@
     getUtilization: utilization.get,
   });
   const origin = createHandoffOrigin({
+    ...host,
     policy,
-    serve: host.serve,
-    getUnreadMs: host.getUnreadMs,
     onAsked(target, outcome) {
       asked.count(target, outcome);
       host.onAsked(outcome);
@@ -163,6 +172,8 @@
         isTaken || policy.isOverloaded(),
       );
     },
+    tryGetRelay: server.tryGetRelay,
+    cutRelays: () => origin[Symbol.dispose](),
     tick() {
       utilization.tick();
       asked.tick();
--- a/src/handoff/handoff_client.ts
+++ b/src/handoff/handoff_client.ts
@@ -9,8 +9,9 @@
 import {
   ACCEPTED,
   type AttemptOutcome,
+  encodePreface,
   getHandoffAddress,
-  PREFACE,
+  type RelayId,
 } from "./protocol.ts";
 
 /** The answer of a target. */
@@ -28,6 +29,7 @@
  */
 export function askTarget(
   peerAddress: string,
+  relay: RelayId,
   onAnswer: (answer: TargetAnswer) => void,
 ): Disposable {
   const [host, port] = getHandoffAddress(peerAddress).split(":");
@@ -65,7 +67,7 @@
   socket.on("data", readAnswer);
   socket.on("end", endUnreachable);
   socket.on("close", endUnreachable);
-  socket.write(PREFACE);
+  socket.write(encodePreface(relay));
 
   return {
     [Symbol.dispose]() {
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -10,13 +10,16 @@
  */
 
 import type { Socket } from "node:net";
-import { startTimeout } from "../core/mod.ts";
+import { type Clock, startTimeout } from "../core/mod.ts";
+import type { Decision } from "../diagnostics/mod.ts";
 import { askTarget } from "./handoff_client.ts";
 import type { HandoffPolicy } from "./handoff_policy.ts";
 import {
   type AttemptOutcome,
   CALLER_ABANDON_MS,
+  formatRelay,
   HANDOFF_TIMEOUT_MS,
+  type RelayId,
 } from "./protocol.ts";
 import { relayConnection, reset } from "./relay_connection.ts";
 
@@ -36,6 +39,11 @@
 
 /** Dependencies of an origin. */
 export interface HandoffOriginHost {
+  readonly clock: Clock;
+  /** Peer address of this host. */
+  readonly self: string;
+  /** Incarnation of this process. */
+  readonly incarnation: number;
   readonly policy: HandoffPolicy;
   /** Serves the connection at this host. */
   serve(caller: Socket): void;
@@ -46,6 +54,7 @@
   getUnreadMs(): number;
   /** Called for each host that was asked. */
   onAsked(target: string, outcome: AttemptOutcome): void;
+  log(decision: Decision): void;
 }
 
 /** Maximum number of hosts that are asked to take a connection. */
@@ -57,21 +66,54 @@
   /** Ends each negotiation and relay; with the caller of a relay. */
   const running = new Map<Disposable, Socket | undefined>();
   let isDisposed = false;
+  let offered = 0;
+
+  function createRelayId(): RelayId {
+    offered++;
+    return {
+      origin: host.self,
+      incarnation: host.incarnation,
+      number: offered,
+    };
+  }
 
   function tryBegin(): string | undefined {
     const mayHandOff = !isDisposed && policy.mayHandOff();
     return mayHandOff ? policy.tryBegin() : undefined;
   }
 
-  function relay(caller: Socket, target: Socket, name: string): void {
-    const relayed = relayConnection({ caller, target }, () => {
-      running.delete(relayed);
-      policy.end(name);
+  function relay(
+    { caller, target, name, id }: {
+      readonly caller: Socket;
+      readonly target: Socket;
+      readonly name: string;
+      readonly id: RelayId;
+    },
+  ): void {
+    const startedMs = host.clock.monotonicMs();
+    const callerAddress = `${caller.remoteAddress}:${caller.remotePort}`;
+    const relayed = relayConnection({ caller, target }, {
+      onCut: (cause) =>
+        host.log({
+          event: "relay-cut",
+          relay: formatRelay(id),
+          target: name,
+          caller: callerAddress,
+          cause,
+          callerBytes: caller.bytesRead,
+          answerBytes: caller.bytesWritten,
+          ageMs: Math.round(host.clock.monotonicMs() - startedMs),
+        }),
+      onClosed() {
+        running.delete(relayed);
+        policy.end(name);
+      },
     });
     running.set(relayed, caller);
   }
 
   function negotiate(caller: Socket, firstTarget: string): void {
+    const id = createRelayId();
     let attempts = 0;
     let asked: Disposable;
     let target: string;
@@ -79,11 +121,11 @@
     function ask(name: string): void {
       attempts++;
       target = name;
-      asked = askTarget(name, (answer) => {
+      asked = askTarget(name, id, (answer) => {
         record(answer.outcome);
         if (answer.outcome === "taken") {
           stop();
-          relay(caller, answer.socket, name);
+          relay({ caller, target: answer.socket, name, id });
           return;
         }
         const next = attempts < MAX_ATTEMPTS ? tryBegin() : undefined;
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -14,10 +14,13 @@
 import {
   ACCEPTED,
   CALLER_ABANDON_MS,
+  formatRelay,
   HANDOFF_TIMEOUT_MS,
-  PREFACE,
+  MAX_PREFACE_BYTES,
   type ReceivedOutcome,
   REFUSED,
+  type RelayId,
+  tryDecodePreface,
 } from "./protocol.ts";
 
 /** The connections that this host has taken. Disposal closes all of them. */
@@ -29,6 +32,11 @@
    * connection, which is to be closed after its response.
    */
   recordRequest(req: IncomingMessage): boolean;
+  /**
+   * Returns the name of the relay by which the request came, which the lines of
+   * the origin have as well; `undefined` if it came from a caller.
+   */
+  tryGetRelay(req: IncomingMessage): string | undefined;
   /** The taken connections that are open. */
   countOpen(): number;
   /**
@@ -54,21 +62,26 @@
   serve(socket: Socket): void;
   /** Called for each error after the server has begun to listen. */
   onError(reason: string): void;
-  /** Called for each answer with the IP address of the origin. */
+  /** Called for each answer with the peer address of the origin. */
   onAnswered(origin: string, outcome: ReceivedOutcome): void;
 }
 
+/** A connection that this host has taken. */
+interface TakenConnection {
+  readonly relay: RelayId;
+  readonly takenMs: number;
+  /** Whether a request has arrived on it. */
+  hasRequest: boolean;
+}
+
 /** Creates a server that does not listen yet. */
 export function createHandoffServer(host: HandoffServerHost): HandoffServer {
   const sockets = new Set<Socket>();
-  /** The taken connections, and whether a request has arrived on them. */
-  const taken = new Map<
-    Socket,
-    { readonly takenMs: number; hasRequest: boolean }
-  >();
+  const taken = new Map<Socket, TakenConnection>();
 
-  function take(socket: Socket): void {
+  function take(socket: Socket, relay: RelayId): void {
     taken.set(socket, {
+      relay,
       takenMs: host.clock.monotonicMs(),
       hasRequest: false,
     });
@@ -77,10 +90,10 @@
     host.serve(socket);
   }
 
-  function answer(socket: Socket): void {
+  function answer(socket: Socket, relay: RelayId): void {
     const isTaken = host.mayTake();
-    host.onAnswered(socket.remoteAddress ?? "", isTaken ? "taken" : "refused");
-    if (isTaken) take(socket);
+    host.onAnswered(relay.origin, isTaken ? "taken" : "refused");
+    if (isTaken) take(socket, relay);
     else {
       socket.on("error", () => {});
       socket.end(Buffer.of(REFUSED), () => socket.destroy());
@@ -92,7 +105,7 @@
     (socket) => {
       sockets.add(socket);
       socket.on("close", () => sockets.delete(socket));
-      awaitPreface(socket, () => answer(socket));
+      awaitPreface(socket, (relay) => answer(socket, relay));
     },
   );
 
@@ -104,6 +117,10 @@
       if (connection !== undefined) connection.hasRequest = true;
       return connection !== undefined;
     },
+    tryGetRelay({ socket }) {
+      const connection = taken.get(socket);
+      return connection && formatRelay(connection.relay);
+    },
     countOpen: () => taken.size,
     countWaiting() {
       const minTakenMs = host.clock.monotonicMs() - MAX_WAITING_MS;
@@ -121,10 +138,13 @@
 }
 
 /**
- * Calls `onRead` once the preface has been read, and closes the connection if
- * anything else is read or the time-out passes.
+ * Calls `onRead` with the preface once it has been read, and closes the
+ * connection if anything else is read or the time-out passes.
  */
-function awaitPreface(socket: Socket, onRead: () => void): void {
+function awaitPreface(
+  socket: Socket,
+  onRead: (relay: RelayId) => void,
+): void {
   let received = Buffer.alloc(0);
 
   function stop(): void {
@@ -143,11 +163,13 @@
 
   function read(bytes: Buffer): void {
     received = Buffer.concat([received, bytes]);
-    if (!PREFACE.subarray(0, received.length).equals(received)) return close();
-    if (received.length < PREFACE.length) return;
+    const isWhole = received.includes("\n");
+    if (!isWhole && received.length < MAX_PREFACE_BYTES) return;
+    const relay = tryDecodePreface(received);
+    if (relay === undefined) return close();
     stop();
     socket.pause();
-    onRead();
+    onRead(relay);
   }
 
   const timeout = startTimeout(HANDOFF_TIMEOUT_MS, close);
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -56,7 +56,9 @@
   deepStrictEqual([sent.taken, sent.targets], [1, [target.peerAddress]]);
   const [received] = target.decisions;
   ok(received?.event === "connections-received");
-  deepStrictEqual([received.taken, received.origins], [1, ["127.0.0.1"]]);
+  deepStrictEqual([received.taken, received.origins], [1, [
+    origin.peerAddress,
+  ]]);
 });
 
 test("a response that is reset at the target is reset at the caller, not ended", async () => {
@@ -113,7 +115,7 @@
   caller.socket.end();
   ok((await caller.read).text.endsWith("here"));
   deepStrictEqual(origin.served, ["/once"]);
-  deepStrictEqual(received, ["AZH1"]);
+  deepStrictEqual(received, [`AZH2 ${origin.peerAddress} 1 1\n`]);
   origin.pass();
   const [sent] = origin.decisions;
   ok(sent?.event === "connections-handed-off");
@@ -175,6 +177,13 @@
   await once(caller.socket, "data");
   await pair.origin.handoff[Symbol.asyncDispose]();
   strictEqual((await caller.read).isReset, true);
+  const cut = pair.origin.decisions.find((each) => each.event === "relay-cut");
+  ok(cut?.event === "relay-cut");
+  deepStrictEqual([cut.cause, cut.target, cut.relay], [
+    "exit",
+    pair.target.peerAddress,
+    `${pair.origin.peerAddress}#1`,
+  ]);
 });
 
 test("a taken connection without a request is in flight at the target", async () => {
--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -1,7 +1,8 @@
 /**
  * The protocol by which one host hands a connection off to another: the origin
- * connects and sends a preface, the target answers with one byte. After an
- * accepting byte, the connection carries the caller's bytes unchanged.
+ * connects and sends a preface, a line that names the relay; the target answers
+ * with one byte. After an accepting byte, the connection carries the caller's
+ * bytes unchanged.
  *
  * @module
  */
@@ -15,8 +16,44 @@
 /** How a host answered as the target. */
 export type ReceivedOutcome = Exclude<AttemptOutcome, "unreachable">;
 
-/** First bytes from the origin; the digit is the version of the protocol. */
-export const PREFACE = Buffer.from("AZH1");
+/** One connection that an origin hands off. */
+export interface RelayId {
+  /** Peer address of the origin. */
+  readonly origin: string;
+  /** Incarnation of the origin's process. */
+  readonly incarnation: number;
+  /** Counts the connections that this process has offered. */
+  readonly number: number;
+}
+
+/** Longest preface in bytes. */
+export const MAX_PREFACE_BYTES = 96;
+
+/** The digit is the version of the protocol. */
+const PREFACE_PATTERN = /^AZH2 ([\d.]+:\d+) (\d{1,15}) (\d{1,15})\n$/;
+
+/** Returns the first bytes from the origin. */
+export function encodePreface(relay: RelayId): Buffer {
+  const { origin, incarnation, number } = relay;
+  return Buffer.from(`AZH2 ${origin} ${incarnation} ${number}\n`);
+}
+
+/** Reads a whole preface; `undefined` if it is none. */
+export function tryDecodePreface(bytes: Buffer): RelayId | undefined {
+  const match = PREFACE_PATTERN.exec(bytes.toString("latin1"));
+  if (match === null) return undefined;
+  const [, origin = "", incarnation, number] = match;
+  return {
+    origin,
+    incarnation: Number(incarnation),
+    number: Number(number),
+  };
+}
+
+/** Names the relay in log lines of both hosts. */
+export function formatRelay({ origin, number }: RelayId): string {
+  return `${origin}#${number}`;
+}
 
 /** The target's answer if it takes the connection. */
 export const ACCEPTED = 1;
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -33,13 +33,21 @@
   readonly target: Socket;
 }
 
-/**
- * Starts the relay; `onClosed` is called once both connections are closed.
- * Disposal resets both.
- */
+/** Why a relay closed the caller's connection in place of the target. */
+export type RelayCut = "target-lost" | "target-silent" | "exit";
+
+/** What a relay reports. */
+export interface RelayEvents {
+  /** Called if the caller's connection is reset, right before. */
+  onCut(cause: RelayCut): void;
+  /** Called once both connections are closed. */
+  onClosed(): void;
+}
+
+/** Starts the relay. Disposal resets both connections. */
 export function relayConnection(
   { caller, target }: RelayedSockets,
-  onClosed: () => void,
+  { onCut, onClosed }: RelayEvents,
 ): Disposable {
   let openSockets = 2;
   function countClosed(): void {
@@ -56,7 +64,7 @@
   });
   target.on("close", () => {
     closeTimeout?.[Symbol.dispose]();
-    if (!target.readableEnded) reset(caller);
+    if (!target.readableEnded) cut("target-lost");
     countClosed();
   });
 
@@ -66,7 +74,10 @@
   let closeTimeout: Disposable | undefined;
   target.on("end", () => {
     closeTimeout?.[Symbol.dispose]();
-    if (isResetRead(target)) return reset(caller);
+    if (isResetRead(target)) {
+      onCut("target-lost");
+      return reset(caller);
+    }
     stopHolding();
     caller.unpipe(target);
     caller.resume();
@@ -99,10 +110,21 @@
     caller.pipe(target);
     caller.on("end", () => {
       if (target.readableEnded || target.destroyed) return;
-      closeTimeout = startTimeout(TARGET_CLOSE_TIMEOUT_MS, resetBoth);
+      closeTimeout = startTimeout(
+        TARGET_CLOSE_TIMEOUT_MS,
+        () => cut("target-silent"),
+      );
     });
   }
 
+  /** Resets the caller's connection; the target's follows it. */
+  function cut(cause: RelayCut): void {
+    // Behind the target's end, the response is whole and on its way.
+    if (caller.destroyed || target.readableEnded) return;
+    onCut(cause);
+    reset(caller);
+  }
+
   function resetBoth(): void {
     reset(caller);
     reset(target);
@@ -113,7 +135,12 @@
   caller.resume();
   target.pipe(caller);
 
-  return { [Symbol.dispose]: resetBoth };
+  return {
+    [Symbol.dispose]() {
+      cut("exit");
+      reset(target);
+    },
+  };
 }
 
 /**
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -445,6 +445,7 @@
     getStalledMs: () => parts.controls.stalledMs,
     mayStartRequest: () => true,
     onEnding: () => ({ [Symbol.dispose]: () => {} }),
+    tryGetRelay: () => undefined,
     getInputs: () => ({
       configVersion: 1,
       upstreamsVersion: 1,
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -49,6 +49,7 @@
   const handoff = createHandoff({
     clock,
     self: peerAddress,
+    incarnation: 1,
     maxFds: 64,
     random: Math.random,
     readLoopTimes: () => ({ ...times }),
