Close handed-off connections after early responses too

Cause: a taken connection closes with its first response, so that no failure of either host costs it more than one new request. A response that came before the request's body was read did not close it, since Node's server destroys the connection with the response, and bytes that arrive then reset it, which can cost the caller the response. Such a 404 left the connection open for all that followed; the close was asked for behind the body, when the response was out.

A response now says close whenever its connection is to close. The relay ends a caller's connection in the same way: it waits for the caller's end before it closes. This holds for stops and overload as well, where a refusal by headers alone said close and could be reset before.

--- a/src/forwarding/rejections.ts
+++ b/src/forwarding/rejections.ts
@@ -11,6 +11,7 @@
 import type { ServerResponse } from "node:http";
 import * as Data from "effect/Data";
 import type { QueueInputs } from "../diagnostics/mod.ts";
+import { endAfterRequest } from "../requests/early_response.ts";
 import type { Outcome } from "../types.ts";
 import type { CallCodec } from "./types.ts";
 
@@ -69,5 +70,5 @@
     "content-type": "application/json",
     "content-length": Buffer.byteLength(body),
   });
-  res.end(body);
+  endAfterRequest(res, body);
 }
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
+import { acceptUnlessClosing, closeAfter } from "../requests/last_response.ts";
 import {
   createEventLoopUtilization,
   type LoopTimes,
@@ -18,7 +19,6 @@
 import { createHandoffPolicy } from "./handoff_policy.ts";
 import { createHandoffReport } from "./handoff_report.ts";
 import { createHandoffServer } from "./handoff_server.ts";
-import { createLastResponses } from "./last_responses.ts";
 import {
   type AttemptOutcome,
   getHandoffAddress,
@@ -159,18 +159,15 @@
     },
   });
 
-  const lastResponses = createLastResponses();
-
   return {
     listen: () => server.listen(getHandoffAddress(self)),
     offer: origin.offer,
     acceptRequest(req, res) {
       const isTaken = server.recordRequest(req);
-      return lastResponses.acceptRequest(
-        req,
-        res,
-        isTaken || policy.isOverloaded(),
-      );
+      if (!acceptUnlessClosing(res)) return false;
+      // The next request then comes on a new connection, which can be handed off.
+      if (isTaken || policy.isOverloaded()) closeAfter(res);
+      return true;
     },
     tryGetRelay: server.tryGetRelay,
     cutRelays: () => origin[Symbol.dispose](),
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -27,6 +27,9 @@
  */
 const TARGET_CLOSE_TIMEOUT_MS = 1_000;
 
+/** Time for a peer to end its connection behind this host's end, in ms. */
+const PEER_END_TIMEOUT_MS = 1_000;
+
 /** The two connections of a relay. Both allow half-open connections. */
 export interface RelayedSockets {
   readonly caller: Socket;
@@ -82,8 +85,7 @@
     caller.unpipe(target);
     caller.resume();
     target.destroy();
-    if (caller.writableFinished) caller.destroy();
-    else caller.once("finish", () => caller.destroy());
+    closeOnceEnded(caller);
   });
 
   // The end of a caller that has left is read one iteration after its request.
@@ -143,13 +145,26 @@
   };
 }
 
+/**
+ * Ends the connection and closes it once its peer has ended it too: closing it
+ * while bytes arrive resets it, which can cost the peer what it has not read.
+ */
+function closeOnceEnded(socket: Socket): void {
+  if (socket.readableEnded) return socket.destroySoon();
+  socket.once("end", () => socket.destroySoon());
+  socket.end(() => {
+    const timeout = startTimeout(PEER_END_TIMEOUT_MS, () => socket.destroy());
+    socket.once("close", () => timeout[Symbol.dispose]());
+  });
+}
+
 /**
  * Whether the end of the input is a reset. Node reports a reset that arrives
  * together with the last bytes as an orderly end. A connection that was reset
  * has no peer any more; neither has one that both sides have ended in order.
  *
  * Node keeps the peer's address once it was asked for it, so this is the only
- * place that may ask.
+ * place that may ask for that of a target.
  */
 function isResetRead(socket: Socket): boolean {
   return !socket.writableEnded && socket.remoteAddress === undefined;
--- a/src/requests/reply.ts
+++ b/src/requests/reply.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 import {
   formatMessage,
@@ -13,6 +14,7 @@
   messages,
 } from "../diagnostics/mod.ts";
 import type { Outcome } from "../types.ts";
+import { endAfterRequest } from "./early_response.ts";
 
 /** Header with the outcome, on every final response. */
 export const OUTCOME_HEADER = "azurestile-outcome";
@@ -97,6 +99,9 @@
   }
   res.setHeader(OUTCOME_HEADER, reply.outcome);
   res.setHeader(REQUEST_HEADER, request);
-  res.writeHead(reply.status, { "content-type": "application/json" });
-  res.end(body);
+  res.writeHead(reply.status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  endAfterRequest(res, body);
 }
