Take back handed-off connections on which nothing was passed on

Cause: the neighbour that has taken the connection decides by its own drain whether a request may start, and knows nothing of the stop of the host that relays it. The same connection is lost with a neighbour that ends, closes its idle connections or is cut off, though its own host is sound.

Until a byte is passed on, neither host holds any state of the connection. Its own host now takes it back, with what it has read of it but not passed on, and serves it itself: as it begins to stop (also where a neighbour accepts the connection after that), as the neighbour closes the connection or is no longer alive, and, once it isn't overloaded, after a second without a byte. Its drain then decides, with its own grace. connections-returned and azurestile_handoff_returned_total tell how often and why.

The pipe from the target no longer ends the caller's connection by itself: its listener runs even where the relay ends within the same event.

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -35,6 +35,12 @@
         `${formatHosts(decision.origins)} at a utilization of ` +
         `${decision.utilization}; ${decision.refused} refused, ` +
         `${decision.open} open`;
+    case "connections-returned":
+      return `Took connections back from ${formatHosts(decision.targets)}: ` +
+        `${decision.originStops} as this host stops, ` +
+        `${decision.targetClosed} closed there, ` +
+        `${decision.targetGone} of hosts that are gone, ` +
+        `${decision.calm} as this host is calm; ${decision.open} open`;
     case "relay-cut":
       return `Reset the connection of ${decision.caller} that ` +
         `${decision.target} had taken as ${decision.relay} ` +
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -132,6 +132,24 @@
     /** Utilization of this host's event loop, from 0 to 1. */
     readonly utilization: number;
   }
+  | {
+    /**
+     * This host took connections back in the last second that it had handed off
+     * and on which nothing was passed on, by the cause.
+     */
+    readonly event: "connections-returned";
+    /** This host stops. */
+    readonly originStops: number;
+    readonly targetClosed: number;
+    /** The target is no neighbour any more. */
+    readonly targetGone: number;
+    /** This host is no longer overloaded. */
+    readonly calm: number;
+    /** Peer addresses of the hosts that had taken them. */
+    readonly targets: readonly string[];
+    /** Connections that this host hands off at present. */
+    readonly open: number;
+  }
   | {
     /**
      * This host reset a connection that it had handed off: the target's
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -329,7 +329,10 @@
     clock,
     graceMs: settings.stopGraceMs,
     countHandoffs: () => handoff.countInFlight(),
-    announceLeaving: () => peers.membership.leave(),
+    announceLeaving() {
+      peers.membership.leave();
+      handoff.leave();
+    },
     onPhase: (phase, inFlight) =>
       log({ event: "drain-phase", phase, inFlight }),
   });
@@ -468,6 +471,7 @@
     serve: (socket) => callers.serve(socket),
     onAsked: metrics.observeHandoff,
     onReceived: metrics.observeReceived,
+    onReturned: metrics.observeReturned,
     log,
   });
   const logServerError = logFailedTask("server");
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -9,7 +9,11 @@
 import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
 import type { GrantOutcome } from "../grants/mod.ts";
-import type { AttemptOutcome, ReceivedOutcome } from "../handoff/mod.ts";
+import type {
+  AttemptOutcome,
+  ReceivedOutcome,
+  ReturnCause,
+} from "../handoff/mod.ts";
 import type { PlacementSource } from "../prefixes/mod.ts";
 import type { HeldParts } from "./memory_watch.ts";
 import type { ProcessMemory } from "./process_memory.ts";
@@ -76,6 +80,7 @@
   observeHandoff(outcome: AttemptOutcome): void;
   /** Counts a connection that another host handed off. */
   observeReceived(outcome: ReceivedOutcome): void;
+  observeReturned(cause: ReturnCause): void;
   /** Counts a prompt with a shared prefix that was sent to an upstream. */
   observePlacement(source: PlacementSource): void;
   /** Counts a request for a grant of this host that has ended. */
@@ -244,6 +249,12 @@
     labelNames: ["outcome"],
     registers,
   });
+  const returned = new Counter({
+    name: "azurestile_handoff_returned_total",
+    help: "Connections taken back before anything was passed on, by cause",
+    labelNames: ["cause"],
+    registers,
+  });
   addGauge(
     "azurestile_handoff_open",
     "Connections that this host hands off at present",
@@ -420,6 +431,7 @@
     observeAsked: (result) => asked.inc({ result }),
     observeHandoff: (outcome) => handoffs.inc({ outcome }),
     observeReceived: (outcome) => received.inc({ outcome }),
+    observeReturned: (cause) => returned.inc({ cause }),
     observePlacement: (source) => prefixPlacements.inc({ source }),
     observeGrant: (outcome) => grants.inc({ outcome }),
     render: () => registry.metrics(),
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -24,6 +24,8 @@
   getHandoffAddress,
   getMaxHandoffs,
   type ReceivedOutcome,
+  RETURN_CAUSES,
+  type ReturnCause,
 } from "./protocol.ts";
 
 /** The handoffs of one host. Disposal ends all of them. */
@@ -48,6 +50,11 @@
    * from a caller of this host.
    */
   tryGetRelay(req: IncomingMessage): string | undefined;
+  /**
+   * Takes back the connections on which nothing was passed on, and hands off no
+   * more. To be called as this host begins to stop.
+   */
+  leave(): void;
   /** Resets the connections that this host relays. To be called at its exit. */
   cutRelays(): void;
   /** Called by a timer, many times per second. */
@@ -94,6 +101,8 @@
   onAsked(outcome: AttemptOutcome): void;
   /** Called for each connection that another host handed off. */
   onReceived(outcome: ReceivedOutcome): void;
+  /** Called for each connection that this host took back. */
+  onReturned(cause: ReturnCause): void;
   log(decision: Decision): void;
 }
 
@@ -106,11 +115,11 @@
   const asked = createHandoffReport<AttemptOutcome>(
     clock,
     ["taken", "refused", "unreachable"],
-    ({ counts, takenWith }) =>
+    ({ counts, others }) =>
       host.log({
         event: "connections-handed-off",
         ...counts,
-        targets: takenWith,
+        targets: others,
         open: policy.countOpen(),
         utilization: getLoggedUtilization(),
       }),
@@ -118,15 +127,29 @@
   const received = createHandoffReport<ReceivedOutcome>(
     clock,
     ["taken", "refused"],
-    ({ counts, takenWith }) =>
+    ({ counts, others }) =>
       host.log({
         event: "connections-received",
         ...counts,
-        origins: takenWith,
+        origins: others,
         open: server.countOpen(),
         utilization: getLoggedUtilization(),
       }),
   );
+  const returned = createHandoffReport<ReturnCause>(
+    clock,
+    RETURN_CAUSES,
+    ({ counts, others }) =>
+      host.log({
+        event: "connections-returned",
+        originStops: counts["origin-stops"],
+        targetClosed: counts["target-closed"],
+        targetGone: counts["target-gone"],
+        calm: counts.calm,
+        targets: others,
+        open: policy.countOpen(),
+      }),
+  );
   const policy = createHandoffPolicy({
     ...host,
     maxOpen,
@@ -139,6 +162,10 @@
       asked.count(target, outcome);
       host.onAsked(outcome);
     },
+    onReturned(target, cause) {
+      returned.count(target, cause);
+      host.onReturned(cause);
+    },
   });
   const server = createHandoffServer({
     clock,
@@ -170,11 +197,14 @@
       return true;
     },
     tryGetRelay: server.tryGetRelay,
+    leave: origin.leave,
     cutRelays: () => origin[Symbol.dispose](),
     tick() {
       utilization.tick();
       asked.tick();
       received.tick();
+      returned.tick();
+      origin.tick();
     },
     hasEnoughHosts: policy.hasEnoughHosts,
     getUtilization: () => policy.hasEnoughHosts() ? utilization.get() : 0,
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -4,7 +4,10 @@
  * others back to be served here.
  *
  * Nothing is read from the caller before a target has taken its connection, so
- * a request that no target takes runs here exactly once.
+ * a request that no target takes runs here exactly once. Nor has the target of a
+ * relay on which nothing was passed on: the connection is taken back once that
+ * target, or this host, no longer serves as agreed. A late request thus depends
+ * on no host but the caller's own.
  *
  * @module
  */
@@ -20,11 +23,16 @@
   formatRelay,
   HANDOFF_TIMEOUT_MS,
   type RelayId,
+  type ReturnCause,
 } from "./protocol.ts";
-import { relayConnection, reset } from "./relay_connection.ts";
+import { type Relay, relayConnection, reset } from "./relay_connection.ts";
 
 /** The handoffs of one origin. Disposal resets all connections. */
 export interface HandoffOrigin extends Disposable {
+  /** Takes back what can be, since this host stops; hands off nothing more. */
+  leave(): void;
+  /** Called by a timer, many times per second. */
+  tick(): void;
   /**
    * Connections that are being offered to a target, and relays on which the
    * caller has sent something.
@@ -54,19 +62,40 @@
   getUnreadMs(): number;
   /** Called for each host that was asked. */
   onAsked(target: string, outcome: AttemptOutcome): void;
+  /** Called for each connection that was taken back from the target. */
+  onReturned(target: string, cause: ReturnCause): void;
   log(decision: Decision): void;
 }
 
 /** Maximum number of hosts that are asked to take a connection. */
 const MAX_ATTEMPTS = 2;
 
+/** Interval at which unused relays are looked through, in ms. */
+const REVIEW_INTERVAL_MS = 250;
+
+/**
+ * Time for which a relay stays unused before a calm origin takes its connection
+ * back, in ms. Most callers send their request at once.
+ */
+const MIN_UNUSED_MS = CALLER_ABANDON_MS;
+
+/** A connection that a target has taken. */
+interface OpenRelay {
+  readonly caller: Socket;
+  readonly target: string;
+  readonly startedMs: number;
+  readonly relay: Relay;
+}
+
 /** Creates an origin without open handoffs. */
 export function createHandoffOrigin(host: HandoffOriginHost): HandoffOrigin {
   const { policy } = host;
-  /** Ends each negotiation and relay; with the caller of a relay. */
-  const running = new Map<Disposable, Socket | undefined>();
+  const negotiations = new Set<Disposable>();
+  const relays = new Set<OpenRelay>();
+  let isLeaving = false;
   let isDisposed = false;
   let offered = 0;
+  let reviewedMs = -Infinity;
 
   function createRelayId(): RelayId {
     offered++;
@@ -78,7 +107,7 @@
   }
 
   function tryBegin(): string | undefined {
-    const mayHandOff = !isDisposed && policy.mayHandOff();
+    const mayHandOff = !isLeaving && policy.mayHandOff();
     return mayHandOff ? policy.tryBegin() : undefined;
   }
 
@@ -92,24 +121,58 @@
   ): void {
     const startedMs = host.clock.monotonicMs();
     const callerAddress = `${caller.remoteAddress}:${caller.remotePort}`;
-    const relayed = relayConnection({ caller, target }, {
-      onCut: (cause) =>
-        host.log({
-          event: "relay-cut",
-          relay: formatRelay(id),
-          target: name,
-          caller: callerAddress,
-          cause,
-          callerBytes: caller.bytesRead,
-          answerBytes: caller.bytesWritten,
-          ageMs: Math.round(host.clock.monotonicMs() - startedMs),
-        }),
-      onClosed() {
-        running.delete(relayed);
-        policy.end(name);
-      },
-    });
-    running.set(relayed, caller);
+    const open: OpenRelay = {
+      caller,
+      target: name,
+      startedMs,
+      relay: relayConnection({ caller, target }, {
+        onCut: (cause) =>
+          host.log({
+            event: "relay-cut",
+            relay: formatRelay(id),
+            target: name,
+            caller: callerAddress,
+            cause,
+            callerBytes: caller.bytesRead,
+            answerBytes: caller.bytesWritten,
+            ageMs: Math.round(host.clock.monotonicMs() - startedMs),
+          }),
+        onReturned: () => serveReturned(open, "target-closed"),
+        onClosed() {
+          relays.delete(open);
+          policy.end(name);
+        },
+      }),
+    };
+    relays.add(open);
+  }
+
+  function serveReturned(open: OpenRelay, cause: ReturnCause): void {
+    relays.delete(open);
+    host.onReturned(open.target, cause);
+    if (isDisposed) reset(open.caller);
+    else host.serve(open.caller);
+  }
+
+  function takeBack(open: OpenRelay, cause: ReturnCause): void {
+    open.relay.release();
+    serveReturned(open, cause);
+  }
+
+  function tryGetReturnCause(open: OpenRelay): ReturnCause | undefined {
+    if (isLeaving) return "origin-stops";
+    if (!policy.isNeighbour(open.target)) return "target-gone";
+    const unusedMs = host.clock.monotonicMs() - open.startedMs;
+    const isDue = unusedMs >= MIN_UNUSED_MS && !policy.isOverloaded();
+    return isDue ? "calm" : undefined;
+  }
+
+  function reviewUnused(): void {
+    for (const open of [...relays]) {
+      if (open.relay.isUsed()) continue;
+      const cause = tryGetReturnCause(open);
+      if (cause !== undefined) takeBack(open, cause);
+    }
   }
 
   function negotiate(caller: Socket, firstTarget: string): void {
@@ -123,6 +186,11 @@
       target = name;
       asked = askTarget(name, id, (answer) => {
         record(answer.outcome);
+        if (answer.outcome === "taken" && isLeaving) {
+          reset(answer.socket);
+          policy.end(name);
+          return serveHere();
+        }
         if (answer.outcome === "taken") {
           stop();
           relay({ caller, target: answer.socket, name, id });
@@ -141,7 +209,7 @@
 
     function stop(): void {
       timeout[Symbol.dispose]();
-      running.delete(negotiation);
+      negotiations.delete(negotiation);
     }
 
     function serveHere(): void {
@@ -161,15 +229,24 @@
         reset(caller);
       },
     };
-    running.set(negotiation, undefined);
+    negotiations.add(negotiation);
     ask(firstTarget);
   }
 
   return {
+    leave() {
+      isLeaving = true;
+      reviewUnused();
+    },
+    tick() {
+      const nowMs = host.clock.monotonicMs();
+      if (nowMs - reviewedMs < REVIEW_INTERVAL_MS) return;
+      reviewedMs = nowMs;
+      reviewUnused();
+    },
     countInFlight: () =>
-      [...running.values()]
-        .filter((caller) => caller === undefined || caller.bytesRead > 0)
-        .length,
+      negotiations.size +
+      [...relays].filter(({ caller }) => caller.bytesRead > 0).length,
     offer(caller) {
       const target = tryBegin();
       if (target === undefined) return host.serve(caller);
@@ -182,8 +259,10 @@
       reset(caller);
     },
     [Symbol.dispose]() {
+      isLeaving = true;
       isDisposed = true;
-      for (const each of [...running.keys()]) each[Symbol.dispose]();
+      for (const each of [...negotiations]) each[Symbol.dispose]();
+      for (const { relay } of [...relays]) relay[Symbol.dispose]();
     },
   };
 }
--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -19,6 +19,8 @@
    * limit and enough neighbouring hosts are alive.
    */
   isOverloaded(): boolean;
+  /** Whether this other host of the data centre is alive. */
+  isNeighbour(host: string): boolean;
   /** Whether enough hosts are alive in the data centre for handoffs. */
   hasEnoughHosts(): boolean;
   /** Whether a connection that arrives now should be handed off. */
@@ -138,6 +140,7 @@
 
   return {
     isOverloaded: () => isBusy() && hasEnoughHosts(),
+    isNeighbour: (other) => getNeighbours().includes(other),
     hasEnoughHosts,
     mayHandOff: () => isBusy() && open < host.maxOpen,
     tryBegin() {
--- a/src/handoff/handoff_report.ts
+++ b/src/handoff/handoff_report.ts
@@ -10,8 +10,8 @@
 /** The handoffs of one second, by outcome. */
 export interface HandoffCounts<Outcome extends string> {
   readonly counts: Readonly<Record<Outcome, number>>;
-  /** The other hosts by whom, or from whom, connections were taken. */
-  readonly takenWith: readonly string[];
+  /** The other hosts of all but the refused and unanswered ones. */
+  readonly others: readonly string[];
 }
 
 /** Counts handoffs until the second is over. */
@@ -39,7 +39,7 @@
       number
     >;
   let counts = createCounts();
-  const takenWith = new Set<string>();
+  const others = new Set<string>();
   let isEmpty = true;
   let reportedMs = -Infinity;
 
@@ -47,17 +47,21 @@
     count(other, outcome) {
       isEmpty = false;
       counts[outcome]++;
-      if (outcome === "taken") takenWith.add(other);
+      if (!isFailed(outcome)) others.add(other);
     },
     tick() {
       if (isEmpty) return;
       const nowMs = clock.monotonicMs();
       if (nowMs - reportedMs < REPORT_INTERVAL_MS) return;
       reportedMs = nowMs;
-      onReport({ counts, takenWith: [...takenWith].sort() });
+      onReport({ counts, others: [...others].sort() });
       counts = createCounts();
-      takenWith.clear();
+      others.clear();
       isEmpty = true;
     },
   };
 }
+
+function isFailed(outcome: string): boolean {
+  return outcome === "refused" || outcome === "unreachable";
+}
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -4,11 +4,16 @@
 import type { ServerResponse } from "node:http";
 import { createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
+import {
+  setImmediate as endIteration,
+  setTimeout as sleep,
+} from "node:timers/promises";
 import { endAfterRequest } from "../requests/early_response.ts";
 import {
   createGet,
   drawPeerAddress,
+  type HandoffCaller,
+  type HandoffFixture,
   openCaller,
   startHandoffHost,
 } from "../testing/handoff_hosts.ts";
@@ -16,8 +21,15 @@
 
 const BODY = "x".repeat(1_000_000);
 
-/** An overloaded host, and an idle one that answers as given. */
-async function startPair(answer: (res: ServerResponse) => void) {
+interface HandoffPair extends AsyncDisposable {
+  readonly origin: HandoffFixture;
+  readonly target: HandoffFixture;
+}
+
+/** Starts an overloaded host, and an idle one that answers as given. */
+async function startPair(
+  answer: (res: ServerResponse) => void,
+): Promise<HandoffPair> {
   const target = await startHandoffHost((_, res) => answer(res));
   const origin = await startHandoffHost(
     (_, res) => void res.end("served by the origin"),
@@ -216,6 +228,76 @@
   await until(() => origin.handoff.countInFlight() === 0);
 });
 
+/** Hands a connection off on which its caller sends nothing. */
+async function openSilent(pair: HandoffPair) {
+  const caller = openCaller(pair.origin.callerAddress, "");
+  await until(() => pair.target.handoff.countInFlight() === 1);
+  await until(() => pair.origin.handoff.countOpen() === 1);
+  return caller;
+}
+
+/** Asserts that the next request of the caller is served by the origin. */
+async function assertServedByOrigin(
+  pair: HandoffPair,
+  caller: HandoffCaller,
+): Promise<void> {
+  await until(() => pair.target.handoff.countInFlight() === 0);
+  caller.socket.write(createGet("/late"));
+  await once(caller.socket, "data");
+  deepStrictEqual([pair.origin.served, pair.target.served], [["/late"], []]);
+  caller.socket.destroy();
+}
+
+for (
+  const [when, change] of [
+    ["the origin stops", ({ origin }) => origin.handoff.leave()],
+    [
+      "the target's process ends",
+      ({ target }) => target.handoff[Symbol.asyncDispose](),
+    ],
+    ["the target is no longer a neighbour", ({ origin }) => {
+      origin.state.targets = [];
+      origin.pass();
+    }],
+    ["the origin is calm", ({ origin }) => {
+      origin.state.isBusy = false;
+      origin.pass();
+    }],
+  ] satisfies [string, (pair: HandoffPair) => void][]
+) {
+  test(`a connection on which nothing was sent is served by its origin once ${when}`, async () => {
+    // Guards against a late request that is lost with a host that needn't serve it.
+    await using pair = await startPair((res) => void res.end("there"));
+    const caller = await openSilent(pair);
+    await change(pair);
+    await assertServedByOrigin(pair, caller);
+  });
+}
+
+test("a request that was read but not passed on is served by an origin that stops", async () => {
+  await using pair = await startPair((res) => void res.end("there"));
+  const { origin, target } = pair;
+  const caller = await openSilent(pair);
+  caller.socket.write(createGet("/read"));
+  while (origin.handoff.countInFlight() === 0) await endIteration();
+  origin.handoff.leave();
+  await once(caller.socket, "data");
+  deepStrictEqual([origin.served, target.served], [["/read"], []]);
+  caller.socket.destroy();
+});
+
+test("a connection that a target takes as its origin stops is served by the origin", async () => {
+  await using pair = await startPair((res) => void res.end("there"));
+  const { origin, target } = pair;
+  const caller = openCaller(origin.callerAddress, "");
+  while (origin.handoff.countOpen() === 0) await endIteration();
+  origin.handoff.leave();
+  caller.socket.write(createGet("/late"));
+  await once(caller.socket, "data");
+  deepStrictEqual([origin.served, target.served], [["/late"], []]);
+  caller.socket.destroy();
+});
+
 test("a slow caller holds back the target", async () => {
   // Guards against responses that pile up in the memory of the origin.
   const chunk = new Uint8Array(1_000_000);
--- a/src/handoff/mod.ts
+++ b/src/handoff/mod.ts
@@ -6,4 +6,8 @@
 
 export type { LoopTimes } from "./event_loop_utilization.ts";
 export * from "./handoff.ts";
-export type { AttemptOutcome, ReceivedOutcome } from "./protocol.ts";
+export type {
+  AttemptOutcome,
+  ReceivedOutcome,
+  ReturnCause,
+} from "./protocol.ts";
--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -16,6 +16,21 @@
 /** How a host answered as the target. */
 export type ReceivedOutcome = Exclude<AttemptOutcome, "unreachable">;
 
+/**
+ * Why an origin took back a connection on which nothing was passed on: it stops,
+ * the target closed it, the target is no neighbour any more, or the origin is
+ * calm again.
+ */
+export type ReturnCause = typeof RETURN_CAUSES[number];
+
+/** All of them. */
+export const RETURN_CAUSES = [
+  "origin-stops",
+  "target-closed",
+  "target-gone",
+  "calm",
+] as const;
+
 /** One connection that an origin hands off. */
 export interface RelayId {
   /** Peer address of the origin. */
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -6,12 +6,13 @@
  * host only passes on. Failures prevented: a truncated response that looks
  * complete; a disconnect that the target does not see; a response that
  * accumulates in memory while its caller reads slowly; a request of a caller that
- * has already left.
+ * has already left; a request that is lost with a target that has read nothing
+ * of it.
  *
  * Apart from what is read from the caller in the first two event-loop
  * iterations, the relay holds no bytes besides the buffers of the two sockets,
- * since each is read only while the other accepts data. Its only timer runs
- * after the caller's end: the target applies the time-outs of callers.
+ * since each is read only while the other accepts data. Its only timers run
+ * after an end: the target applies the time-outs of callers.
  *
  * @module
  */
@@ -43,54 +44,82 @@
 export interface RelayEvents {
   /** Called if the caller's connection is reset, right before. */
   onCut(cause: RelayCut): void;
-  /** Called once both connections are closed. */
+  /**
+   * Called if the target closes its connection before a byte was passed on: the
+   * caller's connection is no longer part of the relay.
+   */
+  onReturned(): void;
+  /** Called once the connections of the relay are closed. */
   onClosed(): void;
 }
 
-/** Starts the relay. Disposal resets both connections. */
+/** A relay. Disposal resets both connections. */
+export interface Relay extends Disposable {
+  /** Whether a byte has been passed on, in either direction. */
+  isUsed(): boolean;
+  /**
+   * Closes the target's connection and releases the caller's, from which no
+   * byte of a request counts as read. Only for a relay that isn't used.
+   */
+  release(): void;
+}
+
+/** Starts the relay. */
 export function relayConnection(
   { caller, target }: RelayedSockets,
-  { onCut, onClosed }: RelayEvents,
-): Disposable {
+  { onCut, onReturned, onClosed }: RelayEvents,
+): Relay {
   let openSockets = 2;
+  let hasPassedOn = false;
+  let isReleased = false;
+  /** Whether the target has ended its connection in order, behind a response. */
+  let isAnswered = false;
+  let closeTimeout: Disposable | undefined;
+  // The end of a caller that has left is read one iteration after its request.
+  const held: Buffer[] = [];
+  let iteration: NodeJS.Immediate | undefined;
+
   function countClosed(): void {
     openSockets--;
     if (openSockets === 0) onClosed();
   }
 
-  // `close` follows each error, which therefore needs no handling of its own.
-  caller.on("error", () => {});
-  target.on("error", () => {});
-  caller.on("close", () => {
+  function isUsed(): boolean {
+    return hasPassedOn || caller.bytesWritten > 0;
+  }
+
+  function onCallerClosed(): void {
     reset(target);
     countClosed();
-  });
-  target.on("close", () => {
+  }
+
+  function onTargetClosed(): void {
     closeTimeout?.[Symbol.dispose]();
-    if (!target.readableEnded) cut("target-lost");
+    if (!isAnswered) loseTarget();
     countClosed();
-  });
+  }
+
+  /** The target's connection has failed, or was closed before it was used. */
+  function loseTarget(): void {
+    if (caller.destroyed || isReleased) return;
+    if (isUsed()) return cut("target-lost");
+    release();
+    onReturned();
+  }
 
   // An HTTP server closes its connection in both directions at once. Bytes that
   // the caller sends after that would make the target's kernel reset the
   // connection, which must not cut off the end of the response.
-  let closeTimeout: Disposable | undefined;
-  target.on("end", () => {
+  function onTargetEnded(): void {
     closeTimeout?.[Symbol.dispose]();
-    if (isResetRead(target)) {
-      onCut("target-lost");
-      return reset(caller);
-    }
+    if (!isUsed() || isResetRead(target)) return loseTarget();
+    isAnswered = true;
     stopHolding();
     caller.unpipe(target);
     caller.resume();
     target.destroy();
     closeOnceEnded(caller);
-  });
-
-  // The end of a caller that has left is read one iteration after its request.
-  const held: Buffer[] = [];
-  let iteration: NodeJS.Immediate | undefined;
+  }
 
   function hold(bytes: Buffer): void {
     held.push(bytes);
@@ -103,11 +132,17 @@
     caller.off("end", resetBoth);
   }
 
+  /** Puts back what was read and not passed on. */
+  function unreadHeld(): void {
+    caller.pause();
+    if (held.length > 0) caller.unshift(Buffer.concat(held.splice(0)));
+  }
+
   function passOn(): void {
     stopHolding();
     if (caller.destroyed || target.destroyed) return;
-    caller.pause();
-    caller.unshift(Buffer.concat(held));
+    hasPassedOn = true;
+    unreadHeld();
     // A pipe waits for its destination to drain, and ends it after its source.
     caller.pipe(target);
     caller.on("end", () => {
@@ -119,10 +154,20 @@
     });
   }
 
+  function release(): void {
+    isReleased = true;
+    stopHolding();
+    target.unpipe(caller);
+    caller.off("error", ignoreError);
+    caller.off("close", onCallerClosed);
+    unreadHeld();
+    countClosed();
+    reset(target);
+  }
+
   /** Resets the caller's connection; the target's follows it. */
   function cut(cause: RelayCut): void {
-    // Behind the target's end, the response is whole and on its way.
-    if (caller.destroyed || target.readableEnded) return;
+    if (caller.destroyed || isAnswered) return;
     onCut(cause);
     reset(caller);
   }
@@ -132,12 +177,20 @@
     reset(target);
   }
 
+  // `close` follows each error, which therefore needs no handling of its own.
+  caller.on("error", ignoreError);
+  target.on("error", ignoreError);
+  caller.on("close", onCallerClosed);
+  target.on("close", onTargetClosed);
+  target.on("end", onTargetEnded);
   caller.on("data", hold);
   caller.on("end", resetBoth);
   caller.resume();
-  target.pipe(caller);
+  target.pipe(caller, { end: false });
 
   return {
+    isUsed,
+    release,
     [Symbol.dispose]() {
       cut("exit");
       reset(target);
@@ -145,6 +198,8 @@
   };
 }
 
+function ignoreError(): void {}
+
 /**
  * Ends the connection and closes it once its peer has ended it too: closing it
  * while bytes arrive resets it, which can cost the peer what it has not read.
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -21,7 +21,13 @@
   readonly decisions: readonly Decision[];
   /** URLs of the requests that it was given. */
   readonly served: readonly string[];
-  readonly state: { isBusy: boolean; isDraining: boolean; unreadMs: number };
+  readonly state: {
+    isBusy: boolean;
+    isDraining: boolean;
+    unreadMs: number;
+    /** Peer addresses of the neighbours that are alive and not full. */
+    targets: readonly string[];
+  };
   /** Lets seconds pass with the event loop as busy as `state` says. */
   pass(): void;
 }
@@ -44,7 +50,12 @@
   const callerAddress = peerAddress.replace(":7300", ":7380");
   const decisions: Decision[] = [];
   const served: string[] = [];
-  const state = { isBusy: targets.length > 0, isDraining: false, unreadMs: 0 };
+  const state = {
+    isBusy: targets.length > 0,
+    isDraining: false,
+    unreadMs: 0,
+    targets,
+  };
   const times = { active: 0, idle: 0 };
   const handoff = createHandoff({
     clock,
@@ -56,7 +67,7 @@
     getUnreadMs: () => state.unreadMs,
     getAliveHosts: () => [
       peerAddress,
-      ...targets,
+      ...state.targets,
       "full-1",
       "full-2",
       "full-3",
@@ -67,6 +78,7 @@
     serve: (socket) => callers.serve(socket),
     onAsked: () => {},
     onReceived: () => {},
+    onReturned: () => {},
     log: (decision) => void decisions.push(decision),
   });
   const callers = createCallerServer({
