Tell targets until when a stopping host relays

A caller whose request had arrived in part as its host got SIGTERM, on a connection that a neighbour had taken, sent the rest 2 s later: the neighbour started it, and the host's exit cut it without an answer. A call that the neighbour ran since before the signal, for longer than the grace, was closed without an answer too, where a call at the host itself gets a 502.

Cause: whether a request may start, and what is answered at the end, depends on the drain of the host that runs it. It knew nothing of the stop of the host that relays, which parses nothing and can answer nothing itself.

A host that stops now tells the target of each relay that carries something, on a connection of its own: its peer address, its incarnation, and for how long it relays. What callers send meanwhile waits at the host, so that nothing starts in ignorance of a late or lost notice. The target refuses, as not run, what would end later, and answers what is open at that time with 503 or 502, 100 ms before the end of the origin's drain, whose flush now waits for relays too. A new process at the same address has another incarnation. Ruled out: the news of membership, which comes by gossip, has no time and names an address; a field in the relayed bytes would have to be parsed for each of them.

stop-announced and origin-stopping have the notice at both hosts.

"what a caller sends as its host stops is passed on once the target knows of the stop" needs the notice.

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -35,6 +35,15 @@
         `${formatHosts(decision.origins)} at a utilization of ` +
         `${decision.utilization}; ${decision.refused} refused, ` +
         `${decision.open} open`;
+    case "stop-announced":
+      return decision.isKnown
+        ? `Told ${decision.target} of the stop, after ${decision.tookMs} ms ` +
+          `and ${decision.attempts} attempts`
+        : `${decision.target} did not answer when told of the stop; it is ` +
+          `told again`;
+    case "origin-stopping":
+      return `${decision.origin} stops and relays for ${decision.leftMs} ms ` +
+        `more; ${decision.open} of its connections are open here`;
     case "connections-returned":
       return `Took connections back from ${formatHosts(decision.targets)}: ` +
         `${decision.originStops} as this host stops, ` +
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -132,6 +132,29 @@
     /** Utilization of this host's event loop, from 0 to 1. */
     readonly utilization: number;
   }
+  | {
+    /**
+     * This host, which stops, told the target of connections that it relays, or
+     * got no answer to its first attempt.
+     */
+    readonly event: "stop-announced";
+    /** Peer address of the target. */
+    readonly target: string;
+    readonly isKnown: boolean;
+    readonly attempts: number;
+    /** Time since the first attempt, in ms. */
+    readonly tookMs: number;
+  }
+  | {
+    /** A host whose connections this host has taken told it that it stops. */
+    readonly event: "origin-stopping";
+    /** Its peer address. */
+    readonly origin: string;
+    /** Time for which it still relays, in ms. */
+    readonly leftMs: number;
+    /** Its connections that are open here. */
+    readonly open: number;
+  }
   | {
     /**
      * This host took connections back in the last second that it had handed off
--- a/src/entry/drain.ts
+++ b/src/entry/drain.ts
@@ -16,9 +16,9 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { Clock } from "../core/mod.ts";
-import type { Ending } from "../forwarding/mod.ts";
 import { onResponseClosed } from "../requests/caller.ts";
 import { closeAfterLatest } from "../requests/last_response.ts";
+import type { Ending } from "../types.ts";
 
 /** The requests in flight and the state of the drain. */
 export interface Drain {
@@ -57,8 +57,11 @@
    * host.
    */
   countHandoffs(): number;
-  /** Announces to the other hosts that this host is leaving. */
-  announceLeaving(): void;
+  /**
+   * Announces to the other hosts that this host is leaving. Its drain ends at
+   * `endMs`, in monotonic ms.
+   */
+  announceLeaving(endMs: number): void;
   onPhase(phase: "leaving" | "ending", inFlight: number): void;
 }
 
@@ -119,18 +122,19 @@
 
   /** Waits, for a short time only, until all responses are sent. */
   const flush = Effect.gen(function* () {
-    while (openResponses.size > 0) yield* Effect.sleep(FLUSH_CHECK_INTERVAL_MS);
+    while (countInFlight() > 0) yield* Effect.sleep(FLUSH_CHECK_INTERVAL_MS);
   }).pipe(Effect.raceFirst(Effect.sleep(MAX_FLUSH_MS)));
 
   const run = Effect.fnUntraced(function* (askedMs: number) {
     startedMs = askedMs;
-    host.announceLeaving();
+    const endMs = askedMs + maxDrainMs;
+    host.announceLeaving(endMs);
     for (const res of openResponses) closeAfterLatest(res);
     host.onPhase("leaving", countInFlight());
     while (!isDone()) yield* Effect.sleep(CHECK_INTERVAL_MS);
     hasEnded = true;
     host.onPhase("ending", countInFlight());
-    const ending = { stoppedMs: startedMs, exitMs: startedMs + maxDrainMs };
+    const ending: Ending = { by: "self", stoppedMs: askedMs, exitMs: endMs };
     const cut = countInFlight();
     for (const end of [...endingListeners]) end(ending);
     yield* flush;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -329,9 +329,9 @@
     clock,
     graceMs: settings.stopGraceMs,
     countHandoffs: () => handoff.countInFlight(),
-    announceLeaving() {
+    announceLeaving(endMs) {
       peers.membership.leave();
-      handoff.leave();
+      handoff.leave(endMs);
     },
     onPhase: (phase, inFlight) =>
       log({ event: "drain-phase", phase, inFlight }),
@@ -444,8 +444,18 @@
     getTurnOverrunMs: loopMonitor.getTurnOverrunMs,
     getUnreadMs: loopMonitor.getUnreadMs,
     getStalledMs: loopMonitor.getStalledMs,
-    mayStartRequest: drain.mayStartRequest,
-    onEnding: drain.onEnding,
+    mayStartRequest: (req, deadlineMs) =>
+      drain.mayStartRequest(deadlineMs) && handoff.lasts(req, deadlineMs),
+    onEnding(req, run) {
+      const own = drain.onEnding(run);
+      const relayed = handoff.onEnding(req, run);
+      return {
+        [Symbol.dispose]() {
+          own[Symbol.dispose]();
+          relayed?.[Symbol.dispose]();
+        },
+      };
+    },
     tryGetRelay: (req) => handoff.tryGetRelay(req),
     getInputs: platformView.getInputs,
     log,
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -32,6 +32,7 @@
 import type { WarmUps } from "../warmup/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
 import type { BodyTrace } from "./body_trace.ts";
+import type { Ending } from "../types.ts";
 import type { HeldMemory } from "./held_memory.ts";
 import type { IncarnationProofs } from "./incarnation_proofs.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
@@ -109,12 +110,15 @@
    */
   getStalledMs(): number;
   /**
-   * Whether a request with this deadline, in monotonic ms, may start: as a rule,
-   * if the process runs until then.
+   * Whether the request may start with this deadline, in monotonic ms: as a rule,
+   * if this process, and one that relays the connection, run until then.
    */
-  mayStartRequest(deadlineMs: number): boolean;
-  /** Calls `run` when the process is about to exit, unless disposed of before. */
-  onEnding(run: (ending: Ending) => void): Disposable;
+  mayStartRequest(req: IncomingMessage, deadlineMs: number): boolean;
+  /**
+   * Calls `run` when this process, or one that relays the connection of the
+   * request, is about to exit, unless disposed of before.
+   */
+  onEnding(req: IncomingMessage, run: (ending: Ending) => void): Disposable;
   /**
    * Returns the name of the relay by which the request came, if its connection
    * was handed off to this host; it is in the log lines of both hosts.
@@ -127,14 +131,6 @@
   random(): number;
 }
 
-/** The end of a host that is stopping. */
-export interface Ending {
-  /** Monotonic milliseconds at which it was told to stop. */
-  readonly stoppedMs: number;
-  /** Monotonic milliseconds at which the drain has to end, shortly before the exit. */
-  readonly exitMs: number;
-}
-
 /** The end of a request, as reported to the metrics. */
 export interface CallEnd {
   readonly route: string | undefined;
--- a/src/forwarding/open_at_exit.ts
+++ b/src/forwarding/open_at_exit.ts
@@ -1,6 +1,6 @@
 /**
- * Ends the requests that are open when this host, which is stopping, is about to
- * exit. Their callers get a complete response in place of a closed connection,
+ * Ends the requests that are open when this host, or the one that relays their
+ * connection, is stopping and about to exit. Their callers get a complete response in place of a closed connection,
  * and learn whether they may send the request again.
  *
  * @module
@@ -8,28 +8,30 @@
 
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import type { Ending, ForwardHost } from "./call.ts";
+import type { Ending } from "../types.ts";
+import type { ForwardHost } from "./call.ts";
 import { createNotRunRejection, Rejected } from "./rejections.ts";
 import type { RequestState } from "./request_end.ts";
 import { LEAVING_RETRY_MS } from "./retry_after.ts";
 
-/** Fails, and logs the request, when this host is about to exit. */
+/** Fails, and logs the request, when one of the two is about to exit. */
 export function failAtExit(
   host: ForwardHost,
   state: RequestState,
   res: ServerResponse,
 ): Effect.Effect<never, Rejected> {
   return Effect.callback<never, Rejected>((resume) => {
-    const listener = host.onEnding((ending) => {
+    const listener = host.onEnding(res.req, (ending) => {
       logOpen(host, state, { res, ending });
-      resume(Effect.fail(createExitRejection(state)));
+      resume(Effect.fail(createExitRejection(state, ending)));
     });
     return Effect.sync(() => listener[Symbol.dispose]());
   });
 }
 
-function createExitRejection(state: RequestState): Rejected {
-  const reason = "This host has to exit before the request is complete";
+function createExitRejection(state: RequestState, { by }: Ending): Rejected {
+  const host = by === "self" ? "This host" : "The host that relays it";
+  const reason = `${host} has to exit before the request is complete`;
   return mayHaveRun(state)
     ? new Rejected({ status: 502, reason })
     : createNotRunRejection(reason, LEAVING_RETRY_MS);
--- a/src/forwarding/serve.ts
+++ b/src/forwarding/serve.ts
@@ -263,8 +263,8 @@
   host: ForwardHost,
   call: Call,
 ): Effect.Effect<void, Rejected> {
-  if (!host.mayStartRequest(call.deadlineMs)) {
-    const reason = "This host is shutting down";
+  if (!host.mayStartRequest(call.req, call.deadlineMs)) {
+    const reason = "A host of this connection is shutting down";
     return Effect.fail(createNotRunRejection(reason, LEAVING_RETRY_MS));
   }
   return Effect.void;
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
+import type { Ending } from "../types.ts";
 import { acceptUnlessClosing, closeAfter } from "../requests/last_response.ts";
 import {
   createEventLoopUtilization,
@@ -51,10 +52,24 @@
    */
   tryGetRelay(req: IncomingMessage): string | undefined;
   /**
-   * Takes back the connections on which nothing was passed on, and hands off no
-   * more. To be called as this host begins to stop.
+   * Whether the connection of the request is there until the deadline, in
+   * monotonic ms, as far as the host that relays it has said.
    */
-  leave(): void;
+  lasts(req: IncomingMessage, deadlineMs: number): boolean;
+  /**
+   * Calls `run` when the host that relays the connection of the request is about
+   * to exit, unless disposed of before; `undefined` if none relays it.
+   */
+  onEnding(
+    req: IncomingMessage,
+    run: (ending: Ending) => void,
+  ): Disposable | undefined;
+  /**
+   * To be called as this host begins to stop, with the time in monotonic ms at
+   * which its drain ends. Takes back the connections on which nothing was passed
+   * on, hands off no more, and tells the targets of the others.
+   */
+  leave(endMs: number): void;
   /** Resets the connections that this host relays. To be called at its exit. */
   cutRelays(): void;
   /** Called by a timer, many times per second. */
@@ -106,6 +121,12 @@
   log(decision: Decision): void;
 }
 
+/**
+ * Time before the end of this host's drain at which its targets end what is open,
+ * in ms, so that their last responses still pass.
+ */
+const RELAY_MARGIN_MS = 100;
+
 /** Creates the handoff of a host that takes no connections yet. */
 export function createHandoff(host: HandoffHost): Handoff {
   const { clock, self } = host;
@@ -184,6 +205,7 @@
       received.count(from, outcome);
       host.onReceived(outcome);
     },
+    log: host.log,
   });
 
   return {
@@ -197,7 +219,9 @@
       return true;
     },
     tryGetRelay: server.tryGetRelay,
-    leave: origin.leave,
+    lasts: server.lasts,
+    onEnding: server.onEnding,
+    leave: (endMs) => origin.leave(endMs - RELAY_MARGIN_MS),
     cutRelays: () => origin[Symbol.dispose](),
     tick() {
       utilization.tick();
--- a/src/handoff/handoff_client.ts
+++ b/src/handoff/handoff_client.ts
@@ -1,5 +1,5 @@
 /**
- * Asks one host whether it takes a connection.
+ * Asks one host whether it takes a connection, or tells it of a stop.
  *
  * @module
  */
@@ -9,9 +9,7 @@
 import {
   ACCEPTED,
   type AttemptOutcome,
-  encodePreface,
   getHandoffAddress,
-  type RelayId,
 } from "./protocol.ts";
 
 /** The answer of a target. */
@@ -24,12 +22,13 @@
   | { readonly outcome: Exclude<AttemptOutcome, "taken"> };
 
 /**
- * Connects to the host with this peer address and calls `onAnswer` once, later.
+ * Connects to the host with this peer address, sends the preface and calls
+ * `onAnswer` once, later.
  * Disposal closes the connection without an answer; it has no effect after one.
  */
 export function askTarget(
   peerAddress: string,
-  relay: RelayId,
+  preface: Buffer,
   onAnswer: (answer: TargetAnswer) => void,
 ): Disposable {
   const [host, port] = getHandoffAddress(peerAddress).split(":");
@@ -67,7 +66,7 @@
   socket.on("data", readAnswer);
   socket.on("end", endUnreachable);
   socket.on("close", endUnreachable);
-  socket.write(encodePreface(relay));
+  socket.write(preface);
 
   return {
     [Symbol.dispose]() {
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -20,17 +20,23 @@
 import {
   type AttemptOutcome,
   CALLER_ABANDON_MS,
+  encodeHandoff,
   formatRelay,
   HANDOFF_TIMEOUT_MS,
   type RelayId,
   type ReturnCause,
 } from "./protocol.ts";
 import { type Relay, relayConnection, reset } from "./relay_connection.ts";
+import { createStopNotices } from "./stop_notices.ts";
 
 /** The handoffs of one origin. Disposal resets all connections. */
 export interface HandoffOrigin extends Disposable {
-  /** Takes back what can be, since this host stops; hands off nothing more. */
-  leave(): void;
+  /**
+   * Hands off nothing more, since this host stops, and takes back what can be.
+   * The other relays go on until `endMs`, in monotonic ms; what their callers
+   * still send is passed on once the target knows that.
+   */
+  leave(endMs: number): void;
   /** Called by a timer, many times per second. */
   tick(): void;
   /**
@@ -90,6 +96,7 @@
 /** Creates an origin without open handoffs. */
 export function createHandoffOrigin(host: HandoffOriginHost): HandoffOrigin {
   const { policy } = host;
+  const notices = createStopNotices(host);
   const negotiations = new Set<Disposable>();
   const relays = new Set<OpenRelay>();
   let isLeaving = false;
@@ -167,6 +174,15 @@
     return isDue ? "calm" : undefined;
   }
 
+  function announceStop(target: string, endMs: number): void {
+    const getRelays = () =>
+      [...relays].filter((each) => each.target === target);
+    for (const { relay } of getRelays()) relay.pausePassingOn();
+    notices.send(target, endMs, () => {
+      for (const { relay } of getRelays()) relay.resumePassingOn();
+    });
+  }
+
   function reviewUnused(): void {
     for (const open of [...relays]) {
       if (open.relay.isUsed()) continue;
@@ -184,7 +200,7 @@
     function ask(name: string): void {
       attempts++;
       target = name;
-      asked = askTarget(name, id, (answer) => {
+      asked = askTarget(name, encodeHandoff(id), (answer) => {
         record(answer.outcome);
         if (answer.outcome === "taken" && isLeaving) {
           reset(answer.socket);
@@ -234,9 +250,11 @@
   }
 
   return {
-    leave() {
+    leave(endMs) {
       isLeaving = true;
       reviewUnused();
+      const targets = new Set([...relays].map(({ target }) => target));
+      for (const target of targets) announceStop(target, endMs);
     },
     tick() {
       const nowMs = host.clock.monotonicMs();
@@ -261,6 +279,7 @@
     [Symbol.dispose]() {
       isLeaving = true;
       isDisposed = true;
+      notices[Symbol.dispose]();
       for (const each of [...negotiations]) each[Symbol.dispose]();
       for (const { relay } of [...relays]) relay[Symbol.dispose]();
     },
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -1,8 +1,9 @@
 /**
  * Takes connections that other hosts hand off, and serves them like those of
- * this host's own callers, with one difference: the response closes the
- * connection. A failure of this host thus costs a caller at most one request on
- * a new connection, and its next request chooses a host anew.
+ * this host's own callers, with two differences. The response closes the
+ * connection: a failure of this host thus costs a caller at most one request on
+ * a new connection, and its next request chooses a host anew. And no request
+ * starts that the host which relays it won't see to its end.
  *
  * @module
  */
@@ -11,12 +12,17 @@
 import type { IncomingMessage } from "node:http";
 import { createServer, type Socket } from "node:net";
 import { type Clock, startListening, startTimeout } from "../core/mod.ts";
+import type { Decision } from "../diagnostics/mod.ts";
+import type { Ending } from "../types.ts";
+import { createOriginStops } from "./origin_stops.ts";
 import {
   ACCEPTED,
   CALLER_ABANDON_MS,
   formatRelay,
   HANDOFF_TIMEOUT_MS,
   MAX_PREFACE_BYTES,
+  type OriginStop,
+  type Preface,
   type ReceivedOutcome,
   REFUSED,
   type RelayId,
@@ -37,6 +43,19 @@
    * the origin have as well; `undefined` if it came from a caller.
    */
   tryGetRelay(req: IncomingMessage): string | undefined;
+  /**
+   * Whether the connection of the request is there until the deadline, in
+   * monotonic ms, as far as is known.
+   */
+  lasts(req: IncomingMessage, deadlineMs: number): boolean;
+  /**
+   * Calls `run` when the host that relays the connection of the request is about
+   * to exit, unless disposed of before; `undefined` if none relays it.
+   */
+  onEnding(
+    req: IncomingMessage,
+    run: (ending: Ending) => void,
+  ): Disposable | undefined;
   /** The taken connections that are open. */
   countOpen(): number;
   /**
@@ -64,6 +83,7 @@
   onError(reason: string): void;
   /** Called for each answer with the peer address of the origin. */
   onAnswered(origin: string, outcome: ReceivedOutcome): void;
+  log(decision: Decision): void;
 }
 
 /** A connection that this host has taken. */
@@ -78,6 +98,7 @@
 export function createHandoffServer(host: HandoffServerHost): HandoffServer {
   const sockets = new Set<Socket>();
   const taken = new Map<Socket, TakenConnection>();
+  const stops = createOriginStops(host.clock);
 
   function take(socket: Socket, relay: RelayId): void {
     taken.set(socket, {
@@ -100,12 +121,27 @@
     }
   }
 
+  function recordStop(socket: Socket, stop: OriginStop): void {
+    stops.record(stop);
+    socket.on("error", () => {});
+    socket.end(Buffer.of(ACCEPTED), () => socket.destroy());
+    const { origin, incarnation, leftMs } = stop;
+    const open =
+      [...taken.values()].filter(({ relay }) =>
+        relay.origin === origin && relay.incarnation === incarnation
+      ).length;
+    host.log({ event: "origin-stopping", origin, leftMs, open });
+  }
+
   const server = createServer(
     { allowHalfOpen: true, noDelay: true },
     (socket) => {
       sockets.add(socket);
       socket.on("close", () => sockets.delete(socket));
-      awaitPreface(socket, (relay) => answer(socket, relay));
+      awaitPreface(socket, (preface) => {
+        if (preface.kind === "handoff") answer(socket, preface.relay);
+        else recordStop(socket, preface.stop);
+      });
     },
   );
 
@@ -121,6 +157,15 @@
       const connection = taken.get(socket);
       return connection && formatRelay(connection.relay);
     },
+    lasts({ socket }, deadlineMs) {
+      const connection = taken.get(socket);
+      return connection === undefined ||
+        stops.lasts(connection.relay, deadlineMs);
+    },
+    onEnding({ socket }, run) {
+      const connection = taken.get(socket);
+      return connection && stops.onEnding(connection.relay, run);
+    },
     countOpen: () => taken.size,
     countWaiting() {
       const minTakenMs = host.clock.monotonicMs() - MAX_WAITING_MS;
@@ -129,6 +174,7 @@
         .length;
     },
     async [Symbol.asyncDispose]() {
+      stops[Symbol.dispose]();
       if (!server.listening) return;
       const closed = new Promise((resolve) => server.close(resolve));
       for (const socket of sockets) socket.destroy();
@@ -143,7 +189,7 @@
  */
 function awaitPreface(
   socket: Socket,
-  onRead: (relay: RelayId) => void,
+  onRead: (preface: Preface) => void,
 ): void {
   let received = Buffer.alloc(0);
 
@@ -165,11 +211,11 @@
     received = Buffer.concat([received, bytes]);
     const isWhole = received.includes("\n");
     if (!isWhole && received.length < MAX_PREFACE_BYTES) return;
-    const relay = tryDecodePreface(received);
-    if (relay === undefined) return close();
+    const preface = tryDecodePreface(received);
+    if (preface === undefined) return close();
     stop();
     socket.pause();
-    onRead(relay);
+    onRead(preface);
   }
 
   const timeout = startTimeout(HANDOFF_TIMEOUT_MS, close);
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -45,6 +45,36 @@
   };
 }
 
+/** Listens for handoffs at the peer address, and takes all of them. */
+async function startRawTarget(peerAddress: string) {
+  const received: string[] = [];
+  const sockets: Socket[] = [];
+  const state = { isAnsweringStops: true };
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.on("data", (bytes) => {
+      const text = bytes.toString();
+      received.push(text);
+      const isStop = text.startsWith("AZS2");
+      const isAnswered = isStop && state.isAnsweringStops;
+      if (isAnswered || text.startsWith("AZH2")) socket.write(Buffer.of(1));
+    });
+  });
+  const [ip, port] = getHandoffAddress(peerAddress).split(":");
+  server.listen(Number(port), ip);
+  await once(server, "listening");
+  return {
+    received,
+    state,
+    async [Symbol.asyncDispose]() {
+      for (const each of sockets) each.destroy();
+      server.close();
+      await once(server, "close");
+    },
+  };
+}
+
 async function until(condition: () => boolean): Promise<void> {
   while (!condition()) await sleep(5);
 }
@@ -250,7 +280,7 @@
 
 for (
   const [when, change] of [
-    ["the origin stops", ({ origin }) => origin.handoff.leave()],
+    ["the origin stops", ({ origin }) => origin.handoff.leave(8_000)],
     [
       "the target's process ends",
       ({ target }) => target.handoff[Symbol.asyncDispose](),
@@ -280,7 +310,7 @@
   const caller = await openSilent(pair);
   caller.socket.write(createGet("/read"));
   while (origin.handoff.countInFlight() === 0) await endIteration();
-  origin.handoff.leave();
+  origin.handoff.leave(8_000);
   await once(caller.socket, "data");
   deepStrictEqual([origin.served, target.served], [["/read"], []]);
   caller.socket.destroy();
@@ -291,13 +321,37 @@
   const { origin, target } = pair;
   const caller = openCaller(origin.callerAddress, "");
   while (origin.handoff.countOpen() === 0) await endIteration();
-  origin.handoff.leave();
+  origin.handoff.leave(8_000);
   caller.socket.write(createGet("/late"));
   await once(caller.socket, "data");
   deepStrictEqual([origin.served, target.served], [["/late"], []]);
   caller.socket.destroy();
 });
 
+test("what a caller sends as its host stops is passed on once the target knows of the stop", async () => {
+  // Guards against a run that the stop cuts, since the target learned of it late.
+  const peer = drawPeerAddress();
+  await using target = await startRawTarget(peer);
+  await using origin = await startHandoffHost((_, res) => void res.end(), [
+    peer,
+  ]);
+  const caller = openCaller(origin.callerAddress, "GET /a");
+  await until(() => target.received.join("").endsWith("GET /a"));
+  target.state.isAnsweringStops = false;
+  origin.handoff.leave(8_000);
+  caller.socket.write(" HTTP/1.1");
+  await until(() => target.received.join("").includes("AZS2"));
+  await sleep(100);
+  ok(!target.received.join("").includes(" HTTP/1.1"));
+  target.state.isAnsweringStops = true;
+  await until(() => target.received.join("").includes(" HTTP/1.1"));
+  const [handoff, ...stops] = target.received.join("").match(/AZ.*\n/g) ?? [];
+  strictEqual(handoff, `AZH2 ${origin.peerAddress} 1 1\n`);
+  ok(stops.length > 1);
+  match(stops.at(-1)!, /^AZS2 \S+ 1 \d+\n$/);
+  caller.socket.destroy();
+});
+
 test("a slow caller holds back the target", async () => {
   // Guards against responses that pile up in the memory of the origin.
   const chunk = new Uint8Array(1_000_000);
--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -2,7 +2,8 @@
  * The protocol by which one host hands a connection off to another: the origin
  * connects and sends a preface, a line that names the relay; the target answers
  * with one byte. After an accepting byte, the connection carries the caller's
- * bytes unchanged.
+ * bytes unchanged. An origin that stops tells its targets so by another preface,
+ * on a connection that ends with the answer.
  *
  * @module
  */
@@ -44,25 +45,47 @@
 /** Longest preface in bytes. */
 export const MAX_PREFACE_BYTES = 96;
 
-/** The digit is the version of the protocol. */
-const PREFACE_PATTERN = /^AZH2 ([\d.]+:\d+) (\d{1,15}) (\d{1,15})\n$/;
+/** An origin that stops. */
+export interface OriginStop extends Omit<RelayId, "number"> {
+  /** Time for which it still relays, in ms. */
+  readonly leftMs: number;
+}
+
+/** The first bytes from an origin. */
+export type Preface =
+  | { readonly kind: "handoff"; readonly relay: RelayId }
+  | { readonly kind: "stop"; readonly stop: OriginStop };
+
+/** Begins the preface of each kind; the digit is the version of the protocol. */
+const HANDOFF_WORD = "AZH2";
+const STOP_WORD = "AZS2";
 
-/** Returns the first bytes from the origin. */
-export function encodePreface(relay: RelayId): Buffer {
+const PREFACE_PATTERN =
+  /^(AZH2|AZS2) ([\d.]{7,15}:\d{1,5}) (\d{1,15}) (\d{1,15})\n$/;
+
+/** Returns the preface that offers a connection. */
+export function encodeHandoff(relay: RelayId): Buffer {
   const { origin, incarnation, number } = relay;
-  return Buffer.from(`AZH2 ${origin} ${incarnation} ${number}\n`);
+  return Buffer.from(`${HANDOFF_WORD} ${origin} ${incarnation} ${number}\n`);
+}
+
+/** Returns the preface that announces a stop. */
+export function encodeStop(
+  { origin, incarnation, leftMs }: OriginStop,
+): Buffer {
+  return Buffer.from(`${STOP_WORD} ${origin} ${incarnation} ${leftMs}\n`);
 }
 
 /** Reads a whole preface; `undefined` if it is none. */
-export function tryDecodePreface(bytes: Buffer): RelayId | undefined {
+export function tryDecodePreface(bytes: Buffer): Preface | undefined {
   const match = PREFACE_PATTERN.exec(bytes.toString("latin1"));
   if (match === null) return undefined;
-  const [, origin = "", incarnation, number] = match;
-  return {
-    origin,
-    incarnation: Number(incarnation),
-    number: Number(number),
-  };
+  const [, word, origin = ""] = match;
+  const incarnation = Number(match[3]);
+  const value = Number(match[4]);
+  return word === HANDOFF_WORD
+    ? { kind: "handoff", relay: { origin, incarnation, number: value } }
+    : { kind: "stop", stop: { origin, incarnation, leftMs: value } };
 }
 
 /** Names the relay in log lines of both hosts. */
--- a/src/handoff/relay_connection.ts
+++ b/src/handoff/relay_connection.ts
@@ -62,6 +62,9 @@
    * byte of a request counts as read. Only for a relay that isn't used.
    */
   release(): void;
+  /** Reads no more from the caller until `resumePassingOn`. */
+  pausePassingOn(): void;
+  resumePassingOn(): void;
 }
 
 /** Starts the relay. */
@@ -191,6 +194,15 @@
   return {
     isUsed,
     release,
+    pausePassingOn() {
+      if (isAnswered) return;
+      caller.unpipe(target);
+      caller.pause();
+    },
+    resumePassingOn() {
+      if (isAnswered || caller.destroyed || target.destroyed) return;
+      caller.pipe(target);
+    },
     [Symbol.dispose]() {
       cut("exit");
       reset(target);
--- a/src/types.ts
+++ b/src/types.ts
@@ -103,3 +103,16 @@
   /** Digest of what the request asks for, without its id. */
   readonly fingerprint: string;
 }
+
+/** The end of a host that is stopping. */
+export interface Ending {
+  /** This host, or the origin that relays a connection to it. */
+  readonly by: "self" | "origin";
+  /**
+   * Monotonic milliseconds at which it was told to stop, or this host learned of
+   * the origin's stop.
+   */
+  readonly stoppedMs: number;
+  /** Monotonic milliseconds at which the drain has to end, shortly before the exit. */
+  readonly exitMs: number;
+}
