Pass no part on as complete whose upstream never read the upload

Cause: such a body counts as whole if no reset follows its end within 50 ms. A reset comes as late as the upstream closes. With an upload that fits into this host's kernel, which takes some 3.9 MB here, nothing else shows.

The upstream's kernel acknowledges no more than its buffers hold. Behind the end of a body without a length, for a request of more than 64 KB, this host now reads from the kernel's table of connections how much of the request is unacknowledged: while that falls it waits, and if it stops above zero the answer is cut off, like one whose reset was seen. Ruled out: whether the upload was written, which only shows above 3.9 MB; a longer wait, which delays sound answers and moves the limit; the close of a half-closed connection, which looks alike for an acknowledgement and a reset.

Open: uploads of up to 64 KB, and kernels without that table, go by the 50 ms alone.

--- a/src/forwarding/connection_end.ts
+++ b/src/forwarding/connection_end.ts
@@ -12,10 +12,16 @@
  * writes an empty line, which an upstream that has closed its side ignores. The
  * write fails at once on a connection that was reset before it.
  *
+ * An upstream that responds and ends before it has read a long request resets
+ * the connection too, however late it closes. Its kernel acknowledges no more of
+ * the request than its buffers hold, which shows before the reset comes.
+ *
  * @module
  */
 
 import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { tryCountUnacknowledged } from "./unacknowledged.ts";
 
 /** How a connection ended: in order, or by a reset or an abort. */
 export type ConnectionEnd = "closed" | "failed";
@@ -26,19 +32,34 @@
  */
 const RESET_WAIT_MS = 50;
 
+/**
+ * Size of a request body, in bytes, that the peer's kernel may acknowledge though
+ * nobody reads it.
+ */
+const MAX_UNREAD_BYTES = 64 * 1024;
+
 /**
  * Watches a connection that carries nothing after the body that it is
- * receiving. The socket's present listeners for its end, which destroy it, are
+ * receiving, and on which a request with `sentBytes` of body was sent. The socket's present listeners for its end, which destroy it, are
  * called only once it is known how it ended. Never rejects.
  */
-export function watchConnectionEnd(socket: Socket): Promise<ConnectionEnd> {
+export function watchConnectionEnd(
+  socket: Socket,
+  sentBytes: number,
+): Promise<ConnectionEnd> {
   const endListeners = socket.listeners("end");
   socket.removeAllListeners("end");
   socket.allowHalfOpen = true;
   return new Promise((resolve) => {
     socket.on("error", () => resolve("failed"));
     socket.once("close", () => resolve("failed"));
-    socket.once("end", () => setTimeout(probe, RESET_WAIT_MS));
+    socket.once("end", () => setTimeout(checkRequest, RESET_WAIT_MS));
+
+    async function checkRequest(): Promise<void> {
+      const mayBeUnread = sentBytes > MAX_UNREAD_BYTES;
+      if (mayBeUnread && await isStuck(socket)) socket.destroy();
+      else probe();
+    }
 
     function probe(): void {
       socket.write("\r\n", (err) => {
@@ -49,3 +70,14 @@
     }
   });
 }
+
+/** Whether the peer has stopped to acknowledge what was sent, before its end. */
+async function isStuck(socket: Socket): Promise<boolean> {
+  let before = Infinity;
+  while (true) {
+    const left = await tryCountUnacknowledged(socket) ?? 0;
+    if (left === 0 || left >= before) return left > 0;
+    before = left;
+    await sleep(RESET_WAIT_MS);
+  }
+}
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -234,14 +234,14 @@
 
 /** Watches for the end of the body. To be called with the head. */
 function watchBodyEnd(
-  { method, address, getRemainingMs, getStalledMs }: UpstreamCall,
+  { method, address, body, getRemainingMs, getStalledMs }: UpstreamCall,
   res: IncomingMessage,
 ): Effect.Effect<BodyEnd> {
   if (getBodyFraming(res, method) !== "until-close") {
     return Effect.sync(() => ({ kind: "framed", isReceived: res.complete }));
   }
   const { socket } = res;
-  const connection = watchConnectionEnd(socket);
+  const connection = watchConnectionEnd(socket, body.length);
   const pauses = watchReadingPauses(res);
   let unreadMs = 0;
   const contact = new Promise<ConnectResult>((resolve) => {
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -164,6 +164,8 @@
   readonly responseMemoryBytes?: number;
   /** Bytes that the bodies of the host's requests may take. */
   readonly requestMemoryBytes?: number;
+  /** Most bytes of the body of one request; that of the configuration if left out. */
+  readonly maxBodyBytes?: number;
   /** Software version of each upstream; that of the fixture's entries if left out. */
   readonly softwareVersions?: readonly string[];
   /** How upstreams fetch prefixes from each other; they do not if left out. */
@@ -187,6 +189,7 @@
     lastAddresses = [],
     responseMemoryBytes = HELD_MEMORY_BYTES,
     requestMemoryBytes = HELD_MEMORY_BYTES,
+    maxBodyBytes,
     softwareVersions = [],
     memoryTransfer,
     prefixes = createLonePlacements(),
@@ -230,10 +233,15 @@
 
   updateDirectory();
   const route = createRoute({ hasPrompts: false, ...routeChanges });
-  const services = createRoutingConfig().services
+  const defaults = createRoutingConfig();
+  const services = defaults.services
     .map((each) => ({ ...each, memoryTransfer }));
+  const callerLimits = {
+    ...defaults.callerLimits,
+    ...(maxBodyBytes === undefined ? {} : { maxBodyBytes }),
+  };
   let routes = createRouteTable(
-    createRoutingConfig({ routes: [route], services }),
+    createRoutingConfig({ routes: [route], services, callerLimits }),
   );
   const controls: Controls = {
     isOverloaded: false,
@@ -301,6 +309,7 @@
         version: version + 1,
         routes: [{ ...route, ...changes }],
         services,
+        callerLimits,
       }));
     },
     call: (options = {}) => send(port, options),
