End what is answered by a switch of protocols at once, and never pass it on

Cause: Node gives 101 to the listener of final responses, unlike the other statuses below 200, and the check of heads let pass what a server can write. A response that upgrades ends the request with neither a response nor an error if nobody listens for it.

A status below 200 is none of a final response now: the attempt has failed, and the request goes on as behind any broken response. What switches protocols ends each request that this system sends: attempts, reports, calls of the store, orders, calls and streams of the other program. Two of these had no other end: an order and a call without a response hung, as their time-outs destroy a request that is destroyed already.

--- a/src/core/mod.ts
+++ b/src/core/mod.ts
@@ -9,6 +9,7 @@
 export * from "./core.ts";
 export * from "./dispose.ts";
 export * from "./hlc.ts";
+export * from "./http_requests.ts";
 export * from "./listen.ts";
 export * from "./ports.ts";
 export * from "./timers.ts";
--- a/src/forwarding/read_report.ts
+++ b/src/forwarding/read_report.ts
@@ -6,7 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import { type Agent, type IncomingMessage, request } from "node:http";
-import { startTimeout } from "../core/mod.ts";
+import { onProtocolSwitched, startTimeout } from "../core/mod.ts";
 import type { ReceivedReport } from "./incarnation_proofs.ts";
 import type { CallCodec, UpstreamReport } from "./types.ts";
 
@@ -57,6 +57,7 @@
     }
 
     req.on("response", readBody);
+    onProtocolSwitched(req, endUnknown);
     req.on("error", (err) => endUnknown(err.message));
     req.end();
   });
--- a/src/forwarding/unwritable_heads.ts
+++ b/src/forwarding/unwritable_heads.ts
@@ -1,14 +1,15 @@
 /**
- * Finds heads of responses that can't be passed on: Node's client accepts names
- * and statuses that its server refuses to write.
+ * Finds heads of responses that can't be passed on: names and statuses that
+ * Node's client accepts and its server refuses to write, a status that only an
+ * interim response may have, for which a caller would wait on.
  *
  * @module
  */
 
 import { type IncomingMessage, validateHeaderName } from "node:http";
 
-/** Lowest and highest status of a response that a server can write. */
-const MIN_STATUS = 100;
+/** Lowest and highest status of a final response (RFC 9110, section 15). */
+const MIN_STATUS = 200;
 const MAX_STATUS = 999;
 
 /** What of the head can't be written; `undefined` if all can. */
@@ -19,7 +20,7 @@
   >,
 ): string | undefined {
   if (statusCode < MIN_STATUS || statusCode > MAX_STATUS) {
-    return `The status ${statusCode} is none of HTTP`;
+    return `The status ${statusCode} is none of a final response`;
   }
   const name = rawHeaders.find((each, at) => at % 2 === 0 && !isName(each));
   return name === undefined
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -14,7 +14,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
-import { isAddress, startTimeout } from "../core/mod.ts";
+import { isAddress, onProtocolSwitched, startTimeout } from "../core/mod.ts";
 import type { ConnectResult } from "../crashes/mod.ts";
 import { getBodyFraming } from "../upstreams/mod.ts";
 import type { AttemptTrace } from "./attempt_trace.ts";
@@ -163,6 +163,10 @@
       });
       req.once("close", () => overhead[Symbol.dispose]());
     });
+    onProtocolSwitched(
+      req,
+      (reason) => fail(isSent ? "broken" : "unwanted", reason),
+    );
     req.on("response", (res) => {
       if (!isSent) {
         return fail("unwanted", "A response came before the request was sent");
--- a/src/orders/order_client.ts
+++ b/src/orders/order_client.ts
@@ -6,7 +6,7 @@
 
 import { request as sendRequest } from "node:http";
 import * as Effect from "effect/Effect";
-import { startTimeout } from "../core/mod.ts";
+import { onProtocolSwitched, startTimeout } from "../core/mod.ts";
 import type { Upstream } from "../types.ts";
 import { formatOrder, type Order, type OrderResult } from "./types.ts";
 
@@ -54,6 +54,7 @@
       res.resume();
       finish(res.statusCode === 200 ? "taken" : "refused");
     });
+    onProtocolSwitched(req, () => finish("unanswered"));
     // The upstream does not execute a request whose body was never sent.
     req.on("error", () => finish(isSent ? "unanswered" : "lapsed"));
     req.on("socket", (socket) =>
--- a/src/testing/raw_server.ts
+++ b/src/testing/raw_server.ts
@@ -37,6 +37,10 @@
 export const JSON_HEAD =
   "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
 
+/** A response that switches to a protocol that nobody asked for. */
+export const SWITCHING_RESPONSE = "HTTP/1.1 101 Switching Protocols\r\n" +
+  "connection: upgrade\r\nupgrade: other\r\n\r\n";
+
 /** The part of a JSON body in each framing: length, chunks, neither. */
 export function cutResponses(whole: string, part: string): readonly string[] {
   return [
--- a/src/upstreams/http_upstreams.ts
+++ b/src/upstreams/http_upstreams.ts
@@ -9,7 +9,11 @@
 import { type IncomingMessage, request as sendRequest } from "node:http";
 import * as Effect from "effect/Effect";
 import { createParser } from "eventsource-parser";
-import { getErrorMessage, startTimeout } from "../core/mod.ts";
+import {
+  getErrorMessage,
+  onProtocolSwitched,
+  startTimeout,
+} from "../core/mod.ts";
 import { getBodyFraming } from "./body_framing.ts";
 import {
   type CancelResult,
@@ -142,10 +146,13 @@
       else res.on("close", () => timeout[Symbol.dispose]());
       resolve(res);
     });
-    req.on("error", (err) => {
+    function fail(err: Error): void {
       timeout[Symbol.dispose]();
       reject(toUpstreamError(err));
-    });
+    }
+
+    req.on("error", fail);
+    onProtocolSwitched(req, (reason) => fail(new Error(reason)));
     req.end(call.body);
   });
 }
--- a/src/upstreams/http_upstreams_test.ts
+++ b/src/upstreams/http_upstreams_test.ts
@@ -12,6 +12,7 @@
   cutResponses,
   JSON_HEAD,
   listenRaw,
+  SWITCHING_RESPONSE,
 } from "../testing/raw_server.ts";
 import {
   createHttpUpstreams,
@@ -205,3 +206,30 @@
   await Effect.runPromise(followed);
   deepStrictEqual(delivered, [...Array(STREAM_TOKENS).keys()]);
 });
+
+test("a response that switches protocols ends a call and a stream at once", async () => {
+  // Guards against a request that waits for its time-out though nothing can come.
+  await using upstream = await listenRaw((socket) =>
+    void socket.write(SWITCHING_RESPONSE)
+  );
+  const { address } = upstream;
+  const upstreams = createHttpUpstreams();
+  const call = upstreams.call({
+    address,
+    operation: "book",
+    request: "request-1",
+    idempotencyKey: "key-1",
+    body: "{}",
+    timeoutMs: 1_000,
+  });
+  const stream = upstreams.resume({ address, stream: "stream-1" }, 0);
+  for (const each of [call, stream]) {
+    const err = await Effect.runPromise(
+      Effect.flip(each as Effect.Effect<unknown, UpstreamError>),
+    );
+    strictEqual(
+      err.reason,
+      "Status 101 switches protocols, which was not asked for",
+    );
+  }
+});
