--- a/src/forwarding/unwritable_heads_test.ts
+++ b/src/forwarding/unwritable_heads_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createForwardFixture } from "../testing/forward_fixture.ts";
-import { chunk, streamHead } from "../testing/raw_responses.ts";
+import { answer, chunk, streamHead } from "../testing/raw_responses.ts";
 
 const resumable = { kind: "stream", isResumable: true } as const;
 
@@ -19,6 +19,21 @@
   "a status below all others": (id) => streamHead(id).replace("200", "099"),
 };
 
+test("a body in a transfer coding that is not undone is not passed on", async () => {
+  // Guards against coded bytes that a caller takes for the upstream's body.
+  const codings = ["gzip", "gzip, chunked"];
+  for (const coding of codings) {
+    await using fixture = await createForwardFixture([
+      (socket, { id }) =>
+        void socket.end(
+          streamHead(id).replace("chunked", coding) + chunk("sick") +
+            "0\r\n\r\n",
+        ),
+    ], { kind: "at-most-once", isResumable: false });
+    deepStrictEqual((await fixture.call()).status, 502, coding);
+  }
+});
+
 function addLine(id: string, line: string): string {
   return streamHead(id).replace("\r\n\r\n", `\r\n${line}\r\n\r\n`);
 }
