Send no length with a response that can have no content

A 204 or 304 of an upstream went on with Content-Length: 0, the length of what was read. A server must not send one with 204, and that of a 304 is the length of another response (RFC 9110, section 8.6).

Cause: a length was written behind every buffered response. It is left out now where the framing of the upstream's response has none, which includes HEAD.

Test, failing before: "a response that can have no content is passed on without a length" (Content-Length: 0).

--- a/src/forwarding/relay_buffered.ts
+++ b/src/forwarding/relay_buffered.ts
@@ -13,6 +13,7 @@
   type ForwardHost,
   getRemainingMs,
 } from "./call.ts";
+import { getBodyFraming } from "../upstreams/mod.ts";
 import { getEligible } from "./eligible_upstreams.ts";
 import { getEndToEndHeaders } from "./headers.ts";
 import { readResponseBody } from "./response_body.ts";
@@ -112,7 +113,10 @@
   if (res.getHeader("connection") !== undefined) {
     headers.push("Connection", "close");
   }
-  headers.push("Content-Length", String(length));
+  const framing = getBodyFraming(response.res, res.req.method ?? "");
+  if (framing !== "none") {
+    headers.push("Content-Length", String(length));
+  }
   res.writeHead(statusCode, headers);
   response.trace.onRelayed(length);
   for (const chunk of chunks) res.write(chunk);
--- a/src/forwarding/unwritable_heads_test.ts
+++ b/src/forwarding/unwritable_heads_test.ts
@@ -19,6 +19,21 @@
   "a status below all others": (id) => streamHead(id).replace("200", "099"),
 };
 
+test("a response that can have no content is passed on without a length", async () => {
+  // Guards against a caller that waits for content, or takes the next response for it.
+  const statuses = ["204 No Content", "304 Not Modified"];
+  for (const status of statuses) {
+    await using fixture = await createForwardFixture([
+      (socket, { id }) => void socket.write(answer(id, "sick", status)),
+    ], { kind: "at-most-once", isResumable: false });
+    const res = await fixture.call();
+    deepStrictEqual(
+      [`${res.status}`, res.headers["content-length"]],
+      [status.slice(0, 3), undefined],
+    );
+  }
+});
+
 test("a body in a transfer coding that is not undone is not passed on", async () => {
   // Guards against coded bytes that a caller takes for the upstream's body.
   const codings = ["gzip", "gzip, chunked"];
