Split the offer of a connection from what becomes of it

handoff_origin.ts held two jobs: asking hosts for a connection, and the relays that come of it. The first is negotiation.ts. The notices of a stop keep one thing under way for each target in place of a chain of replaced ones, and the handoff takes over the server's questions on a request in place of a second copy of their documentation.

--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -9,7 +9,6 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import type { Ending } from "../types.ts";
 import { acceptUnlessClosing, closeAfter } from "../requests/last_response.ts";
 import {
   createEventLoopUtilization,
@@ -19,7 +18,7 @@
 import { createHandoffOrigin } from "./handoff_origin.ts";
 import { createHandoffPolicy } from "./handoff_policy.ts";
 import { createHandoffReport } from "./handoff_report.ts";
-import { createHandoffServer } from "./handoff_server.ts";
+import { createHandoffServer, type HandoffServer } from "./handoff_server.ts";
 import {
   type AttemptOutcome,
   getHandoffAddress,
@@ -30,7 +29,10 @@
 } from "./protocol.ts";
 
 /** The handoffs of one host. Disposal ends all of them. */
-export interface Handoff extends AsyncDisposable {
+export interface Handoff
+  extends
+    AsyncDisposable,
+    Pick<HandoffServer, "tryGetRelay" | "lasts" | "onEnding"> {
   /** Starts to take connections from other hosts. */
   listen(): Promise<void>;
   /**
@@ -45,25 +47,6 @@
    * to be closed.
    */
   acceptRequest(req: IncomingMessage, res: ServerResponse): boolean;
-  /**
-   * Returns the name of the relay by which the request came, which the lines of
-   * the host that handed the connection off have as well; `undefined` if it came
-   * from a caller of this host.
-   */
-  tryGetRelay(req: IncomingMessage): string | undefined;
-  /**
-   * Whether the connection of the request is there until the deadline, in
-   * monotonic ms, as far as the host that relays it has said.
-   */
-  lasts(req: IncomingMessage, deadlineMs: number): boolean;
-  /**
-   * Calls `run` when the host that relays the connection of the request is about
-   * to exit, unless disposed of before; `undefined` if none relays it.
-   */
-  onEnding(
-    req: IncomingMessage,
-    run: (ending: Ending) => void,
-  ): Disposable | undefined;
   /**
    * To be called as this host begins to stop, with the time in monotonic ms at
    * which its drain ends. Takes back the connections on which nothing was passed
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -13,19 +13,17 @@
  */
 
 import type { Socket } from "node:net";
-import { type Clock, startTimeout } from "../core/mod.ts";
+import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import { askTarget } from "./handoff_client.ts";
 import type { HandoffPolicy } from "./handoff_policy.ts";
 import {
   type AttemptOutcome,
   CALLER_ABANDON_MS,
-  encodeHandoff,
   formatRelay,
-  HANDOFF_TIMEOUT_MS,
   type RelayId,
   type ReturnCause,
 } from "./protocol.ts";
+import { startNegotiation } from "./negotiation.ts";
 import { type Relay, relayConnection, reset } from "./relay_connection.ts";
 import { createStopNotices } from "./stop_notices.ts";
 
@@ -73,9 +71,6 @@
   log(decision: Decision): void;
 }
 
-/** Maximum number of hosts that are asked to take a connection. */
-const MAX_ATTEMPTS = 2;
-
 /** Interval at which unused relays are looked through, in ms. */
 const REVIEW_INTERVAL_MS = 250;
 
@@ -193,60 +188,43 @@
 
   function negotiate(caller: Socket, firstTarget: string): void {
     const id = createRelayId();
-    let attempts = 0;
-    let asked: Disposable;
-    let target: string;
-
-    function ask(name: string): void {
-      attempts++;
-      target = name;
-      asked = askTarget(name, encodeHandoff(id), (answer) => {
-        record(answer.outcome);
-        if (answer.outcome === "taken" && isLeaving) {
-          reset(answer.socket);
-          policy.end(name);
-          return serveHere();
-        }
-        if (answer.outcome === "taken") {
-          stop();
-          relay({ caller, target: answer.socket, name, id });
-          return;
-        }
-        const next = attempts < MAX_ATTEMPTS ? tryBegin() : undefined;
-        if (next === undefined) serveHere();
-        else ask(next);
-      });
-    }
 
-    function record(outcome: AttemptOutcome): void {
-      policy.recordOutcome(target, outcome);
-      host.onAsked(target, outcome);
-    }
-
-    function stop(): void {
-      timeout[Symbol.dispose]();
+    function end(): void {
       negotiations.delete(negotiation);
     }
 
     function serveHere(): void {
-      stop();
+      end();
       host.serve(caller);
     }
 
-    const timeout = startTimeout(HANDOFF_TIMEOUT_MS, () => {
-      asked[Symbol.dispose]();
-      record("unreachable");
-      serveHere();
+    const negotiated = startNegotiation({
+      id,
+      firstTarget,
+      tryGetNext: tryBegin,
+      onAsked(target, outcome) {
+        policy.recordOutcome(target, outcome);
+        host.onAsked(target, outcome);
+      },
+      onTaken(name, target) {
+        if (!isLeaving) {
+          end();
+          return relay({ caller, target, name, id });
+        }
+        reset(target);
+        policy.end(name);
+        serveHere();
+      },
+      onUntaken: serveHere,
     });
     const negotiation: Disposable = {
       [Symbol.dispose]() {
-        stop();
-        asked[Symbol.dispose]();
+        end();
+        negotiated[Symbol.dispose]();
         reset(caller);
       },
     };
     negotiations.add(negotiation);
-    ask(firstTarget);
   }
 
   return {
--- a/src/handoff/stop_notices.ts
+++ b/src/handoff/stop_notices.ts
@@ -35,23 +35,13 @@
 /** Creates the notices of a host that hasn't sent any. */
 export function createStopNotices(host: StopNoticesHost): StopNotices {
   const { clock, self, incarnation } = host;
-  const running = new Set<Disposable>();
-
-  function replace(before: Disposable | undefined, next: Disposable): void {
-    if (before !== undefined) running.delete(before);
-    running.add(next);
-  }
+  /** What is under way for each target: an attempt, or the pause behind it. */
+  const running = new Map<string, Disposable>();
 
   return {
     send(target, endMs, onKnown) {
-      let attempts = 0;
-      let current: Disposable | undefined;
       const sentMs = clock.monotonicMs();
-
-      function start(next: Disposable): void {
-        replace(current, next);
-        current = next;
-      }
+      let attempts = 0;
 
       function tell(): void {
         attempts++;
@@ -61,7 +51,7 @@
           timeout[Symbol.dispose]();
           if (answer.outcome !== "taken") return retryLater();
           answer.socket.destroy();
-          running.delete(current!);
+          running.delete(target);
           log(true);
           onKnown();
         });
@@ -69,7 +59,7 @@
           asked[Symbol.dispose]();
           retryLater();
         });
-        start({
+        running.set(target, {
           [Symbol.dispose]() {
             timeout[Symbol.dispose]();
             asked[Symbol.dispose]();
@@ -79,7 +69,7 @@
 
       function retryLater(): void {
         if (attempts === 1) log(false);
-        start(startTimeout(RETRY_PAUSE_MS, tell));
+        running.set(target, startTimeout(RETRY_PAUSE_MS, tell));
       }
 
       function log(isKnown: boolean): void {
@@ -96,7 +86,7 @@
       tell();
     },
     [Symbol.dispose]() {
-      for (const each of [...running]) each[Symbol.dispose]();
+      for (const each of running.values()) each[Symbol.dispose]();
       running.clear();
     },
   };
