Keep the connections of an overloaded host's own callers behind early responses

That was more than the fault needed: such a connection leads through one host, and its close would have the host read and drop a body that may be long while it has no time.

--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -9,7 +9,6 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import { acceptUnlessClosing, closeAfter } from "../requests/last_response.ts";
 import {
   createEventLoopUtilization,
   type LoopTimes,
@@ -18,6 +17,7 @@
 import { createHandoffOrigin } from "./handoff_origin.ts";
 import { createHandoffPolicy } from "./handoff_policy.ts";
 import { createHandoffReport } from "./handoff_report.ts";
+import { type ConnectionUse, createLastResponses } from "./last_responses.ts";
 import { createHandoffServer, type HandoffServer } from "./handoff_server.ts";
 import {
   type AttemptOutcome,
@@ -191,15 +191,20 @@
     log: host.log,
   });
 
+  const lastResponses = createLastResponses();
+
+  /** A connection that leads through two hosts carries one response, whatever it is. */
+  function getUse(isTaken: boolean): ConnectionUse {
+    if (isTaken) return "close";
+    return policy.isOverloaded() ? "close-unless-early" : "keep";
+  }
+
   return {
     listen: () => server.listen(getHandoffAddress(self)),
     offer: origin.offer,
     acceptRequest(req, res) {
       const isTaken = server.recordRequest(req);
-      if (!acceptUnlessClosing(res)) return false;
-      // The next request then comes on a new connection, which can be handed off.
-      if (isTaken || policy.isOverloaded()) closeAfter(res);
-      return true;
+      return lastResponses.acceptRequest(req, res, getUse(isTaken));
     },
     tryGetRelay: server.tryGetRelay,
     lasts: server.lasts,
--- a/src/requests/early_response.ts
+++ b/src/requests/early_response.ts
@@ -29,7 +29,8 @@
   req.resume();
 }
 
-function hasBody({ headers }: IncomingMessage): boolean {
+/** Whether the request announces a body. */
+export function hasBody({ headers }: IncomingMessage): boolean {
   return headers["transfer-encoding"] !== undefined ||
     Number(headers["content-length"] ?? 0) > 0;
 }
