--- a/src/forwarding/connection_end.ts
+++ b/src/forwarding/connection_end.ts
@@ -39,9 +39,10 @@
 const MAX_UNREAD_BYTES = 64 * 1024;
 
 /**
- * Watches a connection that carries nothing after the body that it is
- * receiving, and on which a request with `sentBytes` of body was sent. The socket's present listeners for its end, which destroy it, are
- * called only once it is known how it ended. Never rejects.
+ * Watches a connection that carries nothing after the body that it is receiving,
+ * and on which a request with `sentBytes` of body was sent. The socket's present
+ * listeners for its end, which destroy it, are called only once it is known how it
+ * ended. Never rejects.
  */
 export function watchConnectionEnd(
   socket: Socket,
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -1,7 +1,6 @@
 /**
- * Hands connections off to neighbouring hosts: asks up to two of them within
- * the time-out, relays the connection that one of them takes, and gives the
- * others back to be served here.
+ * Hands connections off to neighbouring hosts: relays the connection that one of
+ * them takes, and gives the others back to be served here.
  *
  * Nothing is read from the caller before a target has taken its connection, so
  * a request that no target takes runs here exactly once. Nor has the target of a
