--- a/src/handoff/last_responses.ts
+++ b/src/handoff/last_responses.ts
@@ -21,8 +21,9 @@
 export interface LastResponses {
   /**
    * Must be called for each request, with the use of its connection. Returns
-   * `false` for a pipelined request behind the response that closes its connection, for
-   * whatever reason: it must not run, since nothing could be sent to its caller.
+   * `false` for a pipelined request behind the response that closes its
+   * connection, for whatever reason: it must not run, since nothing could be sent
+   * to its caller.
    */
   acceptRequest(
     req: IncomingMessage,
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -5,9 +5,10 @@
  * @module
  */
 
-import type { RequestListener } from "node:http";
+import type { RequestListener, ServerResponse } from "node:http";
 import { connect, type Socket } from "node:net";
 import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createManualClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import { createCallerServer } from "../entry/caller_server.ts";
@@ -155,3 +156,33 @@
 export function createGet(path: string): string {
   return `GET ${path} HTTP/1.1\r\nHost: desk.example\r\n\r\n`;
 }
+
+/** Two hosts, of which the first hands its connections off to the second. */
+export interface HandoffPair extends AsyncDisposable {
+  readonly origin: HandoffFixture;
+  readonly target: HandoffFixture;
+}
+
+/** Starts an overloaded host, and an idle one that answers as given. */
+export async function startPair(
+  answer: (res: ServerResponse) => void,
+): Promise<HandoffPair> {
+  const target = await startHandoffHost((_, res) => answer(res));
+  const origin = await startHandoffHost(
+    (_, res) => void res.end("served by the origin"),
+    [target.peerAddress],
+  );
+  return {
+    target,
+    origin,
+    async [Symbol.asyncDispose]() {
+      await origin[Symbol.asyncDispose]();
+      await target[Symbol.asyncDispose]();
+    },
+  };
+}
+
+/** Waits until the condition holds. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(5);
+}
