--- a/src/forwarding/open_at_exit.ts
+++ b/src/forwarding/open_at_exit.ts
@@ -1,7 +1,8 @@
 /**
  * Ends the requests that are open when this host, or the one that relays their
- * connection, is stopping and about to exit. Their callers get a complete response in place of a closed connection,
- * and learn whether they may send the request again.
+ * connection, is stopping and about to exit. Their callers get a complete response
+ * in place of a closed connection, and learn whether they may send the request
+ * again.
  *
  * @module
  */
