Log what a refused prompt needed, and how long and how large copies of tables are

A refusal did not say how many tokens the prompt itself needed at its upstream, nor whether its team counted as over- or underserved. table-not-fetched did not say for how long the host had known of a version that it lacked, and no line named the size of copies that did arrive.

QueueInputs gets readingTokens and standing; table-fetched is new, with bytes, tookMs and lackedMs, which table-not-fetched names too. No decision changes.

--- a/src/diagnostics/describe_decision.ts
+++ b/src/diagnostics/describe_decision.ts
@@ -106,7 +106,12 @@
         `${decision.unconfirmedMs} ms before`;
     case "table-not-fetched":
       return `${decision.peer} did not send its newer ${decision.table} ` +
-        `within ${decision.tookMs} ms`;
+        `within ${decision.tookMs} ms, ${decision.lackedMs} ms after this ` +
+        `host had heard of it`;
+    case "table-fetched":
+      return `${decision.peer} sent its ${decision.table}, ` +
+        `${decision.isNewer ? "newer" : "no newer"} than this host's, ` +
+        `${decision.bytes} bytes in ${decision.tookMs} ms`;
     case "copy-doubtful":
       return `${decision.unusableRows} rows of the copy of ${decision.table} ` +
         `by ${decision.peer} were left out`;
--- a/src/diagnostics/platform_decisions.ts
+++ b/src/diagnostics/platform_decisions.ts
@@ -54,6 +54,20 @@
     readonly table: string;
     readonly peer: string;
     readonly tookMs: number;
+    /** Time since this host first heard of a version that it lacks, in ms. */
+    readonly lackedMs: number;
+  }
+  | {
+    /** Another host sent a copy of a table. */
+    readonly event: "table-fetched";
+    readonly table: string;
+    readonly peer: string;
+    readonly tookMs: number;
+    /** Size of the copy as it was sent. */
+    readonly bytes: number;
+    readonly isNewer: boolean;
+    /** Time since this host first heard of a version that it lacked, in ms. */
+    readonly lackedMs: number;
   }
   | {
     /** A copy of a table by another host had rows that this one can't use. */
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -31,6 +31,9 @@
   readonly mostBegun: number;
 }
 
+/** What a team gets of the capacity, compared with the other teams. */
+export type TeamStanding = "overserved" | "underserved" | "even";
+
 /** Load and shares that the queue knew when it refused a prompt. */
 export interface QueueInputs {
   readonly waitedMs: number;
@@ -45,6 +48,16 @@
    * lines of earlier versions.
    */
   readonly service?: TeamServiceRates;
+  /**
+   * Whether its team got more than an even part of what was begun, or far less
+   * than others; absent in lines of earlier versions.
+   */
+  readonly standing?: TeamStanding;
+  /**
+   * Tokens that `upstream` would have had to prefill for the prompt, with the
+   * cost of attention.
+   */
+  readonly readingTokens?: number | undefined;
   /**
    * For a prompt refused on arrival: the queued requests of its team and route,
    * and the rate at which they start.
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -116,6 +116,8 @@
     upstreams: upstreams as TableReplica<unknown>,
   };
   const fetching = new Set<TableName>();
+  /** When this host first heard of a version that it lacks, in monotonic ms. */
+  const lackedSinceMs = new Map<TableName, number>();
   const unreachable = new Set<TableName>();
   const decisions = new Map<TableName, ReadingDecision>();
   const eras = createEraTracker({
@@ -146,7 +148,12 @@
         task: "read report",
         reason: `"${key}" says nothing that this host can read`,
       }),
-    fetch: (table, peer) => void fetchTableFrom(table, peer),
+    fetch(table, peer) {
+      if (!lackedSinceMs.has(table)) {
+        lackedSinceMs.set(table, host.clock.monotonicMs());
+      }
+      void fetchTableFrom(table, peer);
+    },
   });
   const directory = createUpstreamDirectory({
     clock: host.clock,
@@ -230,6 +237,7 @@
   }
 
   function onChanged(table: TableName, from: string): void {
+    lackedSinceMs.delete(table);
     eras.recordPosition(table, tables[table].getPosition(), from);
     if (table === "config") updateFromOperators(from);
     else {
@@ -238,15 +246,23 @@
     }
   }
 
+  function getLackedMs(table: TableName): number {
+    const nowMs = host.clock.monotonicMs();
+    return roundMs(nowMs - (lackedSinceMs.get(table) ?? nowMs));
+  }
+
   async function fetchTableFrom(table: TableName, peer: string): Promise<void> {
     if (fetching.has(table)) return;
     fetching.add(table);
     const sinceMs = host.clock.monotonicMs();
+    const getTimes = () => ({
+      tookMs: roundMs(host.clock.monotonicMs() - sinceMs),
+      lackedMs: getLackedMs(table),
+    });
     try {
       const bytes = await host.fetchTable(table, peer);
       if (bytes === undefined) {
-        const tookMs = Math.round(host.clock.monotonicMs() - sinceMs);
-        host.log({ event: "table-not-fetched", table, peer, tookMs });
+        host.log({ event: "table-not-fetched", table, peer, ...getTimes() });
         host.onFetched(table, "no-answer");
         return;
       }
@@ -256,6 +272,14 @@
         host.log({ event: "copy-doubtful", table, peer, unusableRows });
       }
       const isNewer = tables[table].replace(snapshot);
+      host.log({
+        event: "table-fetched",
+        table,
+        peer,
+        ...getTimes(),
+        bytes: bytes.length,
+        isNewer,
+      });
       host.onFetched(table, isNewer ? "newer" : "not-newer");
       if (isNewer) onChanged(table, peer);
     } catch (err) {
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -46,7 +46,7 @@
  * @module
  */
 
-import type { QueueInputs } from "../diagnostics/mod.ts";
+import type { QueueInputs, TeamStanding } from "../diagnostics/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import {
   defaultPromptQueueOptions,
@@ -220,12 +220,20 @@
       waiting: waiting.size,
       shareUsed: Number(host.getShareUsed(team).toFixed(2)),
       service: host.getServiceRates(team),
+      standing: getStanding(team),
     };
   }
 
+  function getStanding(team: string): TeamStanding {
+    if (host.isUnderserved(team)) return "underserved";
+    return host.isOverserved(team) ? "overserved" : "even";
+  }
+
   function getRefusalInputs(prompt: WaitingPrompt): QueueInputs {
-    const upstream = prompt.getUpstreams()[0]?.upstream;
+    const first = prompt.getUpstreams()[0];
+    const upstream = first?.upstream;
     return {
+      readingTokens: first && Math.round(first.readingTokens),
       waitedMs: Math.round(host.nowMs() - prompt.arrivedMs),
       ...getTeamInputs(prompt.team),
       yields: getYieldLevel(prompt),
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -407,6 +407,8 @@
   const seen = {
     waitedMs: 480,
     service: { asked: 0, begun: 0, mostBegun: 0 },
+    standing: "even",
+    readingTokens: 6_000,
     limitTokens: LIMIT_TOKENS,
     upstream: "a",
     load: {
