--- a/src/entry/platform_view_test.ts
+++ b/src/entry/platform_view_test.ts
@@ -3,6 +3,7 @@
 import * as Effect from "effect/Effect";
 import {
   createPlatformViewFleet,
+  type FleetOptions,
   type PlatformViewFleet,
   runFleet,
 } from "../testing/platform_view_fleet.ts";
@@ -19,15 +20,14 @@
  */
 async function measureChange(
   causeFailures: (fleet: PlatformViewFleet) => void | Effect.Effect<void>,
-  { hosts = 9, distributesTables = true } = {},
+  { routes = 1, ...options }: Partial<FleetOptions> & {
+    readonly routes?: number;
+  } = {},
 ): Promise<number> {
-  const fleet = createPlatformViewFleet({
-    hosts,
-    distributesTables,
-  });
+  const fleet = createPlatformViewFleet({ hosts: 9, ...options });
   let tookMs = 0;
   await runFleet(Effect.gen(function* () {
-    fleet.tables.putConfig(1);
+    fleet.tables.putConfig(1, routes);
     fleet.tables.putUpstreams(["one", "two"]);
     yield* fleet.start;
     // Without the distribution a host reads the tables itself after two
@@ -35,7 +35,7 @@
     yield* fleet.run(5_000);
     deepStrictEqual(new Set(fleet.getVersions()), new Set([1]));
     yield* causeFailures(fleet) ?? Effect.void;
-    fleet.tables.putConfig(2);
+    fleet.tables.putConfig(2, routes);
     const sinceMs = fleet.nowMs();
     while (fleet.getVersions().some((each) => each < 2)) {
       yield* fleet.run(10);
@@ -66,6 +66,33 @@
   ok(await measureChange(() => {}, { hosts: 90 }) <= FAULT_FREE_MS);
 });
 
+/** Three addresses of the fleet in turn, all readers among them at some time. */
+function getThirds(hosts: readonly string[]): readonly (readonly string[])[] {
+  return hosts.map((_, at) =>
+    [0, 1, 2].map((each) => hosts[(at + each) % hosts.length]!)
+  );
+}
+
+test("a change reaches hosts whose reader answers no fetch within the bound", async () => {
+  // Guards against hosts that ask one reader over and over and drop what others report.
+  for (const silent of getThirds(createPlatformViewFleet({ hosts: 9 }).hosts)) {
+    const tookMs = await measureChange((fleet) =>
+      fleet.setFetchLoss((_, peer) => silent.includes(peer))
+    );
+    ok(tookMs <= BOUND_MS, `${tookMs} ms without answers of ${silent}`);
+  }
+});
+
+test("a change of 300 routes reaches 20 hosts within the bound over a link of 4 Mbit/s", async () => {
+  // Guards against copies that are too large for all hosts to fetch in time.
+  const tookMs = await measureChange(() => {}, {
+    hosts: 20,
+    routes: 300,
+    linkBytesPerMs: 500,
+  });
+  ok(tookMs <= BOUND_MS, `${tookMs} ms`);
+});
+
 for (const treatment of ["refused", "silent"] as const) {
   test(`a change reaches hosts that the platform keeps ${treatment} within the bound`, async () => {
     // The platform rejects a third of the hosts, in the worst case including
--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -21,6 +21,8 @@
   readonly hosts: readonly number[];
   /** Its demand relative to an even part of the whole; 1 by default. */
   readonly weight?: number;
+  /** Tokens of each of its prompts; those of the options by default. */
+  readonly promptTokens?: number;
   /** When its callers begin, in ms; 0 by default. */
   readonly fromMs?: number;
 }
@@ -73,7 +75,9 @@
 export function simulateSharedUpstreams(
   options: SharedUpstreamsOptions,
 ): readonly PromptCounts[] {
-  const { promptTokens, untilMs = DEFAULT_UNTIL_MS } = options;
+  const { untilMs = DEFAULT_UNTIL_MS } = options;
+  const getPromptTokens = (team: SimulatedTeam) =>
+    team.promptTokens ?? options.promptTokens;
   const scheduler = createVirtualScheduler();
   const { clock } = scheduler;
   const random = createRandom(options.seed ?? 1);
@@ -106,7 +110,11 @@
       targetMs: TARGET_MS,
     });
 
-    function read(upstream: string, queuedTokens: number): void {
+    function read(
+      upstream: string,
+      queuedTokens: number,
+      promptTokens: number,
+    ): void {
       const startedMs = clock.monotonicMs();
       const beginMs = Math.max(startedMs, readUntilMs.get(upstream) ?? 0);
       const endMs = beginMs + promptTokens / getSpeed(beginMs);
@@ -123,6 +131,7 @@
     function submit(teamAt: number): void {
       const first = Math.floor(random() * UPSTREAMS.length);
       const team = `team-${teamAt}`;
+      const promptTokens = getPromptTokens(options.teams[teamAt]!);
       asked[teamAt]!++;
       view.recordAsked(team, promptTokens);
       view.recordWork(promptTokens, promptTokens);
@@ -145,7 +154,7 @@
           begun[teamAt]!++;
           const second = Math.floor(clock.monotonicMs() / 1_000);
           begunBySecond[teamAt]![second]!++;
-          read(upstream, queuedTokens);
+          read(upstream, queuedTokens, promptTokens);
         },
         refuse: () => {},
       });
@@ -155,8 +164,9 @@
   });
 
   const perMs = options.demandFactor * TOKENS_PER_MS * UPSTREAMS.length;
-  const periodMs = promptTokens * options.teams.length / perMs;
-  options.teams.forEach(({ hosts: used, weight = 1, fromMs = 0 }, at) => {
+  options.teams.forEach((team, at) => {
+    const { hosts: used, weight = 1, fromMs = 0 } = team;
+    const periodMs = getPromptTokens(team) * options.teams.length / perMs;
     scheduler.after(fromMs, () =>
       scheduler.every(periodMs / weight, () => {
         hosts[used[asked[at]! % used.length]!]!.submit(at);
--- a/src/queue/shared_capacity_test.ts
+++ b/src/queue/shared_capacity_test.ts
@@ -74,6 +74,27 @@
   }
 });
 
+test("a small team with large prompts gets half of what it asks beside a large team with small ones", () => {
+  // Guards against room that small prompts take, one after the other, before a large one fits.
+  const everyHost = Array.from({ length: 20 }, (_, at) => at);
+  for (const promptTokens of [8_000, 12_000, 17_000]) {
+    for (const demandFactor of [1.3, 2]) {
+      const [small] = simulateSharedUpstreams({
+        demandFactor,
+        promptTokens: 1_500,
+        teams: [
+          { hosts: [0, 1], weight: 0.15, promptTokens },
+          { hosts: everyHost, weight: 1.85 },
+        ],
+        lateShares: everyHost.map(() => 0.3),
+        statedCapacityFactor: 3,
+      });
+      const what = `${promptTokens} tokens at ${demandFactor}`;
+      ok(small!.share >= 0.5, `${small!.share.toFixed(2)} with ${what}`);
+    }
+  }
+});
+
 /** Seconds over which two teams are compared. */
 const WINDOW_S = 6;
 
--- a/src/testing/fake_tables.ts
+++ b/src/testing/fake_tables.ts
@@ -7,7 +7,7 @@
  */
 
 import * as Effect from "effect/Effect";
-import type { Clock } from "../core/mod.ts";
+import { type Clock, getDigest } from "../core/mod.ts";
 import {
   type EntryPlatform,
   type OperatorRow,
@@ -21,15 +21,19 @@
 } from "../discovery/mod.ts";
 import { TableError } from "../discovery/types.ts";
 import { createFakeVersionDirectory } from "./fake_version_directory.ts";
-import { createRoutingConfig, createUpstreamEntry } from "./routing_fixture.ts";
+import {
+  createRoute,
+  createRoutingConfig,
+  createUpstreamEntry,
+} from "./routing_fixture.ts";
 
 /** How the platform handles a host's calls. */
 export type Treatment = "served" | "slow" | "refused" | "silent";
 
 /** The platform with the controls of a test. */
 export interface FakeTables {
-  /** Writes a configuration, as operators do. */
-  putConfig(version: number): void;
+  /** Writes a configuration with that many routes, 1 if absent. */
+  putConfig(version: number, routes?: number): void;
   /** Replaces the registered upstreams. */
   putUpstreams(ids: readonly string[], softwareVersion?: string): void;
   /** Registers one more upstream. */
@@ -239,8 +243,12 @@
   }
 
   return {
-    putConfig(next) {
-      const value = createRoutingConfig({ version: next });
+    putConfig(next, routeCount = 1) {
+      const routes = Array.from(
+        { length: routeCount },
+        (_, at) => createRoute({ name: getDigest(`route ${at}`).slice(0, 8) }),
+      );
+      const value = createRoutingConfig({ version: next, routes });
       version++;
       setRows(config, [{
         key: "config",
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -43,6 +43,11 @@
   readonly seed?: number;
   /** Whether hosts distribute tables to one another; default true. */
   readonly distributesTables?: boolean;
+  /**
+   * Rate of the link over which all copies of tables pass, in bytes per ms;
+   * unlimited if absent.
+   */
+  readonly linkBytesPerMs?: number;
 }
 
 /** Entry hosts with a fake platform, in virtual time. */
@@ -78,6 +83,10 @@
   isSuspended(host: string): boolean;
   /** The versions of streams at the host; `undefined` while it is down. */
   tryGetStreams(host: string): StreamVersions | undefined;
+  /** Sets whether a host's fetch of a table from a peer gets no answer. */
+  setFetchLoss(
+    isLost: (host: string, peer: string, table: string) => boolean,
+  ): void;
   /** Sets the share of datagrams that are lost from now on. */
   setDatagramLoss(rate: number): void;
   treatAll(treatment: Treatment): void;
@@ -108,6 +117,7 @@
   options: FleetOptions,
 ): PlatformViewFleet {
   const { seed = 1, distributesTables = true } = options;
+  const { linkBytesPerMs = Infinity } = options;
   const scheduler = createVirtualScheduler();
   const { clock } = scheduler;
   const nowMs = clock.monotonicMs;
@@ -124,6 +134,9 @@
   const loggedDecisions: LoggedDecision[] = [];
   let lastIncarnation = 0;
   let lossRate = 0;
+  let isFetchLost = (_host: string, _peer: string, _table: string) => false;
+  /** When the link has sent all copies that it was given. */
+  let linkFreeMs = 0;
 
   /** The hosts that are cut off together. */
   const cut = new Set<string>();
@@ -195,6 +208,12 @@
     };
   }
 
+  /** Sends bytes over the link; returns the time until they have passed. */
+  function send(bytes: number): number {
+    linkFreeMs = Math.max(linkFreeMs, nowMs()) + bytes / linkBytesPerMs;
+    return linkFreeMs - nowMs();
+  }
+
   function fetchTable(
     host: string,
     peer: string,
@@ -202,10 +221,12 @@
   ): Promise<Uint8Array | undefined> {
     return new Promise((resolve) => {
       scheduler.after(FETCH_TIMEOUT_MS, () => resolve(undefined));
-      if (!isConnected(host, peer)) return;
+      if (!isConnected(host, peer) || isFetchLost(host, peer, name)) return;
       scheduler.after(2 * LINK_LATENCY_MS, () => {
         if (!isConnected(host, peer)) return;
-        resolve(runningHosts.get(peer)?.view.tryGetTable(name));
+        const copy = runningHosts.get(peer)?.view.tryGetTable(name);
+        const sentMs = send(copy?.length ?? 0);
+        scheduler.after(sentMs, () => resolve(copy));
       });
     });
   }
@@ -326,6 +347,9 @@
     },
     isSuspended: (host) => suspendedSinceMs.has(host),
     tryGetStreams: (host) => runningHosts.get(host)?.streams,
+    setFetchLoss(isLost) {
+      isFetchLost = isLost;
+    },
     setDatagramLoss: (rate) => lossRate = rate,
     treatAll(treatment) {
       for (const host of hosts) tables.setTreatment(host, treatment);
