Fetch tables from all hosts that offer a newer version, then read the platform

Callers saw 404 on a route 3.4 s after its change was acknowledged (CONFIG). Cause: a host fetched from one reader at a time, for up to 1.5 s, dropped what others reported meanwhile, and asked the same one again 0.7 s later. The same reports confirmed the table, so that it did not read the platform either, which it reached. The class: a report that a version exists counted as if this host had it.

A host that has lacked a version for a second reads the platform, once, and reports nothing, as all others know it. The list of upstreams goes the same way, so that a leaving upstream is heard of too.

--- a/src/discovery/mod.ts
+++ b/src/discovery/mod.ts
@@ -12,6 +12,7 @@
 export * from "./positions.ts";
 export * from "./reader_selection.ts";
 export * from "./table_replica.ts";
+export * from "./table_fetches.ts";
 export * from "./table_follower.ts";
 export * from "./table_read.ts";
 export * from "./types.ts";
--- a/src/discovery/reader_selection.ts
+++ b/src/discovery/reader_selection.ts
@@ -35,6 +35,13 @@
  */
 export const CONFIRMATION_TIMEOUT_MS = 2_000;
 
+/**
+ * A host that has lacked a version for this time, in ms, reads the table itself:
+ * no reader has given it a copy. The rest of the time within which a change must
+ * be in force is enough for that.
+ */
+export const LACK_TIMEOUT_MS = 1_000;
+
 const READER_KEY = "platform-reader";
 
 /** The inputs of the selection. */
@@ -46,16 +53,20 @@
   hasRecentFailure(host: string): boolean;
   /** Time since the last successful read of the table by any reader, in ms. */
   readonly unconfirmedMs: number;
+  /** Time for which this host has lacked a version that another one has. */
+  readonly lackedMs: number;
 }
 
 /**
- * Why a host reads a table: it ranks among the first hosts, or no reader has
- * reported a read recently ("unconfirmed"). Why it does not read: other hosts
+ * Why a host reads a table: it ranks among the first hosts, no reader has
+ * reported a read recently ("unconfirmed"), or it lacks what a reader has
+ * ("behind"). Why it does not read: other hosts
  * rank higher, or its own last read failed ("turned-away").
  */
 export type ReadingReason =
   | "first-in-rank"
   | "unconfirmed"
+  | "behind"
   | "others-first"
   | "turned-away";
 
@@ -80,6 +91,9 @@
   if (ranked.slice(0, READER_COUNT).includes(input.self)) {
     return { reads: true, because: "first-in-rank", passedOver };
   }
+  if (input.lackedMs > LACK_TIMEOUT_MS) {
+    return { reads: true, because: "behind", passedOver };
+  }
   const isExcluded = !candidates.includes(input.self);
   const because = isExcluded ? "turned-away" : "others-first";
   return { reads: false, because, passedOver };
--- a/src/discovery/reader_selection_test.ts
+++ b/src/discovery/reader_selection_test.ts
@@ -15,6 +15,7 @@
       hosts,
       hasRecentFailure: (host) => failed.includes(host),
       unconfirmedMs,
+      lackedMs: 0,
     }).reads
   );
 }
--- a/src/discovery/table_copies_test.ts
+++ b/src/discovery/table_copies_test.ts
@@ -66,7 +66,7 @@
     getChangedPosition: () => ({ version: 0 }),
     onOutageEnded: () => {},
     onUnreadable: () => {},
-    fetch: () => {},
+    onNewer: () => {},
   });
   const value = fc.oneof(
     fc.json(),
--- a/src/discovery/table_distribution.ts
+++ b/src/discovery/table_distribution.ts
@@ -70,8 +70,12 @@
   onOutageEnded(outage: TableOutage): void;
   /** Called with the key of a fact that makes no sense here. */
   onUnreadable(key: string): void;
-  /** Fetches a newer copy of the table from the reader at the address. */
-  fetch(table: TableName, peerAddress: string): void;
+  /** Called when the host at the address has a version that this one lacks. */
+  onNewer(
+    table: TableName,
+    peerAddress: string,
+    position: TablePosition,
+  ): void;
 }
 
 /** An outage of a table that has ended: no host could read it. */
@@ -83,13 +87,19 @@
   readonly failedHosts: number;
 }
 
+/** How a read of a table is recorded. */
+export interface ReadOptions {
+  /** Whether it may be reported to the other hosts; default true. */
+  readonly mayReport?: boolean;
+}
+
 /** Sends this host's reports and evaluates those of other hosts. */
 export interface TableDistribution {
   /**
    * Records that this host has read the table from the platform; `changed`
-   * tells whether its replica changed.
+   * tells whether its replica changed. Reports it if that is due.
    */
-  recordRead(table: TableName, changed: boolean): void;
+  recordRead(table: TableName, changed: boolean, options?: ReadOptions): void;
   /** Records that the platform rejected this host's read or did not answer. */
   recordFailure(table: TableName): void;
   /** Processes another host's report. */
@@ -241,7 +251,7 @@
     if (turnedAwayMsAgo === undefined) state.lastFailureMs.delete(peerAddress);
     else state.lastFailureMs.set(peerAddress, nowMs - turnedAwayMsAgo);
     if (isNewer(report, host.getPosition(table))) {
-      host.fetch(table, peerAddress);
+      host.onNewer(table, peerAddress, report);
     }
   }
 
@@ -252,12 +262,13 @@
   }
 
   return {
-    recordRead(table, changed) {
+    recordRead(table, changed, { mayReport = true } = {}) {
       const state = states[table];
       const nowMs = clock.monotonicMs();
       confirm(table, nowMs);
       state.readMs = nowMs;
       const hadFailed = state.lastFailureMs.delete(host.peerAddress);
+      if (!mayReport) return;
       const isUrgent = changed || hadFailed;
       if (isUrgent || nowMs - state.reportedMs >= CONFIRM_MS) publish(isUrgent);
     },
--- a/src/discovery/table_distribution_test.ts
+++ b/src/discovery/table_distribution_test.ts
@@ -26,7 +26,7 @@
     getChangedPosition: (table) => ({ ...platform, version: versions[table] }),
     onUnreadable: (key) => unreadable.push(key),
     onOutageEnded: (outage) => outages.push(outage),
-    fetch: (table, peer) => fetched.push(`${table} from ${peer}`),
+    onNewer: (table, peer) => fetched.push(`${table} from ${peer}`),
   });
   return {
     clock,
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -13,6 +13,7 @@
 import {
   createEvacuations,
   createTableDistribution,
+  createTableFetches,
   createTableReplica,
   createUpstreamDirectory,
   decideToRead,
@@ -26,6 +27,7 @@
   TABLE_NAMES,
   type TableDistribution,
   type TableError,
+  type TableFetches,
   type TableName,
   type TablePosition,
   type TableReplica,
@@ -123,9 +125,10 @@
     config: config as TableReplica<unknown>,
     upstreams: upstreams as TableReplica<unknown>,
   };
-  const fetching = new Set<TableName>();
-  /** When this host first heard of a version that it lacks, in monotonic ms. */
-  const lackedSinceMs = new Map<TableName, number>();
+  const fetches: Readonly<Record<TableName, TableFetches>> = {
+    config: createFetches("config"),
+    upstreams: createFetches("upstreams"),
+  };
   const encoded = new Map<
     TableReplica<unknown>,
     { readonly position: TablePosition; readonly content: Uint8Array }
@@ -160,12 +163,7 @@
         task: "read report",
         reason: `"${key}" says nothing that this host can read`,
       }),
-    fetch(table, peer) {
-      if (!lackedSinceMs.has(table)) {
-        lackedSinceMs.set(table, host.clock.monotonicMs());
-      }
-      void fetchTableFrom(table, peer);
-    },
+    onNewer: (table, peer, position) => fetches[table].offer(peer, position),
   });
   const directory = createUpstreamDirectory({
     clock: host.clock,
@@ -187,6 +185,14 @@
     },
   });
 
+  function createFetches(table: TableName): TableFetches {
+    return createTableFetches({
+      clock: host.clock,
+      getPosition: () => tables[table].getPosition(),
+      fetch: (peer) => fetchTableFrom(table, peer),
+    });
+  }
+
   function getPlatformReturnMs(): number {
     return Math.max(
       distribution.getOutageEndMs("upstreams"),
@@ -249,7 +255,6 @@
   }
 
   function onChanged(table: TableName, from: string): void {
-    lackedSinceMs.delete(table);
     eras.recordPosition(table, tables[table].getPosition(), from);
     if (table === "config") updateFromOperators(from);
     else {
@@ -258,18 +263,12 @@
     }
   }
 
-  function getLackedMs(table: TableName): number {
-    const nowMs = host.clock.monotonicMs();
-    return roundMs(nowMs - (lackedSinceMs.get(table) ?? nowMs));
-  }
-
+  /** Fetches the peer's copy and puts it into force if it is newer. */
   async function fetchTableFrom(table: TableName, peer: string): Promise<void> {
-    if (fetching.has(table)) return;
-    fetching.add(table);
     const sinceMs = host.clock.monotonicMs();
     const getTimes = () => ({
       tookMs: roundMs(host.clock.monotonicMs() - sinceMs),
-      lackedMs: getLackedMs(table),
+      lackedMs: roundMs(fetches[table].getLackedMs()),
     });
     try {
       const fetched = await host.fetchTable(table, peer);
@@ -283,13 +282,15 @@
       if (unusableRows > 0) {
         host.log({ event: "copy-doubtful", table, peer, unusableRows });
       }
+      const times = getTimes();
       const isNewer = tables[table].replace(snapshot);
+      const bytes = fetched.sentBytes;
       host.log({
         event: "table-fetched",
         table,
         peer,
-        ...getTimes(),
-        bytes: fetched.sentBytes,
+        ...times,
+        bytes,
         isNewer,
       });
       host.onFetched(table, isNewer ? "newer" : "not-newer");
@@ -297,18 +298,29 @@
     } catch (err) {
       const reason = String(err);
       host.log({ event: "task-failed", task: `fetch ${table}`, reason });
-    } finally {
-      fetching.delete(table);
     }
   }
 
+  /**
+   * Time since this host's replica was last known to be current. A version that
+   * it lacks makes it older than the latest read by any host.
+   */
+  function getReplicaAgeMs(table: TableName): number {
+    return Math.max(
+      distribution.getUnconfirmedMs(table),
+      fetches[table].getLackedMs(),
+    );
+  }
+
   function isReader(table: TableName): boolean {
     const unconfirmedMs = distribution.getUnconfirmedMs(table);
+    fetches[table].tick();
     const decision = decideToRead({
       self: host.peerAddress,
       hosts: host.getHosts(),
       hasRecentFailure: (peer) => distribution.hasRecentFailure(table, peer),
       unconfirmedMs,
+      lackedMs: fetches[table].getLackedMs(),
     });
     logDecision(table, decision, unconfirmedMs);
     return decision.reads;
@@ -334,7 +346,10 @@
 
   function onRead(name: TableName, changed: boolean): void {
     // Whether this read ends an outage decides what the change means.
-    distribution.recordRead(name, changed);
+    fetches[name].recordRead();
+    // What a host that was behind reads is known to all others.
+    const mayReport = decisions.get(name)?.because !== "behind";
+    distribution.recordRead(name, changed, { mayReport });
     if (changed) onChanged(name, "platform");
   }
 
@@ -392,7 +407,7 @@
       platformEra: upstreams.getPosition().era,
       upstreamsVersion: upstreams.getPosition().version,
       confirmedMsAgo: roundMs(
-        Math.max(...TABLE_NAMES.map(distribution.getUnconfirmedMs)),
+        Math.max(...TABLE_NAMES.map(getReplicaAgeMs)),
       ),
     }),
     receive(fact) {
