Leave as much room to underserved teams as their waiting prompts need

Cause: an upstream has room for a prompt if what it prefills stays within a limit with it. Small prompts fit into what is left and start, one after the other, before a large one fits. In a fleet beyond 16 hosts each of them fills the room that all see at once, so that of 40 refusals of the least served team 30 saw its upstream over the limit, at 2 to 10 times of it. Of the prompts with over 22,000 tokens of service 0.48 to 0.73 were refused, of those up to 2,500 0.04 to 0.16. The class: admission by what fits lets small work starve large work, and a reservation that doesn't know what it is for.

Reports carry the tokens that prompts of underserved teams wait to have prefilled. Tokens count only while a prompt waits; the retention in large fleets keeps the number alone. The prompts of underserved teams may exceed the limit, up to twice of it, as far as owners of upstreams grant. Hosts of earlier versions report no tokens, and are left room for a prompt as before.

--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -78,6 +78,11 @@
       readonly readingTokens: number;
       /** Prompts of underserved teams that wait for it at other hosts. */
       readonly underservedElsewhere: number;
+      /**
+       * Tokens that prompts of underserved teams wait to prefill there, at all
+       * hosts; absent in lines of earlier versions.
+       */
+      readonly underservedTokens?: number;
       /** Whether it is cold and gets no request of this host at the moment. */
       readonly isWarmUpSpent: boolean;
     }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -38,7 +38,7 @@
 import {
   createLoadView,
   createUpstreamStatsReporter,
-  isFullMesh,
+  getUnderservedRetentionMs,
 } from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
@@ -94,13 +94,6 @@
  */
 const QUEUE_TICK_MS = 10;
 
-/**
- * Time for which an upstream counts as awaited after a prompt of an underserved
- * team has waited for it, in ms. Without it, overserved teams would take the room
- * before the team's next prompt arrives.
- */
-const UNDERSERVED_RETENTION_MS = 1_000;
-
 /**
  * Starts an entry host. Its callers' address is opened last, so that none is
  * accepted before all others listen. Rejects if an address can't be opened, with
@@ -190,7 +183,7 @@
     getDigest: getNameDigest,
     isAlive: (address) => peers.membership.isUsable(address),
     getUnderservedRetentionMs: () =>
-      isFullMesh(getAlive().length) ? 0 : UNDERSERVED_RETENTION_MS,
+      getUnderservedRetentionMs(getAlive().length),
     getStatedCapacity: () =>
       platformView.tryGetRoutes()?.config.tokensPerSecond ?? 0,
     getLearned: () =>
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -42,6 +42,7 @@
         inFlight: load.getInFlight(upstream),
         readingTokens: load.getReadingTokens(upstream),
         underservedElsewhere: load.getUnderservedElsewhere(upstream),
+        underservedTokens: load.getUnderservedTokens(upstream),
         isWarmUpSpent: allowance === "later" || allowance === "none",
       };
     },
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -13,6 +13,7 @@
   inFlight: 1,
   readingTokens: 0,
   underservedElsewhere: 0,
+  underservedTokens: 0,
   isWarmUpSpent: false,
 };
 
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -122,6 +122,7 @@
         readingTokens: (reported.get(upstream) ?? 0) +
           (own[at]!.get(upstream) ?? 0) - (ownReported.get(upstream) ?? 0),
         underservedElsewhere: 0,
+        underservedTokens: 0,
         isWarmUpSpent: false,
       }),
       getShareUsed: () => 0,
--- a/src/load/load_reporter.ts
+++ b/src/load/load_reporter.ts
@@ -86,6 +86,9 @@
  */
 const MAX_OWN_REPORTS = 16;
 
+/** See `getUnderservedRetentionMs`. */
+const UNDERSERVED_RETENTION_MS = 1_000;
+
 /** Sender name of fleet aggregates, whichever host is the aggregator. */
 export const FLEET_SENDER = "fleet";
 
@@ -99,6 +102,16 @@
   return hosts <= MAX_FULL_MESH_HOSTS;
 }
 
+/**
+ * Time in ms for which an upstream counts as awaited after a prompt of an
+ * underserved team has waited for it, in a fleet of this size. Where reports are
+ * older than a prefill, overserved teams would otherwise take the room before
+ * the team's next prompt arrives.
+ */
+export function getUnderservedRetentionMs(hosts: number): number {
+  return isFullMesh(hosts) ? 0 : UNDERSERVED_RETENTION_MS;
+}
+
 /** Creates the reporter of a host that has received no reports. */
 export function createLoadReporter(host: LoadReporterHost): LoadReporter {
   const { clock, self } = host;
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -170,10 +170,15 @@
   // Guards against upstreams that stay idle for prompts that no longer wait.
   const a = createView("a");
   const b = createView("b", a.clock);
-  a.view.setUnderserved(new Map([["engine-1", 2]]));
+  a.view.setUnderserved(
+    new Map([["engine-1", { prompts: 2, tokens: 2_000 }]]),
+  );
   b.view.receive(a.createReport());
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 2);
   strictEqual(a.view.getUnderservedElsewhere("engine-1"), 0);
+  for (const { view } of [a, b]) {
+    strictEqual(view.getUnderservedTokens("engine-1"), 2_000);
+  }
   a.view.setUnderserved(new Map());
   b.view.receive(a.createReport());
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
@@ -183,11 +188,15 @@
   // Guards against overserved teams that take the room between two prompts.
   const a = createView("a", undefined, undefined, 1_000);
   const b = createView("b", a.clock);
-  a.view.setUnderserved(new Map([["engine-1", 2]]));
+  a.view.setUnderserved(
+    new Map([["engine-1", { prompts: 2, tokens: 2_000 }]]),
+  );
   a.clock.advance(900);
   a.view.setUnderserved(new Map());
   b.view.receive(a.createReport());
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 2);
+  // No room is kept for tokens that nobody waits to have read.
+  strictEqual(b.view.getUnderservedTokens("engine-1"), 0);
   a.clock.advance(100);
   a.view.setUnderserved(new Map());
   b.view.receive(a.createReport());
@@ -197,7 +206,9 @@
 test("prompts that waited at a host that was killed hold up no others", () => {
   const a = createView("a");
   const b = createView("b", a.clock);
-  a.view.setUnderserved(new Map([["engine-1", 2]]));
+  a.view.setUnderserved(
+    new Map([["engine-1", { prompts: 2, tokens: 2_000 }]]),
+  );
   b.view.receive(a.createReport());
   a.clock.advance(2_000);
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -39,6 +39,7 @@
   LoadContent,
   LoadReport,
   UpstreamUse,
+  WaitingLoad,
 } from "./types.ts";
 
 /** Dependencies of the load view, supplied by the process. */
@@ -85,11 +86,13 @@
   /**
    * Sets the waiting prompts of underserved teams at this host, by upstream. An
    * upstream for which none waits any more keeps its number for the time that
-   * `getUnderservedRetentionMs` returns.
+   * `getUnderservedRetentionMs` returns, but no tokens.
    */
-  setUnderserved(waiting: ReadonlyMap<string, number>): void;
+  setUnderserved(waiting: ReadonlyMap<string, WaitingLoad>): void;
   /** Prompts of underserved teams that wait for the upstream at other hosts. */
   getUnderservedElsewhere(upstream: string): number;
+  /** Tokens that prompts of underserved teams wait to prefill, of all hosts. */
+  getUnderservedTokens(upstream: string): number;
   /** Applies the report of another host, or the aggregate of all others. */
   receive(report: LoadReport): void;
   /** Returns this host's own use, to be reported to other hosts. */
@@ -122,6 +125,15 @@
     return getOrCreate(uses, getDigest(upstream), createUseTotals);
   }
 
+  function setWaiting(
+    upstream: string,
+    { prompts, tokens }: WaitingLoad,
+  ): void {
+    const use = getUse(upstream);
+    use.underserved = prompts;
+    use.underservedTokens = tokens;
+  }
+
   /** Adds a report to the totals over all other hosts, or subtracts it. */
   function applyReport(report: LoadReport, sign: 1 | -1): void {
     for (const each of report.upstreams) {
@@ -224,16 +236,20 @@
       const nowMs = clock.monotonicMs();
       const memoryMs = host.getUnderservedRetentionMs?.() ?? 0;
       for (const [upstream, awaitedMs] of underservedMs) {
+        getUse(upstream).underservedTokens = 0;
         if (nowMs - awaitedMs < memoryMs) continue;
         underservedMs.delete(upstream);
-        getUse(upstream).underserved = 0;
+        setWaiting(upstream, { prompts: 0, tokens: 0 });
       }
-      for (const [upstream, prompts] of waiting) {
+      for (const [upstream, load] of waiting) {
         underservedMs.set(upstream, nowMs);
-        getUse(upstream).underserved = prompts;
+        setWaiting(upstream, load);
       }
     },
     getUnderservedElsewhere: (upstream) => getOthersUse(upstream).underserved,
+    getUnderservedTokens: (upstream) =>
+      getUse(upstream).underservedTokens +
+      getOthersUse(upstream).underservedTokens,
     receive(report) {
       const known = reports.get(report.from);
       const isOlder = known !== undefined &&
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -15,6 +15,15 @@
   readonly readingTokens: number;
   /** Prompts of underserved teams that wait for it. */
   readonly underserved: number;
+  /** Tokens that these have to prefill there; 0 from earlier versions. */
+  readonly underservedTokens: number;
+}
+
+/** Prompts that wait for an upstream. */
+export interface WaitingLoad {
+  readonly prompts: number;
+  /** Tokens that the upstream has to prefill for them. */
+  readonly tokens: number;
 }
 
 /** Service that a team asked for and that was begun, in tokens per second. */
--- a/src/load/use_totals.ts
+++ b/src/load/use_totals.ts
@@ -13,7 +13,12 @@
 
 /** Creates totals of zero. */
 export function createUseTotals(): UseTotals {
-  return { inFlight: 0, readingTokens: 0, underserved: 0 };
+  return {
+    inFlight: 0,
+    readingTokens: 0,
+    underserved: 0,
+    underservedTokens: 0,
+  };
 }
 
 /** Adds `other` to `use`, or subtracts it if `sign` is -1. */
@@ -25,6 +30,7 @@
   use.inFlight += sign * other.inFlight;
   use.readingTokens += sign * other.readingTokens;
   use.underserved += sign * other.underserved;
+  use.underservedTokens += sign * other.underservedTokens;
 }
 
 /** Whether any of the totals is above zero. */
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -10,6 +10,7 @@
 import {
   createLoadReporter,
   createLoadView,
+  getUnderservedRetentionMs,
   type LoadPeer,
   type LoadReporter,
   type LoadView,
@@ -78,6 +79,8 @@
     isAlive: () => true,
     getStatedCapacity: () => options.statedCapacity,
     getLearned: () => [{ ...pacing.getStats(), service }],
+    getUnderservedRetentionMs: () =>
+      getUnderservedRetentionMs(options.peers.length),
   });
   const pacing: Pacing = createPacing({
     nowMs,
@@ -100,6 +103,7 @@
       inFlight: view.getInFlight(upstream),
       readingTokens: view.getReadingTokens(upstream),
       underservedElsewhere: view.getUnderservedElsewhere(upstream),
+      underservedTokens: view.getUnderservedTokens(upstream),
       isWarmUpSpent: false,
     }),
     getLimitTokens: () =>
--- a/src/peers/load_codec_test.ts
+++ b/src/peers/load_codec_test.ts
@@ -10,6 +10,7 @@
     inFlight: 1,
     readingTokens: 2,
     underserved: 3,
+    underservedTokens: 9_000,
   };
   const bytes = codec.encode({
     from: "host-1",
@@ -22,6 +23,10 @@
     included: [],
   });
   const [decoded] = codec.tryDecode(bytes)?.upstreams ?? [];
-  const { upstream, inFlight, readingTokens, underserved } = decoded!;
-  deepStrictEqual({ upstream, inFlight, readingTokens, underserved }, use);
+  const { upstream, inFlight, readingTokens, underserved, underservedTokens } =
+    decoded!;
+  deepStrictEqual(
+    { upstream, inFlight, readingTokens, underserved, underservedTokens },
+    use,
+  );
 });
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -17,6 +17,10 @@
  *   A team over its share, or overserved while capacity is short, therefore
  *   starts no prompt that would fill an upstream for which an underserved
  *   team's prompt waits.
+ * - Small prompts fit into what is left at an upstream, one after the other, and
+ *   a large one never does. Such teams therefore leave as much room as the
+ *   prompts of underserved teams need, at this host and elsewhere. Where many
+ *   hosts fill an upstream at once, these may exceed its limit as well.
  * - Operators may state more capacity than the upstreams have. No team exceeds
  *   its share of that, so overserved teams go last as well. They may use all
  *   room for which no other team's prompt waits.
@@ -47,6 +51,7 @@
  */
 
 import type { QueueInputs, TeamStanding } from "../diagnostics/mod.ts";
+import type { WaitingLoad } from "../load/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import {
   defaultPromptQueueOptions,
@@ -206,13 +211,17 @@
    * teams at other hosts leave room.
    */
   function reportUnderserved(): void {
-    const prompts = new Map<string, number>();
+    const loads = new Map<string, WaitingLoad>();
     for (const prompt of waiting) {
-      const first = prompt.getUpstreams()[0]?.upstream;
+      const first = prompt.getUpstreams()[0];
       if (first === undefined || !host.isUnderserved(prompt.team)) continue;
-      prompts.set(first, (prompts.get(first) ?? 0) + 1);
+      const known = loads.get(first.upstream) ?? { prompts: 0, tokens: 0 };
+      loads.set(first.upstream, {
+        prompts: known.prompts + 1,
+        tokens: known.tokens + Math.round(first.readingTokens),
+      });
     }
-    host.onUnderservedWaiting(prompts);
+    host.onUnderservedWaiting(loads);
   }
 
   function getTeamInputs(team: string) {
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -1,6 +1,7 @@
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { test } from "node:test";
 import { getOrCreate } from "../core/mod.ts";
+import type { WaitingLoad } from "../load/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { rankForPrompt } from "../placement/mod.ts";
 import { createPromptQueue } from "./prompt_queue.ts";
@@ -54,6 +55,9 @@
   const serviceLevels = new Map<string, number>();
   /** Prompts of underserved teams at other hosts, by upstream. */
   const underserved = new Map<string, number>();
+  /** Tokens that they have to prefill, by upstream. */
+  const underservedTokens = new Map<string, number>();
+  let waitingHere: ReadonlyMap<string, WaitingLoad> = new Map();
   const underservedReports: Readonly<Record<string, number>>[] = [];
   const log: string[] = [];
   /** Cold upstreams that get no prompt of this host at the moment. */
@@ -77,13 +81,18 @@
         slots: 48,
         ...getUse(upstream),
         underservedElsewhere,
+        underservedTokens: (underservedTokens.get(upstream) ?? 0) +
+          (waitingHere.get(upstream)?.tokens ?? 0),
         isWarmUpSpent: spentWarmUps.has(upstream),
       };
     },
     isOverserved: (team) => overserved.has(team),
     isUnderserved: (team) => underservedTeams.has(team),
-    onUnderservedWaiting: (prompts) =>
-      void underservedReports.push(Object.fromEntries(prompts)),
+    onUnderservedWaiting(loads) {
+      waitingHere = loads;
+      const prompts = [...loads].map(([each, load]) => [each, load.prompts]);
+      underservedReports.push(Object.fromEntries(prompts));
+    },
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
     getServiceLevel: (team) => serviceLevels.get(team) ?? 0,
@@ -162,6 +171,7 @@
     underservedTeams,
     serviceLevels,
     underserved,
+    underservedTokens,
     underservedReports,
     limits,
     randoms,
@@ -244,6 +254,48 @@
   deepStrictEqual(fixture.log, ["flood-1 to a"]);
 });
 
+test("an overserved team's small prompts leave room for a large one that waits elsewhere", () => {
+  // Guards against small prompts that take the room of a large one, one after the other.
+  const fixture = createFixture();
+  fixture.overserved.add("flood");
+  fixture.getUse("a").readingTokens = 6_000;
+  fixture.underserved.set("a", 1);
+  fixture.underservedTokens.set("a", 9_000);
+  fixture.add({ team: "flood", ranked: ["a"], readingTokens: 1_000 });
+  deepStrictEqual(fixture.log, []);
+  fixture.getUse("a").readingTokens = 1_000;
+  fixture.queue.tick();
+  deepStrictEqual(fixture.log, ["flood-1 to a"]);
+});
+
+test("an overserved team's small prompts leave room for a large one that waits here", () => {
+  // Guards against an order of prompts that small ones pass by, as a large one finds no room.
+  const fixture = createFixture();
+  fixture.overserved.add("flood");
+  fixture.underservedTeams.add("poor");
+  fixture.getUse("a").readingTokens = 24_000;
+  fixture.add({ team: "poor", ranked: ["a"], readingTokens: 9_000 });
+  fixture.getUse("a").readingTokens = 12_000;
+  fixture.getUse("a").inFlight = 48;
+  fixture.add({ team: "flood", ranked: ["a"], readingTokens: 1_000 });
+  fixture.getUse("a").inFlight = 22;
+  fixture.queue.tick();
+  deepStrictEqual(fixture.log, ["poor-1 to a"]);
+});
+
+test("an underserved team may exceed the prefill limit, but not twice the limit", () => {
+  // Guards against few prompts that find no room among those of many hosts.
+  const fixture = createFixture();
+  fixture.underservedTeams.add("poor");
+  fixture.getUse("a").readingTokens = LIMIT_TOKENS;
+  fixture.add({ ranked: ["a"], readingTokens: 6_000 });
+  fixture.add({ team: "poor", ranked: ["a"], readingTokens: 6_000 });
+  deepStrictEqual(fixture.log, ["poor-2 to a"]);
+  fixture.getUse("a").readingTokens = 2 * LIMIT_TOKENS;
+  fixture.add({ team: "poor", ranked: ["a"], readingTokens: 6_000 });
+  deepStrictEqual(fixture.log, ["poor-2 to a"]);
+});
+
 test("an overserved team takes no idle upstream for which an underserved team waits", () => {
   // Guards against a flood that prefills its prefixes again at every upstream
   // that becomes idle.
@@ -416,6 +468,7 @@
       inFlight: 30,
       readingTokens: 14_000,
       underservedElsewhere: 0,
+      underservedTokens: 0,
       isWarmUpSpent: false,
     },
   };
@@ -497,12 +550,14 @@
     inFlight: 10,
     readingTokens: 0,
     underservedElsewhere: 0,
+    underservedTokens: 0,
     isWarmUpSpent: false,
   };
   const need = {
     readingTokens: 100_000,
     slotShare: 0.6,
     limitTokens: 15_000,
+    maxCountedTokens: 0.75 * LIMIT_TOKENS,
     fullLimitTokens: LIMIT_TOKENS,
     yieldsToUnderserved: false,
   };
--- a/src/queue/room.ts
+++ b/src/queue/room.ts
@@ -20,6 +20,8 @@
   readonly slotShare: number;
   /** Tokens that the upstream may be prefilling, with this prompt. */
   readonly limitTokens: number;
+  /** Tokens for which a prompt counts at most. */
+  readonly maxCountedTokens: number;
   /** The value of `limitTokens` for prompts that yield to no others. */
   readonly fullLimitTokens: number;
   /**
@@ -36,8 +38,21 @@
   const isWithinLimit = readingTokens <= request.limitTokens;
   // A prompt above the limit may start only where nothing is being prefilled.
   if (!isWithinLimit && load.readingTokens > 0) return false;
-  const leavesRoomForNext =
-    readingTokens + request.readingTokens <= request.fullLimitTokens;
-  return leavesRoomForNext || !request.yieldsToUnderserved ||
-    load.underservedElsewhere === 0;
+  return !request.yieldsToUnderserved ||
+    readingTokens + getReservedTokens(load, request) <= request.fullLimitTokens;
+}
+
+/**
+ * Room that a prompt leaves to waiting ones of underserved teams: as much as
+ * these need, so that small prompts do not take it before a large one fits. Never
+ * all of it, so that the upstream stays in use until these prompts start.
+ */
+function getReservedTokens(load: UpstreamLoad, request: RoomRequest): number {
+  const { underservedTokens, underservedElsewhere } = load;
+  // Hosts of earlier versions report no tokens.
+  const unsizedTokens = underservedElsewhere > 0 ? request.readingTokens : 0;
+  return Math.max(
+    unsizedTokens,
+    Math.min(underservedTokens, request.maxCountedTokens),
+  );
 }
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -10,6 +10,7 @@
  */
 
 import type { QueueInputs, TeamServiceRates } from "../diagnostics/mod.ts";
+import type { WaitingLoad } from "../load/mod.ts";
 import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
 
 /**
@@ -137,7 +138,7 @@
    * Reports the waiting prompts of underserved teams by the upstream that they
    * wait for; called in each scheduling pass.
    */
-  onUnderservedWaiting(prompts: ReadonlyMap<string, number>): void;
+  onUnderservedWaiting(prompts: ReadonlyMap<string, WaitingLoad>): void;
   /**
    * Recent mean of service tokens per token of upstream work, of all prompts.
    */
@@ -210,6 +211,11 @@
   readonly readingTokens: number;
   /** Prompts of underserved teams that wait for it at other hosts. */
   readonly underservedElsewhere: number;
+  /**
+   * Tokens that prompts of underserved teams wait to prefill there, at this host
+   * and the others.
+   */
+  readonly underservedTokens: number;
   /**
    * Whether the upstream is cold and gets no request of this host at the
    * moment.
@@ -225,6 +231,10 @@
   readonly inefficientLimit: RoomLimit;
   /** Limits for prompts of teams over their share. */
   readonly overShareLimit: RoomLimit;
+  /**
+   * Factor by which prompts of underserved teams may exceed these prefill limits.
+   */
+  readonly underservedPrefillFactor: number;
   /**
    * Prefilling up to this many tokens again costs less than waiting. Upstreams
    * whose prefill differs by no more than this are equally good for a prompt,
--- a/src/queue/upstream_choice.ts
+++ b/src/queue/upstream_choice.ts
@@ -112,6 +112,9 @@
     const grants = tryGetGrants(host);
     const limit = limits[yields];
     const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
+    const prefillShare = host.isUnderserved(prompt.team)
+      ? limit.prefillShare * options.underservedPrefillFactor
+      : limit.prefillShare;
     /** Whether this host may decide by itself. */
     const mayStartWithoutGrant = (each: RankedUpstream) =>
       grants === undefined || !needsGrant(grants, each);
@@ -122,8 +125,9 @@
       const maxCountedTokens = limitTokens * options.maxCountedShare;
       return hasRoom(getLoad(upstream), {
         readingTokens: Math.min(readingTokens, maxCountedTokens),
+        maxCountedTokens,
         slotShare: limit.slotShare,
-        limitTokens: limitTokens * limit.prefillShare,
+        limitTokens: limitTokens * prefillShare,
         fullLimitTokens: limitTokens,
         yieldsToUnderserved,
       });
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -405,6 +405,7 @@
         inFlight: parts.controls.inFlight,
         readingTokens: 0,
         underservedElsewhere: 0,
+        underservedTokens: 0,
         isWarmUpSpent: false,
       }),
       getShareUsed: () => parts.controls.shareUsed,
