--- a/src/peers/fetch_test.ts
+++ b/src/peers/fetch_test.ts
@@ -29,23 +29,26 @@
 }
 
 function servePeer(address: string, contentBytes = 0): Promise<PeerServer> {
+  const noise = createNoise(contentBytes);
   return listenForPeers(address, {
     fleetToken: FLEET_TOKEN,
     onFrame: () => {},
-    tryGetConfiguration: (digest) =>
-      createContent(`copy of ${digest}`, contentBytes),
+    tryGetConfiguration(digest) {
+      const start = `copy of ${digest}`;
+      const bytes = Math.max(start.length, contentBytes);
+      return Buffer.from(start + noise).subarray(0, bytes);
+    },
     countHosts: () => 2,
   });
 }
 
-/** Text of that many bytes that hardly shrinks when it is compressed. */
-function createContent(start: string, bytes: number): Buffer {
-  const noise: string[] = [];
-  for (let size = start.length; size < bytes; size += 88) {
-    noise.push(createHash("sha512").update(`${size}`).digest("base64"));
+/** Text of at least that many bytes that hardly shrinks when compressed. */
+function createNoise(bytes: number): string {
+  const parts: string[] = [];
+  for (let size = 0; size < bytes; size += 88) {
+    parts.push(createHash("sha512").update(`${size}`).digest("base64"));
   }
-  return Buffer.from(`${start}${noise.join("")}`)
-    .subarray(0, Math.max(start.length, bytes));
+  return parts.join("");
 }
 
 /** Where and how a proxy ends the connection of a fetch. */
