--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -17,7 +17,7 @@
 import type { PlacementSource } from "../prefixes/mod.ts";
 import type { HeldParts } from "./memory_watch.ts";
 import type { ProcessMemory } from "./process_memory.ts";
-import type { FetchOutcome } from "./platform_view.ts";
+import type { FetchOutcome } from "./table_copies.ts";
 
 /** Values that are read when the metrics are collected. */
 export interface MetricsHost {
--- a/src/entry/platform_view.ts
+++ b/src/entry/platform_view.ts
@@ -6,18 +6,15 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
 import type { Clock } from "../core/mod.ts";
 import type { Decision, Inputs } from "../diagnostics/mod.ts";
 import {
   createEvacuations,
   createTableDistribution,
-  createTableFetches,
   createTableReplica,
   createUpstreamDirectory,
   decideToRead,
-  decodeTableCopy,
   type EntryPlatform,
   followTable,
   type OperatorRow,
@@ -27,9 +24,7 @@
   TABLE_NAMES,
   type TableDistribution,
   type TableError,
-  type TableFetches,
   type TableName,
-  type TablePosition,
   type TableReplica,
   type TableRow,
   type UpstreamDirectory,
@@ -38,6 +33,7 @@
 } from "../discovery/mod.ts";
 import type { Fact } from "../membership/mod.ts";
 import { createEraTracker } from "./era_tracker.ts";
+import { createTableCopies, type TableCopiesHost } from "./table_copies.ts";
 import {
   createLeavingFact,
   LEAVING_KEY_PREFIX,
@@ -50,7 +46,8 @@
 } from "../routing/mod.ts";
 
 /** Dependencies of a platform view. */
-export interface PlatformViewHost {
+export interface PlatformViewHost
+  extends Pick<TableCopiesHost, "fetchTable" | "onFetched"> {
   readonly clock: Clock;
   readonly platform: EntryPlatform;
   readonly peerAddress: string;
@@ -59,7 +56,6 @@
   /** The region of each declared data centre. */
   readonly regions: ReadonlyMap<string, string>;
   log(decision: Decision): void;
-  onFetched(table: string, outcome: FetchOutcome): void;
   /** Called when the platform was restored from an older backup. */
   onPlatformRestored(): void;
   /** Called when an upstream process is known to be running. */
@@ -72,19 +68,8 @@
   getHosts(): readonly string[];
   broadcastFact(fact: Fact): void;
   gossipFact(fact: Fact): void;
-  fetchTable(name: string, peer: string): Promise<FetchedTable | undefined>;
 }
 
-/** A table's encoded snapshot as fetched from another host. */
-export interface FetchedTable {
-  readonly content: Uint8Array;
-  /** Size of the content as it was sent, which may be compressed. */
-  readonly sentBytes: number;
-}
-
-/** The outcome of fetching a table from another host. */
-export type FetchOutcome = "newer" | "not-newer" | "no-answer";
-
 /** A host's view of the platform. */
 export interface PlatformView {
   readonly directory: UpstreamDirectory;
@@ -125,14 +110,13 @@
     config: config as TableReplica<unknown>,
     upstreams: upstreams as TableReplica<unknown>,
   };
-  const fetches: Readonly<Record<TableName, TableFetches>> = {
-    config: createFetches("config"),
-    upstreams: createFetches("upstreams"),
-  };
-  const encoded = new Map<
-    TableReplica<unknown>,
-    { readonly position: TablePosition; readonly content: Uint8Array }
-  >();
+  const copies = createTableCopies({
+    clock: host.clock,
+    log: host.log,
+    fetchTable: host.fetchTable,
+    onFetched: host.onFetched,
+    onNewer: onChanged,
+  }, tables);
   const unreachable = new Set<TableName>();
   const decisions = new Map<TableName, ReadingDecision>();
   const eras = createEraTracker({
@@ -163,7 +147,8 @@
         task: "read report",
         reason: `"${key}" says nothing that this host can read`,
       }),
-    onNewer: (table, peer, position) => fetches[table].offer(peer, position),
+    onNewer: (table, peer, position) =>
+      copies.fetches[table].offer(peer, position),
   });
   const directory = createUpstreamDirectory({
     clock: host.clock,
@@ -185,14 +170,6 @@
     },
   });
 
-  function createFetches(table: TableName): TableFetches {
-    return createTableFetches({
-      clock: host.clock,
-      getPosition: () => tables[table].getPosition(),
-      fetch: (peer) => fetchTableFrom(table, peer),
-    });
-  }
-
   function getPlatformReturnMs(): number {
     return Math.max(
       distribution.getOutageEndMs("upstreams"),
@@ -263,44 +240,6 @@
     }
   }
 
-  /** Fetches the peer's copy and puts it into force if it is newer. */
-  async function fetchTableFrom(table: TableName, peer: string): Promise<void> {
-    const sinceMs = host.clock.monotonicMs();
-    const getTimes = () => ({
-      tookMs: roundMs(host.clock.monotonicMs() - sinceMs),
-      lackedMs: roundMs(fetches[table].getLackedMs()),
-    });
-    try {
-      const fetched = await host.fetchTable(table, peer);
-      if (fetched === undefined) {
-        host.log({ event: "table-not-fetched", table, peer, ...getTimes() });
-        host.onFetched(table, "no-answer");
-        return;
-      }
-      const text = Buffer.from(fetched.content).toString("utf8");
-      const { snapshot, unusableRows } = decodeTableCopy(table, text);
-      if (unusableRows > 0) {
-        host.log({ event: "copy-doubtful", table, peer, unusableRows });
-      }
-      const times = getTimes();
-      const isNewer = tables[table].replace(snapshot);
-      const bytes = fetched.sentBytes;
-      host.log({
-        event: "table-fetched",
-        table,
-        peer,
-        ...times,
-        bytes,
-        isNewer,
-      });
-      host.onFetched(table, isNewer ? "newer" : "not-newer");
-      if (isNewer) onChanged(table, peer);
-    } catch (err) {
-      const reason = String(err);
-      host.log({ event: "task-failed", task: `fetch ${table}`, reason });
-    }
-  }
-
   /**
    * Time since this host's replica was last known to be current. A version that
    * it lacks makes it older than the latest read by any host.
@@ -308,19 +247,19 @@
   function getReplicaAgeMs(table: TableName): number {
     return Math.max(
       distribution.getUnconfirmedMs(table),
-      fetches[table].getLackedMs(),
+      copies.fetches[table].getLackedMs(),
     );
   }
 
   function isReader(table: TableName): boolean {
     const unconfirmedMs = distribution.getUnconfirmedMs(table);
-    fetches[table].tick();
+    copies.fetches[table].tick();
     const decision = decideToRead({
       self: host.peerAddress,
       hosts: host.getHosts(),
       hasRecentFailure: (peer) => distribution.hasRecentFailure(table, peer),
       unconfirmedMs,
-      lackedMs: fetches[table].getLackedMs(),
+      lackedMs: copies.fetches[table].getLackedMs(),
     });
     logDecision(table, decision, unconfirmedMs);
     return decision.reads;
@@ -346,7 +285,7 @@
 
   function onRead(name: TableName, changed: boolean): void {
     // Whether this read ends an outage decides what the change means.
-    fetches[name].recordRead();
+    copies.fetches[name].recordRead();
     // What a host that was behind reads is known to all others.
     const mayReport = decisions.get(name)?.because !== "behind";
     distribution.recordRead(name, changed, { mayReport });
@@ -387,16 +326,6 @@
     table: upstreams,
   }).pipe(Effect.map((changed) => onRead("upstreams", changed)));
 
-  /** The same bytes for as long as the rows stay, so that they are encoded once. */
-  function getEncoded(table: TableReplica<unknown>): Uint8Array {
-    const position = table.getChangedPosition();
-    const known = encoded.get(table);
-    if (known?.position === position) return known.content;
-    const content = Buffer.from(JSON.stringify(table.getSnapshot()));
-    encoded.set(table, { position, content });
-    return content;
-  }
-
   return {
     directory,
     readUpstreams,
@@ -424,7 +353,7 @@
       const table = tables[name as TableName];
       if (table === undefined) return undefined;
       if (table.getPosition().version === 0) return undefined;
-      return getEncoded(table);
+      return copies.getEncoded(name as TableName);
     },
     run: Effect.all([
       followPlatformTable("config"),
--- a/src/testing/platform_view_fleet.ts
+++ b/src/testing/platform_view_fleet.ts
@@ -15,10 +15,9 @@
 import type { Decision } from "../diagnostics/mod.ts";
 import {
   createPlatformView,
-  type FetchedTable,
-  type FetchOutcome,
   type PlatformView,
 } from "../entry/platform_view.ts";
+import type { FetchedTable, FetchOutcome } from "../entry/table_copies.ts";
 import { createVirtualScheduler } from "../measure/virtual_scheduler.ts";
 import { createRandom } from "../measure/random.ts";
 import type { Fact } from "../membership/mod.ts";
