--- a/src/entry/platform_view_test.ts
+++ b/src/entry/platform_view_test.ts
@@ -83,6 +83,49 @@
   }
 });
 
+test("hosts that get no copy of a change read the platform once each", async () => {
+  // Guards against eighty hosts that read the platform at each fetch that fails.
+  const hosts = 40;
+  const fleet = createPlatformViewFleet({ hosts });
+  await runFleet(Effect.gen(function* () {
+    fleet.tables.putConfig(1);
+    fleet.tables.putUpstreams(["one"]);
+    yield* fleet.start;
+    yield* fleet.run(8_000);
+    const calmFromCalls = fleet.tables.countCalls();
+    yield* fleet.run(5_000);
+    const calmCalls = fleet.tables.countCalls() - calmFromCalls;
+    fleet.setFetchLoss(() => true);
+    fleet.tables.putConfig(2);
+    const fromCalls = fleet.tables.countCalls();
+    yield* fleet.run(5_000);
+    deepStrictEqual(new Set(fleet.getVersions()), new Set([2]));
+    const calls = fleet.tables.countCalls() - fromCalls - calmCalls;
+    ok(calls <= hosts, `${calls} calls by ${hosts} hosts`);
+  }));
+});
+
+test("a host that lacks a version knows how old its configuration is", async () => {
+  // Guards against streams that are judged by a table which others have read, but not this host.
+  const fleet = createPlatformViewFleet({ hosts: 9 });
+  await runFleet(Effect.gen(function* () {
+    fleet.tables.putConfig(1);
+    fleet.tables.putUpstreams(["one"]);
+    yield* fleet.start;
+    yield* fleet.run(8_000);
+    fleet.setFetchLoss(() => true);
+    fleet.tables.putConfig(2);
+    yield* fleet.run(900);
+    const ages = fleet.hosts.map((host) => {
+      const { configVersion, confirmedMsAgo } = fleet.tryGetView(host)!
+        .getInputs();
+      return configVersion === 2 ? Infinity : confirmedMsAgo;
+    });
+    ok(ages.some((each) => each < Infinity), "some hosts lack the change");
+    ok(Math.min(...ages) >= 800, `${ages}`);
+  }));
+});
+
 test("a change of 300 routes reaches 20 hosts within the bound over a link of 4 Mbit/s", async () => {
   // Guards against copies that are too large for all hosts to fetch in time.
   const tookMs = await measureChange(() => {}, {
