Let underserved teams use slots that others leave free

Prompts of underserved teams may use 0.9 of an upstream's slots (0.68 if they are inefficient). Owners of upstreams, which grant in other large fleets, know the team by its digest and give the same. A test of the queue failed before, one of the grants holds the same promise there.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -247,6 +247,7 @@
     upstreams: grantUpstreams,
     getDigest: getNameDigest,
     getServiceLevel: load.getServiceLevelByDigest,
+    isUnderserved: load.isUnderservedByDigest,
     start: (...granted) => queue.startGranted(...granted),
     onEnded: (outcome) => metrics.observeGrant(outcome),
     onFailed: logFailedTask("grants"),
--- a/src/entry/grant_exchange.ts
+++ b/src/entry/grant_exchange.ts
@@ -36,6 +36,8 @@
   extends
     Pick<GrantClientHost, "nowMs" | "getDigest" | "start" | "onEnded">,
     Pick<GrantOwnerHost, "getServiceLevel"> {
+  /** Whether the team with this digest gets far less than others. */
+  isUnderserved(team: number): boolean;
   /** Called with the reason if a message could not be sent or processed. */
   onFailed(reason: string): void;
   readonly peerAddress: string;
@@ -64,7 +66,8 @@
 /** Creates the exchange; messages to other hosts wait until it is open. */
 export function createGrantExchange(host: GrantExchangeHost): GrantExchange {
   const { nowMs, peerAddress, session, owners, upstreams } = host;
-  const { limit, inefficientLimit, overShareLimit } = defaultPromptQueueOptions;
+  const { limit, inefficientLimit, overShareLimit, underservedFactors } =
+    defaultPromptQueueOptions;
   const slotShares = [limit, inefficientLimit, overShareLimit]
     .map((each) => each.slotShare);
   const outbox = createGrantOutbox();
@@ -78,7 +81,12 @@
 
   const owner = createGrantOwner({
     nowMs,
-    getSlotShare: (yields) => slotShares[yields]!,
+    getSlotShare({ yields, team }) {
+      const share = slotShares[yields]!;
+      return host.isUnderserved(team)
+        ? share * underservedFactors.slotShare
+        : share;
+    },
     tryGetUpstream: upstreams.tryGet,
     getServiceLevel: host.getServiceLevel,
     send: (to, item) => add(to.address, to.session, item),
--- a/src/entry/grant_exchange_test.ts
+++ b/src/entry/grant_exchange_test.ts
@@ -27,7 +27,11 @@
 };
 
 /** Starts a host that asks the owner for one upstream. */
-async function startHost(peerAddress: string, owner: string) {
+async function startHost(
+  peerAddress: string,
+  owner: string,
+  { inFlight = 0, isUnderserved = false } = {},
+) {
   const started: string[] = [];
   const failures: string[] = [];
   const exchange = createGrantExchange({
@@ -43,7 +47,7 @@
           ? {
             slots: 48,
             msPerToken: 0.02,
-            inFlight: 0,
+            inFlight,
             readingTokens: 0,
             limitTokens: 14_000,
           }
@@ -51,6 +55,7 @@
     },
     getDigest: getNameDigest,
     getServiceLevel: () => 0,
+    isUnderserved: () => isUnderserved,
     start(_prompt, upstream) {
       started.push(upstream);
       return true;
@@ -61,6 +66,7 @@
   return {
     started,
     failures,
+    countWaiting: exchange.countWaiting,
     recordStart: (serviceTokens: number) =>
       exchange.client.recordStart({ ...PROMPT, serviceTokens }, "up-1", 900),
     ask: () =>
@@ -90,6 +96,22 @@
   }
 });
 
+test("an owner grants an underserved team slots that it leaves free otherwise", async () => {
+  // Guards against few prompts that find no slot among the answers of many hosts.
+  const inFlight = 35;
+  for (const isUnderserved of [false, true]) {
+    const address = drawPeerAddress();
+    await using host = await startHost(address, address, {
+      inFlight,
+      isUnderserved,
+    });
+    host.ask();
+    const isDecided = () => host.countWaiting() + host.started.length > 0;
+    while (!isDecided()) await sleep(1);
+    deepStrictEqual(host.started, isUnderserved ? ["up-1"] : []);
+  }
+});
+
 test("a message that can't be encoded is dropped and reported", async () => {
   // Guards against an uncaught error that ends the process.
   await using host = await startHost(drawPeerAddress(), drawPeerAddress());
--- a/src/grants/grant_owner.ts
+++ b/src/grants/grant_owner.ts
@@ -21,7 +21,6 @@
   type DecayingRate,
   SERVICE_HALF_LIFE_MS,
 } from "../load/mod.ts";
-import type { YieldLevel } from "../queue/types.ts";
 import type {
   GrantRequest,
   OwnerItem,
@@ -51,8 +50,8 @@
 /** Dependencies of the owner. */
 export interface GrantOwnerHost {
   nowMs(): number;
-  /** Share of an upstream's slots that may be in use, by yield level. */
-  getSlotShare(yields: YieldLevel): number;
+  /** Share of an upstream's slots that may be in use when a prompt starts. */
+  getSlotShare(terms: Pick<GrantRequest, "yields" | "team">): number;
   /** Returns the upstream with this digest; `undefined` if it is unknown. */
   tryGetUpstream(digest: number): OwnedUpstream | undefined;
   /**
@@ -232,7 +231,7 @@
     const used = countInFlight(state, inFlight);
     let first: WaitingRequest | undefined;
     for (const each of state.waiting.values()) {
-      if (used >= slots * host.getSlotShare(each.request.yields)) continue;
+      if (used >= slots * host.getSlotShare(each.request)) continue;
       if (first === undefined || isBefore(each, first)) first = each;
     }
     return first;
--- a/src/grants/grant_owner_test.ts
+++ b/src/grants/grant_owner_test.ts
@@ -17,7 +17,7 @@
   const levels = new Map<number, number>();
   const owner = createGrantOwner({
     nowMs: clock.monotonicMs,
-    getSlotShare: (yields) => yields === 0 ? 0.6 : 0.45,
+    getSlotShare: ({ yields }) => yields === 0 ? 0.6 : 0.45,
     tryGetUpstream: () => ({
       slots: 100,
       msPerToken: MS_PER_TOKEN,
--- a/src/load/team_service.ts
+++ b/src/load/team_service.ts
@@ -45,6 +45,8 @@
   isOverserved(team: string): boolean;
   /** Whether the team gets far less than others although it asks for more. */
   isUnderserved(team: string): boolean;
+  /** The same for the team with this digest. */
+  isUnderservedByDigest(digest: number): boolean;
   /** Recent service of the team, with its credit, in tokens per second. */
   getServiceLevel(team: string): number;
   /** The same for the team with this digest. */
@@ -161,6 +163,12 @@
     creditedFairLevel = hasShortage ? getFairLevel(demands, total) : Infinity;
   }
 
+  function isUnderservedByDigest(digest: number): boolean {
+    updateFairLevels();
+    const due = Math.min(getDemand(digest), highestLevel);
+    return getLevel(digest) < due * UNDERSERVED_SHARE;
+  }
+
   return {
     recordAsked(team, tokens) {
       // Teams are noticed when they begin to ask, whether or not any waits here.
@@ -188,12 +196,8 @@
       return (begunByTeam.get(digest) ?? 0) > servedFairLevel &&
         getLevel(digest) > creditedFairLevel;
     },
-    isUnderserved(team) {
-      updateFairLevels();
-      const digest = getDigest(team);
-      const due = Math.min(getDemand(digest), highestLevel);
-      return getLevel(digest) < due * UNDERSERVED_SHARE;
-    },
+    isUnderserved: (team) => isUnderservedByDigest(getDigest(team)),
+    isUnderservedByDigest,
     getServiceLevel(team) {
       updateFairLevels();
       return getLevel(getDigest(team));
--- a/src/queue/prompt_queue_options.ts
+++ b/src/queue/prompt_queue_options.ts
@@ -26,9 +26,9 @@
  *   and those of teams over their share) leave a quarter of the slots, and half
  *   of the prefill limit, to the others. If they could not prefill beside
  *   others at all, short prompts of teams over their share would starve.
- * - `underservedPrefillFactor`: many hosts fill an upstream before they learn of
- *   each other's prompts. Within the limit, the few prompts of an underserved
- *   team would find no room in between. Owners of upstreams grant as much.
+ * - `underservedFactors`: many hosts fill an upstream before they learn of each
+ *   other's prompts. Within the limits, the few prompts of an underserved team
+ *   would find no room in between. Owners of upstreams grant as much.
  * - `negligibleTokens`: a prompt with a short shared prefix goes to the less
  *   busy of two upstreams, or of the next two.
  * - `maxCountedShare`: counted in full, prompts larger than the limit would
@@ -46,7 +46,7 @@
   limit: { slotShare: 0.6, prefillShare: 1 },
   inefficientLimit: { slotShare: 0.45, prefillShare: 0.5 },
   overShareLimit: { slotShare: 0.45, prefillShare: 0.5 },
-  underservedPrefillFactor: 2,
+  underservedFactors: { slotShare: 1.5, prefillShare: 2 },
   negligibleTokens: NEGLIGIBLE_PREFILL_TOKENS,
   maxCountedShare: 0.75,
   spilloverShare: 0.55,
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -296,6 +296,19 @@
   deepStrictEqual(fixture.log, ["poor-2 to a"]);
 });
 
+test("an underserved team may use slots that the others leave free, but not all", () => {
+  // Guards against few prompts that find no slot among the answers of many hosts.
+  const fixture = createFixture();
+  fixture.underservedTeams.add("poor");
+  fixture.getUse("a").inFlight = 40;
+  fixture.add({ ranked: ["a"] });
+  fixture.add({ team: "poor", ranked: ["a"] });
+  deepStrictEqual(fixture.log, ["poor-2 to a"]);
+  fixture.getUse("a").inFlight = 44;
+  fixture.add({ team: "poor", ranked: ["a"] });
+  deepStrictEqual(fixture.log, ["poor-2 to a"]);
+});
+
 test("an overserved team takes no idle upstream for which an underserved team waits", () => {
   // Guards against a flood that prefills its prefixes again at every upstream
   // that becomes idle.
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -231,10 +231,8 @@
   readonly inefficientLimit: RoomLimit;
   /** Limits for prompts of teams over their share. */
   readonly overShareLimit: RoomLimit;
-  /**
-   * Factor by which prompts of underserved teams may exceed these prefill limits.
-   */
-  readonly underservedPrefillFactor: number;
+  /** Factors by which prompts of underserved teams may exceed these limits. */
+  readonly underservedFactors: RoomLimit;
   /**
    * Prefilling up to this many tokens again costs less than waiting. Upstreams
    * whose prefill differs by no more than this are equally good for a prompt,
--- a/src/queue/upstream_choice.ts
+++ b/src/queue/upstream_choice.ts
@@ -21,6 +21,7 @@
   PromptQueueHost,
   PromptQueueOptions,
   RankedUpstream,
+  RoomLimit,
   UpstreamLoad,
   WaitingPrompt,
   YieldLevel,
@@ -110,11 +111,10 @@
     nowMs: number,
   ): RankedUpstream | undefined {
     const grants = tryGetGrants(host);
-    const limit = limits[yields];
+    const limit = host.isUnderserved(prompt.team)
+      ? extendLimit(limits[yields], options.underservedFactors)
+      : limits[yields];
     const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
-    const prefillShare = host.isUnderserved(prompt.team)
-      ? limit.prefillShare * options.underservedPrefillFactor
-      : limit.prefillShare;
     /** Whether this host may decide by itself. */
     const mayStartWithoutGrant = (each: RankedUpstream) =>
       grants === undefined || !needsGrant(grants, each);
@@ -127,7 +127,7 @@
         readingTokens: Math.min(readingTokens, maxCountedTokens),
         maxCountedTokens,
         slotShare: limit.slotShare,
-        limitTokens: limitTokens * prefillShare,
+        limitTokens: limitTokens * limit.prefillShare,
         fullLimitTokens: limitTokens,
         yieldsToUnderserved,
       });
@@ -244,6 +244,14 @@
   };
 }
 
+/** Multiplies the limits of room by the factors. */
+function extendLimit(limit: RoomLimit, factors: RoomLimit): RoomLimit {
+  return {
+    slotShare: limit.slotShare * factors.slotShare,
+    prefillShare: limit.prefillShare * factors.prefillShare,
+  };
+}
+
 /** The grants, if the fleet is of a size at which owners admit prompts. */
 export function tryGetGrants(
   { grants }: Pick<PromptQueueHost, "grants">,
