Count what a peer offers for itself, and fetch it even if own reads lack it

The time of a lack was kept for the fleet's newest version: one misled peer's version hid those of sound ones. And a version that two own reads had not brought was not fetched from its peer either; a host that the platform's polls leave out, after one fetch had failed, would have stayed behind until the next version.

Each peer's offers count for themselves now, and reads end only what the lack counts.

--- a/src/discovery/reader_selection.ts
+++ b/src/discovery/reader_selection.ts
@@ -53,15 +53,15 @@
   hasRecentFailure(host: string): boolean;
   /** Time since the last successful read of the table by any reader, in ms. */
   readonly unconfirmedMs: number;
-  /** Time for which this host has lacked a version that another one has. */
+  /** Time for which this host has lacked a version that another has, in ms. */
   readonly lackedMs: number;
 }
 
 /**
  * Why a host reads a table: it ranks among the first hosts, no reader has
  * reported a read recently ("unconfirmed"), or it lacks what a reader has
- * ("behind"). Why it does not read: other hosts
- * rank higher, or its own last read failed ("turned-away").
+ * ("behind"). Why it does not read: other hosts rank higher, or its own last
+ * read failed ("turned-away").
  */
 export type ReadingReason =
   | "first-in-rank"
--- a/src/discovery/table_fetches.ts
+++ b/src/discovery/table_fetches.ts
@@ -51,54 +51,47 @@
 const MAX_PENDING = 3;
 
 /**
- * Own reads after which an offer that they did not confirm is dropped. The first
- * of them may have begun before the offer.
+ * Own reads after which a version that they did not bring counts as lacked no
+ * longer: the platform does not have it. The first of them may have begun before
+ * the host heard of the version.
  */
 const REFUTING_READS = 2;
 
-/** Versions of which it is remembered when this host first heard of them. */
-const MAX_HEARD = 100;
+/** Versions of one peer of which it is remembered when they were offered. */
+const MAX_VERSIONS = 100;
 
-interface Offer {
+/** A version that this host lacks. */
+interface LackedVersion {
   readonly position: TablePosition;
-  isTried: boolean;
-  /** Own reads since the offer. */
+  /** When the peer first offered it, in monotonic ms. */
+  readonly offeredMs: number;
+  /** Own reads since then. */
   reads: number;
 }
 
-interface HeardVersion {
-  readonly position: TablePosition;
-  /** When this host first heard of it, in monotonic ms. */
-  readonly atMs: number;
+/** What one peer offers. */
+interface Offer {
+  latest: TablePosition;
+  /** Whether a fetch from the peer has begun since its latest report. */
+  isTried: boolean;
+  lacked: readonly LackedVersion[];
 }
 
 /** Creates the fetches of a host that knows no offers. */
 export function createTableFetches(host: TableFetchesHost): TableFetches {
+  /** By peer address. */
   const offers = new Map<string, Offer>();
-  /** What the platform did not have although a host had offered it. */
-  const refuted = new Map<string, TablePosition>();
   const pending = new Set<string>();
-  /** Versions that this host lacks, in ascending order. */
-  let heard: readonly HeardVersion[] = [];
   let startedMs = -Infinity;
 
   const isLacked = (position: TablePosition) =>
     isNewer(position, host.getPosition());
 
   function dropObsolete(): void {
-    for (const [peer, { position }] of offers) {
-      if (!isLacked(position)) offers.delete(peer);
+    for (const [peer, offer] of offers) {
+      offer.lacked = offer.lacked.filter((each) => isLacked(each.position));
+      if (!isLacked(offer.latest)) offers.delete(peer);
     }
-    heard = offers.size === 0
-      ? []
-      : heard.filter((each) => isLacked(each.position));
-  }
-
-  function recordHeard(position: TablePosition): void {
-    const newest = heard.at(-1);
-    if (newest !== undefined && !isNewer(position, newest.position)) return;
-    const atMs = host.clock.monotonicMs();
-    heard = [...heard, { position, atMs }].slice(-MAX_HEARD);
   }
 
   function tryGetNextPeer(): string | undefined {
@@ -125,34 +118,43 @@
     fetchNext();
   }
 
+  function recordOffer(peer: string, position: TablePosition): void {
+    const known = offers.get(peer);
+    if (known !== undefined && isSamePosition(known.latest, position)) {
+      known.isTried = false;
+      return;
+    }
+    const offeredMs = host.clock.monotonicMs();
+    const lacked = [
+      ...(known?.lacked ?? []),
+      { position, offeredMs, reads: 0 },
+    ].slice(-MAX_VERSIONS);
+    offers.set(peer, { latest: position, isTried: false, lacked });
+  }
+
   return {
     offer(peer, position) {
       if (!isLacked(position)) return;
-      const refutedPosition = refuted.get(peer);
-      const isRefuted = refutedPosition !== undefined &&
-        !isNewer(position, refutedPosition);
-      if (isRefuted) return;
-      const known = offers.get(peer);
-      const isSame = known !== undefined && !isNewer(position, known.position);
-      const reads = isSame ? known.reads : 0;
-      offers.set(peer, { position, isTried: false, reads });
-      recordHeard(position);
+      recordOffer(peer, position);
       fetchNext();
     },
     recordRead() {
-      dropObsolete();
-      for (const [peer, offer] of offers) {
-        offer.reads++;
-        if (offer.reads < REFUTING_READS) continue;
-        offers.delete(peer);
-        refuted.set(peer, offer.position);
+      for (const offer of offers.values()) {
+        for (const each of offer.lacked) each.reads++;
+        offer.lacked = offer.lacked
+          .filter((each) => each.reads < REFUTING_READS);
       }
     },
     tick: fetchNext,
     getLackedMs() {
       dropObsolete();
-      const [oldest] = heard;
-      return oldest === undefined ? 0 : host.clock.monotonicMs() - oldest.atMs;
+      const nowMs = host.clock.monotonicMs();
+      const lacked = [...offers.values()].flatMap((each) => each.lacked);
+      return Math.max(0, ...lacked.map((each) => nowMs - each.offeredMs));
     },
   };
 }
+
+function isSamePosition(a: TablePosition, b: TablePosition): boolean {
+  return a.era === b.era && a.version === b.version;
+}
