--- a/src/queue/room.ts
+++ b/src/queue/room.ts
@@ -49,7 +49,8 @@
  */
 function getReservedTokens(load: UpstreamLoad, request: RoomRequest): number {
   const { underservedTokens, underservedElsewhere } = load;
-  // Hosts of earlier versions report no tokens.
+  // Hosts of earlier versions report no tokens, nor do those whose prompts have
+  // gone but whose next ones are expected.
   const unsizedTokens = underservedElsewhere > 0 ? request.readingTokens : 0;
   return Math.max(
     unsizedTokens,
