Hold by a test that hosts of earlier versions get tables uncompressed

They do not say that they accept gzip. A table fetched during a rolling upgrade was held by no test.

--- a/src/peers/fetch_test.ts
+++ b/src/peers/fetch_test.ts
@@ -10,8 +10,13 @@
   type Socket,
 } from "node:net";
 import { test } from "node:test";
+import { create } from "@bufbuild/protobuf";
+import { Client, credentials, Metadata } from "@grpc/grpc-js";
+import { type FetchReply, FetchRequestSchema } from "../generated/peer_pb.ts";
 import { tryFetchConfiguration } from "./fetch.ts";
+import { FLEET_TOKEN_KEY } from "./peer_link.ts";
 import { listenForPeers, type PeerServer } from "./peer_server.ts";
+import { peerService } from "./peer_service.ts";
 
 const FLEET_TOKEN = "token-of-this-fleet";
 
@@ -171,3 +176,37 @@
   ok(fetched!.sentBytes < content.length / 10, `${fetched!.sentBytes} bytes`);
   deepStrictEqual(Buffer.from(fetched!.content), content);
 });
+
+test("a host of an earlier version gets a table as it is", async () => {
+  // Guards against hosts that can't read the configuration while others are upgraded.
+  const address = await findFreeAddress();
+  const content = Buffer.from("route ".repeat(20_000));
+  await using _peer = await listenForPeers(address, {
+    fleetToken: FLEET_TOKEN,
+    onFrame: () => {},
+    tryGetConfiguration: () => content,
+    countHosts: () => 2,
+  });
+  const reply = await fetchWithoutCompression(address);
+  deepStrictEqual(Buffer.from(reply.content), content);
+  strictEqual(reply.isGzip, false);
+});
+
+/** Fetches as hosts did that did not say what they accept. */
+function fetchWithoutCompression(address: string): Promise<FetchReply> {
+  const { path, requestSerialize, responseDeserialize } =
+    peerService.fetchConfiguration;
+  const client = new Client(address, credentials.createInsecure());
+  const metadata = new Metadata();
+  metadata.set(FLEET_TOKEN_KEY, FLEET_TOKEN);
+  return new Promise<FetchReply>((resolve, reject) => {
+    client.makeUnaryRequest(
+      path,
+      requestSerialize,
+      responseDeserialize,
+      create(FetchRequestSchema, { digest: "config" }),
+      metadata,
+      (err, reply) => err === null ? resolve(reply!) : reject(err),
+    );
+  }).finally(() => client.close());
+}
