Tell what a host takes for the fleet, and what callers got of what was begun

No line told whose use a host counts, so a host that counts a part of the fleet looked like one of a calm fleet; and sums named what was begun for a team, not what its callers got.

Load reports carry the number of hosts that they cover (0 from earlier versions). The view names it and the age of its oldest report (`coverage`): in refusals, in starts of prompts (`attempt-started`, with `queuedTokens`), in `service-counted`, and as azurestile_load_hosts and azurestile_load_age_seconds. `service-counted` has `answered`, the service whose callers got a whole response.

No decision reads any of it. The expected inputs of a refusal in prompt_queue_test.ts have the new field.

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -16,8 +16,11 @@
     case "service-counted":
       return `Began of what teams asked for since the start, in tokens: ` +
         decision.teams
-          .map(({ team, asked, begun }) => `${begun} of ${asked} for ${team}`)
-          .join(", ");
+          .map(({ team, asked, begun, answered }) =>
+            `${begun} of ${asked} for ${team}, ${answered} answered`
+          )
+          .join("; ") +
+        `. Counts ${decision.coverage.hosts} hosts`;
     case "pipeline-dropped":
       return `Closed a caller's connection with ${decision.waiting} requests ` +
         `behind another one: there was no room for more`;
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -6,6 +6,7 @@
  */
 
 import type { UncaughtError } from "./runtime_watch.ts";
+import type { LoadCoverage } from "./request_decisions.ts";
 import type { RuntimeWarning } from "./runtime_warnings.ts";
 
 /** Service of a team at one host since the start of its process, in tokens. */
@@ -13,6 +14,8 @@
   readonly team: string;
   readonly asked: number;
   readonly begun: number;
+  /** Service of prompts whose callers got the whole response. */
+  readonly answered: number;
 }
 
 /** A decision on the fleet's hosts, with the data that it was based on. */
@@ -74,6 +77,7 @@
     readonly event: "service-counted";
     /** The teams that asked for most in the last second. */
     readonly teams: readonly TeamServiceTotals[];
+    readonly coverage: LoadCoverage;
   }
   | {
     /** This host stopped or resumed accepting new callers. */
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -23,6 +23,17 @@
   readonly confirmedMsAgo: number;
 }
 
+/** What a host takes for the load of the fleet. */
+export interface LoadCoverage {
+  /**
+   * Hosts whose use it counts, this one included; hosts of earlier versions are
+   * not among them.
+   */
+  readonly hosts: number;
+  /** Age of the oldest report that it counts, in ms; 0 without any. */
+  readonly ageMs: number;
+}
+
 /** Recent service of a team over all hosts, in tokens per second. */
 export interface TeamServiceRates {
   readonly asked: number;
@@ -53,6 +64,8 @@
    * than others; absent in lines of earlier versions.
    */
   readonly standing?: TeamStanding;
+  /** Absent in lines of earlier versions. */
+  readonly coverage?: LoadCoverage;
   /**
    * Tokens that `upstream` would have had to prefill for the prompt, with the
    * cost of attention.
@@ -215,6 +228,13 @@
      * knows.
      */
     readonly readingTokens: number | undefined;
+    /**
+     * Tokens that the upstream had to prefill, this prompt included, as far as
+     * this host knows; absent for other calls.
+     */
+    readonly queuedTokens?: number | undefined;
+    /** Absent for calls other than prompts. */
+    readonly coverage?: LoadCoverage | undefined;
     /** Service that counts against the team's share; absent for other calls. */
     readonly serviceTokens: number | undefined;
     /**
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -360,6 +360,7 @@
     getQueued: queue.getCount,
     countInFlight: drain.countInFlight,
     countAliveHosts: () => getAlive().length,
+    getLoadCoverage: load.getCoverage,
     countEvacuated: () => platformView.getEvacuated().size,
     countColdUpstreams: cold.count,
     getUnreadMs: loopMonitor.getUnreadMs,
@@ -539,7 +540,10 @@
     crashes.tick();
     streamVersions.tick();
     const served = load.takeDueServiceTotals();
-    if (served.length > 0) log({ event: "service-counted", teams: served });
+    if (served.length > 0) {
+      const coverage = load.getCoverage();
+      log({ event: "service-counted", teams: served, coverage });
+    }
     const limits = platformView.tryGetRoutes()?.config.callerLimits;
     if (limits !== undefined) setCallerLimits(callers.server, limits);
     // Before the other hosts are known it is not known whether there are any.
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -6,7 +6,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ConnectResult } from "../crashes/mod.ts";
-import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
+import type { Decision, LoadCoverage, LoggedBody } from "../diagnostics/mod.ts";
 import type { CallEnd } from "../forwarding/mod.ts";
 import type { GrantOutcome } from "../grants/mod.ts";
 import type {
@@ -25,6 +25,7 @@
   getQueued(): number;
   countInFlight(): number;
   countAliveHosts(): number;
+  getLoadCoverage(): LoadCoverage;
   /** Data centres that are evacuated, as far as this host knows. */
   countEvacuated(): number;
   countColdUpstreams(): number;
@@ -303,6 +304,16 @@
     "Requests for a grant that wait at this host",
     () => host.countGrantRequests(),
   );
+  addGauge(
+    "azurestile_load_hosts",
+    "Hosts whose use of the upstreams this one counts, itself included",
+    () => host.getLoadCoverage().hosts,
+  );
+  addGauge(
+    "azurestile_load_age_seconds",
+    "Age of the oldest report of that use",
+    () => host.getLoadCoverage().ageMs / 1_000,
+  );
   addGauge(
     "azurestile_memory_limit_bytes",
     "Memory above which the process is killed",
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -17,6 +17,7 @@
     getQueued: () => 0,
     countInFlight: () => 0,
     countAliveHosts: () => 1,
+    getLoadCoverage: () => ({ hosts: 1, ageMs: 0 }),
     countEvacuated: () => 2,
     countColdUpstreams: () => 3,
     getUnreadMs: () => 0,
@@ -245,6 +246,15 @@
   ok(text.includes('prefix_placements_total{source="peer"} 1\n'));
 });
 
+test("a host whose view covers part of the fleet shows in the metrics", async () => {
+  const metrics = createMetrics({
+    getLoadCoverage: () => ({ hosts: 3, ageMs: 1_250 }),
+  });
+  const text = await metrics.render();
+  ok(text.includes("azurestile_load_hosts 3\n"));
+  ok(text.includes("azurestile_load_age_seconds 1.25\n"));
+});
+
 test("limits and weights of upstreams that no longer differ disappear", async () => {
   // Guards against series that keep their last value after a fleet has shrunk
   // to the limit of the service, or after an upstream has left.
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -73,6 +73,10 @@
     unreadMs: Math.round(host.getUnreadMs()),
     inFlight: host.health.getInFlight(picked.upstream.id),
     readingTokens: picked.readingTokens,
+    queuedTokens: picked.queuedTokens,
+    coverage: picked.readingTokens === undefined
+      ? undefined
+      : host.load.getCoverage(),
     serviceTokens: tryGetServiceTokens(call.headers),
     fetchFrom: picked.fetch?.source?.id,
     fetchTokens: picked.fetch?.tokens,
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -89,6 +89,10 @@
   res: ServerResponse,
 ): void {
   host.retryBudget.recordSuccess("", state.call?.service ?? "");
+  const serviceTokens = tryGetServiceTokens(state.headers);
+  if (serviceTokens !== undefined && isSuccess(res.statusCode)) {
+    host.load.recordAnswered(state.team ?? "", serviceTokens);
+  }
   logEnd(host, state, {
     outcome: "answered",
     status: res.statusCode,
@@ -97,6 +101,10 @@
   });
 }
 
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 interface EndDetails {
   readonly outcome: "answered" | "not-run" | "may-have-run" | "caller-left";
   readonly status: number;
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -49,6 +49,7 @@
     getLoad: () => NO_LOAD,
     getShareUsed: () => 0,
     getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
+    getCoverage: () => ({ hosts: 1, ageMs: 0 }),
     getServiceLevel: () => 0,
     isOverserved: () => false,
     isUnderserved: () => false,
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -127,6 +127,7 @@
       }),
       getShareUsed: () => 0,
       getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
+      getCoverage: () => ({ hosts: 1, ageMs: 0 }),
       getServiceLevel: () => 0,
       isOverserved: () => false,
       isUnderserved: () => false,
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -64,6 +64,16 @@
   return { clock, view, createReport };
 }
 
+test("a host tells how many hosts its view covers, and from how old reports", () => {
+  // Guards against a host without reports that looks like one of a calm fleet.
+  const a = createView("a");
+  const b = createView("b", a.clock);
+  deepStrictEqual(b.view.getCoverage(), { hosts: 1, ageMs: 0 });
+  b.view.receive(a.createReport());
+  a.clock.advance(70);
+  deepStrictEqual(b.view.getCoverage(), { hosts: 2, ageMs: 70 });
+});
+
 test("hosts count each other's requests at an upstream", () => {
   // Guards against hosts that each use all slots of an upstream.
   const a = createView("a");
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -13,7 +13,7 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
-import type { TeamServiceTotals } from "../diagnostics/mod.ts";
+import type { LoadCoverage, TeamServiceTotals } from "../diagnostics/mod.ts";
 import {
   addPacingStats,
   EMPTY_PACING_STATS,
@@ -75,8 +75,12 @@
    * Recent mean of requested service tokens per token of work, at this host.
    */
   getMeanEfficiency(): number;
+  /** Records that a team's caller has got the whole response to a prompt. */
+  recordAnswered(team: string, tokens: number): void;
   /** Totals of the service of teams at this host, if they are due for the log. */
   takeDueServiceTotals(): readonly TeamServiceTotals[];
+  /** What this view takes for the fleet, for the log and the metrics. */
+  getCoverage(): LoadCoverage;
   /** Requests in flight at the upstream, of all hosts. */
   getInFlight(upstream: string): number;
   /** Tokens being prefilled at the upstream, for all hosts. */
@@ -205,6 +209,7 @@
       totals.recordBegun(team, tokens);
       teams.recordBegun(team, tokens);
     },
+    recordAnswered: totals.recordAnswered,
     takeDueServiceTotals: () => totals.takeDue(clock.monotonicMs()),
     beginRequest: (upstream) => void getUse(upstream).inFlight++,
     endRequest: (upstream) => void getUse(upstream).inFlight--,
@@ -223,6 +228,17 @@
       const nowMs = clock.monotonicMs();
       return serviceRate.get(nowMs) / Math.max(1, workRate.get(nowMs));
     },
+    getCoverage() {
+      evictStale();
+      const nowMs = clock.monotonicMs();
+      let hosts = 1;
+      let ageMs = 0;
+      for (const { report, receivedMs } of reports.values()) {
+        hosts += report.hosts;
+        ageMs = Math.max(ageMs, Math.round(nowMs - receivedMs));
+      }
+      return { hosts, ageMs };
+    },
     getInFlight: (upstream) =>
       getUse(upstream).inFlight + getOthersUse(upstream).inFlight,
     getReadingTokens: (upstream) =>
@@ -269,7 +285,12 @@
         else uses.delete(upstream);
       }
       const activeTeams = getOwnTeams().filter((each) => each.asked > 0);
-      return { upstreams, teams: activeTeams, learned: host.getLearned() };
+      return {
+        upstreams,
+        teams: activeTeams,
+        learned: host.getLearned(),
+        hosts: 1,
+      };
     },
   };
 }
--- a/src/load/report_sums.ts
+++ b/src/load/report_sums.ts
@@ -37,7 +37,9 @@
   const upstreams = new Map<number, Mutable<UpstreamUse>>();
   const teams = new Map<number, Mutable<TeamUse>>();
   const learned = new Map<number, LearnedOfService>();
+  let hosts = 0;
   for (const { report, sign } of all) {
+    hosts += sign * report.hosts;
     for (const each of report.upstreams) {
       const { upstream } = each;
       const use = getOrCreate(upstreams, upstream, () => ({
@@ -66,6 +68,8 @@
       .filter(isUsed),
     teams: [...teams.values()].filter((each) => each.asked > 0),
     learned: [...learned.values()].filter((each) => each.hosts > 0),
+    // A report of an earlier version is subtracted from a sum without it.
+    hosts: Math.max(0, hosts),
   };
 }
 
--- a/src/load/service_totals.ts
+++ b/src/load/service_totals.ts
@@ -1,9 +1,10 @@
 /**
- * Counts what each team asked for and was given at this host since its process
- * started, for the log.
+ * Counts what each team asked for, what was begun for it and what its callers got
+ * at this host since its process started, for the log.
  *
- * Failure made visible: one team gets a fraction of what another one gets. Lines
- * about single requests may be dropped by a busy host, sums are not.
+ * Failures made visible: one team gets a fraction of what another one gets, or
+ * much is begun for a team that comes to nothing. Lines about single requests
+ * may be dropped by a busy host, sums are not.
  *
  * @module
  */
@@ -15,6 +16,8 @@
 export interface ServiceTotals {
   recordAsked(team: string, tokens: number): void;
   recordBegun(team: string, tokens: number): void;
+  /** Records that the caller has got the whole response to a prompt. */
+  recordAnswered(team: string, tokens: number): void;
   /**
    * Once a second, the totals of the teams that asked for most in that second,
    * the first of which asked for most; otherwise none.
@@ -31,6 +34,7 @@
 interface Totals {
   asked: number;
   begun: number;
+  answered: number;
   /** The value of `asked` a period ago. */
   earlierAsked: number;
 }
@@ -41,11 +45,17 @@
   let takenMs = -Infinity;
 
   const getTotals = (team: string) =>
-    getOrCreate(teams, team, () => ({ asked: 0, begun: 0, earlierAsked: 0 }));
+    getOrCreate(teams, team, () => ({
+      asked: 0,
+      begun: 0,
+      answered: 0,
+      earlierAsked: 0,
+    }));
 
   return {
     recordAsked: (team, tokens) => void (getTotals(team).asked += tokens),
     recordBegun: (team, tokens) => void (getTotals(team).begun += tokens),
+    recordAnswered: (team, tokens) => void (getTotals(team).answered += tokens),
     takeDue(nowMs) {
       if (nowMs - takenMs < PERIOD_MS) return [];
       takenMs = nowMs;
@@ -55,7 +65,12 @@
         .sort((a, b) => (b.asked - b.earlierAsked) - (a.asked - a.earlierAsked))
         .slice(0, MAX_TEAMS);
       for (const each of teams.values()) each.earlierAsked = each.asked;
-      return busiest.map(({ team, asked, begun }) => ({ team, asked, begun }));
+      return busiest.map(({ team, asked, begun, answered }) => ({
+        team,
+        asked,
+        begun,
+        answered,
+      }));
     },
   };
 }
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -51,7 +51,10 @@
 }
 
 /** The parts of a report that are summed. */
-export type LoadContent = Pick<LoadReport, "upstreams" | "teams" | "learned">;
+export type LoadContent = Pick<
+  LoadReport,
+  "upstreams" | "teams" | "learned" | "hosts"
+>;
 
 /** A load report as sent between hosts. */
 export interface LoadReport {
@@ -62,6 +65,8 @@
   readonly upstreams: readonly UpstreamUse[];
   readonly teams: readonly TeamUse[];
   readonly learned: readonly LearnedOfService[];
+  /** Number of hosts whose use it covers; 0 from earlier versions. */
+  readonly hosts: number;
   readonly scope: LoadScope;
   /** Data centre of the sender. */
   readonly dataCentre: string;
--- a/src/peers/load_codec_test.ts
+++ b/src/peers/load_codec_test.ts
@@ -18,6 +18,7 @@
     upstreams: [use],
     teams: [],
     learned: [],
+    hosts: 1,
     scope: "host",
     dataCentre: "one",
     included: [],
--- a/src/queue/load_functions.ts
+++ b/src/queue/load_functions.ts
@@ -13,6 +13,7 @@
   | "getShareUsed"
   | "getServiceLevel"
   | "getServiceRates"
+  | "getCoverage"
   | "isOverserved"
   | "isUnderserved"
   | "onUnderservedWaiting"
@@ -25,6 +26,7 @@
     getShareUsed: view.getShareUsed,
     getServiceLevel: view.getServiceLevel,
     getServiceRates: view.getServiceRates,
+    getCoverage: view.getCoverage,
     isOverserved: view.isOverserved,
     isUnderserved: view.isUnderserved,
     onUnderservedWaiting: view.setUnderserved,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -230,6 +230,7 @@
       shareUsed: Number(host.getShareUsed(team).toFixed(2)),
       service: host.getServiceRates(team),
       standing: getStanding(team),
+      coverage: host.getCoverage(),
     };
   }
 
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -95,6 +95,7 @@
     },
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
     getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
+    getCoverage: () => ({ hosts: 1, ageMs: 0 }),
     getServiceLevel: (team) => serviceLevels.get(team) ?? 0,
     getMeanEfficiency: () => 60,
     getLimitTokens: (_service, upstream, targetMs) =>
@@ -473,6 +474,7 @@
     waitedMs: 480,
     service: { asked: 0, begun: 0, mostBegun: 0 },
     standing: "even",
+    coverage: { hosts: 1, ageMs: 0 },
     readingTokens: 6_000,
     limitTokens: LIMIT_TOKENS,
     upstream: "a",
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -9,7 +9,11 @@
  * @module
  */
 
-import type { QueueInputs, TeamServiceRates } from "../diagnostics/mod.ts";
+import type {
+  LoadCoverage,
+  QueueInputs,
+  TeamServiceRates,
+} from "../diagnostics/mod.ts";
 import type { WaitingLoad } from "../load/mod.ts";
 import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
 
@@ -127,6 +131,8 @@
   getServiceLevel(team: string): number;
   /** Recent service of the team over all hosts, for the log. */
   getServiceRates(team: string): TeamServiceRates;
+  /** What this host takes for the load of the fleet, for the log. */
+  getCoverage(): LoadCoverage;
   /**
    * Whether upstream capacity is short and the team gets more than an even part
    * of it.
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -410,6 +410,7 @@
       }),
       getShareUsed: () => parts.controls.shareUsed,
       getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
+      getCoverage: () => ({ hosts: 1, ageMs: 0 }),
       getServiceLevel: () => 0,
       isOverserved: () => false,
       isUnderserved: () => false,
