Count and answer whoever reports, whatever the list of members says

Cause: the sums of load needed all hosts to agree on a list that they don't agree on for half a minute after a start. Each chose the aggregator of its data centre from the members that it knew; an aggregator counted and answered those that it knew; of two aggregators the sums of one replaced those of the other, and the one with the higher sequence number won; and a host that knew 16 hosts or fewer took the fleet for a small one.

Change: what a host knows tells only where to send. A host reports to the highest-ranked host of its data centre that it knows, which counts and answers whoever reports to it, and reports the sum on to a higher one if it knows one (src/load/aggregation_tree.ts). Reports to a former parent are withdrawn by an empty one; sums are kept by sender. A fleet counts as large by the platform's list as well. The statistics of upstreams and the announcements of prefixes, which chose the same host in the same way, go along the same tree.

Tests for a silent parent, a start among strangers and changes of the parent. Fixtures of the statistics and announcements drive the tree; their checks are unchanged.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -36,6 +36,7 @@
 import { createGrantOwners } from "../grants/mod.ts";
 import { createHandoff } from "../handoff/mod.ts";
 import {
+  createAggregationTree,
   createLoadView,
   createUpstreamStatsReporter,
   getUnderservedRetentionMs,
@@ -200,10 +201,19 @@
     log,
   });
   const self = { peerAddress, dataCentre: settings.dataCentre };
+  const tree = createAggregationTree({
+    clock: stallTolerantClock,
+    self,
+    getHosts: getAlive,
+    countListedHosts: () => peers.countSeeds(),
+  });
   const upstreamStats = createUpstreamStatsReporter({
     clock: stallTolerantClock,
     self,
-    getHosts: getGrantingHosts,
+    tree: {
+      ...tree,
+      isUsed: () => host.grantsPrompts === true && tree.isUsed(),
+    },
     createOwnStats: () => upstreamPacings.getStats(),
   });
   const upstreamPacings = createUpstreamPacings({
@@ -221,6 +231,7 @@
   const prefixes = createPrefixPlacements({
     clock,
     self,
+    tree,
     getHosts: getAlive,
     getDigest: getNameDigest,
     onRecorded: (source) => metrics.observePlacement(source),
@@ -564,6 +575,7 @@
     self,
     clock: stallTolerantClock,
     load,
+    tree,
     upstreamStats,
     onStatsRound: upstreamPacings.update,
     announcer: prefixes.announcer,
--- a/src/entry/exchanges.ts
+++ b/src/entry/exchanges.ts
@@ -12,7 +12,12 @@
   type OpenOwned,
   PORT_OFFSETS,
 } from "../core/mod.ts";
-import type { LoadPeer, LoadView, UpstreamStatsReporter } from "../load/mod.ts";
+import type {
+  AggregationTree,
+  LoadPeer,
+  LoadView,
+  UpstreamStatsReporter,
+} from "../load/mod.ts";
 import type { PlacementAnnouncer } from "../prefixes/mod.ts";
 import { openLoadExchange } from "./load_exchange.ts";
 import { openPrefixExchange } from "./prefix_exchange.ts";
@@ -23,6 +28,7 @@
   readonly self: LoadPeer;
   readonly clock: Clock;
   readonly load: LoadView;
+  readonly tree: AggregationTree;
   readonly upstreamStats: UpstreamStatsReporter;
   /** Called after each round of statistics. */
   onStatsRound(): void;
@@ -52,6 +58,7 @@
         clock: host.clock,
         self,
         view: host.load,
+        tree: host.tree,
         getHosts: host.getHosts,
         onFailed: logFailedTask("load reports"),
       }),
--- a/src/entry/load_exchange.ts
+++ b/src/entry/load_exchange.ts
@@ -9,6 +9,7 @@
 import { offsetPort, PORT_OFFSETS } from "../core/mod.ts";
 import * as Effect from "effect/Effect";
 import {
+  type AggregationTree,
   createLoadReporter,
   type LoadPeer,
   type LoadReport,
@@ -23,6 +24,7 @@
   readonly clock: Clock;
   readonly self: LoadPeer;
   readonly view: LoadView;
+  readonly tree: AggregationTree;
   /** The hosts that are alive, including this one. */
   getHosts(): readonly LoadPeer[];
   /** Called with what can't be handled or sent. */
@@ -42,10 +44,11 @@
 export async function openLoadExchange(
   host: LoadExchangeHost,
 ): Promise<LoadExchange> {
-  const { view, self } = host;
+  const { view, self, tree } = host;
   const reporter = createLoadReporter({
     clock: host.clock,
     self,
+    tree,
     getHosts: host.getHosts,
     getDigest: getNameDigest,
     createOwnContent: view.createOwnContent,
@@ -67,7 +70,7 @@
     for (const { to, report } of reporter.createReports()) {
       socket.sendToAll(to.map(getLoadAddress), report);
     }
-    return reporter.getPeriodMs();
+    return tree.getPeriodMs();
   }
 
   return {
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -56,6 +56,8 @@
   ): Promise<FetchedConfiguration | undefined>;
   /** Replaces the seed addresses from the platform and the settings. */
   setSeeds(addresses: readonly string[]): void;
+  /** Number of addresses that the platform and the settings list. */
+  countSeeds(): number;
   /** Probes other hosts and gossips changes until the effect is interrupted. */
   readonly run: Effect.Effect<never>;
 }
@@ -108,6 +110,7 @@
     getConfigVersion: () => ({ version: 0, digest: "" }),
   }, membershipOptions);
   let isRunning = false;
+  let seedCount = 0;
   const open = host.open ?? openAtOnce;
   const datagrams = await open(
     `UDP ${peerAddress}`,
@@ -170,7 +173,9 @@
         peerAddress: address,
       }));
       membership.setSeeds(seeds);
+      seedCount = seeds.length;
     },
+    countSeeds: () => seedCount,
     run,
     async [Symbol.asyncDispose]() {
       await server[Symbol.asyncDispose]();
--- a/src/entry/prefix_exchange_test.ts
+++ b/src/entry/prefix_exchange_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../core/mod.ts";
+import { createLoneTree } from "../testing/aggregation_trees.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { rankByAffinity } from "../placement/mod.ts";
 import { createPrefixPlacements } from "../prefixes/mod.ts";
@@ -27,6 +28,7 @@
   const prefixes = createPrefixPlacements({
     clock: systemClock,
     self,
+    tree: createLoneTree(systemClock, self),
     getHosts: () => fleet.map((each) => ({ ...self, peerAddress: each })),
     getDigest: getNameDigest,
     onRecorded: () => {},
--- a/src/entry/upstream_pacings_test.ts
+++ b/src/entry/upstream_pacings_test.ts
@@ -1,5 +1,6 @@
 import { ok, strictEqual } from "node:assert";
 import { test } from "node:test";
+import { createAggregationTrees } from "../testing/aggregation_trees.ts";
 import { createManualClock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import type { UpstreamEntry } from "../discovery/mod.ts";
@@ -42,6 +43,11 @@
   const entries = new Map(ENGINES.map(({ id }) => [id, createEntry(id, 1)]));
   const decisions: Decision[] = [];
   let running = hostCount;
+  const aggregation = createAggregationTrees({
+    clock,
+    peers,
+    getAlive: () => peers.slice(0, running),
+  });
   const hosts = peers.map((self, at) => {
     const services = createServicePacings({
       clock,
@@ -55,7 +61,7 @@
     const reporter = createUpstreamStatsReporter({
       clock,
       self,
-      getHosts: () => peers.slice(0, running),
+      tree: aggregation.trees[at]!,
       createOwnStats: () => pacings.getStats(),
     });
     const pacings = createUpstreamPacings({
@@ -112,7 +118,7 @@
     run(seconds: number): void {
       for (let each = 0; each < seconds; each++) {
         for (let at = 0; at < running; at++) {
-          clock.advance(1_000 / running);
+          aggregation.advance(1_000 / running);
           serve(at);
         }
         exchange();
--- a/src/load/load_reporter_test.ts
+++ b/src/load/load_reporter_test.ts
@@ -4,11 +4,12 @@
 import { createRandom } from "../measure/random.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import {
-  createLoadReporter,
-  type LoadPeer,
+  createAggregationTree,
   MAX_FULL_MESH_HOSTS,
-} from "./load_reporter.ts";
+} from "./aggregation_tree.ts";
+import { createLoadReporter } from "./load_reporter.ts";
 import { createLoadView } from "./load_view.ts";
+import type { LoadPeer } from "./types.ts";
 
 const LINK_MS = 20;
 
@@ -31,6 +32,9 @@
   const clock = createManualClock(1_000);
   const peers = createPeers(dataCentres, hostsInEach);
   const dead = new Set<string>();
+  /** Hosts that neither send nor receive, though all take them for alive. */
+  const silent = new Set<string>();
+  const isOff = (address: string) => dead.has(address) || silent.has(address);
   let datagrams = 0;
   let crossDatagrams = 0;
   const due: { readonly atMs: number; run(): void }[] = [];
@@ -43,21 +47,29 @@
       getStatedCapacity: () => 1_000,
       getLearned: () => [],
     });
+    const getHosts = () =>
+      getAlive().filter((each) => each === self || knows(self, each));
+    const tree = createAggregationTree({
+      clock,
+      self,
+      getHosts,
+      countListedHosts: () => peers.length,
+    });
     const reporter = createLoadReporter({
       clock,
       self,
-      getHosts: () =>
-        getAlive().filter((each) => each === self || knows(self, each)),
+      tree,
+      getHosts,
       getDigest: getNameDigest,
       createOwnContent: view.createOwnContent,
       onOthersLoad: view.receive,
     });
-    return { self, view, reporter };
+    return { self, view, tree, reporter };
   });
 
   function sendAll(): void {
     for (const { self, reporter } of hosts) {
-      if (dead.has(self.peerAddress)) continue;
+      if (isOff(self.peerAddress)) continue;
       for (const { to, report } of reporter.createReports()) {
         for (const address of to) {
           const target = hosts.find((each) =>
@@ -70,7 +82,7 @@
           due.push({
             atMs,
             run() {
-              if (!dead.has(address)) target.reporter.receive(report);
+              if (!isOff(address)) target.reporter.receive(report);
             },
           });
         }
@@ -90,6 +102,7 @@
   return {
     hosts,
     dead,
+    silent,
     /** Runs rounds, one period apart, in each of which every host reports. */
     runRounds(rounds: number): void {
       for (let round = 0; round < rounds; round++) {
@@ -152,8 +165,8 @@
   for (const { view } of fleet.hosts) view.beginRequest("engine-1");
   fleet.runRounds(3);
   for (const dataCentre of ["dc-0", "dc-1"]) {
-    const aggregator = fleet.hosts.find(({ self, reporter }) =>
-      self.dataCentre === dataCentre && reporter.createReports().length === 2
+    const aggregator = fleet.hosts.find(({ self, tree }) =>
+      self.dataCentre === dataCentre && tree.tryGetParent() === undefined
     )!;
     fleet.dead.add(aggregator.self.peerAddress);
   }
@@ -223,3 +236,61 @@
     }
   }
 });
+
+test("hosts whose aggregator falls silent keep sums, and get those of all again", () => {
+  // Guards against hosts that take upstreams for free while all take their aggregator for alive.
+  const fleet = createFleet(5, 16);
+  for (const { view } of fleet.hosts) view.beginRequest("engine-1");
+  fleet.runRounds(5);
+  const aggregator = fleet.hosts.find(({ tree }) =>
+    tree.tryGetParent() === undefined
+  )!;
+  fleet.silent.add(aggregator.self.peerAddress);
+  const others = fleet.hosts.filter((each) => each !== aggregator);
+  for (let round = 0; round < 40; round++) {
+    fleet.runRounds(1);
+    for (const { view } of others) {
+      ok(view.getInFlight("engine-1") >= 64, `round ${round}`);
+    }
+  }
+  for (const { view } of others) strictEqual(view.getInFlight("engine-1"), 79);
+});
+
+test("a host that starts and knows few others counts the use of all at once", () => {
+  // Guards against restarted hosts that start what all others hold back.
+  const fleet = createFleet(
+    5,
+    16,
+    (self, other) =>
+      self.peerAddress !== "host-7" ||
+      ["host-1", "host-2", "host-12"].includes(other.peerAddress),
+  );
+  const started = fleet.hosts[7]!;
+  fleet.dead.add(started.self.peerAddress);
+  for (const { view } of fleet.hosts) view.beginRequest("engine-1");
+  fleet.runRounds(5);
+  fleet.dead.clear();
+  fleet.runRounds(5);
+  strictEqual(started.view.getInFlight("engine-1"), 80);
+});
+
+test("hosts that change between aggregators are counted once after three rounds", () => {
+  // Guards against upstreams that look full since reports to the former aggregator are kept.
+  const fleet = createFleet(5, 16);
+  for (const { view } of fleet.hosts) view.beginRequest("engine-1");
+  fleet.runRounds(5);
+  const highest = fleet.hosts.find(({ tree }) =>
+    tree.tryGetParent() === undefined
+  )!;
+  // It is taken for dead by the others, and then not any more.
+  fleet.dead.add(highest.self.peerAddress);
+  fleet.runRounds(5);
+  fleet.dead.clear();
+  fleet.runRounds(3);
+  for (let round = 3; round < 20; round++) {
+    fleet.runRounds(1);
+    for (const { view } of fleet.hosts) {
+      strictEqual(view.getInFlight("engine-1"), 80, `round ${round}`);
+    }
+  }
+});
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -19,7 +19,7 @@
   EMPTY_PACING_STATS,
   type PacingStats,
 } from "../pacing/mod.ts";
-import { REPORT_TTL_MS } from "./load_reporter.ts";
+import { isFullMesh, REPORT_TTL_MS } from "./aggregation_tree.ts";
 import { createDecayingRate } from "./decaying_rate.ts";
 import { createServiceTotals } from "./service_totals.ts";
 import {
@@ -106,6 +106,9 @@
 /** Least time between two searches for stale reports. */
 const EVICT_PERIOD_MS = 50;
 
+/** See `getUnderservedRetentionMs`. */
+const UNDERSERVED_RETENTION_MS = 1_000;
+
 const NO_USE: Readonly<UseTotals> = createUseTotals();
 
 interface ReceivedReport {
@@ -113,6 +116,16 @@
   readonly receivedMs: number;
 }
 
+/**
+ * Time in ms for which an upstream counts as awaited after a prompt of an
+ * underserved team has waited for it, in a fleet of this size. Where reports are
+ * older than a prefill, overserved teams would otherwise take the room before
+ * the team's next prompt arrives.
+ */
+export function getUnderservedRetentionMs(hosts: number): number {
+  return isFullMesh(hosts) ? 0 : UNDERSERVED_RETENTION_MS;
+}
+
 /** Creates the view of a host that has received no reports. */
 export function createLoadView(host: LoadViewHost): LoadView {
   const { clock, getDigest } = host;
--- a/src/load/mod.ts
+++ b/src/load/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./aggregation_tree.ts";
 export * from "./load_reporter.ts";
 export * from "./load_view.ts";
 export * from "./decaying_rate.ts";
--- a/src/load/report_sums.ts
+++ b/src/load/report_sums.ts
@@ -15,6 +15,14 @@
   UpstreamUse,
 } from "./types.ts";
 
+/** The use of no host. */
+export const EMPTY_CONTENT: LoadContent = {
+  upstreams: [],
+  teams: [],
+  learned: [],
+  hosts: 0,
+};
+
 /** Sums the use by upstream, team and service over all reports. */
 export function addReports(reports: readonly LoadContent[]): LoadContent {
   return sumSigned(reports.map((report) => ({ report, sign: 1 })));
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -40,6 +40,12 @@
   readonly service: number;
 }
 
+/** A host that exchanges load reports. */
+export interface LoadPeer {
+  readonly peerAddress: string;
+  readonly dataCentre: string;
+}
+
 /** Which hosts a report covers. */
 export type LoadScope = "host" | "data-centre" | "fleet";
 
--- a/src/load/upstream_stats_reporter.ts
+++ b/src/load/upstream_stats_reporter.ts
@@ -1,8 +1,8 @@
 /**
  * Exchanges the statistics of single upstreams along the tree of the load
- * reports (`load_reporter.ts`), once per second: a host reports to the
- * aggregator of its data centre, the aggregators report to each other, and each
- * sends its hosts the sum over the fleet. Small fleets exchange nothing.
+ * reports (`aggregation_tree.ts`), once per second: a host reports to its parent
+ * for itself and its children, the roots report to each other, and each sends
+ * its children the sum over the fleet. Small fleets exchange nothing.
  *
  * Load: 390 hosts and 600 upstreams, in data centres between which traffic is
  * billed by volume.
@@ -20,14 +20,13 @@
  */
 
 import { type Clock, getOrCreate } from "../core/mod.ts";
-import { EMPTY_UPSTREAM_STATS, type UpstreamStats } from "../pacing/mod.ts";
 import {
-  getAggregator,
-  getDataCentres,
-  isFullMesh,
-  type LoadPeer,
-} from "./load_reporter.ts";
-import type { LoadScope } from "./types.ts";
+  addUpstreamStats,
+  EMPTY_UPSTREAM_STATS,
+  type UpstreamStats,
+} from "../pacing/mod.ts";
+import type { AggregationTree } from "./aggregation_tree.ts";
+import type { LoadPeer, LoadScope } from "./types.ts";
 import {
   addStatsByUpstream,
   type ReceivedStats,
@@ -65,8 +64,10 @@
 export interface UpstreamStatsReporterHost {
   readonly clock: Clock;
   readonly self: LoadPeer;
-  /** The hosts that are alive, this one included. */
-  getHosts(): readonly LoadPeer[];
+  readonly tree: Pick<
+    AggregationTree,
+    "isUsed" | "tryGetParent" | "getChildren" | "getOtherRoots"
+  >;
   /** Returns this host's own statistics of the upstreams with samples. */
   createOwnStats(): StatsByUpstream;
 }
@@ -116,15 +117,17 @@
 export function createUpstreamStatsReporter(
   host: UpstreamStatsReporterHost,
 ): UpstreamStatsReporter {
-  const { clock, self } = host;
+  const { clock, self, tree } = host;
+  /** What this host has reported for itself and its children. */
   const ownReports = new Map<number, StatsByUpstream>();
-  /** Complete reports of this data centre's hosts, by peer address. */
-  const hostReports = new Map<string, HostReport>();
+  /** Complete reports of the children, by peer address. */
+  const childReports = new Map<string, HostReport>();
   const pendingReports = new Map<string, PendingReport>();
-  /** Sums of the other data centres, by data centre and upstream. */
-  const dataCentreStats = new Map<string, Map<number, ReceivedStats>>();
-  /** Sums over all other hosts, by upstream. */
-  const othersStats = new Map<number, ReceivedStats>();
+  /** Sums that other roots have sent, by peer address and upstream. */
+  const rootStats = new Map<string, Map<number, ReceivedStats>>();
+  /** Sums over all hosts but this one and its children, by upstream. */
+  const remoteStats = new Map<number, ReceivedStats>();
+  let childStats: StatsByUpstream = new Map();
   // Starts at the seconds of the wall clock, so that a host does not subtract
   // its own report for one of its earlier process.
   let sequence = Math.floor(clock.wallMs() / 1_000) % 2 ** 31;
@@ -142,17 +145,11 @@
 
   function clear(): void {
     ownReports.clear();
-    hostReports.clear();
+    childReports.clear();
     pendingReports.clear();
-    dataCentreStats.clear();
-    othersStats.clear();
-  }
-
-  function createOwnReport(): StatsByUpstream {
-    const own = host.createOwnStats();
-    ownReports.set(sequence, own);
-    ownReports.delete(sequence - MAX_OWN_REPORTS);
-    return own;
+    rootStats.clear();
+    remoteStats.clear();
+    childStats = new Map();
   }
 
   function createDatagrams(
@@ -177,7 +174,7 @@
     const { from, part, parts, upstreams } = report;
     const latest = Math.max(
       pendingReports.get(from)?.sequence ?? -1,
-      hostReports.get(from)?.sequence ?? -1,
+      childReports.get(from)?.sequence ?? -1,
     );
     // Datagrams may arrive out of order.
     if (report.sequence < latest) return;
@@ -189,19 +186,15 @@
     pending.parts.set(part, upstreams);
     if (pending.parts.size < parts) return;
     pendingReports.delete(from);
-    hostReports.set(from, {
+    childReports.set(from, {
       sequence: report.sequence,
       upstreams: addStatsByUpstream([...pending.parts.values()]),
       receivedMs: clock.monotonicMs(),
     });
   }
 
-  function receiveFromDataCentre(report: UpstreamStatsReport): void {
-    const known = getOrCreate(
-      dataCentreStats,
-      report.dataCentre,
-      () => new Map(),
-    );
+  function receiveFromRoot(report: UpstreamStatsReport): void {
+    const known = getOrCreate(rootStats, report.from, () => new Map());
     const receivedMs = clock.monotonicMs();
     for (const [upstream, stats] of report.upstreams) {
       known.set(upstream, { stats, receivedMs });
@@ -216,91 +209,93 @@
     const receivedMs = clock.monotonicMs();
     for (const [upstream, sum] of upstreams) {
       const stats = trySubtractOwn(sum, own?.get(upstream));
-      if (stats === undefined) othersStats.delete(upstream);
-      else othersStats.set(upstream, { stats, receivedMs });
+      if (stats === undefined) remoteStats.delete(upstream);
+      else remoteStats.set(upstream, { stats, receivedMs });
     }
   }
 
-  /** Returns the reports of this data centre's hosts that are alive. */
-  function getLiveHostReports(
-    ownHosts: readonly string[],
-  ): ReadonlyMap<string, HostReport> {
-    const alive = new Set(ownHosts);
-    for (const from of hostReports.keys()) {
-      if (!alive.has(from)) hostReports.delete(from);
-    }
-    for (const from of pendingReports.keys()) {
-      if (!alive.has(from)) pendingReports.delete(from);
+  function removeAllBut(
+    kept: readonly string[],
+    bySender: Map<string, unknown>,
+  ): void {
+    for (const from of bySender.keys()) {
+      if (!kept.includes(from)) bySender.delete(from);
     }
-    return hostReports;
   }
 
-  function getRemoteStats(): readonly StatsByUpstream[] {
-    return [...dataCentreStats.values()].map((received) =>
+  /** Drops what is too old, and what was sent from another place in the tree. */
+  function removeOutdated(): void {
+    removeExpired(childReports);
+    rootStats.forEach(removeExpired);
+    removeExpired(remoteStats);
+    removeAllBut(tree.getChildren(), childReports);
+    removeAllBut(tree.getChildren(), pendingReports);
+    removeAllBut(tree.getOtherRoots(), rootStats);
+  }
+
+  /** As a root, takes the sums of the other roots for those over all others. */
+  function updateRemoteStats(): void {
+    const receivedMs = clock.monotonicMs();
+    const sums = [...rootStats.values()].map((received) =>
       new Map([...received].map(([upstream, { stats }]) => [upstream, stats]))
     );
+    remoteStats.clear();
+    for (const [upstream, stats] of addStatsByUpstream(sums)) {
+      remoteStats.set(upstream, { stats, receivedMs });
+    }
   }
 
-  /** Returns the datagrams that the aggregator sends. */
-  function createAggregates(
-    hosts: readonly LoadPeer[],
-    own: StatsByUpstream,
+  /** Returns the datagrams for the children, which each subtract their own part. */
+  function createFleetDatagrams(
+    subtree: StatsByUpstream,
   ): readonly OutgoingUpstreamStats[] {
-    const ownHosts = hosts
-      .filter((each) => each.dataCentre === self.dataCentre)
-      .map((each) => each.peerAddress)
-      .filter((each) => each !== self.peerAddress);
-    const reports = getLiveHostReports(ownHosts);
-    const local = addStatsByUpstream([
-      own,
-      ...[...reports.values()].map((each) => each.upstreams),
-    ]);
-    const total = addStatsByUpstream([local, ...getRemoteStats()]);
-    applyFleetStats(total, own);
-    const aggregators = getDataCentres(hosts)
-      .filter((each) => each !== self.dataCentre)
-      .map((each) => getAggregator(hosts, each));
-    const toDataCentres = createDatagrams("data-centre", splitStats(local))
-      .map((report) => ({ to: aggregators, report }));
-    // All hosts share the parts, which the codec encodes only once.
-    const parts = splitStats(total);
-    const toHosts = ownHosts.flatMap((to) =>
-      createDatagrams("fleet", parts, reports.get(to)?.sequence)
+    const remote = [...remoteStats].map(([upstream, { stats }]) =>
+      [upstream, stats] as const
+    );
+    // All children share the parts, which the codec encodes only once.
+    const parts = splitStats(addStatsByUpstream([subtree, new Map(remote)]));
+    return tree.getChildren().flatMap((to) =>
+      createDatagrams("fleet", parts, childReports.get(to)?.sequence)
         .map((report) => ({ to: [to], report }))
     );
-    return [...toDataCentres, ...toHosts];
   }
 
   return {
     createReports() {
-      const hosts = host.getHosts();
-      if (isFullMesh(hosts.length)) {
+      if (!tree.isUsed()) {
         clear();
         return [];
       }
       sequence++;
-      removeExpired(hostReports);
-      removeExpired(othersStats);
-      dataCentreStats.forEach(removeExpired);
-      const own = createOwnReport();
-      const aggregator = getAggregator(hosts, self.dataCentre);
-      if (aggregator === self.peerAddress) return createAggregates(hosts, own);
-      return createDatagrams("host", splitStats(own))
-        .map((report) => ({ to: [aggregator], report }));
+      removeOutdated();
+      childStats = addStatsByUpstream(
+        [...childReports.values()].map((each) => each.upstreams),
+      );
+      const subtree = addStatsByUpstream([host.createOwnStats(), childStats]);
+      ownReports.set(sequence, subtree);
+      ownReports.delete(sequence - MAX_OWN_REPORTS);
+      const parent = tree.tryGetParent();
+      const isRoot = parent === undefined;
+      if (isRoot) updateRemoteStats();
+      const to = isRoot ? tree.getOtherRoots() : [parent];
+      const scope = isRoot ? "data-centre" : "host";
+      const upward = createDatagrams(scope, splitStats(subtree))
+        .map((report) => ({ to, report }));
+      return [...upward, ...createFleetDatagrams(subtree)];
     },
     receive(report) {
       if (report.scope === "host") receiveFromHost(report);
-      else if (report.scope === "data-centre") receiveFromDataCentre(report);
-      else {
+      else if (report.scope === "data-centre") receiveFromRoot(report);
+      else if (report.from === tree.tryGetParent()) {
         applyFleetStats(report.upstreams, ownReports.get(report.ownSequence));
       }
     },
     getOthersStats(upstream) {
-      const received = othersStats.get(upstream);
-      if (received === undefined || isExpired(received.receivedMs)) {
-        return EMPTY_UPSTREAM_STATS;
-      }
-      return received.stats;
+      const received = remoteStats.get(upstream);
+      const fromChildren = childStats.get(upstream) ?? EMPTY_UPSTREAM_STATS;
+      return received === undefined || isExpired(received.receivedMs)
+        ? fromChildren
+        : addUpstreamStats(received.stats, fromChildren);
     },
   };
 }
--- a/src/load/upstream_stats_reporter_test.ts
+++ b/src/load/upstream_stats_reporter_test.ts
@@ -3,7 +3,8 @@
 import { createManualClock } from "../core/mod.ts";
 import { EMPTY_UPSTREAM_STATS, type UpstreamStats } from "../pacing/mod.ts";
 import { createUpstreamStatsCodec } from "../peers/mod.ts";
-import type { LoadPeer } from "./load_reporter.ts";
+import { createAggregationTrees } from "../testing/aggregation_trees.ts";
+import type { LoadPeer } from "./types.ts";
 import {
   createUpstreamStatsReporter,
   STATS_PERIOD_MS,
@@ -38,16 +39,22 @@
     );
   }
 
+  const aggregation = createAggregationTrees({
+    clock,
+    peers,
+    getAlive: () => peers.filter((each) => started.has(each)),
+  });
   const hosts = peers.map((self, at) =>
     createUpstreamStatsReporter({
       clock,
       self,
-      getHosts: () => peers.filter((each) => started.has(each)),
+      tree: aggregation.trees[at]!,
       createOwnStats: () => createOwnStats(at),
     })
   );
 
   function runRound(): void {
+    aggregation.advance(STATS_PERIOD_MS);
     for (const [at, host] of hosts.entries()) {
       if (!started.has(peers[at]!)) continue;
       for (const { to, report } of host.createReports()) {
@@ -61,7 +68,6 @@
       }
     }
     round++;
-    clock.advance(STATS_PERIOD_MS);
   }
 
   return {
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -8,6 +8,7 @@
 
 import type { Clock } from "../core/mod.ts";
 import {
+  createAggregationTree,
   createLoadReporter,
   createLoadView,
   getUnderservedRetentionMs,
@@ -87,10 +88,12 @@
     getRemoteStats: () => view.getOthersLearned(SIMULATED_SERVICE),
     onChanged: () => {},
   });
+  const getHosts = () => options.peers;
   const reporter = createLoadReporter({
     clock,
     self,
-    getHosts: () => options.peers,
+    tree: createAggregationTree({ clock, self, getHosts }),
+    getHosts,
     getDigest: getNameDigest,
     createOwnContent: view.createOwnContent,
     onOthersLoad: view.receive,
--- a/src/prefixes/placement_announcer.ts
+++ b/src/prefixes/placement_announcer.ts
@@ -1,9 +1,9 @@
 /**
  * Decides which placements of prompts a host announces, and to which hosts:
  * in small fleets to all, otherwise along the tree of the load reports
- * (`load/load_reporter.ts`). A host announces to the aggregator of its data
- * centre, which passes on to the other aggregators and to its hosts, and passes
- * on to its hosts what comes from other aggregators.
+ * (`load/aggregation_tree.ts`). A host announces to its parent, which passes on
+ * to its own parent and to its children; a root passes on to the other roots,
+ * and to its children what comes from these.
  *
  * Load: 390 hosts in 6 data centres, between which traffic is billed by volume.
  *
@@ -12,9 +12,8 @@
  *   link between data centres.
  * - Several hosts send the first prompts with a prefix to the same upstream, and
  *   each announcement is passed on. Of those in one round, one is sent.
- * - Hosts that disagree about the aggregator pass announcements on in circles.
- *   What a host receives from outside is sent only to the hosts of its own data
- *   centre, and only by the aggregator.
+ * - Hosts pass announcements on in circles. What comes from other data centres
+ *   is passed on to the children only, and nothing twice.
  *
  * A lost datagram costs one repeated prefill; the next announcement of the
  * placement replaces it.
@@ -22,12 +21,7 @@
  * @module
  */
 
-import {
-  getAggregator,
-  getDataCentres,
-  isFullMesh,
-  type LoadPeer,
-} from "../load/mod.ts";
+import type { AggregationTree, LoadPeer } from "../load/mod.ts";
 import type { Placement, PlacementReport } from "./types.ts";
 
 /** A datagram with the peer addresses of its receivers. */
@@ -39,6 +33,10 @@
 /** Dependencies of the announcer, supplied by the process. */
 export interface PlacementAnnouncerHost {
   readonly self: LoadPeer;
+  readonly tree: Pick<
+    AggregationTree,
+    "isUsed" | "tryGetParent" | "getChildren" | "getOtherRoots"
+  >;
   /** The hosts that are alive, this one included. */
   getHosts(): readonly LoadPeer[];
   /**
@@ -73,41 +71,27 @@
 export function createPlacementAnnouncer(
   host: PlacementAnnouncerHost,
 ): PlacementAnnouncer {
-  const { self } = host;
+  const { self, tree } = host;
   /** New placements of this host. */
   let own: Placement[] = [];
-  /** Those that hosts of this data centre have announced. */
+  /** Those that children have announced. */
   let local: Placement[] = [];
-  /** Those that other aggregators have announced. */
+  /** Those that other roots or the parent have announced. */
   let remote: Placement[] = [];
 
-  /** Returns the datagrams that the aggregator sends. */
-  function createAggregates(
-    hosts: readonly LoadPeer[],
-  ): readonly OutgoingPlacements[] {
-    const aggregators = getDataCentres(hosts)
-      .filter((each) => each !== self.dataCentre)
-      .map((each) => getAggregator(hosts, each));
-    const ownHosts = getOthers(hosts, self)
-      .filter((each) => each.dataCentre === self.dataCentre)
-      .map((each) => each.peerAddress);
-    const newPlacements = [...own, ...local];
-    return [
-      ...createDatagrams("data-centre", newPlacements, aggregators),
-      ...createDatagrams("fleet", [...newPlacements, ...remote], ownHosts),
-    ];
-  }
-
   function createRound(): readonly OutgoingPlacements[] {
-    const hosts = host.getHosts();
-    if (isFullMesh(hosts.length)) {
-      const others = getOthers(hosts, self).map((each) => each.peerAddress);
+    if (!tree.isUsed()) {
+      const others = getOthers(host.getHosts(), self)
+        .map((each) => each.peerAddress);
       return createDatagrams("host", own, others);
     }
-    const aggregator = getAggregator(hosts, self.dataCentre);
-    return aggregator === self.peerAddress
-      ? createAggregates(hosts)
-      : createDatagrams("host", own, [aggregator]);
+    const newPlacements = [...own, ...local];
+    const parent = tree.tryGetParent();
+    const upward = parent === undefined
+      ? createDatagrams("data-centre", newPlacements, tree.getOtherRoots())
+      : createDatagrams("host", newPlacements, [parent]);
+    const all = [...newPlacements, ...remote];
+    return [...upward, ...createDatagrams("fleet", all, tree.getChildren())];
   }
 
   return {
@@ -116,7 +100,7 @@
       for (const placement of placements) {
         if (!host.onPlacement(placement)) continue;
         if (scope === "host") local.push(placement);
-        else if (scope === "data-centre") remote.push(placement);
+        else remote.push(placement);
       }
     },
     createReports() {
--- a/src/prefixes/placement_announcer_test.ts
+++ b/src/prefixes/placement_announcer_test.ts
@@ -1,5 +1,6 @@
 import { deepStrictEqual, ok, strictEqual } from "node:assert";
 import { test } from "node:test";
+import { createAggregationTrees } from "../testing/aggregation_trees.ts";
 import { createManualClock } from "../core/mod.ts";
 import type { LoadPeer } from "../load/mod.ts";
 import { createPlacementCodec } from "../peers/mod.ts";
@@ -28,10 +29,14 @@
     peerAddress: `10.0.0.${at}:7400`,
     dataCentre: `dc-${at % dataCentres}`,
   }));
-  const hosts = peers.map((self) => {
+  const aggregation = createAggregationTrees({ clock, peers });
+  // Hosts have reported to each other before the first placement.
+  for (let round = 0; round < 3; round++) aggregation.runRound();
+  const hosts = peers.map((self, at) => {
     const directory = createPrefixDirectory({ nowMs: clock.monotonicMs });
     const announcer = createPlacementAnnouncer({
       self,
+      tree: aggregation.trees[at]!,
       getHosts: () => peers,
       onPlacement: directory.receive,
     });
@@ -61,7 +66,7 @@
       }
     }
     for (const arrive of arriving) arrive();
-    clock.advance(ANNOUNCEMENT_ROUND_MS);
+    aggregation.advance(ANNOUNCEMENT_ROUND_MS);
   }
 
   return {
--- a/src/prefixes/prefix_placements.ts
+++ b/src/prefixes/prefix_placements.ts
@@ -14,7 +14,7 @@
 
 import type { Clock } from "../core/mod.ts";
 import { getInstanceName, type UpstreamEntry } from "../discovery/mod.ts";
-import type { LoadPeer } from "../load/mod.ts";
+import type { AggregationTree, LoadPeer } from "../load/mod.ts";
 import type { PrefixHolder } from "../placement/mod.ts";
 import {
   createPlacementAnnouncer,
@@ -26,6 +26,7 @@
 export interface PrefixPlacementsHost {
   readonly clock: Clock;
   readonly self: LoadPeer;
+  readonly tree: AggregationTree;
   /** The hosts that are alive, this one included. */
   getHosts(): readonly LoadPeer[];
   getDigest(name: string): number;
@@ -64,6 +65,7 @@
   const directory = createPrefixDirectory({ nowMs: host.clock.monotonicMs });
   const announcer = createPlacementAnnouncer({
     self: host.self,
+    tree: host.tree,
     getHosts: host.getHosts,
     onPlacement(placement) {
       const isNew = directory.receive(placement);
--- a/src/prefixes/prefix_placements_test.ts
+++ b/src/prefixes/prefix_placements_test.ts
@@ -1,6 +1,7 @@
 import { deepStrictEqual } from "node:assert";
 import { test } from "node:test";
 import { createManualClock } from "../core/mod.ts";
+import { createLoneTree } from "../testing/aggregation_trees.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createUpstreamEntry } from "../testing/routing_fixture.ts";
 import { createPrefixPlacements } from "./prefix_placements.ts";
@@ -9,9 +10,11 @@
   // Guards against sources that have lost what their former process had cached.
   const self = { peerAddress: "10.0.0.1:7400", dataCentre: "a" };
   const sources: string[] = [];
+  const clock = createManualClock();
   const placements = createPrefixPlacements({
-    clock: createManualClock(),
+    clock,
     self,
+    tree: createLoneTree(clock, self),
     getHosts: () => [self],
     getDigest: getNameDigest,
     onRecorded: (source) => void sources.push(source),
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -45,6 +45,7 @@
   type HealthWatch,
 } from "../upstreams/mod.ts";
 import type { WarmUpAllowance } from "../warmup/mod.ts";
+import { createLoneTree } from "./aggregation_trees.ts";
 import { createTestCodec } from "./call_codec.ts";
 import {
   type CallerResponse,
@@ -475,6 +476,7 @@
   return createPrefixPlacements({
     clock,
     self,
+    tree: createLoneTree(clock, self),
     getHosts: () => [self],
     getDigest: getNameDigest,
     onRecorded: () => {},
