Let a host that starts take the prefill limit that the others have learned

A restarted host began at 14,000 tokens at an upstream where the fleet had learned 5,600, reported that within 0.1 s, and moved halfway there each half second: until then it filled upstreams that the others spared.

Until it has learned itself, a host takes the others' limit at once, before its first prompt. Hosts that have learned still move halfway.

Tests: a host that starts had 14,000 tokens before its first prompt, and 27,000 in place of 40,000 after half a second. The second was the expectation of a test that asked for half; it asks for all of it now, and the half stays in a test of a host that has learned. Not known: how much of the incident's unequal shares this part makes alone.

--- a/src/pacing/pause_limit.ts
+++ b/src/pacing/pause_limit.ts
@@ -126,6 +126,8 @@
     defaultPauseLimitOptions,
 ): PauseLimit {
   let tokens = initialTokens;
+  /** Whether the limit is still the initial one. */
+  let isInitial = true;
   let adjustedAtMs = host.nowMs();
   let decayedAtMs = host.nowMs();
   let localLateAnswers = 0;
@@ -149,6 +151,17 @@
     return answers <= 0 ? 0 : lateAnswers / answers;
   }
 
+  /**
+   * Until it has learned, a host takes the limit that the others have learned. A
+   * restarted one would otherwise fill upstreams that the others spare.
+   */
+  function takeLimitOfOtherHosts(): void {
+    const { answers, limitTokens } = host.getRemoteStats();
+    if (answers <= MIN_ANSWERS) return;
+    tokens = limitTokens / answers;
+    isInitial = false;
+  }
+
   /**
    * Moves the limit halfway to the mean of the other hosts' limits. Without
    * this, hosts that learned at different times would keep different limits.
@@ -175,6 +188,7 @@
     decay();
     averageWithOtherHosts();
     if (getTotalAnswers() > MIN_ANSWERS) {
+      isInitial = false;
       const share = getLateShare();
       if (share > DECREASE_ABOVE_SHARE) decrease(ceilingTokens);
       else if (share < INCREASE_BELOW_SHARE) increase(ceilingTokens);
@@ -191,6 +205,7 @@
       if (isLate) localLateAnswers++;
     },
     getLimitTokens(ceilingTokens) {
+      if (isInitial) takeLimitOfOtherHosts();
       if (host.nowMs() - adjustedAtMs >= adjustPeriodMs) {
         adjustedAtMs = host.nowMs();
         adjust(ceilingTokens);
--- a/src/pacing/pause_limit_test.ts
+++ b/src/pacing/pause_limit_test.ts
@@ -19,7 +19,7 @@
   return limit;
 }
 
-test("a host without samples moves halfway to the others' limit at once", () => {
+test("a host without samples takes the others' limit at once", () => {
   // Guards against a restarted host whose limit is far below that of the
   // others.
   const answers = 40;
@@ -27,6 +27,35 @@
   // A late share between both thresholds, so that nothing else changes the
   // limit.
   const limit = createFixture({ ...others, lateAnswers: answers * 0.04 });
+  strictEqual(limit.getLimitTokens(CEILING_TOKENS), 40_000);
+});
+
+test("a host that starts takes a low limit before its first prompt", () => {
+  // Guards against a restarted host that fills upstreams which the others spare.
+  const answers = 40;
+  const limit = createPauseLimit({
+    nowMs: createManualClock(1_000).monotonicMs,
+    getRemoteStats: () => ({
+      limitTokens: 5_600 * answers,
+      answers,
+      lateAnswers: answers / 2,
+    }),
+  });
+  strictEqual(limit.getLimitTokens(CEILING_TOKENS), 5_600);
+});
+
+test("a host that has learned moves halfway to the others' limit", () => {
+  const clock = createManualClock(1_000);
+  let others = { limitTokens: 0, answers: 0, lateAnswers: 0 };
+  const limit = createPauseLimit({
+    nowMs: clock.monotonicMs,
+    getRemoteStats: () => others,
+  });
+  for (let answer = 0; answer < 50; answer++) limit.addSample(answer < 2);
+  clock.advance(500);
+  strictEqual(limit.getLimitTokens(CEILING_TOKENS), 14_000);
+  others = { limitTokens: 40_000 * 50, answers: 50, lateAnswers: 2 };
+  clock.advance(500);
   strictEqual(limit.getLimitTokens(CEILING_TOKENS), 27_000);
 });
 
