Let hosts that start learn of all listed hosts

Causes: a host that probes one that it doesn't know sends its own entry, but a host that already knew the prober acknowledged without its own, so that the prober never learned of it; and a full sync counted as done once two probes were acknowledged, whether it came or whom it named (two hosts that have just started themselves).

Change: a host answers a prober that introduces itself with its own entry. For 10 s after its start or a pause a host that lacks listed hosts probes three of them each period and asks one host a second for a full sync.

--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -20,6 +20,8 @@
   getAll(): readonly Member[];
   /** All members that are other hosts and not dead. */
   getPeers(): readonly Member[];
+  /** Listed hosts that this one does not know as members. */
+  getUnmet(): readonly Seed[];
   /**
    * Hosts that may come back: dead members, and listed hosts that have never
    * answered.
@@ -75,7 +77,12 @@
     return member === undefined || member.state === "dead";
   }
 
+  function getUnmet(): readonly Seed[] {
+    return [...seeds.values()].filter((seed) => !members.has(seed.host));
+  }
+
   return {
+    getUnmet,
     getSelf: () => members.get(self.host)!,
     tryGet: (host) => members.get(host),
     getCount: () => members.size,
@@ -91,10 +98,7 @@
       ),
     getUnreachable() {
       const dead = [...deadSinceMs.keys()].map((host) => members.get(host)!);
-      const neverSeen = [...seeds.values()].filter((seed) =>
-        !members.has(seed.host)
-      );
-      return [...dead, ...neverSeen];
+      return [...dead, ...getUnmet()];
     },
     merge(update) {
       const known = members.get(update.host);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -36,11 +36,20 @@
 const UNREACHABLE_PROBE_PERIODS = 4;
 
 /**
- * Number of unreachable hosts probed in each period while this host has no
- * peer.
+ * Number of unreachable hosts probed in each period while this host has no peer
+ * or joins.
  */
 const JOINING_PROBES = 3;
 
+/**
+ * Time after its start or a pause for which a host joins, in ms: until then it
+ * asks again for a full sync while it lacks listed hosts.
+ */
+const JOIN_MS = 10_000;
+
+/** While it joins, a host asks for a full sync once in this many periods. */
+const SYNC_PERIODS = 4;
+
 /**
  * A period that is longer than planned by this many periods shows that this
  * process was stopped or starved, so that missing acknowledgements are its own
@@ -79,6 +88,9 @@
   });
   let lastTickMs = clock.monotonicMs();
   let ticks = 0;
+  let joiningSinceMs = clock.monotonicMs();
+  /** Whether the next probe asks for a full sync. */
+  let isSyncDue = false;
   memberQueue.enqueue(self.host);
 
   /**
@@ -101,8 +113,9 @@
     const parts = {
       sequence,
       probeTarget: target ?? "",
-      wantsSync: sync.isNeeded(),
+      wantsSync: sync.isNeeded() || isSyncDue,
     };
+    isSyncDue = false;
     host.send(
       to.peerAddress,
       messages.addQueued(messages.create(parts, entries)),
@@ -176,6 +189,12 @@
     }
   }
 
+  /** Whether this host has started lately and lacks listed hosts. */
+  function isJoining(): boolean {
+    return clock.monotonicMs() - joiningSinceMs < JOIN_MS &&
+      table.getUnmet().length > 0;
+  }
+
   /**
    * Probes unreachable hosts. After a network partition each side considers the
    * other dead, and the platform's list may name hosts that have never
@@ -183,9 +202,10 @@
    */
   function probeUnreachable(): void {
     const isAlone = table.getPeers().length === 0;
-    if (!isAlone && ticks % UNREACHABLE_PROBE_PERIODS !== 0) return;
-    const unreachable = table.getUnreachable();
-    const count = isAlone ? JOINING_PROBES : 1;
+    const isHurried = isAlone || isJoining();
+    if (!isHurried && ticks % UNREACHABLE_PROBE_PERIODS !== 0) return;
+    const unreachable = isJoining() ? table.getUnmet() : table.getUnreachable();
+    const count = isHurried ? JOINING_PROBES : 1;
     const first = Math.floor(host.random() * unreachable.length);
     for (let each = 0; each < Math.min(count, unreachable.length); each++) {
       prober.probeOnce(unreachable[(first + each) % unreachable.length]!);
@@ -204,6 +224,7 @@
     prober.cancelAll();
     suspicion.extendTimeouts(pausedMs);
     sync.restart();
+    joiningSinceMs = nowMs;
   }
 
   function sendSync(): void {
@@ -238,7 +259,7 @@
     }
     if (message.isAck) receiveAck(message);
     else if (!tryRelay(message, replyAddress)) {
-      const entries = messages.getEntriesFor(from, message.incarnation);
+      const entries = messages.getReplyEntries(message);
       const ack = messages.create({ isAck: true, sequence }, entries);
       host.send(replyAddress, messages.addQueued(ack));
     }
@@ -293,6 +314,7 @@
       recoverFromPause(nowMs);
       lastTickMs = nowMs;
       ticks++;
+      isSyncDue = ticks % SYNC_PERIODS === 0 && isJoining();
       prober.checkTimeouts();
       expireSuspects();
       prober.probeNext();
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -14,6 +14,7 @@
 import { createFactStore, FACT_RETENTION_MS, MAX_FACTS } from "./facts.ts";
 import { DEAD_RETENTION_MS } from "./member_table.ts";
 import { createMembership } from "./membership.ts";
+import { defaultMembershipOptions } from "./membership_types.ts";
 import type { Member, MembershipMessage } from "./types.ts";
 
 const SEEDS = [1, 2, 3];
@@ -361,3 +362,20 @@
   facts.expire();
   assert.equal(facts.getKeys().length, 0);
 });
+
+test("hosts that restart together know all others within three seconds", () => {
+  // Guards against hosts that take a part of the fleet for all of it.
+  for (let seed = 1; seed <= 10; seed++) {
+    const options = { ...defaultMembershipOptions, periodMs: 250 };
+    const fixture = createMembershipFixture({ hosts: 80, seed, options });
+    const { names, scheduler } = fixture;
+    const restarted = names.slice(0, 18);
+    const startMs = scheduler.clock.monotonicMs();
+    for (const name of restarted) fixture.restart(name, 1_000);
+    scheduler.runUntil(startMs + 3_000);
+    for (const name of restarted) {
+      const known = fixture.get(name).getUsable().length;
+      assert.equal(known, names.length, `${name}, seed ${seed}`);
+    }
+  }
+});
--- a/src/membership/message_builder.ts
+++ b/src/membership/message_builder.ts
@@ -40,6 +40,12 @@
    * add the sender.
    */
   getEntriesFor(target: string, incarnation?: number): readonly Member[];
+  /**
+   * Entries that the acknowledgement of a probe must contain: those for the
+   * prober, and this host's own entry if the prober has sent its own, as one does
+   * that does not know this host.
+   */
+  getReplyEntries(probe: MembershipMessage): readonly Member[];
   /** Size of the member and the fact with this key, in bytes. */
   getKeyBytes(key: string): number;
 }
@@ -111,10 +117,19 @@
     return [table.getSelf(), member];
   }
 
+  function getReplyEntries(
+    { from, incarnation, updates }: MembershipMessage,
+  ): readonly Member[] {
+    const entries = getEntriesFor(from, incarnation);
+    const hasIntroduced = updates.some((each) => each.host === from);
+    return entries.length === 0 && hasIntroduced ? [table.getSelf()] : entries;
+  }
+
   return {
     create,
     addQueued,
     getEntriesFor,
+    getReplyEntries,
     getKeyBytes: (key) => getMemberBytes(key) + getFactBytes(key),
   };
 }
