Move what a host knows of the fleet's load out of the assembly of the host

The view, the tree, the pacings and the statistics of upstreams, which depend on each other, are created in src/entry/fleet_load.ts; behaviour stays.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -35,12 +35,6 @@
 import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
 import { createGrantOwners } from "../grants/mod.ts";
 import { createHandoff } from "../handoff/mod.ts";
-import {
-  createAggregationTree,
-  createLoadView,
-  createUpstreamStatsReporter,
-  getUnderservedRetentionMs,
-} from "../load/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
 import { createPrefixPlacements } from "../prefixes/mod.ts";
@@ -53,6 +47,7 @@
 import { createCallerServer } from "./caller_server.ts";
 import { createEntryQueue } from "./entry_queue.ts";
 import { getServingHosts } from "./fleet_size.ts";
+import { createFleetLoad } from "./fleet_load.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createGrantExchange } from "./grant_exchange.ts";
 import { createGrantUpstreams } from "./grant_upstreams.ts";
@@ -70,11 +65,9 @@
 import { openPeers } from "./peers.ts";
 import { createHostRegistration } from "./host_registration.ts";
 import { getBacklog, getHandoffBacklog, setCallerLimits } from "./servers.ts";
-import { createServicePacings } from "./service_pacings.ts";
 import { openSideServers } from "./side_servers.ts";
 import { startTicker } from "./ticker.ts";
 import type { EntryHost, EntrySettings } from "./types.ts";
-import { createUpstreamPacings } from "./upstream_pacings.ts";
 
 /** A running entry host. */
 export interface Entry extends AsyncDisposable {
@@ -179,55 +172,23 @@
       });
     },
   });
-  const load = createLoadView({
-    clock: stallTolerantClock,
-    getDigest: getNameDigest,
-    isAlive: (address) => peers.membership.isUsable(address),
-    getUnderservedRetentionMs: () =>
-      getUnderservedRetentionMs(getAlive().length),
-    getStatedCapacity: () =>
-      platformView.tryGetRoutes()?.config.tokensPerSecond ?? 0,
-    getLearned: () =>
-      pacings.getStats().map(([service, stats]) => ({
-        ...stats,
-        service: getNameDigest(service),
-      })),
-  });
-  const pacings = createServicePacings({
-    clock,
-    getRemoteStats: load.getOthersLearned,
-    tryGetTargetMs: (service) =>
-      platformView.tryGetRoutes()?.tryGetPromptTargetMs(service),
-    log,
-  });
   const self = { peerAddress, dataCentre: settings.dataCentre };
-  const tree = createAggregationTree({
-    clock: stallTolerantClock,
+  const fleetLoad = createFleetLoad({
+    clock,
+    stallTolerantClock,
     self,
-    getHosts: getAlive,
+    grantsPrompts: host.grantsPrompts === true,
+    getAlive,
+    isUsable: (address) => peers.membership.isUsable(address),
     countListedHosts: () => peers.countSeeds(),
-  });
-  const upstreamStats = createUpstreamStatsReporter({
-    clock: stallTolerantClock,
-    self,
-    tree: {
-      ...tree,
-      isUsed: () => host.grantsPrompts === true && tree.isUsed(),
-    },
-    createOwnStats: () => upstreamPacings.getStats(),
-  });
-  const upstreamPacings = createUpstreamPacings({
-    clock,
-    services: pacings,
+    tryGetRoutes: () => platformView.tryGetRoutes(),
     directory: {
       tryGet: (id) => platformView.directory.tryGet(id),
       getReady: (service) => platformView.directory.getReady(service),
     },
-    countHosts: () => getGrantingHosts().length,
-    getDigest: getNameDigest,
-    getOthersStats: upstreamStats.getOthersStats,
     log,
   });
+  const { load, tree, pacings, upstreamStats, upstreamPacings } = fleetLoad;
   const prefixes = createPrefixPlacements({
     clock,
     self,
