Halve the rounds of load reports where a data centre has many hosts

Before, hosts knew half of the others, which made their rounds half as long and their counts half as high.

A round takes 4 ms for each host of the data centre, at least 100 ms as before: 132 ms there, 100 in place of 112 ms with 14 hosts. A root handles 500 datagrams a second, 4% of a core.

--- a/src/load/aggregation_tree.ts
+++ b/src/load/aggregation_tree.ts
@@ -86,10 +86,10 @@
 /**
  * Least period of the rounds, per host of the data centre. In every round the
  * root receives a report from each of these hosts and sends one to each. The
- * period grows with their number, so that it handles at most about 250 datagrams
- * per second, which takes 2% of a core.
+ * period grows with their number, so that it handles at most about 500 datagrams
+ * per second, which takes 4% of a core.
  */
-const PERIOD_MS_PER_HOST = 8;
+const PERIOD_MS_PER_HOST = 4;
 
 /**
  * Reports older than this are dropped, in ms: their sender has stopped or
