Take the platform's list for the size of the fleet only while a host joins

Read, not seen: hosts that are gone for good stay on the list. A small fleet with more than 16 entries would have sent its loads along the tree, with three hops in place of one.

The list counts for 10 s after a start or a pause while it names hosts that are not known, and not while hosts that are no children report to this one, as hosts of a small fleet do. The new test, in which two hosts of 16 join with 40 listed, fails without that (hosts count a part of the fleet).

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -180,7 +180,8 @@
     grantsPrompts: host.grantsPrompts === true,
     getAlive,
     isUsable: (address) => peers.membership.isUsable(address),
-    countListedHosts: () => peers.countSeeds(),
+    countListedHosts: () =>
+      peers.membership.isJoining() ? peers.countSeeds() : 0,
     tryGetRoutes: () => platformView.tryGetRoutes(),
     directory: {
       tryGet: (id) => platformView.directory.tryGet(id),
--- a/src/entry/fleet_load.ts
+++ b/src/entry/fleet_load.ts
@@ -42,7 +42,7 @@
   getAlive(): readonly LoadPeer[];
   /** Whether the host may get new work. */
   isUsable(peerAddress: string): boolean;
-  /** Number of hosts that the platform and the settings list. */
+  /** Number of the listed hosts while this one joins them; otherwise 0. */
   countListedHosts(): number;
   tryGetRoutes(): RouteTable | undefined;
   readonly directory: UpstreamPacingsHost["directory"];
--- a/src/load/aggregation_tree.ts
+++ b/src/load/aggregation_tree.ts
@@ -35,7 +35,10 @@
   readonly self: LoadPeer;
   /** The hosts that are alive, as far as known, this one included. */
   getHosts(): readonly LoadPeer[];
-  /** The hosts that the platform lists, known or not; 0 if absent. */
+  /**
+   * The hosts that the platform lists, while this one has not met them yet; 0 if
+   * absent. Hosts that are gone for good may be among them.
+   */
   countListedHosts?(): number;
 }
 
@@ -122,8 +125,10 @@
   const { clock, self } = host;
   let parent: string | undefined;
   let parentHeardMs = -Infinity;
-  /** Whether the parent was among the hosts alive, or answers unknown. */
-  let isParentKnown = false;
+  /** When a host last reported to this one without being its child. */
+  let fullMeshHeardMs = -Infinity;
+  /** Whether the parent was alive to this host, not only known by answers. */
+  let wasParentAlive = false;
   /** When the hosts of this data centre last reported to this one. */
   const childrenHeardMs = new Map<string, number>();
   /** Roots that sent the sum of a data centre, by peer address. */
@@ -145,11 +150,10 @@
   }
 
   function isUsed(): boolean {
-    const hosts = Math.max(
-      host.getHosts().length,
-      host.countListedHosts?.() ?? 0,
-    );
-    return !isFullMesh(hosts);
+    const known = host.getHosts().length;
+    // Hosts that know the fleet and report to all others know it for small.
+    if (isWithin(fullMeshHeardMs, REPORT_TTL_MS)) return !isFullMesh(known);
+    return !isFullMesh(Math.max(known, host.countListedHosts?.() ?? 0));
   }
 
   function removeExpired(): void {
@@ -177,8 +181,8 @@
       ...getOwnDataCentreHosts(),
       ...getHeardRoots(self.dataCentre),
     ];
-    // A known host that is no longer alive is no candidate, though it answered.
-    if (parent !== undefined && !isParentKnown) candidates.push(parent);
+    // A parent that is only known by its answers.
+    if (parent !== undefined && !wasParentAlive) candidates.push(parent);
     const among = [
       self.peerAddress,
       ...candidates.filter((each) => !silentMs.has(each)),
@@ -205,6 +209,7 @@
     switch (scope) {
       case "host":
         if (mayBeChild(report)) childrenHeardMs.set(from, heardMs);
+        else fullMeshHeardMs = heardMs;
         return;
       case "data-centre":
         heardRoots.set(from, { peerAddress: from, dataCentre, heardMs });
@@ -231,7 +236,7 @@
       const chosen = chooseParent();
       if (chosen !== parent) parentHeardMs = nowMs;
       parent = chosen;
-      isParentKnown = parent !== undefined &&
+      wasParentAlive = parent !== undefined &&
         getOwnDataCentreHosts().includes(parent);
     },
     recordReport(report) {
--- a/src/load/load_reporter_test.ts
+++ b/src/load/load_reporter_test.ts
@@ -35,6 +35,8 @@
   const dead = new Set<string>();
   /** Hosts that neither send nor receive, though all take them for alive. */
   const silent = new Set<string>();
+  /** Number of hosts that the platform lists for a host that joins. */
+  const listed = new Map<string, number>();
   const isOff = (address: string) => dead.has(address) || silent.has(address);
   let datagrams = 0;
   let crossDatagrams = 0;
@@ -54,7 +56,7 @@
       clock,
       self,
       getHosts,
-      countListedHosts: () => peers.length,
+      countListedHosts: () => listed.get(self.peerAddress) ?? 0,
     });
     const reporter = createLoadReporter({
       clock,
@@ -104,6 +106,7 @@
     hosts,
     dead,
     silent,
+    listed,
     /** Runs rounds, one period apart, in each of which every host reports. */
     runRounds(rounds: number): void {
       for (let round = 0; round < rounds; round++) {
@@ -263,6 +266,19 @@
   for (const { view } of others) strictEqual(view.getInFlight("engine-1"), 79);
 });
 
+test("a host that joins a small fleet with many hosts gone from its list counts all", () => {
+  // Guards against a host that waits for sums where the others report to each other.
+  const fleet = createFleet(2, MAX_FULL_MESH_HOSTS / 2);
+  for (const { view } of fleet.hosts) view.beginRequest("engine-1");
+  for (const { self } of fleet.hosts.slice(0, 2)) {
+    fleet.listed.set(self.peerAddress, 40);
+  }
+  fleet.runRounds(5);
+  for (const { view } of fleet.hosts) {
+    strictEqual(view.getInFlight("engine-1"), MAX_FULL_MESH_HOSTS);
+  }
+});
+
 test("hosts keep sums while the three highest of their data centre are silent", () => {
   // Guards against hosts that wait for one silent parent after the other until all they know has expired.
   const fleet = startBusyFleet();
@@ -287,6 +303,7 @@
   const fleet = startBusyFleet((self, other) =>
     self.peerAddress !== "host-7" || known.includes(other.peerAddress)
   );
+  fleet.listed.set("host-7", 80);
   fleet.dead.add("host-7");
   fleet.runRounds(20);
   fleet.dead.clear();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -189,7 +189,6 @@
     }
   }
 
-  /** Whether this host has started lately and lacks listed hosts. */
   function isJoining(): boolean {
     return clock.monotonicMs() - joiningSinceMs < JOIN_MS &&
       table.getUnmet().length > 0;
@@ -306,6 +305,7 @@
       const member = table.tryGet(target);
       return member !== undefined && isUsableMember(member);
     },
+    isJoining,
     setSeeds: table.setSeeds,
     applyUpdate: (member) => applyUpdate(member, true),
     receive,
--- a/src/membership/membership_types.ts
+++ b/src/membership/membership_types.ts
@@ -62,6 +62,8 @@
    */
   getUsable(): readonly Member[];
   isUsable(host: string): boolean;
+  /** Whether this host has started or paused lately and lacks listed hosts. */
+  isJoining(): boolean;
   /**
    * Replaces the seeds: the hosts that the platform's list or the settings
    * name.
