--- a/src/load/aggregation_tree.ts
+++ b/src/load/aggregation_tree.ts
@@ -69,6 +69,12 @@
   getPeriodMs(): number;
 }
 
+/** The place of a host, for what else is sent along the tree. */
+export type TreePlace = Pick<
+  AggregationTree,
+  "isUsed" | "tryGetParent" | "getChildren" | "getOtherRoots"
+>;
+
 /** What the tree reads of a report. */
 export type ReportSource =
   & Pick<LoadReport, "from" | "scope" | "dataCentre">
--- a/src/load/upstream_stats_reporter.ts
+++ b/src/load/upstream_stats_reporter.ts
@@ -25,7 +25,7 @@
   EMPTY_UPSTREAM_STATS,
   type UpstreamStats,
 } from "../pacing/mod.ts";
-import type { AggregationTree } from "./aggregation_tree.ts";
+import type { TreePlace } from "./aggregation_tree.ts";
 import type { LoadPeer, LoadScope } from "./types.ts";
 import {
   addStatsByUpstream,
@@ -64,10 +64,7 @@
 export interface UpstreamStatsReporterHost {
   readonly clock: Clock;
   readonly self: LoadPeer;
-  readonly tree: Pick<
-    AggregationTree,
-    "isUsed" | "tryGetParent" | "getChildren" | "getOtherRoots"
-  >;
+  readonly tree: TreePlace;
   /** Returns this host's own statistics of the upstreams with samples. */
   createOwnStats(): StatsByUpstream;
 }
--- a/src/prefixes/placement_announcer.ts
+++ b/src/prefixes/placement_announcer.ts
@@ -21,7 +21,7 @@
  * @module
  */
 
-import type { AggregationTree, LoadPeer } from "../load/mod.ts";
+import type { LoadPeer, TreePlace } from "../load/mod.ts";
 import type { Placement, PlacementReport } from "./types.ts";
 
 /** A datagram with the peer addresses of its receivers. */
@@ -33,10 +33,7 @@
 /** Dependencies of the announcer, supplied by the process. */
 export interface PlacementAnnouncerHost {
   readonly self: LoadPeer;
-  readonly tree: Pick<
-    AggregationTree,
-    "isUsed" | "tryGetParent" | "getChildren" | "getOtherRoots"
-  >;
+  readonly tree: TreePlace;
   /** The hosts that are alive, this one included. */
   getHosts(): readonly LoadPeer[];
   /**
--- a/src/prefixes/prefix_placements.ts
+++ b/src/prefixes/prefix_placements.ts
@@ -14,7 +14,7 @@
 
 import type { Clock } from "../core/mod.ts";
 import { getInstanceName, type UpstreamEntry } from "../discovery/mod.ts";
-import type { AggregationTree, LoadPeer } from "../load/mod.ts";
+import type { LoadPeer, TreePlace } from "../load/mod.ts";
 import type { PrefixHolder } from "../placement/mod.ts";
 import {
   createPlacementAnnouncer,
@@ -26,7 +26,7 @@
 export interface PrefixPlacementsHost {
   readonly clock: Clock;
   readonly self: LoadPeer;
-  readonly tree: AggregationTree;
+  readonly tree: TreePlace;
   /** The hosts that are alive, this one included. */
   getHosts(): readonly LoadPeer[];
   getDigest(name: string): number;
