--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -1,12 +1,12 @@
 import { deepStrictEqual, ok } from "node:assert";
 import { test } from "node:test";
 import type { Decision, LoggedBody } from "../diagnostics/mod.ts";
-import {
-  createEntryMetrics,
-  type EntryMetrics,
-  type MetricsHost,
-  type ReadingLimit,
-} from "./metrics.ts";
+import { createEntryMetrics } from "./metrics.ts";
+import type {
+  EntryMetrics,
+  MetricsHost,
+  ReadingLimit,
+} from "./metrics_types.ts";
 
 /** Length at which a collector may cut a scrape, in bytes. */
 const CUT_BYTES = 4_096;
--- a/src/entry/service_pacings.ts
+++ b/src/entry/service_pacings.ts
@@ -7,7 +7,7 @@
 import { type Clock, getOrCreate } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
 import { createPacing, type Pacing, type PacingStats } from "../pacing/mod.ts";
-import type { ReadingLimit } from "./metrics.ts";
+import type { ReadingLimit } from "./metrics_types.ts";
 import { createReadingLimitDecision } from "./reading_limit_decision.ts";
 
 /** Dependencies of the pacings. */
--- a/src/entry/upstream_pacings.ts
+++ b/src/entry/upstream_pacings.ts
@@ -28,7 +28,7 @@
   type UpstreamPacing,
   type UpstreamStats,
 } from "../pacing/mod.ts";
-import type { ReadingLimit, UpstreamWeight } from "./metrics.ts";
+import type { ReadingLimit, UpstreamWeight } from "./metrics_types.ts";
 import { createReadingLimitDecision } from "./reading_limit_decision.ts";
 import type { ServicePacings } from "./service_pacings.ts";
 
