Log whose room a start takes, and what is begun again

- attempt-started: `room`, with the standing of its team, the limit at the upstream and the tokens that prompts of underserved teams wait to prefill.
- service-counted: `repeated`, the part of `begun` by further attempts.
- azurestile_prompts_decided_total{outcome,standing}.

What callers ask and no host accepts can't be counted by a host; the difference to `asked` shows it.

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -16,8 +16,9 @@
     case "service-counted":
       return `Began of what teams asked for since the start, in tokens: ` +
         decision.teams
-          .map(({ team, asked, begun, answered }) =>
-            `${begun} of ${asked} for ${team}, ${answered} answered`
+          .map(({ team, asked, begun, repeated, answered }) =>
+            `${begun} of ${asked} for ${team}, ${repeated} of them repeated, ` +
+            `${answered} answered`
           )
           .join("; ") +
         `. Counts ${decision.coverage.hosts} hosts`;
--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -45,6 +45,15 @@
 /** What a team gets of the capacity, compared with the other teams. */
 export type TeamStanding = "overserved" | "underserved" | "even";
 
+/** Whose room a prompt takes at its upstream, as known when it starts. */
+export interface RoomUse {
+  readonly standing: TeamStanding;
+  /** Limit of prefill tokens in flight there, without this prompt. */
+  readonly limitTokens: number;
+  /** Tokens that prompts of underserved teams wait to prefill there. */
+  readonly underservedTokens: number;
+}
+
 /** Load and shares that the queue knew when it refused a prompt. */
 export interface QueueInputs {
   readonly waitedMs: number;
@@ -234,6 +243,8 @@
      */
     readonly queuedTokens?: number | undefined;
     /** Absent for calls other than prompts. */
+    readonly room?: RoomUse | undefined;
+    /** Absent for calls other than prompts. */
     readonly coverage?: LoadCoverage | undefined;
     /** Service that counts against the team's share; absent for other calls. */
     readonly serviceTokens: number | undefined;
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -51,6 +51,9 @@
     onStart(prompt, upstream, readingTokens) {
       load.beginPrefill(upstream, readingTokens);
       load.recordBegun(prompt.team, prompt.serviceTokens);
+      if (prompt.isRepeated) {
+        load.recordRepeated(prompt.team, prompt.serviceTokens);
+      }
     },
   });
 }
--- a/src/entry/grant_exchange_test.ts
+++ b/src/entry/grant_exchange_test.ts
@@ -20,6 +20,7 @@
   serviceTokens: 6_000,
   workTokens: 5_000,
   isBegun: false,
+  isRepeated: false,
   isCallerConnected: () => true,
   getUpstreams: () => [],
   start() {},
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -213,6 +213,13 @@
     labelNames: ["source"],
     registers,
   });
+  const promptsDecided = new Counter({
+    name: "azurestile_prompts_decided_total",
+    help:
+      "Prompts started and refused by the queue, by what their teams get of their due",
+    labelNames: ["outcome", "standing"],
+    registers,
+  });
   const grants = new Counter({
     name: "azurestile_grants_total",
     help: "Requests for a grant of an upstream's owner, by outcome",
@@ -321,6 +328,17 @@
     if (contact !== undefined) bodiesUnproven.inc({ contact });
   }
 
+  /** Counts a prompt that the queue has started or refused. */
+  function observeStanding(decision: Decision): void {
+    if (decision.event === "attempt-started" && decision.room) {
+      const { standing } = decision.room;
+      promptsDecided.inc({ outcome: "started", standing });
+    } else if (decision.event === "request-ended" && decision.queue?.standing) {
+      const { standing } = decision.queue;
+      promptsDecided.inc({ outcome: "refused", standing });
+    }
+  }
+
   function observeStart({ fetchFrom, fetchReason }: StartedAttempt): void {
     if (fetchFrom === undefined || fetchReason === undefined) return;
     prefixFetches.inc({ reason: fetchReason });
@@ -341,6 +359,7 @@
       if (decision.event === "request-ended" && decision.isCut) {
         responsesCut.inc({ silent_phase: decision.silentPhase ?? "none" });
       }
+      observeStanding(decision);
       if (decision.event === "stream-version-found") {
         streamVersions.inc({ from: decision.from });
       } else if (decision.event === "stream-version-unknown") {
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -246,6 +246,20 @@
   ok(text.includes('prefix_placements_total{source="peer"} 1\n'));
 });
 
+test("prompts that take room while other teams are refused show in the metrics", async () => {
+  const metrics = createMetrics();
+  const room = { standing: "overserved" };
+  metrics.observeDecision({ event: "attempt-started", room } as Decision);
+  metrics.observeDecision({
+    event: "request-ended",
+    queue: { standing: "underserved" },
+  } as Decision);
+  const text = await metrics.render();
+  const name = "azurestile_prompts_decided_total";
+  ok(text.includes(`${name}{outcome="started",standing="overserved"} 1\n`));
+  ok(text.includes(`${name}{outcome="refused",standing="underserved"} 1\n`));
+});
+
 test("a host whose view covers part of the fleet shows in the metrics", async () => {
   const metrics = createMetrics({
     getLoadCoverage: () => ({ hosts: 3, ageMs: 1_250 }),
--- a/src/forwarding/attempt_log.ts
+++ b/src/forwarding/attempt_log.ts
@@ -74,6 +74,7 @@
     inFlight: host.health.getInFlight(picked.upstream.id),
     readingTokens: picked.readingTokens,
     queuedTokens: picked.queuedTokens,
+    room: picked.room,
     coverage: picked.readingTokens === undefined
       ? undefined
       : host.load.getCoverage(),
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -28,6 +28,7 @@
   getEligible,
   mayFetchFrom,
 } from "./eligible_upstreams.ts";
+import type { RoomUse } from "../diagnostics/mod.ts";
 import { createRankingCache } from "./prompt_ranking.ts";
 import { getServiceTokens, getWorkTokens } from "./prompt_tokens.ts";
 import { Rejected } from "./rejections.ts";
@@ -46,6 +47,8 @@
    * this prompt.
    */
   readonly queuedTokens: number | undefined;
+  /** Whose room the prompt takes; `undefined` for other calls. */
+  readonly room: RoomUse | undefined;
   /**
    * `undefined` if the upstream was not expected to fetch the prompt's shared
    * prefix.
@@ -100,6 +103,7 @@
     upstream,
     readingTokens: undefined,
     queuedTokens: undefined,
+    room: undefined,
     fetch: undefined,
     prefix: undefined,
     endPrefill: () => {},
@@ -132,13 +136,15 @@
       serviceTokens,
       workTokens,
       isBegun: call.progress.origin !== undefined,
+      isRepeated: call.progress.attempts > 0,
       getUpstreams: createRankingCache(host, call, {
         prompt,
         affinityKey,
         prefix,
       }),
       isCallerConnected: () => !hasDisconnected(call.res),
-      start(id, { readingTokens, queuedTokens, fetch, prefix: use, grantMs }) {
+      start(id, prefill) {
+        const { readingTokens, fetch, prefix: use } = prefill;
         const upstream = tryGetReady(host, call, id)!;
         countWarmUp(host, call, upstream);
         if (use !== undefined) host.prefixes.record(prefix, upstream);
@@ -152,12 +158,10 @@
         }
         call.progress.prefillEnds.push(endPrefill);
         resume(Effect.succeed({
+          ...prefill,
           upstream,
-          readingTokens,
-          queuedTokens,
           fetch: pickedFetch,
           prefix: isFetchLost ? "read" : use,
-          grantMs,
           endPrefill,
         }));
       },
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -70,6 +70,7 @@
     serviceTokens: 6_000,
     workTokens: 5_000,
     isBegun: false,
+    isRepeated: false,
     isCallerConnected: () => true,
     getUpstreams: () =>
       ["a", "b", "c"].map((upstream) => ({
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -173,6 +173,7 @@
       serviceTokens: tokens,
       workTokens: tokens,
       isBegun: false,
+      isRepeated: false,
       isCallerConnected: () => true,
       getUpstreams: () =>
         ranked.slice(0, 3).map((upstream) => ({
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -75,6 +75,11 @@
    * Recent mean of requested service tokens per token of work, at this host.
    */
   getMeanEfficiency(): number;
+  /**
+   * Records, for the log, that a further attempt of a request of the team has
+   * begun.
+   */
+  recordRepeated(team: string, tokens: number): void;
   /** Records that a team's caller has got the whole response to a prompt. */
   recordAnswered(team: string, tokens: number): void;
   /** Totals of the service of teams at this host, if they are due for the log. */
@@ -222,6 +227,7 @@
       totals.recordBegun(team, tokens);
       teams.recordBegun(team, tokens);
     },
+    recordRepeated: totals.recordRepeated,
     recordAnswered: totals.recordAnswered,
     takeDueServiceTotals: () => totals.takeDue(clock.monotonicMs()),
     beginRequest: (upstream) => void getUse(upstream).inFlight++,
--- a/src/load/service_totals.ts
+++ b/src/load/service_totals.ts
@@ -16,6 +16,8 @@
 export interface ServiceTotals {
   recordAsked(team: string, tokens: number): void;
   recordBegun(team: string, tokens: number): void;
+  /** Records that a further attempt of a request has begun. */
+  recordRepeated(team: string, tokens: number): void;
   /** Records that the caller has got the whole response to a prompt. */
   recordAnswered(team: string, tokens: number): void;
   /**
@@ -34,6 +36,7 @@
 interface Totals {
   asked: number;
   begun: number;
+  repeated: number;
   answered: number;
   /** The value of `asked` a period ago. */
   earlierAsked: number;
@@ -48,6 +51,7 @@
     getOrCreate(teams, team, () => ({
       asked: 0,
       begun: 0,
+      repeated: 0,
       answered: 0,
       earlierAsked: 0,
     }));
@@ -55,6 +59,7 @@
   return {
     recordAsked: (team, tokens) => void (getTotals(team).asked += tokens),
     recordBegun: (team, tokens) => void (getTotals(team).begun += tokens),
+    recordRepeated: (team, tokens) => void (getTotals(team).repeated += tokens),
     recordAnswered: (team, tokens) => void (getTotals(team).answered += tokens),
     takeDue(nowMs) {
       if (nowMs - takenMs < PERIOD_MS) return [];
@@ -65,10 +70,11 @@
         .sort((a, b) => (b.asked - b.earlierAsked) - (a.asked - a.earlierAsked))
         .slice(0, MAX_TEAMS);
       for (const each of teams.values()) each.earlierAsked = each.asked;
-      return busiest.map(({ team, asked, begun, answered }) => ({
+      return busiest.map(({ team, asked, begun, repeated, answered }) => ({
         team,
         asked,
         begun,
+        repeated,
         answered,
       }));
     },
--- a/src/measure/prompt_simulation.ts
+++ b/src/measure/prompt_simulation.ts
@@ -186,6 +186,7 @@
       serviceTokens: size,
       workTokens,
       isBegun: false,
+      isRepeated: false,
       getUpstreams: () => rankedUpstreams,
       isCallerConnected: () => true,
       start: (engine, reading) => run(req, host, engine, reading),
--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -145,6 +145,7 @@
         serviceTokens: promptTokens,
         workTokens: promptTokens,
         isBegun: false,
+        isRepeated: false,
         isCallerConnected: () => true,
         getUpstreams: () => [{
           upstream: UPSTREAMS[first]!,
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -50,7 +50,7 @@
  * @module
  */
 
-import type { QueueInputs, TeamStanding } from "../diagnostics/mod.ts";
+import type { QueueInputs, RoomUse, TeamStanding } from "../diagnostics/mod.ts";
 import type { WaitingLoad } from "../load/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import {
@@ -127,18 +127,30 @@
     removeWaiting(prompt, "started");
     const { upstream, readingTokens, fetch, prefix } = chosen;
     const queuedTokens = choice.getLoad(upstream).readingTokens + readingTokens;
+    const room = getRoomUse(prompt, upstream);
     host.onStart(prompt, upstream, readingTokens);
     choice.forgetLoad(upstream);
     if (grantMs === undefined) {
       tryGetGrants(host)?.recordStart(prompt, upstream, readingTokens);
     }
-    const tokens = { readingTokens, queuedTokens, fetch, prefix };
+    const tokens = { readingTokens, queuedTokens, room, fetch, prefix };
     prompt.start(
       upstream,
       grantMs === undefined ? tokens : { ...tokens, grantMs },
     );
   }
 
+  function getRoomUse(
+    { team, service, targetMs }: WaitingPrompt,
+    upstream: string,
+  ): RoomUse {
+    return {
+      standing: getStanding(team),
+      limitTokens: Math.round(host.getLimitTokens(service, upstream, targetMs)),
+      underservedTokens: choice.getLoad(upstream).underservedTokens,
+    };
+  }
+
   function startGranted(
     prompt: WaitingPrompt,
     upstream: string,
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -127,6 +127,7 @@
       serviceTokens: workTokens * efficiency,
       workTokens,
       isBegun: options.isBegun ?? false,
+      isRepeated: false,
       isCallerConnected: () => !disconnected.has(request),
       // Only the first has cached the shared prefix, of 13,300 tokens.
       getUpstreams: () =>
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -12,6 +12,7 @@
 import type {
   LoadCoverage,
   QueueInputs,
+  RoomUse,
   TeamServiceRates,
 } from "../diagnostics/mod.ts";
 import type { WaitingLoad } from "../load/mod.ts";
@@ -46,6 +47,8 @@
    * of one software version may go on with it.
    */
   readonly isBegun: boolean;
+  /** Whether an earlier attempt of its request was counted as begun. */
+  readonly isRepeated: boolean;
   /** Eligible upstreams, the best first; called in each scheduling pass. */
   getUpstreams(): readonly RankedUpstream[];
   /**
@@ -70,6 +73,8 @@
   readonly readingTokens: number;
   /** Tokens to prefill before the prompt's first event, including its own. */
   readonly queuedTokens: number;
+  /** Whose room the prompt takes, for the log. */
+  readonly room: RoomUse;
   /**
    * The fetch by which the upstream gets the shared prefix; its cost is included
    * above. `undefined` if it needs none.
