--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -1,13 +1,16 @@
 /**
- * Simulation, in virtual time, of hosts that share two upstreams, each of which
+ * Simulation, in virtual time, of hosts that share upstreams, each of which
  * prefills one prompt after another. Each host runs the real prompt queue,
  * pacing and load view; teams differ in the hosts that their callers use, in
- * when they begin and in how much they ask for.
+ * when they begin, in how much they ask for and in how many upstreams hold their
+ * shared prefixes.
  *
  * @module
  */
 
-import { createRandom } from "./random.ts";
+import { rankByRendezvous } from "../membership/mod.ts";
+import type { RankedUpstream } from "../queue/mod.ts";
+import { createRandom, type Random } from "./random.ts";
 import {
   createSimulatedHost,
   createSimulatedPeers,
@@ -15,6 +18,18 @@
 } from "./simulated_host.ts";
 import { createVirtualScheduler } from "./virtual_scheduler.ts";
 
+/** A kind of prompt, in tokens. */
+export interface SimulatedPromptKind {
+  /** Tokens to prefill at an upstream that holds the shared prefix. */
+  readonly ownTokens: number;
+  /** Tokens of the shared prefix; 0 by default. */
+  readonly sharedTokens?: number;
+  /** Work of an upstream; `ownTokens` by default. */
+  readonly workTokens?: number;
+  /** Share of the prompts of its team that are of this kind. */
+  readonly share: number;
+}
+
 /** A team of the simulation. */
 export interface SimulatedTeam {
   /** Indices of the hosts that its callers use in turn. */
@@ -23,6 +38,13 @@
   readonly weight?: number;
   /** Tokens of each of its prompts; those of the options by default. */
   readonly promptTokens?: number;
+  /** Kinds of its prompts; all alike by default. */
+  readonly kinds?: readonly SimulatedPromptKind[];
+  /**
+   * Number of its shared prefixes, each of which one upstream holds; by default
+   * each prompt goes to a random upstream.
+   */
+  readonly prefixes?: number;
   /** When its callers begin, in ms; 0 by default. */
   readonly fromMs?: number;
 }
@@ -31,8 +53,14 @@
 export interface SharedUpstreamsOptions {
   /** Prompt tokens of all teams, relative to what the upstreams can prefill. */
   readonly demandFactor: number;
-  /** Tokens of each prompt, which has no shared prefix. */
+  /** Tokens of each prompt of a team without kinds. */
   readonly promptTokens: number;
+  /** Number of upstreams; 2 by default. */
+  readonly upstreams?: number;
+  /** Number of data centres, of about as many hosts each; 1 by default. */
+  readonly dataCentres?: number;
+  /** Time for which a response occupies a slot after its prefill; 0 by default. */
+  readonly responseMs?: number;
   readonly teams: readonly SimulatedTeam[];
   /** By host: share of its answers that pause for longer than their target. */
   readonly lateShares: readonly number[];
@@ -60,9 +88,12 @@
   readonly share: number;
   /** Started prompts by second; the last may be cut short. */
   readonly begunBySecond: readonly number[];
+  /** Service of submitted prompts by second, in tokens. */
+  readonly askedTokensBySecond: readonly number[];
+  /** Service of started prompts by second, in tokens. */
+  readonly begunTokensBySecond: readonly number[];
 }
 
-const UPSTREAMS = ["upstream-0", "upstream-1"];
 const TOKENS_PER_MS = 93;
 const TARGET_MS = 800;
 const LINK_MS = 8;
@@ -71,23 +102,27 @@
 const SLOTS = 48;
 const DEFAULT_UNTIL_MS = 20_000;
 
+/** Upstreams in the ranking of a prompt with a shared prefix. */
+const RANKED_UPSTREAMS = 8;
+
 /** Simulates the hosts and returns the counts of each team. */
 export function simulateSharedUpstreams(
   options: SharedUpstreamsOptions,
 ): readonly PromptCounts[] {
   const { untilMs = DEFAULT_UNTIL_MS } = options;
-  const getPromptTokens = (team: SimulatedTeam) =>
-    team.promptTokens ?? options.promptTokens;
+  const upstreams = Array.from(
+    { length: options.upstreams ?? 2 },
+    (_, at) => `upstream-${at}`,
+  );
   const scheduler = createVirtualScheduler();
   const { clock } = scheduler;
   const random = createRandom(options.seed ?? 1);
   const readUntilMs = new Map<string, number>();
-  const asked = options.teams.map(() => 0);
-  const begun = options.teams.map(() => 0);
-  const begunBySecond = options.teams.map(() =>
-    Array.from({ length: Math.floor(untilMs / 1_000) + 1 }, () => 0)
+  const counts = options.teams.map(() => createCounts(untilMs));
+  const peers = createSimulatedPeers(
+    options.lateShares.length,
+    options.dataCentres,
   );
-  const peers = createSimulatedPeers(options.lateShares.length);
 
   /** Returns the speed of an upstream, in tokens per ms. */
   function getSpeed(atMs: number): number {
@@ -97,6 +132,30 @@
     return isSlow ? TOKENS_PER_MS * slowdown.speedShare : TOKENS_PER_MS;
   }
 
+  function getKinds(team: SimulatedTeam): readonly SimulatedPromptKind[] {
+    const ownTokens = team.promptTokens ?? options.promptTokens;
+    return team.kinds ?? [{ ownTokens, share: 1 }];
+  }
+
+  /** Ranks the upstreams for a prompt of the team, the best first. */
+  function rank(
+    teamAt: number,
+    { ownTokens, sharedTokens = 0 }: SimulatedPromptKind,
+  ): readonly RankedUpstream[] {
+    const { prefixes } = options.teams[teamAt]!;
+    if (prefixes === undefined) {
+      const first = upstreams[Math.floor(random() * upstreams.length)]!;
+      return [{ upstream: first, readingTokens: ownTokens }];
+    }
+    const prefix = Math.floor(random() * prefixes);
+    return rankByRendezvous(`${teamAt}-${sharedTokens}-${prefix}`, upstreams)
+      .slice(0, RANKED_UPSTREAMS)
+      .map((upstream, at) => ({
+        upstream,
+        readingTokens: at === 0 ? ownTokens : ownTokens + sharedTokens,
+      }));
+  }
+
   const hosts = peers.map((self, hostAt) => {
     let answers = 0;
     const { view, pacing, reporter, queue } = createSimulatedHost({
@@ -105,7 +164,7 @@
       self,
       peers,
       slots: SLOTS,
-      statedCapacity: TOKENS_PER_MS * UPSTREAMS.length * 1_000 *
+      statedCapacity: TOKENS_PER_MS * upstreams.length * 1_000 *
         (options.statedCapacityFactor ?? 1),
       targetMs: TARGET_MS,
     });
@@ -121,41 +180,50 @@
       readUntilMs.set(upstream, endMs);
       answers++;
       const isLate = answers % 100 < options.lateShares[hostAt]! * 100;
-      scheduler.after(endMs - startedMs + LINK_MS, () => {
+      const tookMs = endMs - startedMs + LINK_MS;
+      scheduler.after(tookMs, () => {
         view.endPrefill(upstream, promptTokens);
         pacing.recordFirstEvent(queuedTokens, clock.monotonicMs() - startedMs);
         pacing.recordPause(isLate);
       });
+      if (options.responseMs === undefined) return;
+      view.beginRequest(upstream);
+      scheduler.after(
+        tookMs + options.responseMs,
+        () => view.endRequest(upstream),
+      );
     }
 
     function submit(teamAt: number): void {
-      const first = Math.floor(random() * UPSTREAMS.length);
       const team = `team-${teamAt}`;
-      const promptTokens = getPromptTokens(options.teams[teamAt]!);
-      asked[teamAt]!++;
-      view.recordAsked(team, promptTokens);
-      view.recordWork(promptTokens, promptTokens);
+      const kind = draw(getKinds(options.teams[teamAt]!), random);
+      const { workTokens = kind.ownTokens } = kind;
+      const serviceTokens = getServiceTokens(kind);
+      const ranked = rank(teamAt, kind);
+      const count = counts[teamAt]!;
+      const second = Math.floor(clock.monotonicMs() / 1_000);
+      count.asked++;
+      count.askedTokensBySecond[second]! += serviceTokens;
+      view.recordAsked(team, serviceTokens);
+      view.recordWork(serviceTokens, workTokens);
       const key = { team, route: "drafts", targetMs: TARGET_MS };
       if (options.refusesEarly && queue.tryRefuseEarly(key)) return;
       queue.add({
         ...key,
-        request: `${team}-${asked[teamAt]}`,
+        request: `${team}-${count.asked}`,
         service: SIMULATED_SERVICE,
         arrivedMs: clock.monotonicMs(),
-        serviceTokens: promptTokens,
-        workTokens: promptTokens,
+        serviceTokens,
+        workTokens,
         isBegun: false,
         isRepeated: false,
         isCallerConnected: () => true,
-        getUpstreams: () => [{
-          upstream: UPSTREAMS[first]!,
-          readingTokens: promptTokens,
-        }],
-        start(upstream, { queuedTokens }) {
-          begun[teamAt]!++;
-          const second = Math.floor(clock.monotonicMs() / 1_000);
-          begunBySecond[teamAt]![second]!++;
-          read(upstream, queuedTokens, promptTokens);
+        getUpstreams: () => ranked,
+        start(upstream, { readingTokens, queuedTokens }) {
+          const startedSecond = Math.floor(clock.monotonicMs() / 1_000);
+          count.begunBySecond[startedSecond]!++;
+          count.begunTokensBySecond[startedSecond]! += serviceTokens;
+          read(upstream, queuedTokens, readingTokens);
         },
         refuse: () => {},
       });
@@ -164,13 +232,14 @@
     return { reporter, queue, submit };
   });
 
-  const perMs = options.demandFactor * TOKENS_PER_MS * UPSTREAMS.length;
+  const perMs = options.demandFactor * TOKENS_PER_MS * upstreams.length;
   options.teams.forEach((team, at) => {
     const { hosts: used, weight = 1, fromMs = 0 } = team;
-    const periodMs = getPromptTokens(team) * options.teams.length / perMs;
+    const meanTokens = getMeanTokens(getKinds(team));
+    const periodMs = meanTokens * options.teams.length / perMs;
     scheduler.after(fromMs, () =>
       scheduler.every(periodMs / weight, () => {
-        hosts[used[asked[at]! % used.length]!]!.submit(at);
+        hosts[used[counts[at]!.asked % used.length]!]!.submit(at);
       }));
   });
   hosts.forEach((host, at) => {
@@ -188,10 +257,42 @@
     }
   });
   scheduler.runUntil(untilMs);
-  return options.teams.map((_, at) => ({
-    asked: asked[at]!,
-    begun: begun[at]!,
-    share: begun[at]! / asked[at]!,
-    begunBySecond: begunBySecond[at]!,
-  }));
+  return counts.map((each) => {
+    const begun = each.begunBySecond.reduce((sum, count) => sum + count, 0);
+    return { ...each, begun, share: begun / each.asked };
+  });
+}
+
+/** Returns counts of zero for each second. */
+function createCounts(untilMs: number) {
+  const createSeconds = () =>
+    Array.from({ length: Math.floor(untilMs / 1_000) + 1 }, () => 0);
+  return {
+    asked: 0,
+    begunBySecond: createSeconds(),
+    askedTokensBySecond: createSeconds(),
+    begunTokensBySecond: createSeconds(),
+  };
+}
+
+function getServiceTokens(kind: SimulatedPromptKind): number {
+  return kind.ownTokens + (kind.sharedTokens ?? 0);
+}
+
+/** Returns the mean service of a prompt, in tokens. */
+function getMeanTokens(kinds: readonly SimulatedPromptKind[]): number {
+  return kinds.reduce(
+    (sum, each) => sum + each.share * getServiceTokens(each),
+    0,
+  );
+}
+
+/** Draws a kind by its share. */
+function draw(
+  kinds: readonly SimulatedPromptKind[],
+  random: Random,
+): SimulatedPromptKind {
+  if (kinds.length === 1) return kinds[0]!;
+  let at = random();
+  return kinds.find((each) => (at -= each.share) < 0) ?? kinds.at(-1)!;
 }
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -59,11 +59,14 @@
   readonly queue: PromptQueue;
 }
 
-/** Creates `count` hosts of one data centre, as they report to each other. */
-export function createSimulatedPeers(count: number): readonly LoadPeer[] {
+/** Creates `count` hosts in turn in each data centre. */
+export function createSimulatedPeers(
+  count: number,
+  dataCentres = 1,
+): readonly LoadPeer[] {
   return Array.from({ length: count }, (_, at) => ({
     peerAddress: `host-${at}`,
-    dataCentre: "one",
+    dataCentre: `data-centre-${at % dataCentres}`,
   }));
 }
 
