Give each team its max-min due of what is begun, without thresholds

Callers of a small team were refused while another team had many times its tokens.

One rule in their place: a team's due is what it asks for, or the even (max-min) part of what is begun if it asks for more. Under it a team is underserved, above it overserved. What some lack is exactly what others have too much, so that both sides are known whenever one is.

It replaces the share of 0.75, the best served team as the measure, the factor of shortage in the standing, and the second for which an upstream counted as awaited after the last prompt had gone in large fleets: as prompts of every team under its due are reported now, upstreams stood idle for it.

--- a/src/entry/fleet_load.ts
+++ b/src/entry/fleet_load.ts
@@ -13,7 +13,6 @@
   createAggregationTree,
   createLoadView,
   createUpstreamStatsReporter,
-  getUnderservedRetentionMs,
   type LoadPeer,
   type LoadView,
   type UpstreamStatsReporter,
@@ -65,8 +64,6 @@
     clock: stallTolerantClock,
     getDigest: getNameDigest,
     isAlive: host.isUsable,
-    getUnderservedRetentionMs: () =>
-      getUnderservedRetentionMs(host.getAlive().length),
     getStatedCapacity: () => host.tryGetRoutes()?.config.tokensPerSecond ?? 0,
     getLearned: () =>
       pacings.getStats().map(([service, stats]) => ({
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -19,7 +19,7 @@
   EMPTY_PACING_STATS,
   type PacingStats,
 } from "../pacing/mod.ts";
-import { isFullMesh, REPORT_TTL_MS } from "./aggregation_tree.ts";
+import { REPORT_TTL_MS } from "./aggregation_tree.ts";
 import { createDecayingRate } from "./decaying_rate.ts";
 import { createServiceTotals } from "./service_totals.ts";
 import {
@@ -50,11 +50,6 @@
   isAlive(host: string): boolean;
   /** What this host has learned about the upstreams, by service. */
   getLearned(): readonly LearnedOfService[];
-  /**
-   * Time in ms for which an upstream still counts as awaited after the last
-   * prompt of an underserved team has waited for it; 0 if absent.
-   */
-  getUnderservedRetentionMs?(): number;
 }
 
 /** The load of the fleet, as known to this host. */
@@ -92,11 +87,7 @@
   getReadingTokens(upstream: string): number;
   /** What the other hosts have learned about the service's upstreams. */
   getOthersLearned(service: string): PacingStats;
-  /**
-   * Sets the waiting prompts of underserved teams at this host, by upstream. An
-   * upstream for which none waits any more keeps its number for the time that
-   * `getUnderservedRetentionMs` returns, but no tokens.
-   */
+  /** Sets the waiting prompts of underserved teams at this host, by upstream. */
   setUnderserved(waiting: ReadonlyMap<string, WaitingLoad>): void;
   /** Prompts of underserved teams that wait for the upstream at other hosts. */
   getUnderservedElsewhere(upstream: string): number;
@@ -111,8 +102,7 @@
 /** Least time between two searches for stale reports. */
 const EVICT_PERIOD_MS = 50;
 
-/** See `getUnderservedRetentionMs`. */
-const UNDERSERVED_RETENTION_MS = 1_000;
+const NOTHING_WAITING: WaitingLoad = { prompts: 0, tokens: 0 };
 
 const NO_USE: Readonly<UseTotals> = createUseTotals();
 
@@ -121,16 +111,6 @@
   readonly receivedMs: number;
 }
 
-/**
- * Time in ms for which an upstream counts as awaited after a prompt of an
- * underserved team has waited for it, in a fleet of this size. Where reports are
- * older than a prefill, overserved teams would otherwise take the room before
- * the team's next prompt arrives.
- */
-export function getUnderservedRetentionMs(hosts: number): number {
-  return isFullMesh(hosts) ? 0 : UNDERSERVED_RETENTION_MS;
-}
-
 /** Creates the view of a host that has received no reports. */
 export function createLoadView(host: LoadViewHost): LoadView {
   const { clock, getDigest } = host;
@@ -138,8 +118,8 @@
   const reports = new Map<string, ReceivedReport>();
   const othersUse = new Map<number, UseTotals>();
   const othersLearned = new Map<number, PacingStats>();
-  /** When a prompt of an underserved team last waited, by upstream. */
-  const underservedMs = new Map<string, number>();
+  /** Upstreams for which prompts of underserved teams wait at this host. */
+  let awaited: readonly string[] = [];
   const serviceRate = createDecayingRate(SERVICE_HALF_LIFE_MS);
   const workRate = createDecayingRate(SERVICE_HALF_LIFE_MS);
   let lastEvictionMs = -Infinity;
@@ -267,19 +247,11 @@
       return othersLearned.get(getDigest(service)) ?? EMPTY_PACING_STATS;
     },
     setUnderserved(waiting) {
-      if (underservedMs.size === 0 && waiting.size === 0) return;
-      const nowMs = clock.monotonicMs();
-      const memoryMs = host.getUnderservedRetentionMs?.() ?? 0;
-      for (const [upstream, awaitedMs] of underservedMs) {
-        getUse(upstream).underservedTokens = 0;
-        if (nowMs - awaitedMs < memoryMs) continue;
-        underservedMs.delete(upstream);
-        setWaiting(upstream, { prompts: 0, tokens: 0 });
-      }
-      for (const [upstream, load] of waiting) {
-        underservedMs.set(upstream, nowMs);
-        setWaiting(upstream, load);
+      for (const upstream of awaited) {
+        if (!waiting.has(upstream)) setWaiting(upstream, NOTHING_WAITING);
       }
+      for (const [upstream, load] of waiting) setWaiting(upstream, load);
+      awaited = [...waiting.keys()];
     },
     getUnderservedElsewhere: (upstream) => getOthersUse(upstream).underserved,
     getUnderservedTokens: (upstream) =>
--- a/src/load/service_credits.ts
+++ b/src/load/service_credits.ts
@@ -10,7 +10,11 @@
  * @module
  */
 
-import { SHORTAGE_FACTOR } from "./team_shares.ts";
+/**
+ * A team lacks service when what it asks for exceeds what is begun for it by this
+ * factor. A smaller difference is due to prompts that wait only briefly.
+ */
+const SHORTAGE_FACTOR = 1.15;
 
 /** Recent service by team over all hosts, in tokens per second. */
 export interface FleetService {
--- a/src/load/team_service.ts
+++ b/src/load/team_service.ts
@@ -12,7 +12,7 @@
 import type { TeamServiceRates } from "../diagnostics/mod.ts";
 import { createDecayingRate, type DecayingRate } from "./decaying_rate.ts";
 import { createServiceCredits } from "./service_credits.ts";
-import { getFairLevel, SHORTAGE_FACTOR } from "./team_shares.ts";
+import { getFairLevel } from "./team_shares.ts";
 import type { TeamUse } from "./types.ts";
 
 /** Dependencies of the service of teams. */
@@ -39,11 +39,14 @@
   /** Recent service of the team over all hosts, for the log. */
   getServiceRates(team: string): TeamServiceRates;
   /**
-   * Whether upstream capacity is short and the team gets more than an even part
-   * of it.
+   * Whether the team gets more than its due: more than the even part, while not
+   * all get what they ask for.
    */
   isOverserved(team: string): boolean;
-  /** Whether the team gets far less than others although it asks for more. */
+  /**
+   * Whether the team gets less than its due: what it asks for, or the even part
+   * if it asks for more.
+   */
   isUnderserved(team: string): boolean;
   /** The same for the team with this digest. */
   isUnderservedByDigest(digest: number): boolean;
@@ -64,12 +67,6 @@
 /** Time after which the fair levels are computed again. */
 const LEVEL_TTL_MS = 50;
 
-/**
- * A team is underserved if it gets less than this share of what the best served
- * team gets, although it asks for more.
- */
-const UNDERSERVED_SHARE = 0.75;
-
 interface TeamRates {
   readonly asked: DecayingRate;
   readonly begun: DecayingRate;
@@ -89,8 +86,6 @@
    * below the stated capacity.
    */
   let servedFairLevel = Infinity;
-  /** Most service with credit of any team. */
-  let highestLevel = 0;
   /** Fair levels of service with credit: of what is stated, of what is begun. */
   let statedFairLevel = Infinity;
   let creditedFairLevel = Infinity;
@@ -123,13 +118,12 @@
     }
     const total = sumOf(begun.values());
     const demands = [...asked.values()];
-    const hasShortage = sumOf(demands) > total * SHORTAGE_FACTOR;
-    servedFairLevel = hasShortage ? getFairLevel(demands, total) : Infinity;
+    servedFairLevel = getFairLevel(demands, total);
     credits.update(nowMs, { asked, begun });
     askedByTeam = asked;
     begunByTeam = begun;
     mostBegun = Math.max(0, ...begun.values());
-    updateCreditedLevels(hasShortage);
+    updateCreditedLevels();
   }
 
   /**
@@ -151,22 +145,19 @@
     return (askedByTeam.get(team) ?? 0) + getCredit(team);
   }
 
-  function updateCreditedLevels(hasShortage: boolean): void {
+  function updateCreditedLevels(): void {
     const all = [...askedByTeam.keys()];
-    const levels = all.map(getLevel);
     const demands = all.map(getDemand);
-    const total = sumOf(levels);
-    highestLevel = Math.max(0, ...levels);
+    const total = sumOf(all.map(getLevel));
     // Cached prefixes need no prefill, so upstreams may do more than stated.
     const capacity = Math.max(total, host.getStatedCapacity());
     statedFairLevel = getFairLevel(demands, capacity);
-    creditedFairLevel = hasShortage ? getFairLevel(demands, total) : Infinity;
+    creditedFairLevel = getFairLevel(demands, total);
   }
 
   function isUnderservedByDigest(digest: number): boolean {
     updateFairLevels();
-    const due = Math.min(getDemand(digest), highestLevel);
-    return getLevel(digest) < due * UNDERSERVED_SHARE;
+    return getLevel(digest) < Math.min(getDemand(digest), creditedFairLevel);
   }
 
   return {
--- a/src/load/team_shares.ts
+++ b/src/load/team_shares.ts
@@ -10,12 +10,6 @@
  * @module
  */
 
-/**
- * Service is short when what is asked for exceeds what is begun by this factor. A
- * smaller difference is due to prompts that wait only briefly.
- */
-export const SHORTAGE_FACTOR = 1.15;
-
 /**
  * Returns the largest amount that any team gets: the level at which the
  * demands, limited to it, add up to the capacity. `Infinity` when the capacity
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -138,12 +138,9 @@
   getServiceRates(team: string): TeamServiceRates;
   /** What this host takes for the load of the fleet, for the log. */
   getCoverage(): LoadCoverage;
-  /**
-   * Whether upstream capacity is short and the team gets more than an even part
-   * of it.
-   */
+  /** Whether the team gets more than its due. */
   isOverserved(team: string): boolean;
-  /** Whether the team gets far less than others although it asks for more. */
+  /** Whether the team gets less than its due. */
   isUnderserved(team: string): boolean;
   /**
    * Reports the waiting prompts of underserved teams by the upstream that they
