Let hosts use room that they all see by their share of it

Callers of teams that wait for few upstreams were refused though these teams count as underserved: 89 hosts see an upstream become free in the same round of load reports, 0.1 to 0.2 s old, and each starts a prompt of the flood there.

Reports carry the tokens that prompts of teams over their due wait to have read. Each host uses the room that is left for them with the probability that is the room's share of what waits at other hosts and here, drawn anew in each round. A host with the only such prompt uses it at once, and prompts of teams under their due are not drawn.

--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -105,6 +105,11 @@
        * hosts; absent in lines of earlier versions.
        */
       readonly underservedTokens?: number;
+      /**
+       * Tokens that prompts which yield to underserved teams wait to prefill
+       * there at other hosts; absent in lines of earlier versions.
+       */
+      readonly yieldingElsewhere?: number;
       /** Whether it is cold and gets no request of this host at the moment. */
       readonly isWarmUpSpent: boolean;
     }
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -43,6 +43,7 @@
         readingTokens: load.getReadingTokens(upstream),
         underservedElsewhere: load.getUnderservedElsewhere(upstream),
         underservedTokens: load.getUnderservedTokens(upstream),
+        yieldingElsewhere: load.getYieldingElsewhere(upstream),
         isWarmUpSpent: allowance === "later" || allowance === "none",
       };
     },
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -14,6 +14,7 @@
   readingTokens: 0,
   underservedElsewhere: 0,
   underservedTokens: 0,
+  yieldingElsewhere: 0,
   isWarmUpSpent: false,
 };
 
@@ -53,7 +54,7 @@
     getServiceLevel: () => 0,
     isOverserved: () => false,
     isUnderserved: () => false,
-    onUnderservedWaiting() {},
+    onWaiting() {},
     getMeanEfficiency: () => 0,
     getLimitTokens: () => 15_000,
     random: () => 0.5,
--- a/src/load/load_reporter_test.ts
+++ b/src/load/load_reporter_test.ts
@@ -140,8 +140,12 @@
 test("hosts of a large fleet know the waiting prompts of underserved teams elsewhere", () => {
   const fleet = createFleet(2, 12);
   const [first, ...others] = fleet.hosts;
-  first!.view.setUnderserved(
-    new Map([["engine-1", { prompts: 2, tokens: 2_000 }]]),
+  first!.view.setWaiting(
+    new Map([["engine-1", {
+      underserved: 2,
+      underservedTokens: 2_000,
+      yieldingTokens: 0,
+    }]]),
   );
   fleet.runRounds(3);
   strictEqual(first!.view.getUnderservedElsewhere("engine-1"), 0);
--- a/src/load/load_test.ts
+++ b/src/load/load_test.ts
@@ -181,8 +181,12 @@
   // Guards against upstreams that stay idle for prompts that no longer wait.
   const a = createView("a");
   const b = createView("b", a.clock);
-  a.view.setUnderserved(
-    new Map([["engine-1", { prompts: 2, tokens: 2_000 }]]),
+  a.view.setWaiting(
+    new Map([["engine-1", {
+      underserved: 2,
+      underservedTokens: 2_000,
+      yieldingTokens: 0,
+    }]]),
   );
   b.view.receive(a.createReport());
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 2);
@@ -190,7 +194,7 @@
   for (const { view } of [a, b]) {
     strictEqual(view.getUnderservedTokens("engine-1"), 2_000);
   }
-  a.view.setUnderserved(new Map());
+  a.view.setWaiting(new Map());
   b.view.receive(a.createReport());
   strictEqual(b.view.getUnderservedElsewhere("engine-1"), 0);
 });
@@ -198,8 +202,12 @@
 test("prompts that waited at a host that was killed hold up no others", () => {
   const a = createView("a");
   const b = createView("b", a.clock);
-  a.view.setUnderserved(
-    new Map([["engine-1", { prompts: 2, tokens: 2_000 }]]),
+  a.view.setWaiting(
+    new Map([["engine-1", {
+      underserved: 2,
+      underservedTokens: 2_000,
+      yieldingTokens: 0,
+    }]]),
   );
   b.view.receive(a.createReport());
   a.clock.advance(2_000);
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -87,12 +87,14 @@
   getReadingTokens(upstream: string): number;
   /** What the other hosts have learned about the service's upstreams. */
   getOthersLearned(service: string): PacingStats;
-  /** Sets the waiting prompts of underserved teams at this host, by upstream. */
-  setUnderserved(waiting: ReadonlyMap<string, WaitingLoad>): void;
+  /** Sets the prompts that wait at this host, by upstream. */
+  setWaiting(waiting: ReadonlyMap<string, WaitingLoad>): void;
   /** Prompts of underserved teams that wait for the upstream at other hosts. */
   getUnderservedElsewhere(upstream: string): number;
   /** Tokens that prompts of underserved teams wait to prefill, of all hosts. */
   getUnderservedTokens(upstream: string): number;
+  /** Tokens that yielding prompts wait to prefill there at other hosts. */
+  getYieldingElsewhere(upstream: string): number;
   /** Applies the report of another host, or the aggregate of all others. */
   receive(report: LoadReport): void;
   /** Returns this host's own use, to be reported to other hosts. */
@@ -102,7 +104,11 @@
 /** Least time between two searches for stale reports. */
 const EVICT_PERIOD_MS = 50;
 
-const NOTHING_WAITING: WaitingLoad = { prompts: 0, tokens: 0 };
+const NOTHING_WAITING: WaitingLoad = {
+  underserved: 0,
+  underservedTokens: 0,
+  yieldingTokens: 0,
+};
 
 const NO_USE: Readonly<UseTotals> = createUseTotals();
 
@@ -118,7 +124,7 @@
   const reports = new Map<string, ReceivedReport>();
   const othersUse = new Map<number, UseTotals>();
   const othersLearned = new Map<number, PacingStats>();
-  /** Upstreams for which prompts of underserved teams wait at this host. */
+  /** Upstreams for which prompts wait at this host. */
   let awaited: readonly string[] = [];
   const serviceRate = createDecayingRate(SERVICE_HALF_LIFE_MS);
   const workRate = createDecayingRate(SERVICE_HALF_LIFE_MS);
@@ -127,15 +133,6 @@
     return getOrCreate(uses, getDigest(upstream), createUseTotals);
   }
 
-  function setWaiting(
-    upstream: string,
-    { prompts, tokens }: WaitingLoad,
-  ): void {
-    const use = getUse(upstream);
-    use.underserved = prompts;
-    use.underservedTokens = tokens;
-  }
-
   /** Adds a report to the totals over all other hosts, or subtracts it. */
   function applyReport(report: LoadReport, sign: 1 | -1): void {
     for (const each of report.upstreams) {
@@ -246,17 +243,22 @@
       evictStale();
       return othersLearned.get(getDigest(service)) ?? EMPTY_PACING_STATS;
     },
-    setUnderserved(waiting) {
+    setWaiting(waiting) {
       for (const upstream of awaited) {
-        if (!waiting.has(upstream)) setWaiting(upstream, NOTHING_WAITING);
+        if (!waiting.has(upstream)) {
+          Object.assign(getUse(upstream), NOTHING_WAITING);
+        }
+      }
+      for (const [upstream, load] of waiting) {
+        Object.assign(getUse(upstream), load);
       }
-      for (const [upstream, load] of waiting) setWaiting(upstream, load);
       awaited = [...waiting.keys()];
     },
     getUnderservedElsewhere: (upstream) => getOthersUse(upstream).underserved,
     getUnderservedTokens: (upstream) =>
       getUse(upstream).underservedTokens +
       getOthersUse(upstream).underservedTokens,
+    getYieldingElsewhere: (upstream) => getOthersUse(upstream).yieldingTokens,
     receive(report) {
       const known = reports.get(report.from);
       const isOlder = known !== undefined &&
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -17,14 +17,18 @@
   readonly underserved: number;
   /** Tokens that these have to prefill there; 0 from earlier versions. */
   readonly underservedTokens: number;
+  /**
+   * Tokens that prompts which yield to underserved teams wait to prefill there;
+   * 0 from earlier versions.
+   */
+  readonly yieldingTokens: number;
 }
 
-/** Prompts that wait for an upstream. */
-export interface WaitingLoad {
-  readonly prompts: number;
-  /** Tokens that the upstream has to prefill for them. */
-  readonly tokens: number;
-}
+/** Prompts that wait for an upstream at a host. */
+export type WaitingLoad = Pick<
+  UpstreamUse,
+  "underserved" | "underservedTokens" | "yieldingTokens"
+>;
 
 /** Service that a team asked for and that was begun, in tokens per second. */
 export interface TeamUse {
--- a/src/load/use_totals.ts
+++ b/src/load/use_totals.ts
@@ -18,6 +18,7 @@
     readingTokens: 0,
     underserved: 0,
     underservedTokens: 0,
+    yieldingTokens: 0,
   };
 }
 
@@ -31,9 +32,11 @@
   use.readingTokens += sign * other.readingTokens;
   use.underserved += sign * other.underserved;
   use.underservedTokens += sign * other.underservedTokens;
+  use.yieldingTokens += sign * other.yieldingTokens;
 }
 
 /** Whether any of the totals is above zero. */
 export function isUsed(use: Readonly<UseTotals>): boolean {
-  return use.inFlight > 0 || use.readingTokens > 0 || use.underserved > 0;
+  return use.inFlight > 0 || use.readingTokens > 0 || use.underserved > 0 ||
+    use.yieldingTokens > 0;
 }
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -107,6 +107,7 @@
       readingTokens: view.getReadingTokens(upstream),
       underservedElsewhere: view.getUnderservedElsewhere(upstream),
       underservedTokens: view.getUnderservedTokens(upstream),
+      yieldingElsewhere: view.getYieldingElsewhere(upstream),
       isWarmUpSpent: false,
     }),
     getLimitTokens: () =>
--- a/src/peers/load_codec_test.ts
+++ b/src/peers/load_codec_test.ts
@@ -11,6 +11,7 @@
     readingTokens: 2,
     underserved: 3,
     underservedTokens: 9_000,
+    yieldingTokens: 5_000,
   };
   const bytes = codec.encode({
     from: "host-1",
@@ -24,10 +25,8 @@
     included: [],
   });
   const [decoded] = codec.tryDecode(bytes)?.upstreams ?? [];
-  const { upstream, inFlight, readingTokens, underserved, underservedTokens } =
-    decoded!;
-  deepStrictEqual(
-    { upstream, inFlight, readingTokens, underserved, underservedTokens },
-    use,
-  );
+  const { $typeName: _, ...fields } = decoded as typeof use & {
+    readonly $typeName: string;
+  };
+  deepStrictEqual(fields, use);
 });
--- a/src/queue/load_functions.ts
+++ b/src/queue/load_functions.ts
@@ -16,7 +16,7 @@
   | "getCoverage"
   | "isOverserved"
   | "isUnderserved"
-  | "onUnderservedWaiting"
+  | "onWaiting"
   | "getMeanEfficiency"
 >;
 
@@ -29,7 +29,7 @@
     getCoverage: view.getCoverage,
     isOverserved: view.isOverserved,
     isUnderserved: view.isUnderserved,
-    onUnderservedWaiting: view.setUnderserved,
+    onWaiting: view.setWaiting,
     getMeanEfficiency: view.getMeanEfficiency,
   };
 }
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -51,6 +51,7 @@
  */
 
 import type { QueueInputs, RoomUse, TeamStanding } from "../diagnostics/mod.ts";
+import { getOrCreate } from "../core/mod.ts";
 import type { WaitingLoad } from "../load/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import {
@@ -219,21 +220,30 @@
   }
 
   /**
-   * Reports the waiting prompts of underserved teams, for which overserved
-   * teams at other hosts leave room.
+   * Reports the prompts for which yielding ones leave room at all hosts, and the
+   * yielding ones, which share what room is left.
    */
-  function reportUnderserved(): void {
-    const loads = new Map<string, WaitingLoad>();
+  function reportWaiting(): void {
+    const loads = new Map<string, Mutable<WaitingLoad>>();
     for (const prompt of waiting) {
       const first = prompt.getUpstreams()[0];
-      if (first === undefined || !host.isUnderserved(prompt.team)) continue;
-      const known = loads.get(first.upstream) ?? { prompts: 0, tokens: 0 };
-      loads.set(first.upstream, {
-        prompts: known.prompts + 1,
-        tokens: known.tokens + Math.round(first.readingTokens),
-      });
+      if (first === undefined) continue;
+      const isUnderserved = host.isUnderserved(prompt.team);
+      if (!isUnderserved && !choice.isYielding(prioritise(prompt))) continue;
+      const load = getOrCreate(loads, first.upstream, () => ({
+        underserved: 0,
+        underservedTokens: 0,
+        yieldingTokens: 0,
+      }));
+      const tokens = Math.round(first.readingTokens);
+      if (isUnderserved) {
+        load.underserved++;
+        load.underservedTokens += tokens;
+      } else if (choice.mayStartWithoutGrant(first)) {
+        load.yieldingTokens += tokens;
+      }
     }
-    host.onUnderservedWaiting(loads);
+    host.onWaiting(loads);
   }
 
   function getTeamInputs(team: string) {
@@ -339,8 +349,10 @@
     tick() {
       refuseLate();
       startWaiting();
-      reportUnderserved();
+      reportWaiting();
     },
     getCount: () => waiting.size,
   };
 }
+
+type Mutable<T> = { -readonly [Key in keyof T]: T[Key] };
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -57,6 +57,8 @@
   const underserved = new Map<string, number>();
   /** Tokens that they have to prefill, by upstream. */
   const underservedTokens = new Map<string, number>();
+  /** Tokens that yielding prompts wait to prefill at other hosts. */
+  const yieldingElsewhere = new Map<string, number>();
   let waitingHere: ReadonlyMap<string, WaitingLoad> = new Map();
   const underservedReports: Readonly<Record<string, number>>[] = [];
   const log: string[] = [];
@@ -82,15 +84,18 @@
         ...getUse(upstream),
         underservedElsewhere,
         underservedTokens: (underservedTokens.get(upstream) ?? 0) +
-          (waitingHere.get(upstream)?.tokens ?? 0),
+          (waitingHere.get(upstream)?.underservedTokens ?? 0),
+        yieldingElsewhere: yieldingElsewhere.get(upstream) ?? 0,
         isWarmUpSpent: spentWarmUps.has(upstream),
       };
     },
     isOverserved: (team) => overserved.has(team),
     isUnderserved: (team) => underservedTeams.has(team),
-    onUnderservedWaiting(loads) {
+    onWaiting(loads) {
       waitingHere = loads;
-      const prompts = [...loads].map(([each, load]) => [each, load.prompts]);
+      const prompts = [...loads]
+        .filter(([, load]) => load.underserved > 0)
+        .map(([each, load]) => [each, load.underserved]);
       underservedReports.push(Object.fromEntries(prompts));
     },
     getShareUsed: (team) => overShare.has(team) ? 2 : 0.5,
@@ -174,6 +179,7 @@
     serviceLevels,
     underserved,
     underservedTokens,
+    yieldingElsewhere,
     underservedReports,
     limits,
     randoms,
@@ -285,6 +291,29 @@
   deepStrictEqual(fixture.log, ["poor-1 to a"]);
 });
 
+test("a host uses room that yielding prompts wait for at all hosts as often as its share is", () => {
+  // Guards against hosts that all fill the same free room before they learn of each other.
+  const fixture = createFixture();
+  fixture.overserved.add("flood");
+  fixture.yieldingElsewhere.set("a", 45_000 - 9_000);
+  fixture.randoms.push(0.4);
+  fixture.add({ team: "flood", ranked: ["a"], readingTokens: 9_000 });
+  fixture.advance(90);
+  deepStrictEqual(fixture.log, []);
+  fixture.randoms.push(0.3);
+  fixture.advance(10);
+  deepStrictEqual(fixture.log, ["flood-1 to a"]);
+});
+
+test("room at an upstream for which no other host's prompts wait is used at once", () => {
+  // Guards against upstreams that idle while the one host with work waits for its turn.
+  const fixture = createFixture();
+  fixture.overserved.add("flood");
+  fixture.randoms.push(0.99, 0.99);
+  fixture.add({ team: "flood", ranked: ["a"], readingTokens: 9_000 });
+  deepStrictEqual(fixture.log, ["flood-1 to a"]);
+});
+
 test("an underserved team may exceed the prefill limit, but not twice the limit", () => {
   // Guards against few prompts that find no room among those of many hosts.
   const fixture = createFixture();
@@ -485,6 +514,7 @@
       readingTokens: 14_000,
       underservedElsewhere: 0,
       underservedTokens: 0,
+      yieldingElsewhere: 0,
       isWarmUpSpent: false,
     },
   };
@@ -567,6 +597,7 @@
     readingTokens: 0,
     underservedElsewhere: 0,
     underservedTokens: 0,
+    yieldingElsewhere: 0,
     isWarmUpSpent: false,
   };
   const need = {
--- a/src/queue/room.ts
+++ b/src/queue/room.ts
@@ -42,6 +42,21 @@
     readingTokens + getReservedTokens(load, request) <= request.fullLimitTokens;
 }
 
+/**
+ * The room that is left for a yielding prompt, as a share of what it and those
+ * at other hosts wait for.
+ */
+export function getRoomShare(
+  load: UpstreamLoad,
+  request: RoomRequest,
+): number {
+  const room = Math.min(
+    request.limitTokens,
+    request.fullLimitTokens - getReservedTokens(load, request),
+  ) - load.readingTokens;
+  return room / (load.yieldingElsewhere + request.readingTokens);
+}
+
 /**
  * Room that a prompt leaves to waiting ones of underserved teams: as much as
  * these need, so that small prompts do not take it before a large one fits. Never
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -143,10 +143,10 @@
   /** Whether the team gets less than its due. */
   isUnderserved(team: string): boolean;
   /**
-   * Reports the waiting prompts of underserved teams by the upstream that they
-   * wait for; called in each scheduling pass.
+   * Reports the waiting prompts by the upstream that they wait for; called in
+   * each scheduling pass.
    */
-  onUnderservedWaiting(prompts: ReadonlyMap<string, WaitingLoad>): void;
+  onWaiting(loads: ReadonlyMap<string, WaitingLoad>): void;
   /**
    * Recent mean of service tokens per token of upstream work, of all prompts.
    */
@@ -224,6 +224,11 @@
    * and the others.
    */
   readonly underservedTokens: number;
+  /**
+   * Tokens that prompts which yield to underserved teams wait to prefill there
+   * at other hosts.
+   */
+  readonly yieldingElsewhere: number;
   /**
    * Whether the upstream is cold and gets no request of this host at the
    * moment.
--- a/src/queue/upstream_choice.ts
+++ b/src/queue/upstream_choice.ts
@@ -15,7 +15,8 @@
   getPreferred,
   MAX_SIMILAR,
 } from "./preferred_upstreams.ts";
-import { hasRoom } from "./room.ts";
+import { createRoomDraws } from "./room_draws.ts";
+import { getRoomShare, hasRoom, type RoomRequest } from "./room.ts";
 import type {
   PromptGrants,
   PromptQueueHost,
@@ -63,6 +64,10 @@
     next: PrioritisedPrompt,
     nowMs: number,
   ): RankedUpstream | undefined;
+  /** Whether the prompt leaves room to those of underserved teams. */
+  isYielding(prompt: PrioritisedPrompt): boolean;
+  /** Whether this host may start a prompt there by itself. */
+  mayStartWithoutGrant(upstream: RankedUpstream): boolean;
   /** The upstreams to ask grants of, the preferred one first. */
   getAskable(
     grants: PromptGrants,
@@ -93,6 +98,8 @@
     options.overShareLimit,
   ] as const;
 
+  const draws = createRoomDraws(host);
+
   const getLoad = (upstream: string) =>
     getOrCreate(loadCache, upstream, () => host.getLoad(upstream));
 
@@ -106,31 +113,44 @@
     );
   }
 
-  function tryChoose(
-    { prompt, yields, isDeprioritised }: PrioritisedPrompt,
-    nowMs: number,
-  ): RankedUpstream | undefined {
+  function mayStartWithoutGrant(each: RankedUpstream): boolean {
     const grants = tryGetGrants(host);
+    return grants === undefined || !needsGrant(grants, each);
+  }
+
+  /** Returns the room that the prompt needs at the upstream. */
+  function getRoomRequest(
+    { prompt, yields }: PrioritisedPrompt,
+    { upstream, readingTokens }: RankedUpstream,
+  ): Omit<RoomRequest, "yieldsToUnderserved"> {
     const limit = host.isUnderserved(prompt.team)
       ? extendLimit(limits[yields], options.underservedFactors)
       : limits[yields];
-    const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
-    /** Whether this host may decide by itself. */
-    const mayStartWithoutGrant = (each: RankedUpstream) =>
-      grants === undefined || !needsGrant(grants, each);
+    const limitTokens = getLimitTokens(prompt, upstream);
+    const maxCountedTokens = limitTokens * options.maxCountedShare;
+    return {
+      readingTokens: Math.min(readingTokens, maxCountedTokens),
+      maxCountedTokens,
+      slotShare: limit.slotShare,
+      limitTokens: limitTokens * limit.prefillShare,
+      fullLimitTokens: limitTokens,
+    };
+  }
+
+  function tryChoose(
+    next: PrioritisedPrompt,
+    nowMs: number,
+  ): RankedUpstream | undefined {
+    const { prompt } = next;
+    const grants = tryGetGrants(host);
+    const yieldsToUnderserved = isYielding(next);
     function fitsUpstream(each: RankedUpstream) {
       if (!mayStartWithoutGrant(each)) return false;
-      const { upstream, readingTokens } = each;
-      const limitTokens = getLimitTokens(prompt, upstream);
-      const maxCountedTokens = limitTokens * options.maxCountedShare;
-      return hasRoom(getLoad(upstream), {
-        readingTokens: Math.min(readingTokens, maxCountedTokens),
-        maxCountedTokens,
-        slotShare: limit.slotShare,
-        limitTokens: limitTokens * limit.prefillShare,
-        fullLimitTokens: limitTokens,
-        yieldsToUnderserved,
-      });
+      const load = getLoad(each.upstream);
+      const request = { ...getRoomRequest(next, each), yieldsToUnderserved };
+      return hasRoom(load, request) &&
+        (!yieldsToUnderserved ||
+          draws.isDrawn(each.upstream, getRoomShare(load, request)));
     }
     const upstreams = prompt.getUpstreams();
     const [first] = upstreams;
@@ -157,11 +177,7 @@
     );
   }
 
-  /** Whether the prompt leaves room to those of underserved teams. */
-  function isYielding(
-    prompt: WaitingPrompt,
-    isDeprioritised: boolean,
-  ): boolean {
+  function isYielding({ prompt, isDeprioritised }: PrioritisedPrompt): boolean {
     return options.yieldsToUnderserved && isDeprioritised &&
       !host.isUnderserved(prompt.team);
   }
@@ -202,11 +218,11 @@
 
   function tryGetIdleToAsk(
     grants: PromptGrants,
-    { prompt, isDeprioritised }: PrioritisedPrompt,
+    next: PrioritisedPrompt,
   ): RankedUpstream | undefined {
-    const upstreams = prompt.getUpstreams();
+    const upstreams = next.prompt.getUpstreams();
     const preferred = getPreferred(upstreams, options.negligibleTokens);
-    const yieldsToUnderserved = isYielding(prompt, isDeprioritised);
+    const yieldsToUnderserved = isYielding(next);
     return upstreams.find((each) =>
       isIdle(each) && !preferred.includes(each) && needsGrant(grants, each) &&
       !(yieldsToUnderserved && isAwaited(each))
@@ -238,6 +254,8 @@
     },
     forgetLoad: (upstream) => void loadCache.delete(upstream),
     getLoad,
+    isYielding,
+    mayStartWithoutGrant,
     tryChoose,
     getAskable,
     tryGetIdleToAsk,
