Count a request that is tried again once as service of its team

A team whose requests were lost at crashed upstreams counted as served, and a flood as not over its due: what is asked counts each request once, what is begun counted each attempt.

Further attempts are counted by `repeated` in service-counted only.

Test "a request that is tried again counts once as service of its team": failed before, passes.

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -17,7 +17,7 @@
       return `Began of what teams asked for since the start, in tokens: ` +
         decision.teams
           .map(({ team, asked, begun, repeated, answered }) =>
-            `${begun} of ${asked} for ${team}, ${repeated} of them repeated, ` +
+            `${begun} of ${asked} for ${team}, ${repeated} again, ` +
             `${answered} answered`
           )
           .join("; ") +
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -13,9 +13,9 @@
 export interface TeamServiceTotals {
   readonly team: string;
   readonly asked: number;
-  /** Each attempt of a request counts. */
+  /** The first attempt of each request counts. */
   readonly begun: number;
-  /** The part of `begun` by attempts after the first of their request. */
+  /** Service of further attempts. */
   readonly repeated: number;
   /** Service of prompts whose callers got the whole response. */
   readonly answered: number;
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -51,10 +51,9 @@
     random: host.random,
     onStart(prompt, upstream, readingTokens) {
       load.beginPrefill(upstream, readingTokens);
-      load.recordBegun(prompt.team, prompt.serviceTokens);
-      if (prompt.isRepeated) {
-        load.recordRepeated(prompt.team, prompt.serviceTokens);
-      }
+      // A request that is tried again was asked for once.
+      const record = prompt.isRepeated ? load.recordRepeated : load.recordBegun;
+      record(prompt.team, prompt.serviceTokens);
     },
   });
 }
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -72,7 +72,7 @@
   getMeanEfficiency(): number;
   /**
    * Records, for the log, that a further attempt of a request of the team has
-   * begun.
+   * begun. The team has asked for it once and is given it once.
    */
   recordRepeated(team: string, tokens: number): void;
   /** Records that a team's caller has got the whole response to a prompt. */
