--- a/src/queue/room.ts
+++ b/src/queue/room.ts
@@ -42,6 +42,13 @@
     readingTokens + getReservedTokens(load, request) <= request.fullLimitTokens;
 }
 
+/**
+ * Room at an upstream that hosts share between them, relative to its limit: a
+ * prompt counts as prefilled until its first event, about twice as long as its
+ * prefill takes.
+ */
+const SHARED_LIMIT_MULTIPLE = 2;
+
 /**
  * The room that is left for a yielding prompt, as a share of what it and those
  * at other hosts wait for.
@@ -51,8 +58,9 @@
   request: RoomRequest,
 ): number {
   const room = Math.min(
-    request.limitTokens,
-    request.fullLimitTokens - getReservedTokens(load, request),
+    request.limitTokens * SHARED_LIMIT_MULTIPLE,
+    request.fullLimitTokens * SHARED_LIMIT_MULTIPLE -
+      getReservedTokens(load, request),
   ) - load.readingTokens;
   return room / (load.yieldingElsewhere + request.readingTokens);
 }
