Sum up the waiting prompts in a module of their own

The queue's file had grown by what it reports to others; the draws of a process kept one entry for each upstream it had ever seen, and are cleared in each round now. The type Mutable and the tests' grants that nobody needs stood twice. No decision changes but that all draws of a host are made anew at once.

--- a/src/core/core.ts
+++ b/src/core/core.ts
@@ -60,3 +60,6 @@
   const right = createHash("sha256").update(b).digest();
   return timingSafeEqual(left, right);
 }
+
+/** The type with properties that may be assigned. */
+export type Mutable<T> = { -readonly [Key in keyof T]: T[Key] };
--- a/src/entry/entry_queue_test.ts
+++ b/src/entry/entry_queue_test.ts
@@ -4,6 +4,7 @@
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import { createLoadView } from "../load/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
+import { createUnneededGrants } from "../testing/fake_grants.ts";
 import { createEntryQueue } from "./entry_queue.ts";
 
 const upstream = { id: "a", slots: 48 } as UpstreamEntry;
@@ -21,16 +22,7 @@
   const queue = createEntryQueue({
     clock,
     load,
-    grants: {
-      isEnabled: () => false,
-      needsGrant: () => false,
-      isRequestDue: () => false,
-      ask() {},
-      requestIdle() {},
-      hasRequestedIdle: () => false,
-      end() {},
-      recordStart() {},
-    },
+    grants: createUnneededGrants(false),
     tryGetUpstream: () => upstream,
     getWarmUpAllowance: () => "unlimited",
     getLimitTokens: () => 15_000,
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -6,6 +6,7 @@
  */
 
 import * as Effect from "effect/Effect";
+import type { RoomUse } from "../diagnostics/mod.ts";
 import type { UpstreamEntry } from "../discovery/mod.ts";
 import {
   getAffinityKey,
@@ -28,7 +29,6 @@
   getEligible,
   mayFetchFrom,
 } from "./eligible_upstreams.ts";
-import type { RoomUse } from "../diagnostics/mod.ts";
 import { createRankingCache } from "./prompt_ranking.ts";
 import { getServiceTokens, getWorkTokens } from "./prompt_tokens.ts";
 import { Rejected } from "./rejections.ts";
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -245,9 +245,7 @@
     },
     setWaiting(waiting) {
       for (const upstream of awaited) {
-        if (!waiting.has(upstream)) {
-          Object.assign(getUse(upstream), NOTHING_WAITING);
-        }
+        Object.assign(getUse(upstream), NOTHING_WAITING);
       }
       for (const [upstream, load] of waiting) {
         Object.assign(getUse(upstream), load);
--- a/src/load/report_sums.ts
+++ b/src/load/report_sums.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { getOrCreate } from "../core/mod.ts";
+import { getOrCreate, type Mutable } from "../core/mod.ts";
 import { addPacingStats, EMPTY_PACING_STATS } from "../pacing/mod.ts";
 import { addUse, createUseTotals, isUsed } from "./use_totals.ts";
 import type {
@@ -80,5 +80,3 @@
     hosts: Math.max(0, hosts),
   };
 }
-
-type Mutable<T> = { -readonly [Key in keyof T]: T[Key] };
--- a/src/load/use_totals.ts
+++ b/src/load/use_totals.ts
@@ -4,12 +4,11 @@
  * @module
  */
 
+import type { Mutable } from "../core/mod.ts";
 import type { UpstreamUse } from "./types.ts";
 
 /** The use of an upstream, without its id. */
-export type UseTotals = {
-  -readonly [Key in Exclude<keyof UpstreamUse, "upstream">]: UpstreamUse[Key];
-};
+export type UseTotals = Mutable<Omit<UpstreamUse, "upstream">>;
 
 /** Creates totals of zero. */
 export function createUseTotals(): UseTotals {
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -21,6 +21,9 @@
  *   a large one never does. Such teams therefore leave as much room as the
  *   prompts of underserved teams need, at this host and elsewhere. Where many
  *   hosts fill an upstream at once, these may exceed its limit as well.
+ * - All hosts see at once that an upstream has room, and fill it several times
+ *   over before they learn of each other. Yielding prompts therefore use it with
+ *   the probability that is its share of what waits for it at all hosts.
  * - Operators may state more capacity than the upstreams have. No team exceeds
  *   its share of that, so overserved teams go last as well. They may use all
  *   room for which no other team's prompt waits.
@@ -51,8 +54,6 @@
  */
 
 import type { QueueInputs, RoomUse, TeamStanding } from "../diagnostics/mod.ts";
-import { getOrCreate } from "../core/mod.ts";
-import type { WaitingLoad } from "../load/mod.ts";
 import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
 import {
   defaultPromptQueueOptions,
@@ -63,6 +64,7 @@
   type PrioritisedPrompt,
   tryGetGrants,
 } from "./upstream_choice.ts";
+import { getWaitingLoads, type WaitingPart } from "./waiting_loads.ts";
 import type {
   NewPrompt,
   PromptGrants,
@@ -219,31 +221,14 @@
     }
   }
 
-  /**
-   * Reports the prompts for which yielding ones leave room at all hosts, and the
-   * yielding ones, which share what room is left.
-   */
+  function getPart(prompt: WaitingPrompt): WaitingPart {
+    if (host.isUnderserved(prompt.team)) return "underserved";
+    return choice.isYielding(prioritise(prompt)) ? "yielding" : "neither";
+  }
+
   function reportWaiting(): void {
-    const loads = new Map<string, Mutable<WaitingLoad>>();
-    for (const prompt of waiting) {
-      const first = prompt.getUpstreams()[0];
-      if (first === undefined) continue;
-      const isUnderserved = host.isUnderserved(prompt.team);
-      if (!isUnderserved && !choice.isYielding(prioritise(prompt))) continue;
-      const load = getOrCreate(loads, first.upstream, () => ({
-        underserved: 0,
-        underservedTokens: 0,
-        yieldingTokens: 0,
-      }));
-      const tokens = Math.round(first.readingTokens);
-      if (isUnderserved) {
-        load.underserved++;
-        load.underservedTokens += tokens;
-      } else if (choice.mayStartWithoutGrant(first)) {
-        load.yieldingTokens += tokens;
-      }
-    }
-    host.onWaiting(loads);
+    const { mayStartWithoutGrant } = choice;
+    host.onWaiting(getWaitingLoads(waiting, { getPart, mayStartWithoutGrant }));
   }
 
   function getTeamInputs(team: string) {
@@ -354,5 +339,3 @@
     getCount: () => waiting.size,
   };
 }
-
-type Mutable<T> = { -readonly [Key in keyof T]: T[Key] };
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -4,10 +4,11 @@
 import type { WaitingLoad } from "../load/mod.ts";
 import type { QueueInputs } from "../diagnostics/mod.ts";
 import { rankForPrompt } from "../placement/mod.ts";
+import { createUnneededGrants } from "../testing/fake_grants.ts";
 import { createPromptQueue } from "./prompt_queue.ts";
 import { defaultPromptQueueOptions } from "./prompt_queue_options.ts";
 import { hasRoom } from "./room.ts";
-import type { PromptGrants, PromptQueueHost, WaitingPrompt } from "./types.ts";
+import type { PromptQueueHost, WaitingPrompt } from "./types.ts";
 
 const { overShareLimit, inefficientLimit } = defaultPromptQueueOptions;
 
@@ -31,18 +32,6 @@
   readonly targetMs?: number;
 }
 
-/** Grants of a large fleet whose owners don't answer. */
-const allowingGrants: PromptGrants = {
-  isEnabled: () => true,
-  needsGrant: () => false,
-  isRequestDue: () => false,
-  ask() {},
-  requestIdle() {},
-  hasRequestedIdle: () => false,
-  end() {},
-  recordStart() {},
-};
-
 /** Creates a queue for idle upstreams with 48 slots each. */
 function createFixture(changes: Pick<PromptQueueHost, "grants"> = {}) {
   let nowMs = 0;
@@ -343,7 +332,7 @@
 test("an overserved team takes no idle upstream for which an underserved team waits", () => {
   // Guards against a flood that prefills its prefixes again at every upstream
   // that becomes idle.
-  const fixture = createFixture({ grants: allowingGrants });
+  const fixture = createFixture({ grants: createUnneededGrants(true) });
   fixture.overserved.add("flood");
   fixture.getUse("a").inFlight = 48;
   fixture.underserved.set("b", 1);
--- a/src/queue/room.ts
+++ b/src/queue/room.ts
@@ -30,6 +30,13 @@
   readonly yieldsToUnderserved: boolean;
 }
 
+/**
+ * Room at an upstream that hosts share between them, relative to its limit: a
+ * prompt counts as prefilled until its first event, about twice as long as its
+ * prefill takes.
+ */
+const SHARED_LIMIT_MULTIPLE = 2;
+
 /** Whether an upstream has room for a prompt. */
 export function hasRoom(load: UpstreamLoad, request: RoomRequest): boolean {
   if (load.isWarmUpSpent) return false;
@@ -42,13 +49,6 @@
     readingTokens + getReservedTokens(load, request) <= request.fullLimitTokens;
 }
 
-/**
- * Room at an upstream that hosts share between them, relative to its limit: a
- * prompt counts as prefilled until its first event, about twice as long as its
- * prefill takes.
- */
-const SHARED_LIMIT_MULTIPLE = 2;
-
 /**
  * The room that is left for a yielding prompt, as a share of what it and those
  * at other hosts wait for.
--- a/src/queue/room_draws.ts
+++ b/src/queue/room_draws.ts
@@ -10,6 +10,7 @@
  * @module
  */
 
+import { getOrCreate } from "../core/mod.ts";
 import type { PromptQueueHost } from "./types.ts";
 
 /** The draws of one host. */
@@ -22,32 +23,27 @@
   isDrawn(upstream: string, share: number): boolean;
 }
 
-/** Time for which a draw holds, in ms: the period of load reports. */
-const DRAW_TTL_MS = 100;
-
-interface Draw {
-  readonly value: number;
-  readonly drawnMs: number;
-}
+/** Time for which draws hold, in ms: the period of load reports. */
+const ROUND_MS = 100;
 
 /** Creates draws that have not been made yet. */
 export function createRoomDraws(
   host: Pick<PromptQueueHost, "nowMs" | "random">,
 ): RoomDraws {
-  const draws = new Map<string, Draw>();
+  /** The draws of this round, by upstream. */
+  const draws = new Map<string, number>();
+  let roundMs = -Infinity;
 
-  function getDraw(upstream: string): Draw {
-    const drawnMs = host.nowMs();
-    const known = draws.get(upstream);
-    if (known !== undefined && drawnMs - known.drawnMs < DRAW_TTL_MS) {
-      return known;
+  function getDraw(upstream: string): number {
+    const nowMs = host.nowMs();
+    if (nowMs - roundMs >= ROUND_MS) {
+      draws.clear();
+      roundMs = nowMs;
     }
-    const draw = { value: host.random(), drawnMs };
-    draws.set(upstream, draw);
-    return draw;
+    return getOrCreate(draws, upstream, host.random);
   }
 
   return {
-    isDrawn: (upstream, share) => share >= 1 || getDraw(upstream).value < share,
+    isDrawn: (upstream, share) => share >= 1 || getDraw(upstream) < share,
   };
 }
