--- a/src/load/load_reporter.ts
+++ b/src/load/load_reporter.ts
@@ -160,8 +160,12 @@
   }
 
   function applyOthers(contents: readonly LoadContent[]): void {
-    const others = createReport("fleet", addReports(contents));
-    host.onOthersLoad({ ...others, from: FLEET_SENDER });
+    // A host without children has a single sum, which is not added up again.
+    const [only, ...further] = contents;
+    const sum = only !== undefined && further.length === 0
+      ? only
+      : addReports(contents);
+    host.onOthersLoad({ ...createReport("fleet", sum), from: FLEET_SENDER });
   }
 
   /** Applies the sum over the fleet that the parent has sent. */
