Join the grants of an entry host in a module of their own

The assembly of the host had grown to 596 lines; what joins owners, owned upstreams and the exchange of grants is one step of it. No behaviour changes.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -33,7 +33,6 @@
   tryConnect,
 } from "../forwarding/mod.ts";
 import { CRASH_KEY_PREFIX, createCrashWatch } from "../crashes/mod.ts";
-import { createGrantOwners } from "../grants/mod.ts";
 import { createHandoff } from "../handoff/mod.ts";
 import type { Fact, Member } from "../membership/mod.ts";
 import { getNameDigest } from "../peers/mod.ts";
@@ -49,8 +48,6 @@
 import { getServingHosts } from "./fleet_size.ts";
 import { createFleetLoad } from "./fleet_load.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
-import { createGrantExchange } from "./grant_exchange.ts";
-import { createGrantUpstreams } from "./grant_upstreams.ts";
 import { createHealthDecision } from "./health_decision.ts";
 import { createHostWarmUps } from "./host_warm_ups.ts";
 import { createIntake } from "./intake.ts";
@@ -63,6 +60,7 @@
 import { tryReadMemory, tryReadResidentBytes } from "./process_memory.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
+import { createHostGrants } from "./host_grants.ts";
 import { createHostRegistration } from "./host_registration.ts";
 import { getBacklog, getHandoffBacklog, setCallerLimits } from "./servers.ts";
 import { openSideServers } from "./side_servers.ts";
@@ -198,29 +196,16 @@
     getDigest: getNameDigest,
     onRecorded: (source) => metrics.observePlacement(source),
   });
-  const grantUpstreams = createGrantUpstreams({
-    getDigest: getNameDigest,
+  const { upstreams: grantUpstreams, exchange: grants } = createHostGrants({
+    clock,
+    load,
+    peerAddress,
+    session: incarnation >>> 0,
+    getGrantingHosts,
+    isFull,
     tryGet: (id) => platformView.directory.tryGet(id),
-    getInFlight: load.getInFlight,
-    getReadingTokens: load.getReadingTokens,
     getMsPerToken: upstreamPacings.getMsPerToken,
     getUpstreamLimitTokens: upstreamPacings.getUpstreamLimitTokens,
-  });
-  const owners = createGrantOwners({
-    nowMs: clock.monotonicMs,
-    getHosts: getGrantingHosts,
-    isFull,
-    tryGetDataCentre: grantUpstreams.tryGetDataCentre,
-  });
-  const grants = createGrantExchange({
-    nowMs: clock.monotonicMs,
-    peerAddress,
-    session: incarnation >>> 0,
-    owners,
-    upstreams: grantUpstreams,
-    getDigest: getNameDigest,
-    getServiceLevel: load.getServiceLevelByDigest,
-    isUnderserved: load.isUnderservedByDigest,
     start: (...granted) => queue.startGranted(...granted),
     onEnded: (outcome) => metrics.observeGrant(outcome),
     onFailed: logFailedTask("grants"),
