--- a/src/queue/room_draws.ts
+++ b/src/queue/room_draws.ts
@@ -10,7 +10,7 @@
  * @module
  */
 
-import { getOrCreate } from "../core/mod.ts";
+import { dropOldest } from "../core/mod.ts";
 import type { PromptQueueHost } from "./types.ts";
 
 /** The draws of one host. */
@@ -23,27 +23,40 @@
   isDrawn(upstream: string, share: number): boolean;
 }
 
-/** Time for which draws hold, in ms: the period of load reports. */
-const ROUND_MS = 100;
+/**
+ * Time for which a draw holds, in ms: the period of load reports. Each upstream
+ * has its own, as hosts that all draw anew at once start at once.
+ */
+const DRAW_TTL_MS = 100;
+
+/** Upstreams whose draws are kept; many times those that are waited for. */
+const MAX_DRAWS = 1_024;
+
+interface Draw {
+  readonly value: number;
+  readonly drawnMs: number;
+}
 
 /** Creates draws that have not been made yet. */
 export function createRoomDraws(
   host: Pick<PromptQueueHost, "nowMs" | "random">,
 ): RoomDraws {
-  /** The draws of this round, by upstream. */
-  const draws = new Map<string, number>();
-  let roundMs = -Infinity;
-
-  function getDraw(upstream: string): number {
-    const nowMs = host.nowMs();
-    if (nowMs - roundMs >= ROUND_MS) {
-      draws.clear();
-      roundMs = nowMs;
+  const draws = new Map<string, Draw>();
+
+  function getDraw(upstream: string): Draw {
+    const drawnMs = host.nowMs();
+    const known = draws.get(upstream);
+    if (known !== undefined && drawnMs - known.drawnMs < DRAW_TTL_MS) {
+      return known;
     }
-    return getOrCreate(draws, upstream, host.random);
+    const draw = { value: host.random(), drawnMs };
+    draws.delete(upstream);
+    draws.set(upstream, draw);
+    dropOldest(draws, MAX_DRAWS);
+    return draw;
   }
 
   return {
-    isDrawn: (upstream, share) => share >= 1 || getDraw(upstream) < share,
+    isDrawn: (upstream, share) => share >= 1 || getDraw(upstream).value < share,
   };
 }
