--- a/src/handoff/returned_connections_test.ts
+++ b/src/handoff/returned_connections_test.ts
@@ -54,6 +54,8 @@
   const caller = openCaller(pair.origin.callerAddress, "");
   await until(() => pair.target.handoff.countInFlight() === 1);
   await until(() => pair.origin.handoff.countOpen() === 1);
+  // The connection is relayed once the target's answer has come.
+  await until(() => pair.origin.handoff.countInFlight() === 0);
   return caller;
 }
 
