Let one sum, one empty load and one question of who goes last serve all

Read again: a single report is its own sum wherever reports are added, so that two callers need no case of their own; the load of a host without waiting prompts stood three times; the room that a prompt may take was worked out for each of its upstreams where it is the same for all, and reports of waiting prompts ranked each prompt anew in every pass, of which they need only whether its team goes last. No decision is meant to change.

--- a/src/load/load_reporter.ts
+++ b/src/load/load_reporter.ts
@@ -160,12 +160,8 @@
   }
 
   function applyOthers(contents: readonly LoadContent[]): void {
-    // A host without children has a single sum, which is not added up again.
-    const [only, ...further] = contents;
-    const sum = only !== undefined && further.length === 0
-      ? only
-      : addReports(contents);
-    host.onOthersLoad({ ...createReport("fleet", sum), from: FLEET_SENDER });
+    const others = createReport("fleet", addReports(contents));
+    host.onOthersLoad({ ...others, from: FLEET_SENDER });
   }
 
   /** Applies the sum over the fleet that the parent has sent. */
@@ -236,7 +232,7 @@
     return [
       ...createUpwardReports(
         destination,
-        children.length === 0 ? own : addReports([own, ...children]),
+        addReports([own, ...children]),
       ),
       ...createFleetReports(own, children),
     ];
--- a/src/load/load_view.ts
+++ b/src/load/load_view.ts
@@ -34,12 +34,13 @@
   isUsed,
   type UseTotals,
 } from "./use_totals.ts";
-import type {
-  LearnedOfService,
-  LoadContent,
-  LoadReport,
-  UpstreamUse,
-  WaitingLoad,
+import {
+  type LearnedOfService,
+  type LoadContent,
+  type LoadReport,
+  NOTHING_WAITING,
+  type UpstreamUse,
+  type WaitingLoad,
 } from "./types.ts";
 
 /** Dependencies of the load view, supplied by the process. */
@@ -104,12 +105,6 @@
 /** Least time between two searches for stale reports. */
 const EVICT_PERIOD_MS = 50;
 
-const NOTHING_WAITING: WaitingLoad = {
-  underserved: 0,
-  underservedTokens: 0,
-  yieldingTokens: 0,
-};
-
 const NO_USE: Readonly<UseTotals> = createUseTotals();
 
 interface ReceivedReport {
--- a/src/load/report_sums.ts
+++ b/src/load/report_sums.ts
@@ -23,8 +23,13 @@
   hosts: 0,
 };
 
-/** Sums the use by upstream, team and service over all reports. */
+/**
+ * Sums the use by upstream, team and service over all reports. A single report
+ * is its own sum.
+ */
 export function addReports(reports: readonly LoadContent[]): LoadContent {
+  const [first, ...further] = reports;
+  if (first !== undefined && further.length === 0) return first;
   return sumSigned(reports.map((report) => ({ report, sign: 1 })));
 }
 
--- a/src/load/types.ts
+++ b/src/load/types.ts
@@ -30,6 +30,13 @@
   "underserved" | "underservedTokens" | "yieldingTokens"
 >;
 
+/** The load of a host at which no prompt waits for the upstream. */
+export const NOTHING_WAITING: WaitingLoad = {
+  underserved: 0,
+  underservedTokens: 0,
+  yieldingTokens: 0,
+};
+
 /** Service that a team asked for and that was begun, in tokens per second. */
 export interface TeamUse {
   /** Digest of the team's name. */
--- a/src/load/use_totals.ts
+++ b/src/load/use_totals.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Mutable } from "../core/mod.ts";
-import type { UpstreamUse } from "./types.ts";
+import { NOTHING_WAITING, type UpstreamUse } from "./types.ts";
 
 /** The use of an upstream, without its id. */
 export type UseTotals = Mutable<Omit<UpstreamUse, "upstream">>;
@@ -15,9 +15,7 @@
   return {
     inFlight: 0,
     readingTokens: 0,
-    underserved: 0,
-    underservedTokens: 0,
-    yieldingTokens: 0,
+    ...NOTHING_WAITING,
   };
 }
 
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -179,23 +179,29 @@
     return nowMs - prompt.arrivedMs >= maxWaitMs;
   }
 
+  function isOverShare(team: string): boolean {
+    return host.getShareUsed(team) > 1;
+  }
+
+  function isDeprioritised(team: string): boolean {
+    return isOverShare(team) || host.isOverserved(team);
+  }
+
   /**
    * Returns 0 for a prompt that yields to no others, 1 for an inefficient
    * prompt, which yields to those of level 0, and 2 for a prompt of a team over
    * its share, which yields to all others.
    */
   function getYieldLevel(prompt: WaitingPrompt): YieldLevel {
-    if (host.getShareUsed(prompt.team) > 1) return 2;
+    if (isOverShare(prompt.team)) return 2;
     return isInefficient(prompt, host.getMeanEfficiency()) ? 1 : 0;
   }
 
   function prioritise(prompt: WaitingPrompt): PrioritisedPrompt {
     const yields = getYieldLevel(prompt);
-    const isDeprioritised = yields === 2 || host.isOverserved(prompt.team);
-    const serviceLevel = isDeprioritised
-      ? host.getServiceLevel(prompt.team)
-      : 0;
-    return { prompt, yields, isDeprioritised, serviceLevel };
+    const goesLast = isDeprioritised(prompt.team);
+    const serviceLevel = goesLast ? host.getServiceLevel(prompt.team) : 0;
+    return { prompt, yields, isDeprioritised: goesLast, serviceLevel };
   }
 
   /** Sorts the waiting prompts by priority, the highest first. */
@@ -222,13 +228,18 @@
   }
 
   function getPart(prompt: WaitingPrompt): WaitingPart {
-    if (host.isUnderserved(prompt.team)) return "underserved";
-    return choice.isYielding(prioritise(prompt)) ? "yielding" : "neither";
+    const { team } = prompt;
+    if (host.isUnderserved(team)) return "underserved";
+    const terms = { prompt, isDeprioritised: isDeprioritised(team) };
+    return choice.isYielding(terms) ? "yielding" : "neither";
   }
 
   function reportWaiting(): void {
-    const { mayStartWithoutGrant } = choice;
-    host.onWaiting(getWaitingLoads(waiting, { getPart, mayStartWithoutGrant }));
+    const grants = tryGetGrants(host);
+    host.onWaiting(getWaitingLoads(waiting, {
+      getPart,
+      mayStartWithoutGrant: (each) => choice.mayStartWithoutGrant(grants, each),
+    }));
   }
 
   function getTeamInputs(team: string) {
@@ -281,7 +292,7 @@
   function tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined {
     if (!options.refusesEarly) return undefined;
     const { team, targetMs } = prompt;
-    if (host.getShareUsed(team) <= 1 || host.isUnderserved(team)) {
+    if (!isOverShare(team) || host.isUnderserved(team)) {
       return undefined;
     }
     const backlog = backlogTracker.getBacklog(prompt);
--- a/src/queue/upstream_choice.ts
+++ b/src/queue/upstream_choice.ts
@@ -65,9 +65,14 @@
     nowMs: number,
   ): RankedUpstream | undefined;
   /** Whether the prompt leaves room to those of underserved teams. */
-  isYielding(prompt: PrioritisedPrompt): boolean;
+  isYielding(
+    prompt: Pick<PrioritisedPrompt, "prompt" | "isDeprioritised">,
+  ): boolean;
   /** Whether this host may start a prompt there by itself. */
-  mayStartWithoutGrant(upstream: RankedUpstream): boolean;
+  mayStartWithoutGrant(
+    grants: PromptGrants | undefined,
+    upstream: RankedUpstream,
+  ): boolean;
   /** The upstreams to ask grants of, the preferred one first. */
   getAskable(
     grants: PromptGrants,
@@ -113,44 +118,33 @@
     );
   }
 
-  function mayStartWithoutGrant(each: RankedUpstream): boolean {
-    const grants = tryGetGrants(host);
-    return grants === undefined || !needsGrant(grants, each);
-  }
-
-  /** Returns the room that the prompt needs at the upstream. */
-  function getRoomRequest(
-    { prompt, yields }: PrioritisedPrompt,
-    { upstream, readingTokens }: RankedUpstream,
-  ): Omit<RoomRequest, "yieldsToUnderserved"> {
-    const limit = host.isUnderserved(prompt.team)
-      ? extendLimit(limits[yields], options.underservedFactors)
-      : limits[yields];
-    const limitTokens = getLimitTokens(prompt, upstream);
-    const maxCountedTokens = limitTokens * options.maxCountedShare;
-    return {
-      readingTokens: Math.min(readingTokens, maxCountedTokens),
-      maxCountedTokens,
-      slotShare: limit.slotShare,
-      limitTokens: limitTokens * limit.prefillShare,
-      fullLimitTokens: limitTokens,
-    };
-  }
-
   function tryChoose(
     next: PrioritisedPrompt,
     nowMs: number,
   ): RankedUpstream | undefined {
-    const { prompt } = next;
+    const { prompt, yields } = next;
     const grants = tryGetGrants(host);
+    const limit = host.isUnderserved(prompt.team)
+      ? extendLimit(limits[yields], options.underservedFactors)
+      : limits[yields];
     const yieldsToUnderserved = isYielding(next);
     function fitsUpstream(each: RankedUpstream) {
-      if (!mayStartWithoutGrant(each)) return false;
-      const load = getLoad(each.upstream);
-      const request = { ...getRoomRequest(next, each), yieldsToUnderserved };
-      return hasRoom(load, request) &&
-        (!yieldsToUnderserved ||
-          draws.isDrawn(each.upstream, getRoomShare(load, request)));
+      if (!mayStartWithoutGrant(grants, each)) return false;
+      const { upstream, readingTokens } = each;
+      const load = getLoad(upstream);
+      const limitTokens = getLimitTokens(prompt, upstream);
+      const maxCountedTokens = limitTokens * options.maxCountedShare;
+      const request: RoomRequest = {
+        readingTokens: Math.min(readingTokens, maxCountedTokens),
+        maxCountedTokens,
+        slotShare: limit.slotShare,
+        limitTokens: limitTokens * limit.prefillShare,
+        fullLimitTokens: limitTokens,
+        yieldsToUnderserved,
+      };
+      if (!hasRoom(load, request)) return false;
+      return !yieldsToUnderserved ||
+        draws.isDrawn(upstream, getRoomShare(load, request));
     }
     const upstreams = prompt.getUpstreams();
     const [first] = upstreams;
@@ -172,12 +166,18 @@
     const waitedMs = nowMs - prompt.arrivedMs;
     if (waitedMs < prompt.targetMs * options.spilloverShare) return undefined;
     return upstreams.find((each) =>
-      isIdle(each) && !preferred.includes(each) && mayStartWithoutGrant(each) &&
+      isIdle(each) && !preferred.includes(each) &&
+      mayStartWithoutGrant(grants, each) &&
       !(grants !== undefined && yieldsToUnderserved && isAwaited(each))
     );
   }
 
-  function isYielding({ prompt, isDeprioritised }: PrioritisedPrompt): boolean {
+  function isYielding(
+    { prompt, isDeprioritised }: Pick<
+      PrioritisedPrompt,
+      "prompt" | "isDeprioritised"
+    >,
+  ): boolean {
     return options.yieldsToUnderserved && isDeprioritised &&
       !host.isUnderserved(prompt.team);
   }
@@ -187,6 +187,13 @@
     return getLoad(upstream).underservedElsewhere > 0;
   }
 
+  function mayStartWithoutGrant(
+    grants: PromptGrants | undefined,
+    each: RankedUpstream,
+  ): boolean {
+    return grants === undefined || !needsGrant(grants, each);
+  }
+
   /** Whether the prompt starts there only with a grant of the owner. */
   function needsGrant(
     grants: PromptGrants,
--- a/src/queue/waiting_loads.ts
+++ b/src/queue/waiting_loads.ts
@@ -7,7 +7,7 @@
  */
 
 import { getOrCreate, type Mutable } from "../core/mod.ts";
-import type { WaitingLoad } from "../load/mod.ts";
+import { NOTHING_WAITING, type WaitingLoad } from "../load/mod.ts";
 import type { RankedUpstream, WaitingPrompt } from "./types.ts";
 
 /** How a waiting prompt counts. */
@@ -30,7 +30,11 @@
     const first = prompt.getUpstreams()[0];
     const part = host.getPart(prompt);
     if (first === undefined || part === "neither") continue;
-    const load = getOrCreate(loads, first.upstream, createWaitingLoad);
+    const load = getOrCreate(
+      loads,
+      first.upstream,
+      () => ({ ...NOTHING_WAITING }),
+    );
     const tokens = Math.round(first.readingTokens);
     if (part === "underserved") {
       load.underserved++;
@@ -41,7 +45,3 @@
   }
   return loads;
 }
-
-function createWaitingLoad(): Mutable<WaitingLoad> {
-  return { underserved: 0, underservedTokens: 0, yieldingTokens: 0 };
-}
