Log what a host's processor time goes to

Callers of a team that keeps to a host without processor time fail, and no line tells why: hosts log what they read, not what they could not accept, and utilization only beside handoffs.

Each second with work now has a line 'processor-used': connections accepted, handed off, received and closed unread; requests answered, refused early, refused late and ended otherwise; processor time of the process, of it that of scheduling passes; utilization. Beside 'service-counted', which tells what hosts read and begin for a team, it tells whether its hosts could have read more.

The memory and the processor time of the process are read in one module (process_use.ts).

--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -22,6 +22,15 @@
           )
           .join("; ") +
         `. Counts ${decision.coverage.hosts} hosts`;
+    case "processor-used":
+      return `Used ${decision.processorMs} ms of processor time in a second, ` +
+        `${decision.passMs} ms in scheduling passes, at a utilization of ` +
+        `${decision.utilization}: accepted ${decision.accepted} connections, ` +
+        `of which it handed off ${decision.handedOff} and closed ` +
+        `${decision.abandoned} unread; received ${decision.received}; ended ` +
+        `${decision.answered} requests with a response, ` +
+        `${decision.refusedEarly} refused early, ${decision.refusedLate} ` +
+        `late, ${decision.otherEnds} otherwise`;
     case "pipeline-dropped":
       return `Closed a caller's connection with ${decision.waiting} requests ` +
         `behind another one: there was no room for more`;
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -21,6 +21,30 @@
   readonly answered: number;
 }
 
+/** What a host did in a second, and the processor time that it took. */
+export interface HostActivity {
+  /** Connections of its own callers that it accepted. */
+  readonly accepted: number;
+  /** Those of them that another host took. */
+  readonly handedOff: number;
+  /** Those that it closed, since their callers may have left meanwhile. */
+  readonly abandoned: number;
+  /** Connections that it took from other hosts. */
+  readonly received: number;
+  /** Requests whose response was relayed whole. */
+  readonly answered: number;
+  /** Requests refused by their headers or after a wait, as too much waits. */
+  readonly refusedEarly: number;
+  readonly refusedLate: number;
+  /** Requests that ended in another way. */
+  readonly otherEnds: number;
+  /** Processor time of the process, and time of its scheduling passes. */
+  readonly processorMs: number;
+  readonly passMs: number;
+  /** Utilization of the event loop, from 0 to 1. */
+  readonly utilization: number;
+}
+
 /** A decision on the fleet's hosts, with the data that it was based on. */
 export type HostDecision =
   | {
@@ -82,6 +106,10 @@
     readonly teams: readonly TeamServiceTotals[];
     readonly coverage: LoadCoverage;
   }
+  | ({
+    /** What this host's processor time went to in the last second. */
+    readonly event: "processor-used";
+  } & HostActivity)
   | {
     /** This host stopped or resumed accepting new callers. */
     readonly event: "intake-changed";
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -49,6 +49,7 @@
 import { createFleetLoad } from "./fleet_load.ts";
 import { createFullHosts, FULL_KEY_PREFIX } from "./full_hosts.ts";
 import { createHealthDecision } from "./health_decision.ts";
+import { createHostActivity, getWork } from "./host_activity.ts";
 import { createHostWarmUps } from "./host_warm_ups.ts";
 import { createIntake } from "./intake.ts";
 import { createPlatformView } from "./platform_view.ts";
@@ -57,7 +58,11 @@
 import { createEventLoopMonitor } from "./event_loop_monitor.ts";
 import { openExchanges } from "./exchanges.ts";
 import { createMemoryWatch } from "./memory_watch.ts";
-import { tryReadMemory, tryReadResidentBytes } from "./process_memory.ts";
+import {
+  readProcessorMs,
+  tryReadMemory,
+  tryReadResidentBytes,
+} from "./process_use.ts";
 import { createEntryMetrics } from "./metrics.ts";
 import { openPeers } from "./peers.ts";
 import { createHostGrants } from "./host_grants.ts";
@@ -412,7 +417,10 @@
     tryGetRelay: (req) => handoff.tryGetRelay(req),
     getInputs: platformView.getInputs,
     log,
-    onRequestEnded: metrics.observeEnd,
+    onRequestEnded(end) {
+      metrics.observeEnd(end);
+      activity.count(getWork(end));
+    },
     random: host.random,
   };
 
@@ -432,11 +440,24 @@
     isDraining: drain.isDraining,
     isConfigured: () => platformView.tryGetRoutes() !== undefined,
     serve: (socket) => callers.serve(socket),
-    onAsked: metrics.observeHandoff,
-    onReceived: metrics.observeReceived,
+    onAsked(outcome) {
+      metrics.observeHandoff(outcome);
+      if (outcome === "taken") activity.count("handedOff");
+    },
+    onReceived(outcome) {
+      metrics.observeReceived(outcome);
+      if (outcome === "taken") activity.count("received");
+    },
+    onAbandoned: () => activity.count("abandoned"),
     onReturned: metrics.observeReturned,
     log,
   });
+  const activity = createHostActivity({
+    clock,
+    readProcessorMs,
+    getUtilization: handoff.getOwnUtilization,
+    onActivity: (done) => log({ event: "processor-used", ...done }),
+  });
   const logServerError = logFailedTask("server");
   const handoffBacklog = getHandoffBacklog(settings.processorShare);
   const pipelined = createPipelinedRequests({
@@ -451,7 +472,10 @@
       drain.track(res);
       serve(forwardHost, req, res);
     },
-    onConnection: handoff.offer,
+    onConnection(socket) {
+      activity.count("accepted");
+      handoff.offer(socket);
+    },
     backlog: getBacklog(settings.processorShare),
     onError: logServerError,
   });
@@ -484,6 +508,7 @@
     loopMonitor.tick();
     intake.tick();
     handoff.tick();
+    activity.tick();
     memoryWatch.tick();
   }
 
@@ -549,7 +574,7 @@
     .map((task) => Effect.runFork(task));
   const ticker = startTicker(QUEUE_TICK_MS, {
     measure: measureIterations,
-    decide,
+    decide: () => activity.measurePass(decide),
   });
   log({
     event: "started",
--- a/src/entry/memory_watch.ts
+++ b/src/entry/memory_watch.ts
@@ -10,7 +10,7 @@
  */
 
 import type { Clock } from "../core/mod.ts";
-import type { ProcessMemory } from "./process_memory.ts";
+import type { ProcessMemory } from "./process_use.ts";
 
 /** What the host itself holds. */
 export interface HeldParts {
--- a/src/entry/metrics_test.ts
+++ b/src/entry/metrics_test.ts
@@ -224,6 +224,7 @@
       status: 200,
       totalMs: 10,
       firstEventMs: 5,
+      refusedAfterMs: undefined,
     });
   }
   metrics.observeDecision({ event: "log-lines-dropped", lines: 1 });
--- a/src/entry/metrics_types.ts
+++ b/src/entry/metrics_types.ts
@@ -15,7 +15,7 @@
 } from "../handoff/mod.ts";
 import type { PlacementSource } from "../prefixes/mod.ts";
 import type { HeldParts } from "./memory_watch.ts";
-import type { ProcessMemory } from "./process_memory.ts";
+import type { ProcessMemory } from "./process_use.ts";
 import type { FetchOutcome } from "./table_copies.ts";
 
 /** Values that are read when the metrics are collected. */
--- a/src/entry/process_memory.ts
+++ b/src/entry/process_use.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the memory of this process.
+ * Reads the memory and the processor time that this process uses.
  *
  * Failure prevented: the resident memory is read from a file. In a process whose
  * descriptors are all in use that throws, and an exception in a timer would end
@@ -47,3 +47,9 @@
     return { residentBytes: rss, heapUsed, external, arrayBuffers };
   });
 }
+
+/** Returns the processor time of the process since its start, in ms. */
+export function readProcessorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / 1_000;
+}
--- a/src/forwarding/call.ts
+++ b/src/forwarding/call.ts
@@ -138,6 +138,11 @@
   readonly status: number;
   readonly totalMs: number;
   readonly firstEventMs: number | undefined;
+  /**
+   * Time for which it waited until the queue refused it, in ms; `undefined` if
+   * the queue did not.
+   */
+  readonly refusedAfterMs: number | undefined;
 }
 
 /** A request that is being served, with its route and body. */
--- a/src/forwarding/request_end.ts
+++ b/src/forwarding/request_end.ts
@@ -158,6 +158,7 @@
     status: end.status,
     totalMs,
     firstEventMs: call?.progress.firstEventMs,
+    refusedAfterMs: end.queue?.waitedMs,
   });
 }
 
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -57,10 +57,9 @@
   cutRelays(): void;
   /** Called by a timer, many times per second. */
   tick(): void;
-  /**
-   * Utilization of this host's event loop, from 0 to 1; 0 while too few hosts
-   * are alive in the data centre for handoffs.
-   */
+  /** Utilization of this host's event loop, from 0 to 1. */
+  getOwnUtilization(): number;
+  /** The same; 0 while too few hosts are alive in the data centre for handoffs. */
   getUtilization(): number;
   /** Whether enough hosts are alive in the data centre for handoffs. */
   hasEnoughHosts(): boolean;
@@ -99,6 +98,8 @@
   onAsked(outcome: AttemptOutcome): void;
   /** Called for each connection that another host handed off. */
   onReceived(outcome: ReceivedOutcome): void;
+  /** Called for each connection that is closed, as it may have waited too long. */
+  onAbandoned(): void;
   /** Called for each connection that this host took back. */
   onReturned(cause: ReturnCause): void;
   log(decision: Decision): void;
@@ -219,6 +220,7 @@
       origin.tick();
     },
     hasEnoughHosts: policy.hasEnoughHosts,
+    getOwnUtilization: utilization.get,
     getUtilization: () => policy.hasEnoughHosts() ? utilization.get() : 0,
     countOpen: policy.countOpen,
     countInFlight: () => origin.countInFlight() + server.countWaiting(),
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -65,6 +65,8 @@
   getUnreadMs(): number;
   /** Called for each host that was asked. */
   onAsked(target: string, outcome: AttemptOutcome): void;
+  /** Called for each connection that is closed, as it may have waited too long. */
+  onAbandoned(): void;
   /** Called for each connection that was taken back from the target. */
   onReturned(target: string, cause: ReturnCause): void;
   log(decision: Decision): void;
@@ -251,6 +253,7 @@
       // The target can't see how long the connection has waited here, and would
       // serve a caller that has left.
       policy.end(target);
+      host.onAbandoned();
       reset(caller);
     },
     [Symbol.dispose]() {
--- a/src/testing/handoff_hosts.ts
+++ b/src/testing/handoff_hosts.ts
@@ -79,6 +79,7 @@
     serve: (socket) => callers.serve(socket),
     onAsked: () => {},
     onReceived: () => {},
+    onAbandoned: () => {},
     onReturned: () => {},
     log: (decision) => void decisions.push(decision),
   });
