Show by emulation that a flood takes the processors that other teams need

In the simulation of shared upstreams hosts now have a processor: accepting, asking a neighbour, relaying, reading headers, waiting and responding take time of it, in the order in which they come, by what the real program takes on loopback. Connections that wait for longer than a second are lost. Where a connection is served is decided by the real handoff policy. Without a share of a core for hosts the simulation is as before.

--- a/src/handoff/mod.ts
+++ b/src/handoff/mod.ts
@@ -4,10 +4,13 @@
  * @module
  */
 
-export type { LoopTimes } from "./event_loop_utilization.ts";
+export * from "./event_loop_utilization.ts";
 export * from "./handoff.ts";
-export type {
-  AttemptOutcome,
-  ReceivedOutcome,
-  ReturnCause,
+export * from "./handoff_intake.ts";
+export * from "./handoff_policy.ts";
+export {
+  type AttemptOutcome,
+  CALLER_ABANDON_MS,
+  type ReceivedOutcome,
+  type ReturnCause,
 } from "./protocol.ts";
--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -11,6 +11,7 @@
 import { rankByRendezvous } from "../membership/mod.ts";
 import type { RankedUpstream } from "../queue/mod.ts";
 import { createRandom, type Random } from "./random.ts";
+import { createSimulatedIntake } from "./simulated_intake.ts";
 import {
   createSimulatedHost,
   createSimulatedPeers,
@@ -74,6 +75,11 @@
   };
   /** Whether hosts refuse prompts by their backlogs; false by default. */
   readonly refusesEarly?: boolean;
+  /**
+   * Share of a core that each host has for connections and requests; by default
+   * these take no processor time.
+   */
+  readonly coreShare?: number;
   /** 1 by default. */
   readonly seed?: number;
   /** Simulated time in ms; 20,000 by default. */
@@ -102,6 +108,14 @@
 const SLOTS = 48;
 const DEFAULT_UNTIL_MS = 20_000;
 
+/**
+ * What a request takes of a host's processor, in ms of a core: until its headers
+ * have been read, until it waits, and from its start to its end.
+ */
+const READ_HEADERS_MS = 0.8;
+const QUEUE_MS = 1.2;
+const RESPOND_MS = 2.2;
+
 /** Upstreams in the ranking of a prompt with a shared prefix. */
 const RANKED_UPSTREAMS = 8;
 
@@ -156,6 +170,14 @@
       }));
   }
 
+  const intake = createSimulatedIntake({
+    scheduler,
+    random,
+    peers,
+    coreShare: options.coreShare ?? Infinity,
+    linkMs: LINK_MS,
+  });
+
   const hosts = peers.map((self, hostAt) => {
     let answers = 0;
     const { view, pacing, reporter, queue } = createSimulatedHost({
@@ -194,22 +216,27 @@
       );
     }
 
-    function submit(teamAt: number): void {
+    function receive(teamAt: number, kind: SimulatedPromptKind): void {
       const team = `team-${teamAt}`;
-      const kind = draw(getKinds(options.teams[teamAt]!), random);
       const { workTokens = kind.ownTokens } = kind;
       const serviceTokens = getServiceTokens(kind);
-      const ranked = rank(teamAt, kind);
-      const count = counts[teamAt]!;
-      const second = Math.floor(clock.monotonicMs() / 1_000);
-      count.asked++;
-      count.askedTokensBySecond[second]! += serviceTokens;
       view.recordAsked(team, serviceTokens);
       view.recordWork(serviceTokens, workTokens);
       const key = { team, route: "drafts", targetMs: TARGET_MS };
       if (options.refusesEarly && queue.tryRefuseEarly(key)) return;
+      intake.work(hostAt, QUEUE_MS, () => addPrompt(teamAt, kind));
+    }
+
+    function addPrompt(teamAt: number, kind: SimulatedPromptKind): void {
+      const team = `team-${teamAt}`;
+      const { workTokens = kind.ownTokens } = kind;
+      const serviceTokens = getServiceTokens(kind);
+      const ranked = rank(teamAt, kind);
+      const count = counts[teamAt]!;
       queue.add({
-        ...key,
+        team,
+        route: "drafts",
+        targetMs: TARGET_MS,
         request: `${team}-${count.asked}`,
         service: SIMULATED_SERVICE,
         arrivedMs: clock.monotonicMs(),
@@ -223,15 +250,31 @@
           const startedSecond = Math.floor(clock.monotonicMs() / 1_000);
           count.begunBySecond[startedSecond]!++;
           count.begunTokensBySecond[startedSecond]! += serviceTokens;
+          intake.work(hostAt, RESPOND_MS);
           read(upstream, queuedTokens, readingTokens);
         },
         refuse: () => {},
       });
     }
 
-    return { reporter, queue, submit };
+    return { reporter, queue, receive };
   });
 
+  /** Opens a connection for one prompt of the team. */
+  function submit(teamAt: number, hostAt: number): void {
+    const kind = draw(getKinds(options.teams[teamAt]!), random);
+    const count = counts[teamAt]!;
+    const second = Math.floor(clock.monotonicMs() / 1_000);
+    count.asked++;
+    count.askedTokensBySecond[second]! += getServiceTokens(kind);
+    intake.connect(hostAt, (servedAt) =>
+      intake.work(
+        servedAt,
+        READ_HEADERS_MS,
+        () => hosts[servedAt]!.receive(teamAt, kind),
+      ));
+  }
+
   const perMs = options.demandFactor * TOKENS_PER_MS * upstreams.length;
   options.teams.forEach((team, at) => {
     const { hosts: used, weight = 1, fromMs = 0 } = team;
@@ -239,12 +282,13 @@
     const periodMs = meanTokens * options.teams.length / perMs;
     scheduler.after(fromMs, () =>
       scheduler.every(periodMs / weight, () => {
-        hosts[used[counts[at]!.asked % used.length]!]!.submit(at);
+        submit(at, used[counts[at]!.asked % used.length]!);
       }));
   });
   hosts.forEach((host, at) => {
     scheduler.after(at, () => scheduler.every(TICK_MS, host.queue.tick));
   });
+  scheduler.every(TICK_MS, intake.tick);
   scheduler.every(REPORT_MS, () => {
     for (const { reporter } of hosts) {
       for (const { to, report } of reporter.createReports()) {
