Let a target compare its load with that of the origin

Callers of a team that keep to one host found no connection or were served late, while hosts counted the team as satisfied.

Cause: a host hands connections off above a utilization of 0.8, and a neighbour took them up to 0.6. In a data centre in which all are above 0.6, nobody takes anything, however full the host is.

Change: the preface of a handoff tells the utilization of the origin, and a target takes the connection if it is less busy by 0.1. An origin of an earlier version counts as at 0.8, above which each hands off; a target of one does not read the new preface and counts as unreachable, so that its connections are served by the origin until the fleet has one version. Stand-in targets of the tests read the new word.

--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -163,6 +163,7 @@
   const origin = createHandoffOrigin({
     ...host,
     policy,
+    getUtilization: utilization.get,
     onAsked(target, outcome) {
       asked.count(target, outcome);
       host.onAsked(outcome);
@@ -175,9 +176,10 @@
   const server = createHandoffServer({
     clock,
     serve: host.serve,
-    mayTake: () =>
+    mayTake: (offer) =>
       mayTakeConnection({
         utilization: utilization.get(),
+        originUtilization: offer.utilization,
         isDraining: host.isDraining(),
         isConfigured: host.isConfigured(),
         open: server.countOpen(),
--- a/src/handoff/handoff_intake.ts
+++ b/src/handoff/handoff_intake.ts
@@ -2,18 +2,24 @@
  * Decides whether this host, as the target, takes a connection that another
  * host hands off.
  *
- * Load: many overloaded hosts hand connections off to few idle ones. Failure
- * prevented: a target that takes all of them is overloaded itself, and the
- * requests of its own callers are read late. The gap between the limit here and
- * the one above which a host hands off keeps hosts of medium load out of both.
+ * Load: many overloaded hosts hand connections off to few idle ones, or one
+ * overloaded host to neighbours that are busy as well. Failures prevented: a
+ * target that takes all connections is overloaded itself, and the requests of its
+ * own callers are read late; a host that can't accept all connections of a team
+ * keeps them, as all neighbours are above a fixed limit. A target therefore
+ * compares its load with that of the origin.
  *
  * @module
  */
 
-/** What a target knows of itself. */
+import { MIN_ORIGIN_UTILIZATION } from "./handoff_policy.ts";
+
+/** What a target knows of itself and of the origin. */
 export interface TargetState {
   /** Utilization of its event loop, from 0 to 1. */
   readonly utilization: number;
+  /** The same of the origin; `undefined` if it does not tell. */
+  readonly originUtilization: number | undefined;
   readonly isDraining: boolean;
   /** Whether it has received a configuration. */
   readonly isConfigured: boolean;
@@ -23,11 +29,15 @@
   readonly maxOpen: number;
 }
 
-/** Utilization up to which a host takes connections from other hosts. */
-const MAX_TARGET_UTILIZATION = 0.6;
+/**
+ * By how much a target must be less busy than the origin. A relay takes a part of
+ * what it takes to serve the connection.
+ */
+const MIN_DIFFERENCE = 0.1;
 
 /** Whether the target takes another connection. */
 export function mayTakeConnection(state: TargetState): boolean {
-  return state.utilization <= MAX_TARGET_UTILIZATION && !state.isDraining &&
-    state.isConfigured && state.open < state.maxOpen;
+  const { originUtilization = MIN_ORIGIN_UTILIZATION } = state;
+  return state.utilization <= originUtilization - MIN_DIFFERENCE &&
+    !state.isDraining && state.isConfigured && state.open < state.maxOpen;
 }
--- a/src/handoff/handoff_intake_test.ts
+++ b/src/handoff/handoff_intake_test.ts
@@ -3,7 +3,8 @@
 import { mayTakeConnection } from "./handoff_intake.ts";
 
 const idle = {
-  utilization: 0.6,
+  utilization: 0.7,
+  originUtilization: 0.85,
   isDraining: false,
   isConfigured: true,
   open: 7,
@@ -15,7 +16,9 @@
   strictEqual(mayTakeConnection(idle), true);
   for (
     const change of [
-      { utilization: 0.61 },
+      { utilization: 0.76 },
+      { originUtilization: 0.79 },
+      { utilization: 0.71, originUtilization: undefined },
       { isDraining: true },
       { isConfigured: false },
       { open: 8 },
--- a/src/handoff/handoff_origin.ts
+++ b/src/handoff/handoff_origin.ts
@@ -56,6 +56,8 @@
   /** Incarnation of this process. */
   readonly incarnation: number;
   readonly policy: HandoffPolicy;
+  /** Utilization of this host's event loop, from 0 to 1. */
+  getUtilization(): number;
   /** Serves the connection at this host. */
   serve(caller: Socket): void;
   /**
@@ -201,6 +203,7 @@
 
     const negotiated = startNegotiation({
       id,
+      utilization: host.getUtilization(),
       firstTarget,
       tryGetNext: tryBegin,
       onAsked(target, outcome) {
--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -57,7 +57,7 @@
 }
 
 /** Utilization above which a host hands off its new connections. */
-const MIN_ORIGIN_UTILIZATION = 0.8;
+export const MIN_ORIGIN_UTILIZATION = 0.8;
 
 /**
  * Minimum number of hosts alive in the data centre. With fewer, an overloaded
--- a/src/handoff/handoff_server.ts
+++ b/src/handoff/handoff_server.ts
@@ -20,6 +20,7 @@
   CALLER_ABANDON_MS,
   formatRelay,
   HANDOFF_TIMEOUT_MS,
+  type HandoffOffer,
   MAX_PREFACE_BYTES,
   type OriginStop,
   type Preface,
@@ -75,8 +76,8 @@
 /** Dependencies of the server. */
 export interface HandoffServerHost {
   readonly clock: Clock;
-  /** Whether this host takes another connection now. */
-  mayTake(): boolean;
+  /** Whether this host takes this connection now. */
+  mayTake(offer: HandoffOffer): boolean;
   /** Serves the connection, from which nothing but the preface was read. */
   serve(socket: Socket): void;
   /** Called for each error after the server has begun to listen. */
@@ -111,8 +112,9 @@
     host.serve(socket);
   }
 
-  function answer(socket: Socket, relay: RelayId): void {
-    const isTaken = host.mayTake();
+  function answer(socket: Socket, offer: HandoffOffer): void {
+    const { relay } = offer;
+    const isTaken = host.mayTake(offer);
     host.onAnswered(relay.origin, isTaken ? "taken" : "refused");
     if (isTaken) take(socket, relay);
     else {
@@ -139,7 +141,7 @@
       sockets.add(socket);
       socket.on("close", () => sockets.delete(socket));
       awaitPreface(socket, (preface) => {
-        if (preface.kind === "handoff") answer(socket, preface.relay);
+        if (preface.kind === "handoff") answer(socket, preface.offer);
         else recordStop(socket, preface.stop);
       });
     },
--- a/src/handoff/handoff_test.ts
+++ b/src/handoff/handoff_test.ts
@@ -97,7 +97,7 @@
   caller.socket.end();
   ok((await caller.read).text.endsWith("here"));
   deepStrictEqual(origin.served, ["/once"]);
-  deepStrictEqual(received, [`AZH2 ${origin.peerAddress} 1 1\n`]);
+  deepStrictEqual(received, [`AZH3 ${origin.peerAddress} 1 1 100\n`]);
   origin.pass();
   const [sent] = origin.decisions;
   ok(sent?.event === "connections-handed-off");
--- a/src/handoff/negotiation.ts
+++ b/src/handoff/negotiation.ts
@@ -18,6 +18,8 @@
 /** One connection to hand off. */
 export interface Offer {
   readonly id: RelayId;
+  /** Utilization of this host's event loop, from 0 to 1. */
+  readonly utilization: number;
   /** Peer address of the host that is asked first. */
   readonly firstTarget: string;
   /** Returns the host that is asked after a refusal; `undefined` for none. */
@@ -34,7 +36,7 @@
 
 /** Starts to ask. Disposal ends that without a call of `onUntaken`. */
 export function startNegotiation(offer: Offer): Disposable {
-  const preface = encodeHandoff(offer.id);
+  const preface = encodeHandoff(offer.id, offer.utilization);
   let attempts = 0;
   let asked: Disposable;
   let target: string;
--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -1,7 +1,7 @@
 /**
  * The protocol by which one host hands a connection off to another: the origin
- * connects and sends a preface, a line that names the relay; the target answers
- * with one byte. After an accepting byte, the connection carries the caller's
+ * connects and sends a preface, a line that names the relay and tells how busy
+ * the origin is; the target answers with one byte. After an accepting byte, the connection carries the caller's
  * bytes unchanged. An origin that stops tells its targets so by another preface,
  * on a connection that ends with the answer.
  *
@@ -51,22 +51,36 @@
   readonly leftMs: number;
 }
 
+/** A connection that an origin offers. */
+export interface HandoffOffer {
+  readonly relay: RelayId;
+  /**
+   * Utilization of the origin's event loop, from 0 to 1; `undefined` from earlier
+   * versions.
+   */
+  readonly utilization: number | undefined;
+}
+
 /** The first bytes from an origin. */
 export type Preface =
-  | { readonly kind: "handoff"; readonly relay: RelayId }
+  | { readonly kind: "handoff"; readonly offer: HandoffOffer }
   | { readonly kind: "stop"; readonly stop: OriginStop };
 
 /** Begins the preface of each kind; the digit is the version of the protocol. */
-const HANDOFF_WORD = "AZH2";
+const HANDOFF_WORD = "AZH3";
 const STOP_WORD = "AZS2";
 
+/** Earlier versions begin a handoff with `AZH2`, without their utilization. */
 const PREFACE_PATTERN =
-  /^(AZH2|AZS2) ([\d.]{7,15}:\d{1,5}) (\d{1,15}) (\d{1,15})\n$/;
+  /^(AZH2|AZH3|AZS2) ([\d.]{7,15}:\d{1,5}) (\d{1,15}) (\d{1,15})(?: (\d{1,3}))?\n$/;
 
 /** Returns the preface that offers a connection. */
-export function encodeHandoff(relay: RelayId): Buffer {
+export function encodeHandoff(relay: RelayId, utilization: number): Buffer {
   const { origin, incarnation, number } = relay;
-  return Buffer.from(`${HANDOFF_WORD} ${origin} ${incarnation} ${number}\n`);
+  const percent = Math.round(utilization * 100);
+  return Buffer.from(
+    `${HANDOFF_WORD} ${origin} ${incarnation} ${number} ${percent}\n`,
+  );
 }
 
 /** Returns the preface that announces a stop. */
@@ -83,9 +97,14 @@
   const [, word, origin = ""] = match;
   const incarnation = Number(match[3]);
   const value = Number(match[4]);
-  return word === HANDOFF_WORD
-    ? { kind: "handoff", relay: { origin, incarnation, number: value } }
-    : { kind: "stop", stop: { origin, incarnation, leftMs: value } };
+  const percent = match[5];
+  if ((word === HANDOFF_WORD) !== (percent !== undefined)) return undefined;
+  if (word === STOP_WORD) {
+    return { kind: "stop", stop: { origin, incarnation, leftMs: value } };
+  }
+  const relay = { origin, incarnation, number: value };
+  const utilization = percent === undefined ? undefined : Number(percent) / 100;
+  return { kind: "handoff", offer: { relay, utilization } };
 }
 
 /** Names the relay in log lines of both hosts. */
--- a/src/handoff/returned_connections_test.ts
+++ b/src/handoff/returned_connections_test.ts
@@ -32,7 +32,7 @@
       received.push(text);
       const isStop = text.startsWith("AZS2");
       const isAnswered = isStop && state.isAnsweringStops;
-      if (isAnswered || text.startsWith("AZH2")) socket.write(Buffer.of(1));
+      if (isAnswered || text.startsWith("AZH3")) socket.write(Buffer.of(1));
     });
   });
   const [ip, port] = getHandoffAddress(peerAddress).split(":");
@@ -139,7 +139,7 @@
   target.state.isAnsweringStops = true;
   await until(() => target.received.join("").includes(" HTTP/1.1"));
   const [handoff, ...stops] = target.received.join("").match(/AZ.*\n/g) ?? [];
-  strictEqual(handoff, `AZH2 ${origin.peerAddress} 1 1\n`);
+  strictEqual(handoff, `AZH3 ${origin.peerAddress} 1 1 100\n`);
   ok(stops.length > 1);
   match(stops.at(-1)!, /^AZS2 \S+ 1 \d+\n$/);
   caller.socket.destroy();
--- a/src/measure/simulated_intake.ts
+++ b/src/measure/simulated_intake.ts
@@ -102,10 +102,11 @@
     return peers.findIndex((each) => each.peerAddress === peerAddress);
   }
 
-  function mayTake(hostAt: number): boolean {
+  function mayTake(hostAt: number, originUtilization: number): boolean {
     const { utilization } = hosts[hostAt]!;
     return mayTakeConnection({
       utilization: utilization.get(),
+      originUtilization,
       isDraining: false,
       isConfigured: true,
       open: 0,
@@ -118,7 +119,8 @@
     attempt: number,
     serve: (hostAt: number) => void,
   ): void {
-    const { policy, processor } = hosts[originAt]!;
+    const { policy, processor, utilization } = hosts[originAt]!;
+    const originUtilization = utilization.get();
     const isAsking = attempt <= MAX_ATTEMPTS && policy.mayHandOff();
     const target = isAsking ? policy.tryBegin() : undefined;
     if (target === undefined) return serve(originAt);
@@ -137,7 +139,7 @@
       () =>
         after(linkMs, () =>
           hosts[targetAt]!.processor.work(ANSWER_MS, () => {
-            const isTaken = mayTake(targetAt);
+            const isTaken = mayTake(targetAt, originUtilization);
             after(linkMs, () => onAnswer(isTaken));
           })),
     );
