Leave a busy host's processor time to teams under their due

Cause: shares end at the upstreams' door. A host reads each prompt of the flood, lets it wait for up to half a second and relays its answer, whoever else needs its processor; early refusals ask only whether four prompts of a team and route wait at this host, which a flood spread over 89 hosts never reaches.

Change: a host above a utilization of 0.8 refuses prompts of teams over their due (over their share, or overserved in the fleet, and not underserved) by their headers, a share of them that rises to all at 1. They are refused at once, as not run, with the Retry-After of the queue; lines of refusals tell the utilization. Other teams' prompts are not refused so.

--- a/src/diagnostics/request_decisions.ts
+++ b/src/diagnostics/request_decisions.ts
@@ -75,6 +75,11 @@
   readonly standing?: TeamStanding;
   /** Absent in lines of earlier versions. */
   readonly coverage?: LoadCoverage;
+  /**
+   * Utilization of this host's event loop, from 0 to 1; absent in lines of earlier
+   * versions.
+   */
+  readonly utilization?: number;
   /**
    * Tokens that `upstream` would have had to prefill for the prompt, with the
    * cost of attention.
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -222,6 +222,7 @@
     tryGetUpstream: (id) => platformView.directory.tryGet(id),
     getWarmUpAllowance: (upstream) => warmUps.getAllowance(upstream),
     getLimitTokens: upstreamPacings.getLimitTokens,
+    getUtilization: () => handoff.getOwnUtilization(),
     random: host.random,
   });
   const { cold, warmUps } = createHostWarmUps({
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -19,7 +19,8 @@
 
 /** Dependencies of the queue. */
 export interface EntryQueueHost
-  extends Pick<PromptQueueHost, "getLimitTokens" | "random"> {
+  extends
+    Pick<PromptQueueHost, "getLimitTokens" | "getUtilization" | "random"> {
   readonly clock: Clock;
   readonly load: LoadView;
   readonly grants: PromptGrants;
@@ -49,6 +50,7 @@
     },
     getLimitTokens: host.getLimitTokens,
     random: host.random,
+    getUtilization: host.getUtilization,
     onStart(prompt, upstream, readingTokens) {
       load.beginPrefill(upstream, readingTokens);
       // A request that is tried again was asked for once.
--- a/src/entry/entry_queue_test.ts
+++ b/src/entry/entry_queue_test.ts
@@ -26,6 +26,7 @@
     tryGetUpstream: () => upstream,
     getWarmUpAllowance: () => "unlimited",
     getLimitTokens: () => 15_000,
+    getUtilization: () => 0,
     random: () => 0.5,
   });
   return {
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -221,7 +221,9 @@
 export function createBusyRejection(refusal: PromptRefusal): Rejected {
   return new Rejected({
     status: 503,
-    reason: "Upstreams are too busy to respond within the target time",
+    reason: refusal.reason === "host-busy"
+      ? "This host is busy, and the team has had more than its due"
+      : "Upstreams are too busy to respond within the target time",
     retryAfterMs: refusal.retryAfterMs,
     queue: refusal.inputs,
   });
--- a/src/grants/grant_client_test.ts
+++ b/src/grants/grant_client_test.ts
@@ -55,6 +55,7 @@
     isOverserved: () => false,
     isUnderserved: () => false,
     onWaiting() {},
+    getUtilization: () => 0,
     getMeanEfficiency: () => 0,
     getLimitTokens: () => 15_000,
     random: () => 0.5,
--- a/src/grants/grant_simulation_test.ts
+++ b/src/grants/grant_simulation_test.ts
@@ -133,6 +133,7 @@
       isOverserved: () => false,
       isUnderserved: () => false,
       onWaiting() {},
+      getUtilization: () => 0,
       getMeanEfficiency: () => 0,
       getLimitTokens: () => LIMIT_TOKENS,
       random,
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -44,6 +44,8 @@
   readonly targetMs: number;
   /** Fixed prefill limit of an upstream; learned if absent. */
   readonly limitTokens?: number | undefined;
+  /** Utilization of the host, from 0 to 1; 0 if absent. */
+  getUtilization?(): number;
   /** The default policy if absent. */
   readonly queue?: PromptQueueOptions;
   /** Called when a prompt starts, once its prefill and service are counted. */
@@ -113,6 +115,7 @@
     getLimitTokens: () =>
       options.limitTokens ?? pacing.getLimitTokens(targetMs),
     random: options.random,
+    getUtilization: () => options.getUtilization?.() ?? 0,
     onStart(prompt, upstream, readingTokens) {
       view.beginPrefill(upstream, readingTokens);
       view.recordBegun(prompt.team, prompt.serviceTokens);
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -54,11 +54,16 @@
  */
 
 import type { QueueInputs, RoomUse, TeamStanding } from "../diagnostics/mod.ts";
-import { createPromptBacklogTracker, isTooLong } from "./backlog.ts";
+import {
+  createPromptBacklogTracker,
+  isTooLong,
+  type PromptBacklog,
+} from "./backlog.ts";
 import {
   defaultPromptQueueOptions,
   isInefficient,
 } from "./prompt_queue_options.ts";
+import { getShedShare } from "./shed_share.ts";
 import {
   createUpstreamChoice,
   type PrioritisedPrompt,
@@ -249,6 +254,7 @@
       service: host.getServiceRates(team),
       standing: getStanding(team),
       coverage: host.getCoverage(),
+      utilization: Math.round(host.getUtilization() * 100) / 100,
     };
   }
 
@@ -283,27 +289,45 @@
     return options.retryAfterMs * (1 + RETRY_SPREAD * (host.random() - 0.5));
   }
 
+  /** Whether this host leaves the processor time for the prompt to others. */
+  function isShed({ team }: NewPrompt): boolean {
+    const share = getShedShare(host.getUtilization());
+    return share > 0 && isDeprioritised(team) && host.random() < share;
+  }
+
+  /** Whether more prompts like this one wait than can start in time. */
+  function isInVain(prompt: NewPrompt, backlog: PromptBacklog): boolean {
+    return isOverShare(prompt.team) &&
+      isTooLong(backlog, prompt.targetMs * options.maxWaitShare);
+  }
+
+  function tryGetEarlyReason(
+    prompt: NewPrompt,
+    backlog: PromptBacklog,
+  ): "host-busy" | "in-vain" | undefined {
+    if (isShed(prompt)) return "host-busy";
+    return isInVain(prompt, backlog) ? "in-vain" : undefined;
+  }
+
   /**
-   * Refuses only prompts of teams over their share; the other teams are
-   * entitled to the capacity that they ask for. A team that gets far less than
+   * Refuses only prompts of teams over their due or their share; the other teams
+   * are entitled to the capacity that they ask for. A team that gets far less than
    * others is refused late only: its backlog at this host starts slowly since
    * others go first, and other hosts leave it upstreams for which it waits.
    */
   function tryRefuseEarly(prompt: NewPrompt): PromptRefusal | undefined {
-    if (!options.refusesEarly) return undefined;
-    const { team, targetMs } = prompt;
-    if (!isOverShare(team) || host.isUnderserved(team)) {
-      return undefined;
-    }
+    const { team } = prompt;
+    if (!options.refusesEarly || host.isUnderserved(team)) return undefined;
     const backlog = backlogTracker.getBacklog(prompt);
-    if (!isTooLong(backlog, targetMs * options.maxWaitShare)) return undefined;
+    const reason = tryGetEarlyReason(prompt, backlog);
+    if (reason === undefined) return undefined;
     return {
-      reason: "in-vain",
+      reason,
       retryAfterMs: getRetryAfterMs(),
       inputs: {
         waitedMs: 0,
         ...getTeamInputs(team),
-        yields: 2,
+        yields: isOverShare(team) ? 2 : 0,
         backlog: {
           waiting: backlog.waiting,
           startedPerSecond: Number(backlog.startedPerSecond.toFixed(1)),
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -58,6 +58,7 @@
   /** Limits other than `LIMIT_TOKENS`, by upstream and target in ms. */
   const limits = new Map<string, number>();
   const randoms: number[] = [];
+  let utilization = 0;
   const retryAfterMs: number[] = [];
   const refusals: QueueInputs[] = [];
   const getUse = (upstream: string) =>
@@ -91,6 +92,7 @@
     getServiceRates: () => ({ asked: 0, begun: 0, mostBegun: 0 }),
     getCoverage: () => ({ hosts: 1, ageMs: 0 }),
     getServiceLevel: (team) => serviceLevels.get(team) ?? 0,
+    getUtilization: () => utilization,
     getMeanEfficiency: () => 60,
     getLimitTokens: (_service, upstream, targetMs) =>
       limits.get(`${upstream}/${targetMs}`) ?? LIMIT_TOKENS,
@@ -177,6 +179,7 @@
     getUse,
     getLoadReads: () => loadReads,
     resetLoadReads: () => loadReads = 0,
+    setUtilization: (share: number) => void (utilization = share),
     advance(ms: number) {
       nowMs += ms;
       queue.tick();
@@ -494,6 +497,7 @@
     service: { asked: 0, begun: 0, mostBegun: 0 },
     standing: "even",
     coverage: { hosts: 1, ageMs: 0 },
+    utilization: 0,
     readingTokens: 6_000,
     limitTokens: LIMIT_TOKENS,
     upstream: "a",
@@ -690,6 +694,24 @@
   strictEqual(fixture.queue.tryRefuseEarly(other), undefined);
 });
 
+test("a busy host refuses prompts of teams over their due at once, and no others", () => {
+  // Guards against processor time that goes to a flood while other teams' connections aren't accepted.
+  const fixture = createFixture();
+  const getReason = (team: string) =>
+    fixture.queue.tryRefuseEarly({ team, route: "drafts", targetMs: 800 })
+      ?.reason;
+  fixture.overserved.add("flood");
+  fixture.setUtilization(0.8);
+  strictEqual(getReason("flood"), undefined);
+  fixture.setUtilization(0.95);
+  deepStrictEqual(
+    [getReason("flood"), getReason("calm")],
+    ["host-busy", undefined],
+  );
+  fixture.underservedTeams.add("flood");
+  strictEqual(getReason("flood"), undefined);
+});
+
 test("prompts may wait as long as enough of them start in time", () => {
   // Guards against refusals while upstreams have capacity.
   const fixture = createFixture();
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -114,7 +114,7 @@
 
 /** Why a prompt is refused, and when its caller should retry. */
 export interface PromptRefusal {
-  readonly reason: "late" | "in-vain" | "no-upstream";
+  readonly reason: "late" | "in-vain" | "host-busy" | "no-upstream";
   readonly retryAfterMs: number;
   readonly inputs: QueueInputs;
 }
@@ -163,6 +163,8 @@
   ): number;
   /** A random number from 0 up to, but not including, 1. */
   random(): number;
+  /** Utilization of this host's event loop, from 0 to 1. */
+  getUtilization(): number;
   /** Called when a prompt starts, to count it in the load of its upstream. */
   onStart(prompt: WaitingPrompt, upstream: string, readingTokens: number): void;
   /** Absent where prompts start by the rules of this host only. */
