Refuse prompts for want of processor time only while connections are refused

Cause: a host above a utilization of 0.8 may still accept all connections. Then what it refuses a flood is left to nobody.

Change: a host refuses prompts of teams over their due only for a second after a connection was refused, by a neighbour or to one, and begins at 0.7 instead of 0.8. The policy of handoffs knows that (isShortOfTime).

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -222,7 +222,7 @@
     tryGetUpstream: (id) => platformView.directory.tryGet(id),
     getWarmUpAllowance: (upstream) => warmUps.getAllowance(upstream),
     getLimitTokens: upstreamPacings.getLimitTokens,
-    getUtilization: () => handoff.getOwnUtilization(),
+    getProcessorUse: () => handoff.getProcessorUse(),
     random: host.random,
   });
   const { cold, warmUps } = createHostWarmUps({
@@ -456,7 +456,7 @@
   const activity = createHostActivity({
     clock,
     readProcessorMs,
-    getUtilization: handoff.getOwnUtilization,
+    getUtilization: () => handoff.getProcessorUse().utilization,
     onActivity: (done) => log({ event: "processor-used", ...done }),
   });
   const logServerError = logFailedTask("server");
--- a/src/entry/entry_queue.ts
+++ b/src/entry/entry_queue.ts
@@ -20,7 +20,7 @@
 /** Dependencies of the queue. */
 export interface EntryQueueHost
   extends
-    Pick<PromptQueueHost, "getLimitTokens" | "getUtilization" | "random"> {
+    Pick<PromptQueueHost, "getLimitTokens" | "getProcessorUse" | "random"> {
   readonly clock: Clock;
   readonly load: LoadView;
   readonly grants: PromptGrants;
@@ -50,7 +50,7 @@
     },
     getLimitTokens: host.getLimitTokens,
     random: host.random,
-    getUtilization: host.getUtilization,
+    getProcessorUse: host.getProcessorUse,
     onStart(prompt, upstream, readingTokens) {
       load.beginPrefill(upstream, readingTokens);
       // A request that is tried again was asked for once.
--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
+import type { ProcessorUse } from "../queue/mod.ts";
 import {
   createEventLoopUtilization,
   type LoopTimes,
@@ -57,9 +58,12 @@
   cutRelays(): void;
   /** Called by a timer, many times per second. */
   tick(): void;
-  /** Utilization of this host's event loop, from 0 to 1. */
-  getOwnUtilization(): number;
-  /** The same; 0 while too few hosts are alive in the data centre for handoffs. */
+  /** How much of its processor time this host uses. */
+  getProcessorUse(): ProcessorUse;
+  /**
+   * Utilization of this host's event loop, from 0 to 1; 0 while too few hosts
+   * are alive in the data centre for handoffs.
+   */
   getUtilization(): number;
   /** Whether enough hosts are alive in the data centre for handoffs. */
   hasEnoughHosts(): boolean;
@@ -189,6 +193,7 @@
       host.log({ event: "task-failed", task: "handoff server", reason }),
     onAnswered(from, outcome) {
       received.count(from, outcome);
+      if (outcome === "refused") policy.recordRefusal();
       host.onReceived(outcome);
     },
     log: host.log,
@@ -222,7 +227,10 @@
       origin.tick();
     },
     hasEnoughHosts: policy.hasEnoughHosts,
-    getOwnUtilization: utilization.get,
+    getProcessorUse: () => ({
+      utilization: utilization.get(),
+      isShort: policy.isShortOfTime(),
+    }),
     getUtilization: () => policy.hasEnoughHosts() ? utilization.get() : 0,
     countOpen: policy.countOpen,
     countInFlight: () => origin.countInFlight() + server.countWaiting(),
--- a/src/handoff/handoff_policy.ts
+++ b/src/handoff/handoff_policy.ts
@@ -39,6 +39,15 @@
   end(target: string): void;
   /** Open handoffs, including those that have not been answered yet. */
   countOpen(): number;
+  /**
+   * Records that this host, as the target, refused a connection of a neighbour.
+   */
+  recordRefusal(): void;
+  /**
+   * Whether a neighbour lately refused a connection of this host, or this host
+   * one of a neighbour: there are more connections than they accept in time.
+   */
+  isShortOfTime(): boolean;
 }
 
 /** Dependencies of the policy. Hosts are identified by their peer address. */
@@ -71,6 +80,9 @@
  */
 export const BACKOFF_MS = 500;
 
+/** Time for which hosts count as short of time after a refusal, in ms. */
+const SHORTAGE_MS = 1_000;
+
 /**
  * Time for which the list of neighbouring hosts is kept, in ms. Going through
  * all members for each connection would cost an overloaded host the most.
@@ -85,6 +97,7 @@
   let open = 0;
   let neighbours: string[] = [];
   let neighboursReadMs = -Infinity;
+  let refusedMs = -Infinity;
 
   const getOpen = (target: string) => openByTarget.get(target) ?? 0;
 
@@ -111,6 +124,10 @@
     return neighbours;
   }
 
+  function recordRefusal(): void {
+    refusedMs = clock.monotonicMs();
+  }
+
   const hasEnoughHosts = () => getNeighbours().length >= MIN_HOSTS - 1;
 
   function mayAsk(target: string): boolean {
@@ -154,9 +171,12 @@
     recordOutcome(target, outcome) {
       if (outcome === "taken") return;
       changeOpen(target, -1);
+      if (outcome === "refused") recordRefusal();
       backoffUntilMs.set(target, clock.monotonicMs() + BACKOFF_MS);
     },
     end: (target) => changeOpen(target, -1),
     countOpen: () => open,
+    recordRefusal,
+    isShortOfTime: () => clock.monotonicMs() - refusedMs < SHORTAGE_MS,
   };
 }
--- a/src/handoff/handoff_policy_test.ts
+++ b/src/handoff/handoff_policy_test.ts
@@ -5,6 +5,7 @@
 import {
   BACKOFF_MS,
   createHandoffPolicy,
+  type HandoffPolicy,
   NEIGHBOURS_MAX_AGE_MS,
 } from "./handoff_policy.ts";
 
@@ -150,3 +151,20 @@
     },
   ));
 });
+
+test("hosts count as short of time for a second after a refusal, whichever of them refused", () => {
+  // Guards against hosts that refuse prompts while all connections are accepted.
+  const refusals: readonly ((policy: HandoffPolicy) => void)[] = [
+    (policy) => policy.recordOutcome(policy.tryBegin()!, "refused"),
+    (policy) => policy.recordRefusal(),
+  ];
+  for (const refuse of refusals) {
+    const { clock, policy } = createFixture();
+    policy.recordOutcome(policy.tryBegin()!, "unreachable");
+    strictEqual(policy.isShortOfTime(), false);
+    refuse(policy);
+    strictEqual(policy.isShortOfTime(), true);
+    clock.advance(1_000);
+    strictEqual(policy.isShortOfTime(), false);
+  }
+});
--- a/src/measure/shared_upstreams.ts
+++ b/src/measure/shared_upstreams.ts
@@ -189,7 +189,7 @@
       statedCapacity: TOKENS_PER_MS * upstreams.length * 1_000 *
         (options.statedCapacityFactor ?? 1),
       targetMs: TARGET_MS,
-      getUtilization: () => intake.getUtilization(hostAt),
+      getProcessorUse: () => intake.getProcessorUse(hostAt),
     });
 
     function read(
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -21,6 +21,7 @@
   createPromptQueue,
   defaultPromptQueueOptions,
   getLoadFunctions,
+  type ProcessorUse,
   type PromptQueue,
   type PromptQueueOptions,
 } from "../queue/mod.ts";
@@ -29,6 +30,8 @@
 /** Name of the one service of simulations. */
 export const SIMULATED_SERVICE = "model";
 
+const NO_PROCESSOR_USE: ProcessorUse = { utilization: 0, isShort: false };
+
 /** What a host of a simulation is given. */
 export interface SimulatedHostOptions {
   readonly clock: Clock;
@@ -44,8 +47,8 @@
   readonly targetMs: number;
   /** Fixed prefill limit of an upstream; learned if absent. */
   readonly limitTokens?: number | undefined;
-  /** Utilization of the host, from 0 to 1; 0 if absent. */
-  getUtilization?(): number;
+  /** By default no work takes processor time. */
+  getProcessorUse?(): ProcessorUse;
   /** The default policy if absent. */
   readonly queue?: PromptQueueOptions;
   /** Called when a prompt starts, once its prefill and service are counted. */
@@ -115,7 +118,7 @@
     getLimitTokens: () =>
       options.limitTokens ?? pacing.getLimitTokens(targetMs),
     random: options.random,
-    getUtilization: () => options.getUtilization?.() ?? 0,
+    getProcessorUse: options.getProcessorUse ?? (() => NO_PROCESSOR_USE),
     onStart(prompt, upstream, readingTokens) {
       view.beginPrefill(upstream, readingTokens);
       view.recordBegun(prompt.team, prompt.serviceTokens);
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -247,6 +247,10 @@
     }));
   }
 
+  function getRoundedUtilization(): number {
+    return Math.round(host.getProcessorUse().utilization * 100) / 100;
+  }
+
   function getTeamInputs(team: string) {
     return {
       waiting: waiting.size,
@@ -254,7 +258,7 @@
       service: host.getServiceRates(team),
       standing: getStanding(team),
       coverage: host.getCoverage(),
-      utilization: Math.round(host.getUtilization() * 100) / 100,
+      utilization: getRoundedUtilization(),
     };
   }
 
@@ -291,7 +295,7 @@
 
   /** Whether this host leaves the processor time for the prompt to others. */
   function isShed({ team }: NewPrompt): boolean {
-    const share = getShedShare(host.getUtilization());
+    const share = getShedShare(host.getProcessorUse());
     return share > 0 && isDeprioritised(team) && host.random() < share;
   }
 
--- a/src/queue/shed_share.ts
+++ b/src/queue/shed_share.ts
@@ -12,12 +12,24 @@
  */
 
 /** Utilization above which a host begins to refuse. */
-const MIN_UTILIZATION = 0.8;
+const MIN_UTILIZATION = 0.7;
+
+/** How much of its processor time a host uses. */
+export interface ProcessorUse {
+  /** Utilization of its event loop, from 0 to 1. */
+  readonly utilization: number;
+  /**
+   * Whether its data centre has more connections than its hosts accept in time.
+   * Where all are accepted, the time would be left to nobody.
+   */
+  readonly isShort: boolean;
+}
 
 /**
- * Returns the share at this utilization, from 0 to 1. It rises with the
- * utilization, so that a host that has just enough time refuses few prompts.
+ * Returns the share, from 0 to 1. It rises with the utilization, so that a host
+ * that has just enough time refuses few prompts.
  */
-export function getShedShare(utilization: number): number {
+export function getShedShare({ utilization, isShort }: ProcessorUse): number {
+  if (!isShort) return 0;
   return Math.max(0, (utilization - MIN_UTILIZATION) / (1 - MIN_UTILIZATION));
 }
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -17,6 +17,7 @@
 } from "../diagnostics/mod.ts";
 import type { WaitingLoad } from "../load/mod.ts";
 import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
+import type { ProcessorUse } from "./shed_share.ts";
 
 /**
  * 0: yields to no other prompts. 1: an inefficient prompt. 2: a prompt of a team
@@ -163,8 +164,7 @@
   ): number;
   /** A random number from 0 up to, but not including, 1. */
   random(): number;
-  /** Utilization of this host's event loop, from 0 to 1. */
-  getUtilization(): number;
+  getProcessorUse(): ProcessorUse;
   /** Called when a prompt starts, to count it in the load of its upstream. */
   onStart(prompt: WaitingPrompt, upstream: string, readingTokens: number): void;
   /** Absent where prompts start by the rules of this host only. */
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -417,7 +417,7 @@
       isOverserved: () => false,
       isUnderserved: () => false,
       onWaiting: () => {},
-      getUtilization: () => 0,
+      getProcessorUse: () => ({ utilization: 0, isShort: false }),
       getMeanEfficiency: () => 0,
       getLimitTokens: () => PREFILL_LIMIT_TOKENS,
       random: () => 0.5,
