Spend a tenth of a host's time on scheduling passes at most

Callers of busy hosts find no connection.

Cause: a pass goes through all waiting prompts a hundred times per second, however long it takes. The less time a host has, the more prompts wait, and the longer a pass takes.

Change: after a pass of t ms the next one starts at least 10 t later, at most 50 ms. Idle hosts pass as often as before. A prompt that finds an empty queue still starts at once.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -52,6 +52,7 @@
 import { createHostActivity, getWork } from "./host_activity.ts";
 import { createHostWarmUps } from "./host_warm_ups.ts";
 import { createIntake } from "./intake.ts";
+import { createPassPacing } from "./pass_pacing.ts";
 import { createPlatformView } from "./platform_view.ts";
 import { getDistance } from "./distance.ts";
 import { createDrain } from "./drain.ts";
@@ -153,6 +154,7 @@
     stallTolerantClock,
     (change) => log(createHealthDecision(change)),
   );
+  const passPacing = createPassPacing(clock);
   const loopMonitor = createEventLoopMonitor(clock, QUEUE_TICK_MS);
   const fullHosts = createFullHosts({
     clock,
@@ -520,7 +522,7 @@
    */
   function decide(): void {
     grants.tick();
-    queue.tick();
+    passPacing.run(queue.tick);
     crashes.tick();
     streamVersions.tick();
     const served = load.takeDueServiceTotals();
