Count a prompt as begun once when upstreams accept no connection for it

Cause: a start counts as repeated if an attempt of its request was sent before. Upstreams that have crashed refuse the connection, so that nothing was sent, and each further start counted in full.

Change: a start is repeated if the request was started at an upstream before.

Evidence: the test failed before (three starts counted, not one).

--- a/src/forwarding/forward_test.ts
+++ b/src/forwarding/forward_test.ts
@@ -266,6 +266,18 @@
   strictEqual(fixture.getReadingTokens(), 0);
 });
 
+test("a prompt counts as begun once, however many upstreams accept no connection for it", async () => {
+  // Guards against a flood that counts as served more than it asks for after upstreams have crashed, so that no team lacks anything.
+  await using fixture = await createForwardFixture(
+    [(socket, { id }) =>
+      socket.write(streamHead(id) + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n")],
+    { kind: "stream", hasPrompts: true },
+    { preferredAddresses: ["127.0.0.1:1", "127.0.0.1:2"] },
+  );
+  strictEqual((await fixture.call()).status, 200);
+  deepStrictEqual(fixture.repeatedStarts, [false, true, true]);
+});
+
 test("an overloaded host rejects requests and closes the connection", async () => {
   // A burst of requests over one connection pool overloads one host for
   // seconds. Requests that it reads late are rejected without being run; the
--- a/src/forwarding/pick_upstream.ts
+++ b/src/forwarding/pick_upstream.ts
@@ -136,7 +136,7 @@
       serviceTokens,
       workTokens,
       isBegun: call.progress.origin !== undefined,
-      isRepeated: call.progress.attempts > 0,
+      isRepeated: call.progress.triedUpstreams.size > 0,
       getUpstreams: createRankingCache(host, call, {
         prompt,
         affinityKey,
--- a/src/testing/forward_fixture.ts
+++ b/src/testing/forward_fixture.ts
@@ -99,6 +99,8 @@
   readonly recordedPacing: RecordedPacing;
   /** Tokens that were recorded as asked for by the team, in order. */
   readonly askedTokens: readonly number[];
+  /** Whether each start of a prompt counts as a repeated one. */
+  readonly repeatedStarts: readonly boolean[];
   /** Streams that began here. */
   readonly begun: readonly FirstEvent[];
   readonly crashes: CrashWatch;
@@ -266,6 +268,7 @@
   };
   const recordedPacing: RecordedPacing = { firstEvents: [], pauses: [] };
   const askedTokens: number[] = [];
+  const repeatedStarts: boolean[] = [];
   const begun: FirstEvent[] = [];
   function writeLog(decision: Decision): void {
     log.push(decision);
@@ -276,6 +279,7 @@
     controls,
     recordedPacing,
     askedTokens,
+    repeatedStarts,
     begun,
     crashes,
     log: writeLog,
@@ -297,6 +301,7 @@
     controls,
     recordedPacing,
     askedTokens,
+    repeatedStarts,
     begun,
     crashes,
     upstreamAddresses: entries.map((each) => each.address),
@@ -363,6 +368,7 @@
       readonly controls: Controls;
       readonly recordedPacing: RecordedPacing;
       readonly askedTokens: number[];
+      readonly repeatedStarts: boolean[];
       readonly begun: FirstEvent[];
     },
 ): ForwardHost {
@@ -421,8 +427,10 @@
       getMeanEfficiency: () => 0,
       getLimitTokens: () => PREFILL_LIMIT_TOKENS,
       random: () => 0.5,
-      onStart: (_prompt, upstream, readingTokens) =>
-        load.beginPrefill(upstream, readingTokens),
+      onStart({ isRepeated }, upstream, readingTokens) {
+        parts.repeatedStarts.push(isRepeated);
+        load.beginPrefill(upstream, readingTokens);
+      },
     }),
     health: createHealthWatch(clock),
     backoffs: createBackoffWatch(clock),
