--- a/src/handoff/handoff.ts
+++ b/src/handoff/handoff.ts
@@ -9,7 +9,7 @@
 import type { Socket } from "node:net";
 import type { Clock } from "../core/mod.ts";
 import type { Decision } from "../diagnostics/mod.ts";
-import type { ProcessorUse } from "../queue/mod.ts";
+import type { ProcessorUse } from "../types.ts";
 import {
   createEventLoopUtilization,
   type LoopTimes,
--- a/src/measure/simulated_host.ts
+++ b/src/measure/simulated_host.ts
@@ -21,10 +21,10 @@
   createPromptQueue,
   defaultPromptQueueOptions,
   getLoadFunctions,
-  type ProcessorUse,
   type PromptQueue,
   type PromptQueueOptions,
 } from "../queue/mod.ts";
+import type { ProcessorUse } from "../types.ts";
 import type { Random } from "./random.ts";
 
 /** Name of the one service of simulations. */
--- a/src/measure/simulated_intake.ts
+++ b/src/measure/simulated_intake.ts
@@ -15,7 +15,7 @@
   mayTakeConnection,
 } from "../handoff/mod.ts";
 import type { LoadPeer } from "../load/mod.ts";
-import type { ProcessorUse } from "../queue/mod.ts";
+import type { ProcessorUse } from "../types.ts";
 import type { Random } from "./random.ts";
 import {
   createSimulatedProcessor,
--- a/src/queue/mod.ts
+++ b/src/queue/mod.ts
@@ -7,6 +7,5 @@
 export * from "./load_functions.ts";
 export * from "./prompt_queue.ts";
 export * from "./prompt_queue_options.ts";
-export type { ProcessorUse } from "./shed_share.ts";
 export * from "./team_queue.ts";
 export * from "./types.ts";
--- a/src/queue/prompt_queue.ts
+++ b/src/queue/prompt_queue.ts
@@ -32,6 +32,9 @@
  * - A prompt that has waited too long takes the place of one that could still
  *   meet its target. The newest therefore go first, and a prompt is refused as
  *   soon as it is too late, with the time after which to retry.
+ * - A flood at all hosts takes the processor time that connections of other teams
+ *   need at a few. While connections are turned away, a busy host therefore
+ *   refuses prompts of teams over their due by their headers (`shed_share.ts`).
  * - After a long event-loop iteration many waiting prompts are late. Late
  *   prompts are therefore refused before any prompt starts, and no prompt
  *   starts for a caller that has disconnected.
--- a/src/queue/prompt_queue_test.ts
+++ b/src/queue/prompt_queue_test.ts
@@ -8,7 +8,7 @@
 import { createPromptQueue } from "./prompt_queue.ts";
 import { defaultPromptQueueOptions } from "./prompt_queue_options.ts";
 import { hasRoom } from "./room.ts";
-import type { ProcessorUse } from "./shed_share.ts";
+import type { ProcessorUse } from "../types.ts";
 import type { PromptQueueHost, WaitingPrompt } from "./types.ts";
 
 const { overShareLimit, inefficientLimit } = defaultPromptQueueOptions;
--- a/src/queue/shed_share.ts
+++ b/src/queue/shed_share.ts
@@ -11,23 +11,15 @@
  * @module
  */
 
+import type { ProcessorUse } from "../types.ts";
+
 /** Utilization above which a host begins to refuse. */
 const MIN_UTILIZATION = 0.7;
 
-/** How much of its processor time a host uses. */
-export interface ProcessorUse {
-  /** Utilization of its event loop, from 0 to 1. */
-  readonly utilization: number;
-  /**
-   * Whether its data centre has more connections than its hosts accept in time.
-   * Where all are accepted, the time would be left to nobody.
-   */
-  readonly isShort: boolean;
-}
-
 /**
  * Returns the share, from 0 to 1. It rises with the utilization, so that a host
- * that has just enough time refuses few prompts.
+ * that has just enough time refuses few prompts. Where all connections are
+ * accepted it is 0: the time would be left to nobody.
  */
 export function getShedShare({ utilization, isShort }: ProcessorUse): number {
   if (!isShort) return 0;
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -17,7 +17,7 @@
 } from "../diagnostics/mod.ts";
 import type { WaitingLoad } from "../load/mod.ts";
 import type { PrefixFetch, PrefixUse } from "../placement/mod.ts";
-import type { ProcessorUse } from "./shed_share.ts";
+import type { ProcessorUse } from "../types.ts";
 
 /**
  * 0: yields to no other prompts. 1: an inefficient prompt. 2: a prompt of a team
@@ -164,6 +164,7 @@
   ): number;
   /** A random number from 0 up to, but not including, 1. */
   random(): number;
+  /** How much of its processor time this host uses. */
   getProcessorUse(): ProcessorUse;
   /** Called when a prompt starts, to count it in the load of its upstream. */
   onStart(prompt: WaitingPrompt, upstream: string, readingTokens: number): void;
--- a/src/types.ts
+++ b/src/types.ts
@@ -116,3 +116,11 @@
   /** Monotonic milliseconds at which the drain has to end, shortly before the exit. */
   readonly exitMs: number;
 }
+
+/** How much of its processor time a host uses. */
+export interface ProcessorUse {
+  /** Utilization of its event loop, from 0 to 1. */
+  readonly utilization: number;
+  /** Whether hosts near it have more connections than they accept in time. */
+  readonly isShort: boolean;
+}
