--- a/src/handoff/protocol.ts
+++ b/src/handoff/protocol.ts
@@ -1,9 +1,9 @@
 /**
  * The protocol by which one host hands a connection off to another: the origin
  * connects and sends a preface, a line that names the relay and tells how busy
- * the origin is; the target answers with one byte. After an accepting byte, the connection carries the caller's
- * bytes unchanged. An origin that stops tells its targets so by another preface,
- * on a connection that ends with the answer.
+ * the origin is; the target answers with one byte. After an accepting byte, the
+ * connection carries the caller's bytes unchanged. An origin that stops tells its
+ * targets so by another preface, on a connection that ends with the answer.
  *
  * @module
  */
