--- a/src/measure/simulated_intake.ts
+++ b/src/measure/simulated_intake.ts
@@ -43,12 +43,16 @@
   connect(hostAt: number, serve: (hostAt: number) => void): void;
   /** Does work of this many ms of a core at the host, then calls `run`. */
   work(hostAt: number, coreMs: number, run?: () => void): void;
+  /** How much of its processor time the host uses. */
   getProcessorUse(hostAt: number): ProcessorUse;
   /** To be called many times per second. */
   tick(): void;
 }
 
-/** What each piece of work takes, in ms of a core. */
+/**
+ * What each piece of work takes, in ms of a core: to accept a connection, to ask
+ * a neighbour, to answer one, and to relay a connection from begin to end.
+ */
 const ACCEPT_MS = 0.3;
 const ASK_MS = 0.3;
 const ANSWER_MS = 0.3;
@@ -60,6 +64,7 @@
 /** Hosts that are asked to take a connection. */
 const MAX_ATTEMPTS = 2;
 
+/** Connections that a host relays at most. */
 const MAX_OPEN = 500;
 
 interface IntakeHost {
