--- a/src/diagnostics/describe_host_decision.ts
+++ b/src/diagnostics/describe_host_decision.ts
@@ -24,7 +24,7 @@
         `. Counts ${decision.coverage.hosts} hosts`;
     case "processor-used":
       return `Used ${decision.processorMs} ms of processor time in a second, ` +
-        `${decision.passMs} ms in scheduling passes, at a utilization of ` +
+        `${decision.passMs} ms in decisions of ticks, at a utilization of ` +
         `${decision.utilization}: accepted ${decision.accepted} connections, ` +
         `of which it handed off ${decision.handedOff} and closed ` +
         `${decision.abandoned} unread; received ${decision.received}; ended ` +
--- a/src/diagnostics/host_decisions.ts
+++ b/src/diagnostics/host_decisions.ts
@@ -38,8 +38,12 @@
   readonly refusedLate: number;
   /** Requests that ended in another way. */
   readonly otherEnds: number;
-  /** Processor time of the process, and time of its scheduling passes. */
+  /** Processor time of the process. */
   readonly processorMs: number;
+  /**
+   * Time of the decisions of its ticks, scheduling passes above all; waits for the
+   * processor count.
+   */
   readonly passMs: number;
   /** Utilization of the event loop, from 0 to 1. */
   readonly utilization: number;
--- a/src/entry/host_activity.ts
+++ b/src/entry/host_activity.ts
@@ -1,7 +1,7 @@
 /**
  * Sums up, for the log, what a host's processor time goes to: the connections
  * and requests of each second beside the time that the process used and the part
- * of it that its scheduling passes took.
+ * of it that the decisions of its ticks took, scheduling passes above all.
  *
  * Failure made visible: callers of a team keep to a host that can't accept all of
  * them. By the requests that hosts read, that team looks satisfied.
@@ -22,7 +22,7 @@
 /** The activity of one host. */
 export interface HostActivityCounter {
   count(work: HostWork): void;
-  /** Runs a scheduling pass and adds the time that it takes. */
+  /** Runs the decisions of a tick and adds the time that they take. */
   measurePass(run: () => void): void;
   /** Called by a timer, many times per second. */
   tick(): void;
--- a/src/handoff/mod.ts
+++ b/src/handoff/mod.ts
@@ -8,6 +8,7 @@
 export * from "./handoff.ts";
 export * from "./handoff_intake.ts";
 export * from "./handoff_policy.ts";
+export { MAX_HANDOFF_ATTEMPTS } from "./negotiation.ts";
 export {
   type AttemptOutcome,
   CALLER_ABANDON_MS,
--- a/src/handoff/negotiation.ts
+++ b/src/handoff/negotiation.ts
@@ -32,7 +32,7 @@
 }
 
 /** Maximum number of hosts that are asked to take a connection. */
-const MAX_ATTEMPTS = 2;
+export const MAX_HANDOFF_ATTEMPTS = 2;
 
 /** Starts to ask. Disposal ends that without a call of `onUntaken`. */
 export function startNegotiation(offer: Offer): Disposable {
@@ -50,7 +50,9 @@
         timeout[Symbol.dispose]();
         return offer.onTaken(name, answer.socket);
       }
-      const next = attempts < MAX_ATTEMPTS ? offer.tryGetNext() : undefined;
+      const next = attempts < MAX_HANDOFF_ATTEMPTS
+        ? offer.tryGetNext()
+        : undefined;
       if (next !== undefined) return ask(next);
       timeout[Symbol.dispose]();
       offer.onUntaken();
--- a/src/measure/simulated_intake.ts
+++ b/src/measure/simulated_intake.ts
@@ -12,6 +12,7 @@
   createHandoffPolicy,
   type EventLoopUtilization,
   type HandoffPolicy,
+  MAX_HANDOFF_ATTEMPTS,
   mayTakeConnection,
 } from "../handoff/mod.ts";
 import type { LoadPeer } from "../load/mod.ts";
@@ -61,9 +62,6 @@
 /** Time for which a handed-off connection stays open. */
 const RELAYED_MS = 1_000;
 
-/** Hosts that are asked to take a connection. */
-const MAX_ATTEMPTS = 2;
-
 /** Connections that a host relays at most. */
 const MAX_OPEN = 500;
 
@@ -126,7 +124,7 @@
   ): void {
     const { policy, processor, utilization } = hosts[originAt]!;
     const originUtilization = utilization.get();
-    const isAsking = attempt <= MAX_ATTEMPTS && policy.mayHandOff();
+    const isAsking = attempt <= MAX_HANDOFF_ATTEMPTS && policy.mayHandOff();
     const target = isAsking ? policy.tryBegin() : undefined;
     if (target === undefined) return serve(originAt);
     const targetAt = getHostAt(target);
